--- /dev/null
+++ b/internal/finding/finding.go
@@ -0,0 +1,70 @@
+// Package finding collects problems in operators' files together with their
+// place, so that all of them are reported at once.
+package finding
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Finding is one problem at one place. Line is 1-based; 0 means the whole file.
+type Finding struct {
+	File   string
+	Line   int
+	Key    string
+	Reason string
+}
+
+// String formats the finding as "file:line: key: reason".
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Key, f.Reason)
+}
+
+// List collects findings. The zero value is ready to use.
+type List struct {
+	findings []Finding
+}
+
+// Add records a finding whose reason is formatted like fmt.Sprintf.
+func (l *List) Add(file string, line int, key, format string, args ...any) {
+	l.findings = append(l.findings, Finding{File: file, Line: line, Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+// Append adds all findings of other.
+func (l *List) Append(other []Finding) {
+	l.findings = append(l.findings, other...)
+}
+
+// All returns the findings ordered by file and line.
+func (l *List) All() []Finding {
+	sort.SliceStable(l.findings, func(i, j int) bool {
+		a, b := l.findings[i], l.findings[j]
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		return a.Line < b.Line
+	})
+	return l.findings
+}
+
+// Err returns nil when the list is empty and an *Error with all findings otherwise.
+func (l *List) Err() error {
+	if len(l.findings) == 0 {
+		return nil
+	}
+	return &Error{Findings: l.All()}
+}
+
+// Error reports a non-empty list of findings.
+type Error struct {
+	Findings []Finding
+}
+
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Findings))
+	for i, f := range e.Findings {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
