--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -57,11 +57,15 @@
 	MayOrder(replicaID string) (fence int64, ok bool)
 }
 
-// Replicas gives the replicas of all data centres that this host knows of.
-type Replicas interface {
-	Replicas() []Replica
-	// Services returns the live backend servers of a plain service.
-	Services(name string) []platform.BackendServer
+// Inventory gives the newest host list that could be read.
+type Inventory interface {
+	BackendServers() []platform.BackendServer
+}
+
+// ReplicaStates gives the replicas that this host owns, for orders or only for
+// admission, with the state last read back from each.
+type ReplicaStates interface {
+	OwnedReplicas() []Replica
 }
 
 // Configs gives the configuration in force.
--- /dev/null
+++ b/internal/telemetry/recorder.go
@@ -0,0 +1,186 @@
+// Package telemetry records decisions as structured log lines and counts as
+// OpenTelemetry metrics.
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
+)
+
+// explainCapacity is the number of decisions kept for explain requests.
+const explainCapacity = 20000
+
+// Recorder records decisions and metrics of one process. It is safe for
+// concurrent use.
+type Recorder struct {
+	host     string
+	registry *prometheus.Registry
+	meter    metric.Meter
+	limiter  *rate.Limiter
+
+	mu         sync.Mutex
+	counters   map[string]metric.Int64Counter
+	histograms map[string]metric.Float64Histogram
+	totals     map[string]int64
+	decisions  []Decision // ring of explainCapacity
+	next       int
+}
+
+// Decision is one recorded routing or placement decision.
+type Decision struct {
+	Kind      string `json:"kind"`
+	RequestID string `json:"request_id,omitempty"`
+	Details   []any  `json:"details"` // alternating keys and values
+}
+
+// NewRecorder returns a recorder for the host that writes at most
+// decisionsPerSecond decision lines a second.
+func NewRecorder(host string, decisionsPerSecond int) (*Recorder, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, eris.Wrap(err, "create the Prometheus exporter")
+	}
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
+	return &Recorder{
+		host:       host,
+		registry:   registry,
+		meter:      provider.Meter("sesamestand"),
+		limiter:    rate.NewLimiter(rate.Limit(decisionsPerSecond), decisionsPerSecond),
+		counters:   make(map[string]metric.Int64Counter),
+		histograms: make(map[string]metric.Float64Histogram),
+		totals:     make(map[string]int64),
+	}, nil
+}
+
+// Decision logs one routing or placement decision under a stable kind, for
+// example "route" or "place", with alternating keys and values. It drops the
+// line, not the decision's entry for explain, above the configured rate.
+func (r *Recorder) Decision(kind, requestID string, keysAndValues ...any) {
+	if r.limiter.Allow() {
+		klog.InfoS("decision", append([]any{"host", r.host, "kind", kind, "request_id", requestID}, keysAndValues...)...)
+	} else {
+		r.Count("decision_lines_dropped_total")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	decision := Decision{Kind: kind, RequestID: requestID, Details: keysAndValues}
+	if len(r.decisions) < explainCapacity {
+		r.decisions = append(r.decisions, decision)
+		return
+	}
+	r.decisions[r.next] = decision
+	r.next = (r.next + 1) % explainCapacity
+}
+
+// Explain returns the kept decisions about a request, oldest first.
+func (r *Recorder) Explain(requestID string) []Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Decision
+	for i := range r.decisions {
+		d := r.decisions[(r.next+i)%len(r.decisions)]
+		if d.RequestID == requestID {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
+// Count adds one to a counter. Labels alternate names and values.
+func (r *Recorder) Count(name string, labels ...string) { r.Add(name, 1, labels...) }
+
+// Add adds n to a counter. Labels alternate names and values.
+func (r *Recorder) Add(name string, n int64, labels ...string) {
+	r.mu.Lock()
+	counter, ok := r.counters[name]
+	if !ok {
+		var err error
+		counter, err = r.meter.Int64Counter("sesamestand_" + strings.TrimSuffix(name, "_total"))
+		if err != nil {
+			klog.ErrorS(err, "create counter", "name", name)
+		}
+		r.counters[name] = counter
+	}
+	r.totals[totalKey(name, labels)] += n
+	r.mu.Unlock()
+	counter.Add(context.Background(), n, metric.WithAttributes(attributes(labels)...))
+}
+
+// Observe records a value in a histogram; the unit belongs in the name, for
+// example "queue_wait_seconds". Labels alternate names and values.
+func (r *Recorder) Observe(name string, value float64, labels ...string) {
+	r.mu.Lock()
+	histogram, ok := r.histograms[name]
+	if !ok {
+		var err error
+		histogram, err = r.meter.Float64Histogram("sesamestand_" + name)
+		if err != nil {
+			klog.ErrorS(err, "create histogram", "name", name)
+		}
+		r.histograms[name] = histogram
+	}
+	r.mu.Unlock()
+	histogram.Record(context.Background(), value, metric.WithAttributes(attributes(labels)...))
+}
+
+// Total is the sum of one counter with one set of labels.
+type Total struct {
+	Name  string `json:"name"`
+	Value int64  `json:"value"`
+}
+
+// Totals returns all counters, ordered by name, for status pages and tests.
+func (r *Recorder) Totals() []Total {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	totals := make([]Total, 0, len(r.totals))
+	for name, value := range r.totals {
+		totals = append(totals, Total{Name: name, Value: value})
+	}
+	sort.Slice(totals, func(i, j int) bool { return totals[i].Name < totals[j].Name })
+	return totals
+}
+
+// Handler serves the metrics in the Prometheus format.
+func (r *Recorder) Handler() http.Handler {
+	return promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})
+}
+
+func attributes(labels []string) []attribute.KeyValue {
+	pairs := make([]attribute.KeyValue, 0, len(labels)/2)
+	for i := 0; i+1 < len(labels); i += 2 {
+		pairs = append(pairs, attribute.String(labels[i], labels[i+1]))
+	}
+	return pairs
+}
+
+func totalKey(name string, labels []string) string {
+	if len(labels) == 0 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	b.WriteByte('{')
+	for i := 0; i+1 < len(labels); i += 2 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(labels[i] + "=" + labels[i+1])
+	}
+	b.WriteByte('}')
+	return b.String()
+}
