Write refusals to callers in one place

Routers, plain services and trainer calls refuse requests in the same form. httpapi.WriteRefusal writes the status, the outcome and reason headers and the JSON body; the status follows from the reason alone, so that no handler chooses its own. A reason without a status answers 500.

--- /dev/null
+++ b/internal/httpapi/refusal.go
@@ -0,0 +1,88 @@
+// Package httpapi holds what the HTTP interfaces towards callers share: the
+// form of refusals (status, headers and JSON body).
+package httpapi
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+)
+
+// Names of the headers that callers and the entry host exchange.
+const (
+	HeaderRequestID      = "Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestTimeout = "Request-Timeout-Ms"
+	HeaderOutcome        = "Sesamestand-Outcome"
+	HeaderReason         = "Sesamestand-Reason"
+	HeaderReplayed       = "Sesamestand-Replayed"
+)
+
+// RefusalBody is the JSON body of a refusal.
+type RefusalBody struct {
+	Error RefusalDetail `json:"error"`
+}
+
+// RefusalDetail is the content of a refusal's body.
+type RefusalDetail struct {
+	Outcome   cluster.Outcome `json:"outcome"`
+	Reason    cluster.Reason  `json:"reason"`
+	Message   string          `json:"message"`
+	RequestID string          `json:"request_id"`
+}
+
+var statuses = map[cluster.Reason]int{
+	cluster.ReasonNoReplica:      http.StatusServiceUnavailable,
+	cluster.ReasonNotOwner:       http.StatusServiceUnavailable,
+	cluster.ReasonOverload:       http.StatusTooManyRequests,
+	cluster.ReasonDeadline:       http.StatusGatewayTimeout,
+	cluster.ReasonCrashes:        http.StatusUnprocessableEntity,
+	cluster.ReasonSuperseded:     http.StatusConflict,
+	cluster.ReasonBackendFailed:  http.StatusBadGateway,
+	cluster.ReasonLogUnavailable: http.StatusServiceUnavailable,
+	cluster.ReasonKeyExpired:     http.StatusConflict,
+	cluster.ReasonKeyInvalid:     http.StatusBadRequest,
+	cluster.ReasonOtherAuthor:    http.StatusConflict,
+	cluster.ReasonDraining:       http.StatusServiceUnavailable,
+	cluster.ReasonUnauthorized:   http.StatusUnauthorized,
+	cluster.ReasonBadRequest:     http.StatusBadRequest,
+	cluster.ReasonTooLarge:       http.StatusRequestEntityTooLarge,
+	cluster.ReasonUnknownName:    http.StatusNotFound,
+}
+
+// Status returns the HTTP status of a refusal with the reason.
+func Status(reason cluster.Reason) int {
+	if status, ok := statuses[reason]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Body returns the JSON body of a refusal.
+func Body(requestID string, refusal *cluster.Refusal) RefusalBody {
+	return RefusalBody{Error: RefusalDetail{
+		Outcome:   refusal.Outcome,
+		Reason:    refusal.Reason,
+		Message:   refusal.Message,
+		RequestID: requestID,
+	}}
+}
+
+// WriteRefusal answers a request with a refusal. Nothing may have been written
+// to w before.
+func WriteRefusal(w http.ResponseWriter, requestID string, refusal *cluster.Refusal) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderOutcome, string(refusal.Outcome))
+	header.Set(HeaderReason, string(refusal.Reason))
+	if requestID != "" {
+		header.Set(HeaderRequestID, requestID)
+	}
+	w.WriteHeader(Status(refusal.Reason))
+	if err := json.NewEncoder(w).Encode(Body(requestID, refusal)); err != nil {
+		klog.V(1).InfoS("refusal was not written", "request_id", requestID, "err", err)
+	}
+}
