--- /dev/null
+++ b/internal/declare/fields.go
@@ -0,0 +1,182 @@
+package declare
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/finding"
+)
+
+// namePattern is the form of all declared names and names of data centres.
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// fields reads the keys of one section and reports wrong values. Keys that no
+// call asked for are unknown; unknown reports them.
+type fields struct {
+	section  *section
+	findings *finding.List
+	asked    map[string]bool
+}
+
+func newFields(s *section, findings *finding.List) *fields {
+	return &fields{section: s, findings: findings, asked: make(map[string]bool)}
+}
+
+func (f *fields) lookup(key string) (value, bool) {
+	f.asked[key] = true
+	v, ok := f.section.values[key]
+	return v, ok
+}
+
+func (f *fields) report(key, format string, args ...any) {
+	line := f.section.line
+	if v, ok := f.section.values[key]; ok {
+		line = v.line
+	}
+	f.findings.Add(f.section.file, line, key, format, args...)
+}
+
+func (f *fields) unknown() {
+	for _, key := range sortedKeys(f.section.values) {
+		if !f.asked[key] {
+			f.report(key, "is not a key of a %s", f.section.kind)
+		}
+	}
+}
+
+// integer reads a whole number inside [low, high]; absent keys give def.
+func (f *fields) integer(key string, def, low, high int64) int64 {
+	v, ok := f.lookup(key)
+	if !ok {
+		return def
+	}
+	n, err := strconv.ParseInt(v.text, 10, 64)
+	if err != nil || n < low || n > high {
+		f.report(key, "must be a whole number from %d to %d, not %q", low, high, v.text)
+		return def
+	}
+	return n
+}
+
+// number reads a decimal number inside [low, high]; absent keys give def.
+func (f *fields) number(key string, def, low, high float64) float64 {
+	v, ok := f.lookup(key)
+	if !ok {
+		return def
+	}
+	n, err := strconv.ParseFloat(v.text, 64)
+	if err != nil || !(n >= low && n <= high) { // also refuses NaN
+		f.report(key, "must be a number from %g to %g, not %q", low, high, v.text)
+		return def
+	}
+	return n
+}
+
+func (f *fields) boolean(key string, def bool) bool {
+	v, ok := f.lookup(key)
+	if !ok {
+		return def
+	}
+	switch v.text {
+	case "true":
+		return true
+	case "false":
+		return false
+	}
+	f.report(key, "must be true or false, not %q", v.text)
+	return def
+}
+
+func (f *fields) duration(key string, def, low, high time.Duration) time.Duration {
+	v, ok := f.lookup(key)
+	if !ok {
+		return def
+	}
+	d, err := time.ParseDuration(v.text)
+	if err != nil || d < low || d > high {
+		f.report(key, "must be a duration from %s to %s, not %q", low, high, v.text)
+		return def
+	}
+	return d
+}
+
+// name reads a declared name; an absent key gives the empty string.
+func (f *fields) name(key string, required bool) string {
+	v, ok := f.lookup(key)
+	if !ok {
+		if required {
+			f.report(key, "is missing")
+		}
+		return ""
+	}
+	if !namePattern.MatchString(v.text) {
+		f.report(key, "must be a name of a-z, 0-9 and '-', not %q", v.text)
+		return ""
+	}
+	return v.text
+}
+
+// list reads values separated by commas.
+func (f *fields) list(key string) []string {
+	v, ok := f.lookup(key)
+	if !ok {
+		return nil
+	}
+	var items []string
+	for item := range strings.SplitSeq(v.text, ",") {
+		item = strings.TrimSpace(item)
+		if item == "" {
+			f.report(key, "has an empty item")
+			continue
+		}
+		items = append(items, item)
+	}
+	return items
+}
+
+func (f *fields) class(key string, def Class) Class {
+	v, ok := f.lookup(key)
+	if !ok {
+		return def
+	}
+	class, ok := classes[v.text]
+	if !ok {
+		f.report(key, "must be interactive, batch or training, not %q", v.text)
+		return def
+	}
+	return class
+}
+
+var classes = map[string]Class{
+	"interactive": ClassInteractive,
+	"batch":       ClassBatch,
+	"training":    ClassTraining,
+}
+
+// replicas reads numbers of replicas by data centre: "plateau:4, yoff:2".
+func (f *fields) replicas(key string, high int) map[string]int {
+	counts := make(map[string]int)
+	if _, ok := f.lookup(key); !ok {
+		f.report(key, "is missing")
+		return counts
+	}
+	for _, item := range f.list(key) {
+		dataCentre, text, _ := strings.Cut(item, ":")
+		dataCentre, text = strings.TrimSpace(dataCentre), strings.TrimSpace(text)
+		n, err := strconv.Atoi(text)
+		_, twice := counts[dataCentre]
+		switch {
+		case !namePattern.MatchString(dataCentre):
+			f.report(key, "data centre %q must be a name of a-z, 0-9 and '-'", dataCentre)
+		case err != nil || n < 0 || n > high:
+			f.report(key, "number of replicas in %s must be from 0 to %d, not %q", dataCentre, high, text)
+		case twice:
+			f.report(key, "data centre %s is given twice", dataCentre)
+		default:
+			counts[dataCentre] = n
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/declare/parse.go
@@ -0,0 +1,102 @@
+package declare
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/sesamestand/sesamestand/internal/finding"
+)
+
+// fileSuffix marks declaration files; other files in the directory are left alone.
+const fileSuffix = ".ini"
+
+// Bounds of a declaration set. They keep one set inside one log record.
+const (
+	maxFileBytes = 64 << 10
+	maxSetBytes  = 4 << 20
+)
+
+// ParseDir reads all declaration files below dir. The map holds the content of
+// each file by its slash-separated path relative to dir.
+func ParseDir(dir string) (*Set, map[string]string, *finding.List) {
+	files := make(map[string]string)
+	var unreadable []finding.Finding
+	fail := func(path string, err error) {
+		unreadable = append(unreadable, finding.Finding{File: path, Key: "file", Reason: "cannot be read: " + err.Error()})
+	}
+	err := filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			fail(path, err)
+			return nil
+		}
+		if entry.IsDir() || !strings.HasSuffix(path, fileSuffix) {
+			return nil
+		}
+		content, err := os.ReadFile(path)
+		if err != nil {
+			fail(path, err)
+			return nil
+		}
+		relative, err := filepath.Rel(dir, path)
+		if err != nil {
+			fail(path, err)
+			return nil
+		}
+		files[filepath.ToSlash(relative)] = string(content)
+		return nil
+	})
+	if err != nil {
+		fail(dir, err)
+	}
+	set, findings := ParseFiles(files)
+	findings.Append(unreadable)
+	if len(files) == 0 && len(unreadable) == 0 {
+		findings.Add(dir, 0, "directory", "holds no declaration file (*%s)", fileSuffix)
+	}
+	return set, files, findings
+}
+
+// ParseFiles parses and checks declaration files, given as content by path.
+// The result depends on nothing but files. The set holds all sections that
+// could be read, and may only be used when there are no findings.
+func ParseFiles(files map[string]string) (*Set, *finding.List) {
+	findings := &finding.List{}
+	c := &collector{
+		set: &Set{
+			Models:   make(map[string]*Model),
+			Trainers: make(map[string]*Trainer),
+			Services: make(map[string]*Service),
+			Needs:    make(map[string]*Need),
+		},
+		sections: make(map[string]*section),
+		findings: findings,
+	}
+	total := 0
+	for _, path := range sortedKeys(files) {
+		total += len(path) + len(files[path])
+		if len(files[path]) > maxFileBytes {
+			findings.Add(path, 0, "file", "is over %d bytes", maxFileBytes)
+			continue
+		}
+		for _, s := range scanFile(path, files[path], findings) {
+			c.add(s)
+		}
+	}
+	if total > maxSetBytes {
+		findings.Add("", 0, "files", "all files together are over %d bytes", maxSetBytes)
+	}
+	c.checkReferences()
+	return c.set, findings
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/declare/sections.go
@@ -0,0 +1,180 @@
+package declare
+
+import (
+	"math"
+	"strings"
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/finding"
+)
+
+// Bounds of declared values.
+const (
+	maxReplicasPerDataCentre = 12000 // all replicas of section 1.6 of the design
+	maxTokensLimit           = 1 << 20
+	maxGroupSize             = 1024
+	maxStalenessBound        = 1 << 20
+	maxShare                 = 1000
+)
+
+// Defaults of keys that may be left out.
+const (
+	defaultMaxTokens      = 1024
+	defaultMinServing     = 0.5
+	defaultStalenessBound = 4
+	defaultGroupSize      = 8
+	defaultIdleWeight     = 0.5
+	defaultServiceTimeout = 10 * time.Second
+	defaultFirstToken     = time.Second
+)
+
+// collector builds a set from sections and reports conflicts between them.
+type collector struct {
+	set      *Set
+	sections map[string]*section // by header, first one seen
+	findings *finding.List
+}
+
+func (c *collector) add(s *section) {
+	read, ok := map[string]func(*fields, string){
+		"model":   c.model,
+		"trainer": c.trainer,
+		"service": c.service,
+		"need":    c.need,
+	}[s.kind]
+	if !ok {
+		c.findings.Add(s.file, s.line, s.header(), "section must be model, trainer, service or need")
+		return
+	}
+	if !namePattern.MatchString(s.name) {
+		c.findings.Add(s.file, s.line, s.header(), "name must consist of a-z, 0-9 and '-' and begin with a letter")
+		return
+	}
+	if first, twice := c.sections[s.header()]; twice {
+		if first.file != s.file { // the same file was reported by scanLines
+			c.findings.Add(s.file, s.line, s.header(), "is already declared at %s:%d", first.file, first.line)
+		}
+		return
+	}
+	c.sections[s.header()] = s
+	f := newFields(s, c.findings)
+	read(f, s.name)
+	f.unknown()
+}
+
+func (c *collector) model(f *fields, name string) {
+	m := &Model{
+		Name:           name,
+		Replicas:       f.replicas("replicas", maxReplicasPerDataCentre),
+		FencingChecked: f.boolean("fencing_checked", false),
+		MaxTokens:      int(f.integer("max_tokens", defaultMaxTokens, 1, maxTokensLimit)),
+		MinServing:     f.number("min_serving", defaultMinServing, 0, 0.99),
+		PinnedVersion:  f.integer("pinned_version", 0, 0, math.MaxInt64),
+		Adapters:       f.list("adapters"),
+	}
+	for _, adapter := range m.Adapters {
+		if !namePattern.MatchString(adapter) {
+			f.report("adapters", "must hold names of a-z, 0-9 and '-', not %q", adapter)
+		}
+	}
+	c.set.Models[name] = m
+}
+
+func (c *collector) trainer(f *fields, name string) {
+	c.set.Trainers[name] = &Trainer{
+		Name:           name,
+		Model:          f.name("model", true),
+		Share:          f.number("share", 1, 0.001, maxShare),
+		StalenessBound: f.integer("staleness_bound", defaultStalenessBound, 0, maxStalenessBound),
+		GroupSize:      int(f.integer("group_size", defaultGroupSize, 1, maxGroupSize)),
+		Surplus:        int(f.integer("surplus", 0, 0, maxGroupSize)),
+		IdleWeight:     f.number("idle_weight", defaultIdleWeight, 0, 1),
+		Scorer:         f.name("scorer", false),
+		ScoreRequired:  f.boolean("score_required", false),
+		MaxTokens:      int(f.integer("max_tokens", 0, 1, maxTokensLimit)),
+	}
+}
+
+func (c *collector) service(f *fields, name string) {
+	s := &Service{
+		Name:            name,
+		Class:           f.class("class", ClassInteractive),
+		RepeatablePaths: f.list("repeatable_paths"),
+		Timeout:         f.duration("timeout", defaultServiceTimeout, time.Millisecond, 10*time.Minute),
+	}
+	for _, path := range s.RepeatablePaths {
+		if !strings.HasPrefix(path, "/") || strings.Contains(path, "..") || strings.Contains(path, "//") {
+			f.report("repeatable_paths", "must hold absolute path prefixes without \"..\" or \"//\", not %q", path)
+		}
+	}
+	c.set.Services[name] = s
+}
+
+func (c *collector) need(f *fields, name string) {
+	c.set.Needs[name] = &Need{
+		Name:        name,
+		Model:       f.name("model", true),
+		Class:       f.class("class", ClassInteractive),
+		MinReplicas: int(f.integer("min_replicas", 1, 0, maxReplicasPerDataCentre)),
+		FirstToken:  f.duration("first_token", defaultFirstToken, time.Millisecond, 10*time.Minute),
+	}
+}
+
+// reportAt adds a finding about a key of an already collected section.
+func (c *collector) reportAt(header, key, format string, args ...any) {
+	newFields(c.sections[header], c.findings).report(key, format, args...)
+}
+
+// checkReferences checks what depends on more than one section.
+func (c *collector) checkReferences() {
+	for _, name := range sortedKeys(c.set.Models) {
+		if m := c.set.Models[name]; len(m.Replicas) > 0 && m.total() == 0 {
+			c.reportAt("model "+name, "replicas", "must name at least one replica")
+		}
+	}
+	for _, name := range sortedKeys(c.set.Trainers) {
+		c.checkTrainer("trainer "+name, c.set.Trainers[name])
+	}
+	reserved := make(map[string]int)
+	for _, name := range sortedKeys(c.set.Needs) {
+		need, header := c.set.Needs[name], "need "+name
+		model, ok := c.set.Models[need.Model]
+		if !ok {
+			if need.Model != "" {
+				c.reportAt(header, "model", "model %s is not declared", need.Model)
+			}
+			continue
+		}
+		reserved[need.Model] += need.MinReplicas
+		if reserved[need.Model] > model.total() {
+			c.reportAt(header, "min_replicas", "all needs of model %s ask for %d replicas, it has %d",
+				need.Model, reserved[need.Model], model.total())
+		}
+	}
+}
+
+func (c *collector) checkTrainer(header string, t *Trainer) {
+	model, ok := c.set.Models[t.Model]
+	switch {
+	case !ok && t.Model != "":
+		c.reportAt(header, "model", "model %s is not declared", t.Model)
+	case ok && t.MaxTokens == 0:
+		t.MaxTokens = model.MaxTokens
+	case ok && t.MaxTokens > model.MaxTokens:
+		c.reportAt(header, "max_tokens", "is over the %d of model %s", model.MaxTokens, t.Model)
+	}
+	if _, ok := c.set.Services[t.Scorer]; t.Scorer != "" && !ok {
+		c.reportAt(header, "scorer", "service %s is not declared", t.Scorer)
+	}
+	if t.ScoreRequired && t.Scorer == "" {
+		c.reportAt(header, "score_required", "needs a scorer")
+	}
+}
+
+func (m *Model) total() int {
+	sum := 0
+	for _, n := range m.Replicas {
+		sum += n
+	}
+	return sum
+}
