--- a/cmd/sesamestand/arguments.go
+++ b/cmd/sesamestand/arguments.go
@@ -5,6 +5,7 @@
 // arguments lists the subcommands; each has its own file.
 type arguments struct {
 	Serve *serveCommand `arg:"subcommand:serve" help:"run an entry host"`
+	Check *checkCommand `arg:"subcommand:check" help:"validate declaration files"`
 }
 
 // Version returns the text of --version.
--- a/internal/declare/parse.go
+++ b/internal/declare/parse.go
@@ -13,10 +13,11 @@
 // fileSuffix marks declaration files; other files in the directory are left alone.
 const fileSuffix = ".ini"
 
-// Bounds of a declaration set. They keep one set inside one log record.
+// Bounds of a declaration set. A whole set must fit into one log record and
+// into one gRPC message, whose default limit is 4 MiB.
 const (
 	maxFileBytes = 64 << 10
-	maxSetBytes  = 4 << 20
+	maxSetBytes  = 2 << 20
 )
 
 // ParseDir reads all declaration files below dir. The map holds the content of
