--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,198 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
+	"github.com/sesamestand/sesamestand/internal/tlsfiles"
+)
+
+const (
+	tokenHeader = "sesamestand-cluster-token"
+
+	// silentAfter is the number of timed-out exchanges in a row after which a
+	// connection counts as silent and is replaced. One may be a slow peer.
+	silentAfter = 2
+
+	// retireTimeout bounds how long a replaced connection stays open for the
+	// streams that still use it.
+	retireTimeout = 10 * time.Minute
+
+	// maxMessageBytes bounds one gRPC message; trainers' pulls are the largest.
+	maxMessageBytes = 64 << 20
+)
+
+// Pool keeps one connection per peer address.
+type Pool struct {
+	token string
+	tls   *tlsfiles.Source
+
+	mu    sync.Mutex
+	conns map[string]*connection
+}
+
+type connection struct {
+	conn     *grpc.ClientConn
+	timeouts atomic.Int32 // exchanges in a row that timed out
+	streams  atomic.Int32
+}
+
+var _ Clients = (*Pool)(nil)
+
+// NewPool returns a pool that authenticates with the cluster's token; source
+// may be nil for plain TCP.
+func NewPool(token string, source *tlsfiles.Source) *Pool {
+	return &Pool{token: token, tls: source, conns: make(map[string]*connection)}
+}
+
+// Client implements Clients.
+func (p *Pool) Client(addr string) (peerpb.PeerClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[addr]; ok {
+		return peerpb.NewPeerClient(c.conn), nil
+	}
+	c, err := p.dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	p.conns[addr] = c
+	return peerpb.NewPeerClient(c.conn), nil
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, c := range p.conns {
+		_ = c.conn.Close()
+		delete(p.conns, addr)
+	}
+}
+
+func (p *Pool) dial(addr string) (*connection, error) {
+	c := &connection{}
+	transport := insecure.NewCredentials()
+	if p.tls != nil {
+		transport = credentials.NewTLS(p.tls.ClientConfig())
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(transport),
+		grpc.WithUnaryInterceptor(p.observeUnary(addr, c)),
+		grpc.WithStreamInterceptor(p.observeStream(c)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		// The default backoff grows to two minutes, far longer than a restart takes.
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 2 * time.Second},
+			MinConnectTimeout: 2 * time.Second,
+		}),
+		// Retries by the transport would hide attempts from the retry budget.
+		grpc.WithDisableRetry(),
+	)
+	if err != nil {
+		return nil, eris.Wrapf(err, "create a connection to peer %s", addr)
+	}
+	c.conn = conn
+	return c, nil
+}
+
+func (p *Pool) authorize(ctx context.Context) context.Context {
+	return metadata.AppendToOutgoingContext(ctx, tokenHeader, p.token)
+}
+
+// observeUnary replaces a connection on which exchanges time out while new
+// connections may work. Exchange has a short deadline and a cheap handler, so
+// its timeouts tell a silent connection from a slow call.
+func (p *Pool) observeUnary(addr string, c *connection) grpc.UnaryClientInterceptor {
+	return func(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+		err := invoker(p.authorize(ctx), method, req, reply, cc, opts...)
+		if method != peerpb.Peer_Exchange_FullMethodName {
+			return err
+		}
+		switch {
+		case err == nil:
+			c.timeouts.Store(0)
+		case status.Code(err) == codes.DeadlineExceeded && c.timeouts.Add(1) >= silentAfter:
+			p.replace(addr, c)
+		}
+		return err
+	}
+}
+
+func (p *Pool) observeStream(c *connection) grpc.StreamClientInterceptor {
+	return func(ctx context.Context, desc *grpc.StreamDesc, cc *grpc.ClientConn, method string, streamer grpc.Streamer, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+		c.streams.Add(1)
+		opts = append(opts, grpc.OnFinish(func(error) { c.streams.Add(-1) }))
+		return streamer(p.authorize(ctx), desc, cc, method, opts...)
+	}
+}
+
+// replace takes c out of use. Streams that still run on it go on until they
+// end or their own progress timeout breaks them.
+func (p *Pool) replace(addr string, c *connection) {
+	p.mu.Lock()
+	if p.conns[addr] != c {
+		p.mu.Unlock()
+		return
+	}
+	delete(p.conns, addr)
+	p.mu.Unlock()
+	klog.InfoS("replacing a silent peer connection", "peer", addr)
+	go func() {
+		for deadline := time.Now().Add(retireTimeout); c.streams.Load() > 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Second)
+		}
+		_ = c.conn.Close()
+	}()
+}
+
+// ServerOptions returns the options of the gRPC server: authentication by the
+// cluster's token, TLS when source is not nil, message limits.
+func ServerOptions(token string, source *tlsfiles.Source) []grpc.ServerOption {
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
+		grpc.UnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+			if err := checkToken(ctx, token); err != nil {
+				return nil, err
+			}
+			return handler(ctx, req)
+		}),
+		grpc.StreamInterceptor(func(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
+			if err := checkToken(stream.Context(), token); err != nil {
+				return err
+			}
+			return handler(srv, stream)
+		}),
+	}
+	if source != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(source.ServerConfig(true))))
+	}
+	return options
+}
+
+func checkToken(ctx context.Context, token string) error {
+	md, _ := metadata.FromIncomingContext(ctx)
+	for _, given := range md.Get(tokenHeader) {
+		if subtle.ConstantTimeCompare([]byte(given), []byte(token)) == 1 {
+			return nil
+		}
+	}
+	return status.Error(codes.Unauthenticated, "the cluster token is missing or wrong")
+}
--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,174 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// key defines one settings key: how it is set, checked and documented.
+type key struct {
+	section  string
+	name     string
+	unit     string
+	fallback string // default value as text; empty means none
+	bounds   string
+	doc      string
+	required bool
+	set      func(*Settings, string) error
+}
+
+// keys lists every key in the order of the reference page.
+var keys = []key{
+	textKey("host", "id", "unique name of this entry host", true, func(s *Settings) *string { return &s.Host.ID }),
+	textKey("host", "data_centre", "name of the data centre that this entry host is in", true, func(s *Settings) *string { return &s.Host.DataCentre }),
+	addrKey("host", "http_addr", "address for callers, trainers and operators", true, func(s *Settings) *string { return &s.Host.HTTPAddr }),
+	addrKey("host", "peer_addr", "address for other entry hosts: gRPC over TCP and membership over UDP", true, func(s *Settings) *string { return &s.Host.PeerAddr }),
+	{section: "host", name: "peers", unit: "IP:port list", doc: "peer_addr of other entry hosts to contact at start; a few are enough", set: setPeers},
+
+	addrKey("platform", "log_addr", "log service", true, func(s *Settings) *string { return &s.Platform.LogAddr }),
+	addrKey("platform", "hosts_addr", "host list", true, func(s *Settings) *string { return &s.Platform.HostsAddr }),
+	addrKey("platform", "weights_addr", "weight store", true, func(s *Settings) *string { return &s.Platform.WeightsAddr }),
+
+	{section: "auth", name: "caller_tokens", unit: "token list", doc: "tokens that callers may use; none lets every caller in", set: setCallerTokens},
+	textKey("auth", "operator_token", "token for status, explain and metrics; none leaves them open", false, func(s *Settings) *string { return &s.Auth.OperatorToken }),
+	textKey("auth", "cluster_token", "token shared by all entry hosts", true, func(s *Settings) *string { return &s.Auth.ClusterToken }),
+	textKey("auth", "backend_token", "token sent to backend servers", false, func(s *Settings) *string { return &s.Auth.BackendToken }),
+	textKey("auth", "platform_token", "token sent to the log, the host list and the weight store", false, func(s *Settings) *string { return &s.Auth.PlatformToken }),
+
+	intKey("limits", "body_bytes", "bytes", "1048576", 1024, 64<<20, "largest request body; a larger one gets 413", func(s *Settings) *int { return &s.Limits.BodyBytes }),
+	intKey("limits", "max_concurrency", "requests", "256", 1, 4096, "upper end of the adaptive concurrency limit per replica", func(s *Settings) *int { return &s.Limits.MaxConcurrency }),
+	intKey("limits", "initial_concurrency", "requests", "4", 1, 4096, "concurrency limit of a replica nothing is known about", func(s *Settings) *int { return &s.Limits.InitialConcurrency }),
+	floatKey("limits", "min_training_share", "share", "0.10", 0, 0.9, "share of a replica that training keeps under interactive load", func(s *Settings) *float64 { return &s.Limits.MinTrainingShare }),
+	floatKey("limits", "retry_share", "share", "0.10", 0, 1, "retries as a share of requests over 10 s", func(s *Settings) *float64 { return &s.Limits.RetryShare }),
+	intKey("limits", "retry_reserve", "retries", "3", 0, 1000, "retries allowed over 10 s whatever the share", func(s *Settings) *int { return &s.Limits.RetryReserve }),
+	intKey("limits", "crashes_to_refuse", "crashes", "3", 1, 100, "crashes of backend servers after which a request's content is refused", func(s *Settings) *int { return &s.Limits.CrashesToRefuse }),
+	intKey("limits", "decision_log_per_second", "lines/s", "1000", 0, 100000, "decision lines above this rate are counted and not written", func(s *Settings) *int { return &s.Limits.DecisionLogPerSec }),
+
+	durationKey("timing", "progress_timeout", "5s", 10*time.Millisecond, time.Hour, "longest gap between two chunks of a stream", func(s *Settings) *time.Duration { return &s.Timing.ProgressTimeout }),
+	durationKey("timing", "drain_timeout", "60s", 0, 24*time.Hour, "longest time that a drain waits for requests in flight", func(s *Settings) *time.Duration { return &s.Timing.DrainTimeout }),
+	durationKey("timing", "drain_delay", "2s", 0, time.Minute, "time between failing readiness and draining, for the balancer to notice", func(s *Settings) *time.Duration { return &s.Timing.DrainDelay }),
+	durationKey("timing", "lease_term", "6s", 100*time.Millisecond, time.Hour, "time after the last read of the view stream in which orders may go to engines that ignore fencing numbers", func(s *Settings) *time.Duration { return &s.Timing.LeaseTerm }),
+	durationKey("timing", "log_retention", "24h", time.Second, 365*24*time.Hour, "retention of the log's streams; keys older than this are refused", func(s *Settings) *time.Duration { return &s.Timing.LogRetention }),
+	durationKey("timing", "clock_skew", "5s", 0, time.Hour, "largest difference between two clocks", func(s *Settings) *time.Duration { return &s.Timing.ClockSkew }),
+	durationKey("timing", "answer_retention", "120s", time.Second, time.Hour, "how long a request's home keeps its answer", func(s *Settings) *time.Duration { return &s.Timing.AnswerRetention }),
+	durationKey("timing", "probe_interval", "500ms", 10*time.Millisecond, time.Minute, "time between two membership probes", func(s *Settings) *time.Duration { return &s.Timing.ProbeInterval }),
+	durationKey("timing", "state_interval", "1s", 10*time.Millisecond, time.Minute, "time between two reads of an engine's state", func(s *Settings) *time.Duration { return &s.Timing.StateInterval }),
+	durationKey("timing", "request_timeout", "60s", 100*time.Millisecond, time.Hour, "deadline of a request that names none", func(s *Settings) *time.Duration { return &s.Timing.RequestTimeout }),
+
+	textKey("tls", "cert_file", "certificate (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.CertFile }),
+	textKey("tls", "key_file", "private key (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.KeyFile }),
+	textKey("tls", "ca_file", "certificates (PEM) that other entry hosts must chain to", false, func(s *Settings) *string { return &s.TLS.CAFile }),
+
+	{section: "policy", name: "name", unit: "name", fallback: "sesamestand", bounds: "sesamestand or baseline", doc: "baseline is round robin, first come first served, no surplus samples and plain retries, for comparison", set: setPolicy},
+}
+
+func textKey(section, name, doc string, required bool, field func(*Settings) *string) key {
+	return key{section: section, name: name, unit: "text", doc: doc, required: required,
+		set: func(s *Settings, value string) error {
+			*field(s) = value
+			return nil
+		}}
+}
+
+func addrKey(section, name, doc string, required bool, field func(*Settings) *string) key {
+	return key{section: section, name: name, unit: "IP:port", doc: doc, required: required,
+		set: func(s *Settings, value string) error {
+			if err := checkAddr(value); err != nil {
+				return err
+			}
+			*field(s) = value
+			return nil
+		}}
+}
+
+func intKey[T int | int64](section, name, unit, fallback string, low, high T, doc string, field func(*Settings) *T) key {
+	return key{section: section, name: name, unit: unit, fallback: fallback, doc: doc,
+		bounds: fmt.Sprintf("%d to %d", low, high),
+		set: func(s *Settings, value string) error {
+			n, err := strconv.ParseInt(value, 10, 64)
+			if err != nil {
+				return fmt.Errorf("%q is not a whole number", value)
+			}
+			if n < int64(low) || n > int64(high) {
+				return fmt.Errorf("%d is not in %d to %d", n, low, high)
+			}
+			*field(s) = T(n)
+			return nil
+		}}
+}
+
+func floatKey(section, name, unit, fallback string, low, high float64, doc string, field func(*Settings) *float64) key {
+	return key{section: section, name: name, unit: unit, fallback: fallback, doc: doc,
+		bounds: fmt.Sprintf("%g to %g", low, high),
+		set: func(s *Settings, value string) error {
+			f, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				return fmt.Errorf("%q is not a number", value)
+			}
+			// NaN fails both comparisons below, so the check is written as "inside".
+			if !(f >= low && f <= high) {
+				return fmt.Errorf("%g is not in %g to %g", f, low, high)
+			}
+			*field(s) = f
+			return nil
+		}}
+}
+
+func durationKey(section, name, fallback string, low, high time.Duration, doc string, field func(*Settings) *time.Duration) key {
+	return key{section: section, name: name, unit: "duration", fallback: fallback, doc: doc,
+		bounds: fmt.Sprintf("%s to %s", low, high),
+		set: func(s *Settings, value string) error {
+			d, err := time.ParseDuration(value)
+			if err != nil {
+				return fmt.Errorf("%q is not a duration such as 500ms or 2s", value)
+			}
+			if d < low || d > high {
+				return fmt.Errorf("%s is not in %s to %s", d, low, high)
+			}
+			*field(s) = d
+			return nil
+		}}
+}
+
+func setPeers(s *Settings, value string) error {
+	for _, addr := range splitList(value) {
+		if err := checkAddr(addr); err != nil {
+			return err
+		}
+		s.Peers = append(s.Peers, addr)
+	}
+	return nil
+}
+
+func setCallerTokens(s *Settings, value string) error {
+	s.Auth.CallerTokens = splitList(value)
+	return nil
+}
+
+func setPolicy(s *Settings, value string) error {
+	if value != PolicyDefault && value != PolicyBaseline {
+		return fmt.Errorf("%q is neither %s nor %s", value, PolicyDefault, PolicyBaseline)
+	}
+	s.Policy = value
+	return nil
+}
+
+func checkAddr(value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return fmt.Errorf("%q is not IP:port", value)
+	}
+	return nil
+}
+
+func splitList(value string) []string {
+	var items []string
+	for item := range strings.SplitSeq(value, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,18 +4,36 @@
 package settings
 
 import (
+	"fmt"
+	"os"
+	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/finding"
+	"github.com/sesamestand/sesamestand/internal/inifile"
 )
 
+// Policies that an entry host can run.
+const (
+	PolicyDefault  = "sesamestand"
+	PolicyBaseline = "baseline"
+)
+
+// trainerTokenSection maps trainer names to tokens; its keys are free.
+const trainerTokenSection = "trainer_tokens"
+
 // Settings is the content of a settings file.
 type Settings struct {
 	Host     Host
 	Platform Platform
 	Auth     Auth
-	Peers    []Peer
+	Peers    []string // peer addresses to contact at start
 	Limits   Limits
 	Timing   Timing
 	TLS      TLS
+	Policy   string
 }
 
 // Host names this entry host and its addresses. Section [host].
@@ -33,24 +51,19 @@
 	WeightsAddr string
 }
 
-// Auth holds tokens. Section [auth]. An empty caller token lets every caller in.
+// Auth holds tokens. Sections [auth] and [trainer_tokens].
 type Auth struct {
-	CallerTokens   []string
-	TrainerTokens  map[string]string // by trainer name
-	OperatorToken  string
-	ClusterToken   string // shared by entry hosts
-	BackendToken   string // sent to backend servers
-	PlatformTokens string
-}
-
-// Peer is another entry host to contact at start. Key peers in section [host].
-type Peer struct {
-	PeerAddr string
+	CallerTokens  []string
+	TrainerTokens map[string]string // by trainer name
+	OperatorToken string
+	ClusterToken  string
+	BackendToken  string
+	PlatformToken string
 }
 
 // Limits bounds sizes and rates. Section [limits].
 type Limits struct {
-	BodyBytes          int64
+	BodyBytes          int
 	MaxConcurrency     int // per replica
 	InitialConcurrency int
 	MinTrainingShare   float64
@@ -66,7 +79,7 @@
 	DrainTimeout    time.Duration
 	DrainDelay      time.Duration // time for the balancer to notice
 	LeaseTerm       time.Duration
-	LogRetention    time.Duration // of the intent stream
+	LogRetention    time.Duration
 	ClockSkew       time.Duration // largest allowed difference of clocks
 	AnswerRetention time.Duration // how long a request home keeps answers
 	ProbeInterval   time.Duration // membership
@@ -81,30 +94,129 @@
 	CAFile   string
 }
 
+// Enabled says whether connections use TLS.
+func (t TLS) Enabled() bool { return t.CertFile != "" }
+
 // Defaults returns the settings with every default applied.
 func Defaults() Settings {
-	return Settings{
-		Limits: Limits{
-			BodyBytes:          1 << 20,
-			MaxConcurrency:     256,
-			InitialConcurrency: 4,
-			MinTrainingShare:   0.10,
-			RetryShare:         0.10,
-			RetryReserve:       3,
-			CrashesToRefuse:    3,
-			DecisionLogPerSec:  1000,
-		},
-		Timing: Timing{
-			ProgressTimeout: 5 * time.Second,
-			DrainTimeout:    60 * time.Second,
-			DrainDelay:      2 * time.Second,
-			LeaseTerm:       6 * time.Second,
-			LogRetention:    24 * time.Hour,
-			ClockSkew:       5 * time.Second,
-			AnswerRetention: 120 * time.Second,
-			ProbeInterval:   500 * time.Millisecond,
-			StateInterval:   time.Second,
-			RequestTimeout:  60 * time.Second,
-		},
+	s := Settings{Auth: Auth{TrainerTokens: make(map[string]string)}}
+	for _, k := range keys {
+		if k.fallback == "" {
+			continue
+		}
+		if err := k.set(&s, k.fallback); err != nil {
+			panic(fmt.Sprintf("default of %s.%s: %v", k.section, k.name, err))
+		}
+	}
+	return s
+}
+
+// Load reads and checks a settings file. A returned *finding.Error holds all findings.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "read the settings file")
+	}
+	return Parse(path, content)
+}
+
+// Parse checks the content of a settings file; file names it in findings.
+func Parse(file string, content []byte) (Settings, error) {
+	var findings finding.List
+	s := Defaults()
+	given := make(map[string]bool)
+	for _, section := range inifile.Parse(file, content, &findings) {
+		if section.Name == trainerTokenSection {
+			setTrainerTokens(&s, file, section, &findings)
+			continue
+		}
+		setSection(&s, file, section, given, &findings)
+	}
+	for _, k := range keys {
+		if k.required && !given[k.section+"."+k.name] {
+			findings.Add(file, 0, k.section+"."+k.name, "is required")
+		}
+	}
+	checkCombinations(&s, file, &findings)
+	return s, findings.Err()
+}
+
+func setSection(s *Settings, file string, section inifile.Section, given map[string]bool, findings *finding.List) {
+	if !knownSection(section.Name) {
+		findings.Add(file, section.Line, "["+section.Name+"]", "is not a known section")
+		return
+	}
+	for _, entry := range section.Keys {
+		k := findKey(section.Name, entry.Name)
+		if k == nil {
+			findings.Add(file, entry.Line, entry.Name, "is not a known key of [%s]", section.Name)
+			continue
+		}
+		given[section.Name+"."+entry.Name] = true
+		if k.required && entry.Value == "" {
+			findings.Add(file, entry.Line, entry.Name, "must not be empty")
+			continue
+		}
+		if err := k.set(s, entry.Value); err != nil {
+			findings.Add(file, entry.Line, entry.Name, "%v", err)
+		}
+	}
+}
+
+func setTrainerTokens(s *Settings, file string, section inifile.Section, findings *finding.List) {
+	for _, entry := range section.Keys {
+		if entry.Value == "" {
+			findings.Add(file, entry.Line, entry.Name, "has an empty token")
+			continue
+		}
+		s.Auth.TrainerTokens[entry.Name] = entry.Value
+	}
+}
+
+func checkCombinations(s *Settings, file string, findings *finding.List) {
+	if (s.TLS.CertFile == "") != (s.TLS.KeyFile == "") {
+		findings.Add(file, 0, "tls.cert_file", "cert_file and key_file go together")
+	}
+	if s.Limits.InitialConcurrency > s.Limits.MaxConcurrency {
+		findings.Add(file, 0, "limits.initial_concurrency", "is above max_concurrency")
+	}
+}
+
+func knownSection(name string) bool {
+	for _, k := range keys {
+		if k.section == name {
+			return true
+		}
+	}
+	return false
+}
+
+func findKey(section, name string) *key {
+	for i := range keys {
+		if keys[i].section == section && keys[i].name == name {
+			return &keys[i]
+		}
+	}
+	return nil
+}
+
+// Reference returns the settings reference page in Markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# Settings of an entry host\n\n")
+	b.WriteString("Generated by `go run ./cmd/sesamestand settings`; do not edit.\n\n")
+	b.WriteString("Addresses are IP:port; a host name is a finding. Unknown sections and keys are findings. Durations are written like `500ms`, `2s` or `24h`. Section `[trainer_tokens]` maps each trainer's name to its token.\n")
+	section := ""
+	for _, k := range keys {
+		if k.section != section {
+			section = k.section
+			fmt.Fprintf(&b, "\n## [%s]\n\n| key | unit | default | bounds | meaning |\n|---|---|---|---|---|\n", section)
+		}
+		fallback := k.fallback
+		if k.required {
+			fallback = "required"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", k.name, k.unit, fallback, k.bounds, k.doc)
 	}
+	return b.String()
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/finding"
+)
+
+const valid = `[host]
+id = plateau-1
+data_centre = plateau
+http_addr = 127.0.0.1:8080
+peer_addr = 127.0.0.1:9080
+peers = 127.0.0.1:9081, 127.0.0.1:9082
+
+[platform]
+log_addr = 127.0.0.1:7001
+hosts_addr = 127.0.0.1:7002
+weights_addr = 127.0.0.1:7003
+
+[auth]
+cluster_token = secret
+
+[trainer_tokens]
+captions = abc
+
+[timing]
+lease_term = 3s
+`
+
+// Guards against defaults being lost when a file sets only some keys.
+func TestParseAppliesValuesOverDefaults(t *testing.T) {
+	s, err := Parse("host.ini", []byte(valid))
+	must.NoError(t, err)
+	must.Eq(t, []string{"127.0.0.1:9081", "127.0.0.1:9082"}, s.Peers)
+	must.Eq(t, 3*time.Second, s.Timing.LeaseTerm)
+	must.Eq(t, 5*time.Second, s.Timing.ProgressTimeout)
+	must.Eq(t, "abc", s.Auth.TrainerTokens["captions"])
+}
+
+// Guards against stopping at the first problem and against findings without their line.
+func TestParseReportsAllFindingsWithPlace(t *testing.T) {
+	bad := valid + "lease_term = 4s\nfoo = 1\n[limits]\nretry_share = NaN\nbody_bytes = 3\n[wrong]\nx = 1\n"
+	bad = "[host]\nhttp_addr = entry.example:80\n" + bad[len("[host]\n"):]
+	_, err := Parse("host.ini", []byte(bad))
+	var findings *finding.Error
+	must.True(t, errors.As(err, &findings))
+	var got []string
+	for _, f := range findings.Findings {
+		got = append(got, f.String())
+	}
+	must.Eq(t, []string{
+		`host.ini:5: http_addr: is given twice`,
+		`host.ini:22: lease_term: is given twice`,
+		`host.ini:23: foo: is not a known key of [timing]`,
+		`host.ini:25: retry_share: NaN is not in 0 to 1`,
+		`host.ini:26: body_bytes: 3 is not in 1024 to 67108864`,
+		`host.ini:27: [wrong]: is not a known section`,
+	}, got)
+}
+
+// Guards against a panic on any input and against accepting a file without its required keys.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("[host\nid"))
+	f.Add([]byte("[host]\nid = \"\"\"x\n"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		s, err := Parse("f.ini", content)
+		if err == nil && (s.Host.ID == "" || s.Auth.ClusterToken == "") {
+			t.Fatalf("accepted a file without required keys: %+v", s)
+		}
+	})
+}
