Add stand-ins of the outside systems and the platform clients

The roles of an entry host need a log, a host list, a weight store, engines, plain services and scoring services to run against, and tests need to break each of them on demand.

The engine's tokens carry a hash of model, prompt and seed, their index and a mark on the last one. A checker can therefore tell lost, repeated, cut and crossed tokens without knowing the seed or the engine's settings.

The append client reports a refusal only for 4xx and 503 answers and for a refused connection; every other failure is an unknown outcome. Sending a POST again on a broken pooled connection is switched off, because an append is not idempotent.

go test -race passes on internal/platform and internal/standin/...

--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,169 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// callTimeout bounds each call to the platform, in addition to the wait of a
+// long poll.
+const callTimeout = 10 * time.Second
+
+// idleTimeout closes pooled connections early, because an open connection can
+// go silent while new ones work.
+const idleTimeout = 30 * time.Second
+
+// answerLimit bounds the size of an answer.
+const answerLimit = 64 << 20
+
+type httpClient struct {
+	base   string
+	token  string
+	client *http.Client
+}
+
+func newHTTPClient(addr, token string) httpClient {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return httpClient{base: "http://" + addr, token: token, client: &http.Client{Transport: transport}}
+}
+
+// statusError reports an answer with a status other than 2xx.
+type statusError struct {
+	status int
+	body   string
+}
+
+func (e *statusError) Error() string { return fmt.Sprintf("status %d: %s", e.status, e.body) }
+
+// call sends one request and decodes the JSON answer into target. After a
+// timeout it drops pooled connections, so that the next call uses a new one.
+func (c httpClient) call(ctx context.Context, method, path string, timeout time.Duration, body []byte, target any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "build request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if method == http.MethodPost {
+		// Without GetBody the transport cannot send an append again by itself
+		// when a pooled connection breaks.
+		request.GetBody = nil
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		c.client.CloseIdleConnections()
+		return eris.Wrapf(err, "%s %s", method, path)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	if response.StatusCode/100 != 2 {
+		return &statusError{status: response.StatusCode, body: string(data[:min(len(data), 200)])}
+	}
+	if err != nil {
+		c.client.CloseIdleConnections()
+		return eris.Wrapf(err, "read answer of %s %s", method, path)
+	}
+	return eris.Wrapf(json.Unmarshal(data, target), "decode answer of %s %s", method, path)
+}
+
+type httpLog struct{ httpClient }
+
+// NewHTTPLog returns a client of the log service at addr (IP:port).
+func NewHTTPLog(addr, token string) Log { return httpLog{newHTTPClient(addr, token)} }
+
+// Append implements Log. The error is ErrRefused only when the log cannot
+// have taken the records; every other failure is ErrUnknownOutcome.
+func (l httpLog) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	body, err := json.Marshal(records)
+	if err != nil {
+		return 0, eris.Wrap(err, "encode records")
+	}
+	var answer struct {
+		Offset *int64 `json:"offset"`
+	}
+	err = l.call(ctx, http.MethodPost, "/streams/"+url.PathEscape(stream)+"/records", callTimeout, body, &answer)
+	var status *statusError
+	switch {
+	case err == nil && answer.Offset != nil:
+		return *answer.Offset, nil
+	case err == nil:
+		return 0, fmt.Errorf("%w: answer has no offset", ErrUnknownOutcome)
+	case errors.As(err, &status) && refusedStatus(status.status):
+		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+	case neverSent(err):
+		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return 0, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+}
+
+// refusedStatus tells which statuses mean that the records are not in the log.
+// Other 5xx statuses can come from a gateway that lost the log's answer.
+func refusedStatus(status int) bool {
+	return status/100 == 4 || status == http.StatusServiceUnavailable
+}
+
+// neverSent tells that no connection could be made, so that no record was sent.
+func neverSent(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial" && errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// Read implements Log.
+func (l httpLog) Read(ctx context.Context, stream string, offset int64, wait time.Duration) (Page, error) {
+	query := url.Values{}
+	query.Set("offset", strconv.FormatInt(offset, 10))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var page Page
+	err := l.call(ctx, http.MethodGet, "/streams/"+url.PathEscape(stream)+"/records?"+query.Encode(), callTimeout+wait, nil, &page)
+	return page, err
+}
+
+type httpHostList struct{ httpClient }
+
+// NewHTTPHostList returns a client of the host list at addr (IP:port).
+func NewHTTPHostList(addr, token string) HostList { return httpHostList{newHTTPClient(addr, token)} }
+
+// BackendServers implements HostList.
+func (h httpHostList) BackendServers(ctx context.Context) ([]BackendServer, error) {
+	var answer struct {
+		Hosts []BackendServer `json:"hosts"`
+	}
+	err := h.call(ctx, http.MethodGet, "/hosts", callTimeout, nil, &answer)
+	return answer.Hosts, err
+}
+
+type httpWeightStore struct{ httpClient }
+
+// NewHTTPWeightStore returns a client of the weight store at addr (IP:port).
+func NewHTTPWeightStore(addr, token string) WeightStore {
+	return httpWeightStore{newHTTPClient(addr, token)}
+}
+
+// Versions implements WeightStore.
+func (s httpWeightStore) Versions(ctx context.Context, model string) ([]int64, error) {
+	var answer struct {
+		Versions []int64 `json:"versions"`
+	}
+	err := s.call(ctx, http.MethodGet, "/models/"+url.PathEscape(model)+"/versions", callTimeout, nil, &answer)
+	return answer.Versions, err
+}
--- /dev/null
+++ b/internal/platform/http_test.go
@@ -0,0 +1,139 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/standin"
+	"github.com/sesamestand/sesamestand/internal/standin/hostsd"
+	"github.com/sesamestand/sesamestand/internal/standin/logd"
+	"github.com/sesamestand/sesamestand/internal/standin/weightsd"
+)
+
+func startLog(t *testing.T, config logd.Config) (*logd.Server, platform.Log) {
+	server := logd.New(config)
+	endpoint, err := standin.Listen("127.0.0.1:0", server.Handler())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = endpoint.Close() })
+	return server, platform.NewHTTPLog(endpoint.Addr(), config.Token)
+}
+
+// Guards against records that change or lose their order on the way.
+func TestLogReturnsRecordsInOrder(t *testing.T) {
+	_, log := startLog(t, logd.Config{Token: "secret"})
+	first, err := log.Append(t.Context(), "config", [][]byte{{0, 1}, []byte("two")})
+	must.NoError(t, err)
+	must.Eq(t, 0, first)
+	second, err := log.Append(t.Context(), "config", [][]byte{[]byte("three")})
+	must.NoError(t, err)
+	must.Eq(t, 2, second)
+	page, err := log.Read(t.Context(), "config", 1, 0)
+	must.NoError(t, err)
+	must.Len(t, 2, page.Records)
+	must.Eq(t, []byte("two"), page.Records[0].Data)
+	must.Eq(t, 2, page.Records[1].Offset)
+	must.Eq(t, 3, page.Next)
+}
+
+// Guards against a long poll that misses an append made while it waits.
+func TestLogReadWaitsForAnAppend(t *testing.T) {
+	_, log := startLog(t, logd.Config{})
+	done := make(chan platform.Page, 1)
+	go func() {
+		page, _ := log.Read(context.Background(), "view", 0, 20*time.Second)
+		done <- page
+	}()
+	_, err := log.Append(t.Context(), "view", [][]byte{[]byte("x")})
+	must.NoError(t, err)
+	must.Len(t, 1, (<-done).Records)
+}
+
+// Guards against a lost answer that is reported as a refusal: its caller would
+// say "not run" about something that ran.
+func TestLostAppendAnswerIsUnknown(t *testing.T) {
+	server, log := startLog(t, logd.Config{})
+	_, err := log.Append(t.Context(), "intent", [][]byte{[]byte("warm up the connection")})
+	must.NoError(t, err)
+	server.SetFaults(logd.Faults{LoseAnswers: 1})
+	_, err = log.Append(t.Context(), "intent", [][]byte{[]byte("lost")})
+	must.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	must.Len(t, 2, server.Records("intent"))
+
+	server.SetFaults(logd.Faults{DelayMS: 200})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = log.Append(ctx, "intent", [][]byte{[]byte("timeout")})
+	must.ErrorIs(t, err, platform.ErrUnknownOutcome)
+}
+
+// Guards against refusals that are treated as unknown, which would block keys
+// without need, and against records that a refused append left in the log.
+func TestRefusedAppendLeavesNoRecord(t *testing.T) {
+	server, log := startLog(t, logd.Config{AppendsPerSecond: 0.001})
+	_, err := log.Append(t.Context(), "intent", [][]byte{[]byte("within the limit")})
+	must.NoError(t, err)
+	_, err = log.Append(t.Context(), "intent", [][]byte{[]byte("over the limit")})
+	must.ErrorIs(t, err, platform.ErrRefused)
+	server.SetFaults(logd.Faults{Outage: logd.Outage503})
+	_, err = log.Append(t.Context(), "intent", [][]byte{[]byte("outage")})
+	must.ErrorIs(t, err, platform.ErrRefused)
+	must.Len(t, 1, server.Records("intent"))
+
+	_, err = platform.NewHTTPLog(unusedAddr(t), "").Append(t.Context(), "intent", [][]byte{nil})
+	must.ErrorIs(t, err, platform.ErrRefused)
+}
+
+func unusedAddr(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// Guards against a reader that stays stuck below the earliest offset.
+func TestLogReadStartsAtTheEarliestRecord(t *testing.T) {
+	_, log := startLog(t, logd.Config{RetainCount: 2})
+	for _, text := range []string{"a", "b", "c"} {
+		_, err := log.Append(t.Context(), "config", [][]byte{[]byte(text)})
+		must.NoError(t, err)
+	}
+	page, err := log.Read(t.Context(), "config", 0, 0)
+	must.NoError(t, err)
+	must.Eq(t, 1, page.Earliest)
+	must.Eq(t, []byte("b"), page.Records[0].Data)
+	must.Eq(t, 3, page.End)
+}
+
+// Guards against clients and stand-ins that disagree on the wire format.
+func TestHostListAndWeightStore(t *testing.T) {
+	hosts := hostsd.New(hostsd.Config{})
+	hosts.Put(platform.BackendServer{ID: "e1", Kind: platform.KindEngine, Model: "album", Addr: "127.0.0.1:1"})
+	hosts.Put(platform.BackendServer{ID: "e2", Kind: platform.KindEngine, Model: "album", Addr: "127.0.0.1:2"})
+	must.True(t, hosts.SetLeaving("e1"))
+	must.True(t, hosts.Remove("e2"))
+	hostsEnd, err := standin.Listen("127.0.0.1:0", hosts.Handler())
+	must.NoError(t, err)
+	defer func() { _ = hostsEnd.Close() }()
+	rows, err := platform.NewHTTPHostList(hostsEnd.Addr(), "").BackendServers(t.Context())
+	must.NoError(t, err)
+	must.Len(t, 1, rows)
+	must.Eq(t, "e1", rows[0].ID)
+	must.True(t, rows[0].Leaving)
+
+	weights := weightsd.New(weightsd.Config{Token: "secret"})
+	weights.Publish("album", 8)
+	weights.Publish("album", 7)
+	weightsEnd, err := standin.Listen("127.0.0.1:0", weights.Handler())
+	must.NoError(t, err)
+	defer func() { _ = weightsEnd.Close() }()
+	versions, err := platform.NewHTTPWeightStore(weightsEnd.Addr(), "secret").Versions(t.Context(), "album")
+	must.NoError(t, err)
+	must.Eq(t, []int64{7, 8}, versions)
+	_, err = platform.NewHTTPWeightStore(weightsEnd.Addr(), "wrong").Versions(t.Context(), "album")
+	must.Error(t, err)
+}
--- /dev/null
+++ b/internal/standin/engined/journal.go
@@ -0,0 +1,103 @@
+package engined
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/engine"
+)
+
+// End says how a request left the engine.
+type End string
+
+// Ways in which a request leaves the engine.
+const (
+	EndFinished  End = "finished"
+	EndCancelled End = "cancelled"
+	EndCrashed   End = "crashed"
+	EndRefused   End = "refused" // wrong model or adapter; it did not run
+)
+
+// Segment is a run of tokens that one weight version produced. To is exclusive.
+type Segment struct {
+	Version int64 `json:"version"`
+	From    int   `json:"from"`
+	To      int   `json:"to"`
+}
+
+// RequestEntry is one request that reached the engine.
+type RequestEntry struct {
+	Time         time.Time `json:"time"`
+	Engine       string    `json:"engine"`
+	Incarnation  int64     `json:"incarnation"`
+	RequestID    string    `json:"request_id"`
+	Model        string    `json:"model"`
+	PromptTag    string    `json:"prompt_tag"`
+	AnswerTag    string    `json:"answer_tag"`
+	Seed         int64     `json:"seed"`
+	Delivered    int       `json:"delivered"` // tokens that the request brought along
+	MaxTokens    int       `json:"max_tokens"`
+	CachedBlocks int       `json:"cached_blocks"`
+	Segments     []Segment `json:"segments"`
+	End          End       `json:"end"` // empty while it runs
+	Ended        time.Time `json:"ended"`
+}
+
+// OrderEntry is one order that reached the engine.
+type OrderEntry struct {
+	Time     time.Time    `json:"time"`
+	Engine   string       `json:"engine"`
+	Order    engine.Order `json:"order"`
+	Accepted bool         `json:"accepted"` // false when fenced off or not valid
+	Before   int64        `json:"before"`   // version that the engine ran
+	Done     time.Time    `json:"done"`
+	Error    string       `json:"error,omitempty"`
+}
+
+// Journal is what the engine recorded. It survives crashes.
+type Journal struct {
+	Requests []RequestEntry `json:"requests"`
+	Orders   []OrderEntry   `json:"orders"`
+	Crashes  []time.Time    `json:"crashes"`
+	Crossed  int            `json:"crossed"` // chunks sent with another request's ID
+}
+
+// Journal returns a copy of what the engine recorded.
+func (s *Server) Journal() Journal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := s.journal
+	copied.Requests = slices.Clone(s.journal.Requests)
+	for i := range copied.Requests {
+		copied.Requests[i].Segments = slices.Clone(copied.Requests[i].Segments)
+	}
+	copied.Orders = slices.Clone(s.journal.Orders)
+	copied.Crashes = slices.Clone(s.journal.Crashes)
+	return copied
+}
+
+func (s *Server) recordLocked(request engine.GenerateRequest, now time.Time) int {
+	s.journal.Requests = append(s.journal.Requests, RequestEntry{
+		Time:        now,
+		Engine:      s.config.ID,
+		Incarnation: s.state.Incarnation,
+		RequestID:   request.RequestID,
+		Model:       request.Model,
+		PromptTag:   PromptTag(request.Model, request.Prompt),
+		AnswerTag:   AnswerTag(request.Model, request.Prompt, request.Seed),
+		Seed:        request.Seed,
+		Delivered:   len(request.Delivered),
+		MaxTokens:   request.MaxTokens,
+	})
+	return len(s.journal.Requests) - 1
+}
+
+// producedLocked extends the segments of the request's entry.
+func (s *Server) producedLocked(r *run, chunk engine.Chunk) {
+	entry := &s.journal.Requests[r.entry]
+	if n := len(entry.Segments); n > 0 && entry.Segments[n-1].Version == chunk.WeightVersion {
+		entry.Segments[n-1].To = chunk.Index + 1
+		return
+	}
+	entry.Segments = append(entry.Segments, Segment{Version: chunk.WeightVersion, From: chunk.Index, To: chunk.Index + 1})
+}
--- /dev/null
+++ b/internal/standin/engined/orders.go
@@ -0,0 +1,221 @@
+package engined
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/standin"
+)
+
+// pieceBytes is the size of one write of weights.
+const pieceBytes = 16 << 10
+
+// load is one model or version that is being loaded.
+type load struct {
+	model   string
+	version int64
+	cancel  context.CancelFunc
+}
+
+func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if !standin.ReadJSON(w, r, &order) {
+		return
+	}
+	status, fence := s.order(order)
+	standin.WriteJSON(w, status, map[string]any{"accepted": status == http.StatusAccepted, "fence": fence})
+}
+
+// order records an order and starts to carry it out.
+func (s *Server) order(order engine.Order) (status int, fence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status = http.StatusAccepted
+	switch {
+	case !s.config.IgnoreFence && order.Fence < s.state.Fence:
+		status = http.StatusConflict
+	case !validOrder(order):
+		status = http.StatusBadRequest
+	}
+	s.journal.Orders = append(s.journal.Orders, OrderEntry{
+		Time: time.Now(), Engine: s.config.ID, Order: order,
+		Accepted: status == http.StatusAccepted, Before: s.state.Version,
+	})
+	if status != http.StatusAccepted {
+		return status, s.state.Fence
+	}
+	if !s.config.IgnoreFence {
+		s.state.Fence = order.Fence
+	}
+	s.carryOutLocked(order, len(s.journal.Orders)-1)
+	return status, s.state.Fence
+}
+
+func validOrder(order engine.Order) bool {
+	switch order.Kind {
+	case engine.OrderLoadModel:
+		return order.Model != ""
+	case engine.OrderLoadVersion:
+		return order.Version > 0
+	case engine.OrderLoadAdapter:
+		return order.Adapter != ""
+	case engine.OrderSetRole:
+		return slices.Contains([]string{engine.RoleMixed, engine.RolePrefill, engine.RoleDecode}, order.Role)
+	}
+	return false
+}
+
+func (s *Server) carryOutLocked(order engine.Order, entry int) {
+	switch order.Kind {
+	case engine.OrderSetRole:
+		s.state.Role = order.Role
+		s.journal.Orders[entry].Done = time.Now()
+	case engine.OrderLoadAdapter:
+		if !slices.Contains(s.state.Adapters, order.Adapter) {
+			s.state.Adapters = append(slices.Clone(s.state.Adapters), order.Adapter)
+		}
+		s.journal.Orders[entry].Done = time.Now()
+	default:
+		s.loadLocked(order, entry)
+	}
+}
+
+// loadLocked replaces a running load, unless it is for the same weights.
+func (s *Server) loadLocked(order engine.Order, entry int) {
+	model := order.Model
+	if model == "" {
+		model = s.state.Model
+	}
+	if s.loading != nil && s.loading.model == model && s.loading.version == order.Version {
+		return
+	}
+	s.stopLoadLocked()
+	ctx, cancel := context.WithCancel(context.Background())
+	current := &load{model: model, version: order.Version, cancel: cancel}
+	s.loading = current
+	s.state.Loading = order.Version
+	go func() {
+		err := s.fetch(ctx, current, order.Source)
+		s.finishLoad(current, entry, err)
+	}()
+}
+
+func (s *Server) stopLoadLocked() {
+	if s.loading != nil {
+		s.loading.cancel()
+		s.loading = nil
+		s.state.Loading = 0
+	}
+}
+
+// finishLoad swaps the weights in mid-stream, or records the failure.
+func (s *Server) finishLoad(current *load, entry int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.journal.Orders[entry].Done = now
+	if s.loading != current {
+		s.journal.Orders[entry].Error = "replaced or crashed"
+		return
+	}
+	s.stopLoadLocked()
+	if err != nil {
+		s.journal.Orders[entry].Error = err.Error()
+		s.state.LastError = err.Error()
+		return
+	}
+	s.state.LastError = ""
+	s.state.Model, s.state.Version = current.model, current.version
+	s.cache = freshCache(s.cache)
+	s.pausedUntil = now.Add(s.config.SwapPause)
+}
+
+// freshCache returns an empty cache whose events go on from old: cached
+// blocks do not fit new weights.
+func freshCache(old *prefixCache) *prefixCache {
+	cache := newPrefixCache(old.capacity)
+	cache.events, cache.nextSeq = old.events, old.nextSeq
+	now := time.Now()
+	for element := old.order.Back(); element != nil; element = element.Prev() {
+		cache.record(engine.CacheEvent{Prefix: element.Value.(string)}, now, func() bool { return false })
+	}
+	return cache
+}
+
+// fetch gets the weights from a peer engine or the weight store.
+func (s *Server) fetch(ctx context.Context, current *load, source string) error {
+	if s.takeLoadFailure() {
+		return eris.Errorf("load of version %d failed on demand", current.version)
+	}
+	var address string
+	switch {
+	case source != "":
+		address = fmt.Sprintf("http://%s/weights/%s/%d", source, url.PathEscape(current.model), current.version)
+	case s.config.WeightsAddr != "":
+		address = fmt.Sprintf("http://%s/models/%s/versions/%d/blob", s.config.WeightsAddr, url.PathEscape(current.model), current.version)
+	default:
+		select {
+		case <-time.After(s.config.LoadTime):
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return eris.Wrap(err, "build request for weights")
+	}
+	if s.config.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+s.config.Token)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "fetch weights")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("fetch weights: status %d", response.StatusCode)
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return eris.Wrap(err, "read weights")
+}
+
+func (s *Server) takeLoadFailure() bool {
+	fail := false
+	s.faults.Update(func(f *Faults) {
+		fail = f.FailLoads != 0
+		if f.FailLoads > 0 {
+			f.FailLoads--
+		}
+	})
+	return fail
+}
+
+// handleWeights copies the engine's weights to a peer engine.
+func (s *Server) handleWeights(w http.ResponseWriter, r *http.Request) {
+	state := s.State()
+	if r.PathValue("model") != state.Model || r.PathValue("version") != strconv.FormatInt(state.Version, 10) {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(s.config.WeightBytes))
+	piece := make([]byte, pieceBytes)
+	for left := s.config.WeightBytes; left > 0; left -= len(piece) {
+		piece = piece[:min(left, len(piece))]
+		if s.peers.WaitN(r.Context(), len(piece)) != nil {
+			return
+		}
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/scorerd/scorerd.go
@@ -0,0 +1,108 @@
+// Package scorerd is a stand-in for a scoring service. Its scores are a
+// function of the sample's text, so that a checker can repeat them.
+package scorerd
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sesamestand/sesamestand/internal/standin"
+)
+
+// Config sets the service's token and usual time per call.
+type Config struct {
+	Token string
+	Delay time.Duration
+}
+
+// Faults are the faults that can be set at run time.
+type Faults struct {
+	Dead    bool `json:"dead"`   // drops connections
+	Silent  bool `json:"silent"` // never answers
+	DelayMS int  `json:"delay_ms"`
+}
+
+// Sample is one sample to score.
+type Sample struct {
+	ID     string   `json:"id"`
+	Tokens []string `json:"tokens"`
+}
+
+// Request is the body of POST /score.
+type Request struct {
+	Group   string   `json:"group"`
+	Samples []Sample `json:"samples"`
+}
+
+// Reply holds one score per sample, in the order of the request.
+type Reply struct {
+	Scores []float64 `json:"scores"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	config Config
+	faults standin.Faults[Faults]
+	mux    *http.ServeMux
+
+	mu     sync.Mutex
+	scored int
+}
+
+// New returns a scoring service.
+func New(config Config) *Server {
+	s := &Server{config: config, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST /score", s.handleScore)
+	s.mux.Handle("POST /faults", &s.faults)
+	return s
+}
+
+// Handler returns the HTTP interface of the service.
+func (s *Server) Handler() http.Handler { return s.mux }
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(faults Faults) { s.faults.Set(faults) }
+
+// Scored returns the number of samples that were scored.
+func (s *Server) Scored() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scored
+}
+
+// Score returns the score of a sample's tokens, in [0, 1).
+func Score(tokens []string) float64 {
+	return float64(xxhash.Sum64String(strings.Join(tokens, ""))%1000) / 1000
+}
+
+func (s *Server) handleScore(w http.ResponseWriter, r *http.Request) {
+	var request Request
+	if !standin.Authorized(w, r, s.config.Token) || !standin.ReadJSON(w, r, &request) {
+		return
+	}
+	faults := s.faults.Get()
+	if faults.Dead {
+		standin.Abort()
+	}
+	if faults.Silent {
+		<-r.Context().Done()
+		return
+	}
+	select {
+	case <-time.After(s.config.Delay + time.Duration(faults.DelayMS)*time.Millisecond):
+	case <-r.Context().Done():
+		return
+	}
+	reply := Reply{Scores: make([]float64, 0, len(request.Samples))}
+	for _, sample := range request.Samples {
+		reply.Scores = append(reply.Scores, Score(sample.Tokens))
+	}
+	s.mu.Lock()
+	s.scored += len(request.Samples)
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, reply)
+}
--- /dev/null
+++ b/internal/standin/weightsd/weightsd.go
@@ -0,0 +1,153 @@
+// Package weightsd is a stand-in for the platform's weight store. All readers
+// of weights share one rate limit.
+package weightsd
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/sesamestand/sesamestand/internal/standin"
+)
+
+// pieceBytes is the size of one write of a blob.
+const pieceBytes = 16 << 10
+
+// Config sets the size and the rate of weights.
+type Config struct {
+	Token          string
+	BlobBytes      int // size of one version; 0 means 256 KiB
+	BytesPerSecond int // for all readers together; 0 means no limit
+}
+
+// Faults are the faults that can be set at run time.
+type Faults struct {
+	Down      bool `json:"down"` // answers 503
+	DelayMS   int  `json:"delay_ms"`
+	FailBlobs bool `json:"fail_blobs"` // drops blob connections half way
+}
+
+// Publication is one version that was added.
+type Publication struct {
+	Time    time.Time `json:"time"`
+	Model   string    `json:"model"`
+	Version int64     `json:"version"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	config  Config
+	faults  standin.Faults[Faults]
+	limiter *rate.Limiter
+	mux     *http.ServeMux
+
+	mu           sync.Mutex
+	publications []Publication
+}
+
+// New returns an empty weight store.
+func New(config Config) *Server {
+	if config.BlobBytes == 0 {
+		config.BlobBytes = 256 << 10
+	}
+	s := &Server{config: config, limiter: rate.NewLimiter(rate.Inf, pieceBytes), mux: http.NewServeMux()}
+	if config.BytesPerSecond > 0 {
+		s.limiter = rate.NewLimiter(rate.Limit(config.BytesPerSecond), pieceBytes)
+	}
+	s.mux.HandleFunc("GET /models/{model}/versions", s.handleList)
+	s.mux.HandleFunc("POST /models/{model}/versions/{version}", s.handlePublish)
+	s.mux.HandleFunc("GET /models/{model}/versions/{version}/blob", s.handleBlob)
+	s.mux.Handle("POST /faults", &s.faults)
+	return s
+}
+
+// Handler returns the HTTP interface of the store.
+func (s *Server) Handler() http.Handler { return s.mux }
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(faults Faults) { s.faults.Set(faults) }
+
+// Publish adds a version of a model.
+func (s *Server) Publish(model string, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publications = append(s.publications, Publication{Time: time.Now(), Model: model, Version: version})
+}
+
+// Publications returns all publications in order.
+func (s *Server) Publications() []Publication {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.publications)
+}
+
+// Versions returns the versions of a model in ascending order.
+func (s *Server) Versions(model string) []int64 {
+	versions := []int64{}
+	for _, p := range s.Publications() {
+		if p.Model == model {
+			versions = append(versions, p.Version)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
+// admit applies the delay, the outage and the token check.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request) bool {
+	faults := s.faults.Get()
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	if faults.Down {
+		http.Error(w, "weight store is not available", http.StatusServiceUnavailable)
+		return false
+	}
+	return standin.Authorized(w, r, s.config.Token)
+}
+
+func (s *Server) handleList(w http.ResponseWriter, r *http.Request) {
+	if s.admit(w, r) {
+		standin.WriteJSON(w, http.StatusOK, map[string]any{"versions": s.Versions(r.PathValue("model"))})
+	}
+}
+
+func (s *Server) handlePublish(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	version, err := strconv.ParseInt(r.PathValue("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version is not a number", http.StatusBadRequest)
+		return
+	}
+	s.Publish(r.PathValue("model"), version)
+	standin.WriteJSON(w, http.StatusCreated, map[string]int64{"version": version})
+}
+
+func (s *Server) handleBlob(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	version, err := strconv.ParseInt(r.PathValue("version"), 10, 64)
+	if err != nil || !slices.Contains(s.Versions(r.PathValue("model")), version) {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(s.config.BlobBytes))
+	piece := make([]byte, pieceBytes)
+	for left := s.config.BlobBytes; left > 0; left -= len(piece) {
+		piece = piece[:min(left, len(piece))]
+		if s.limiter.WaitN(r.Context(), len(piece)) != nil {
+			return
+		}
+		if s.faults.Get().FailBlobs && left <= s.config.BlobBytes/2 {
+			standin.Abort()
+		}
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+	}
+}
