Add membership of entry hosts over UDP

Cause: every role needs to know which hosts live, and weight versions must reach all hosts without the log. Ruled out: a clustering library (the design forbids it) and probing every member from every host, which does not fit into 9 KB/s at 590 hosts. Change: core/member decides probes, indirect probes, suspicion, refutation, join and leave; internal/gossip signs and sends bounded protobuf packets; internal/members drives both and serves cluster.Members and cluster.Versions. Result: three hosts on loopback join, spread a version, leave and return under a new incarnation in the race-enabled test. Loss, partitions and bandwidth are not measured yet.

--- /dev/null
+++ b/internal/core/member/digest.go
@@ -0,0 +1,138 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxSyncedAt bounds the memory of past answers.
+const maxSyncedAt = 4096
+
+// syncEvery is the least time between two answers with rows of one data
+// centre to one member, so that many hosts that join at once cannot use up the bandwidth.
+const syncEvery = time.Second
+
+// toggleDigest adds the row to the digest of its data centre, or removes it
+// when it is in. Dead rows are left out because hosts forget them at
+// different times; a suspicion is left out because it passes by itself.
+func (c *Core) toggleDigest(row Row) {
+	if row.State == Dead {
+		return
+	}
+	sum := xxhash.Sum64String(fmt.Sprintf("%s %s %d", row.ID, row.Addr, row.Incarnation))
+	c.digests[row.DataCentre] ^= sum
+}
+
+func versionSum(model string, version int64) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s %d", model, version))
+}
+
+func (c *Core) digestList() []Digest {
+	list := make([]Digest, 0, len(c.digests))
+	for dc, sum := range c.digests {
+		if sum != 0 {
+			list = append(list, Digest{DataCentre: dc, Sum: sum})
+		}
+	}
+	slices.SortFunc(list, func(a, b Digest) int { return cmpString(a.DataCentre, b.DataCentre) })
+	return list
+}
+
+func cmpString(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// compareDigests sends the rows of each data centre whose digest differs and
+// asks for the other's rows. Lost updates are repaired this way.
+// While updates are still being spread, differences are expected to pass.
+func (c *Core) compareDigests(now time.Time, m Message, out *Output) {
+	if len(m.Digests) == 0 || c.queue.Len() > 0 && c.members.Len() > 1 {
+		return
+	}
+	theirs := make(map[string]uint64, len(m.Digests))
+	for _, d := range m.Digests {
+		theirs[d.DataCentre] = d.Sum
+	}
+	for _, d := range c.digestList() {
+		if theirs[d.DataCentre] != d.Sum {
+			c.startSync(now, m.From, d.DataCentre, out)
+		}
+		delete(theirs, d.DataCentre)
+	}
+	for _, d := range m.Digests {
+		if _, left := theirs[d.DataCentre]; left {
+			c.startSync(now, m.From, d.DataCentre, out)
+		}
+	}
+}
+
+func (c *Core) startSync(now time.Time, to, dc string, out *Output) {
+	if c.budget <= 0 || now.Sub(c.syncedAt[to+"/"+dc]) < syncEvery {
+		return
+	}
+	if len(c.syncedAt) > maxSyncedAt {
+		clear(c.syncedAt)
+	}
+	c.syncedAt[to+"/"+dc] = now
+	c.sendRows(to, dc, true, out)
+}
+
+// sendRows sends all rows of a data centre, or all versions, in as many
+// packets as needed. Only the last packet asks for rows in return.
+func (c *Core) sendRows(to, dc string, want bool, out *Output) {
+	target := c.members.Get(to)
+	if target == nil {
+		return
+	}
+	message := Message{Kind: Sync, From: c.self.ID, To: to, SyncOf: dc}
+	base := Size(message)
+	size := base
+	flush := func() {
+		c.send(target.Addr, message, out)
+		message.Updates, message.Versions = nil, nil
+		size = base
+	}
+	for _, row := range c.rowsOf(dc) {
+		if size+rowSize(row) > MaxPacketBytes-rowSize(target.Row) {
+			flush()
+		}
+		message.Updates = append(message.Updates, row)
+		size += rowSize(row)
+	}
+	if dc == "" {
+		c.versions.Each(func(model string, version *int64) bool {
+			v := ModelVersion{Model: model, Version: *version}
+			if size+versionSize(v) > MaxPacketBytes-rowSize(target.Row) {
+				flush()
+			}
+			message.Versions = append(message.Versions, v)
+			size += versionSize(v)
+			return true
+		})
+	}
+	message.WantRows = want
+	flush()
+}
+
+func (c *Core) rowsOf(dc string) []Row {
+	var rows []Row
+	if c.self.DataCentre == dc {
+		rows = append(rows, c.self)
+	}
+	c.members.Each(func(_ string, e *entry) bool {
+		if e.DataCentre == dc {
+			rows = append(rows, e.Row)
+		}
+		return true
+	})
+	return rows
+}
--- /dev/null
+++ b/internal/core/member/probe.go
@@ -0,0 +1,230 @@
+package member
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// probe is a ping that waits for its answer.
+type probe struct {
+	target   string
+	sent     time.Time
+	indirect bool // helpers were asked
+}
+
+// relay is a ping sent for another member.
+type relay struct {
+	origin, originAddr string
+	originSeq          uint64
+	sent               time.Time
+}
+
+func (c *Core) startProbes(now time.Time, out *Output) {
+	if !now.Before(c.nextLocal) {
+		c.nextLocal = now.Add(c.cfg.ProbeInterval)
+		c.probeNext(now, &c.local, c.localTargets, out)
+		c.probeRandom(now, Suspect, out)
+	}
+	if !now.Before(c.nextRemote) {
+		c.nextRemote = now.Add(c.times.remoteEvery)
+		c.probeNext(now, &c.remote, c.remoteProbeTargets, out)
+	}
+	if !now.Before(c.nextDead) {
+		c.nextDead = now.Add(c.times.deadEvery)
+		c.probeRandom(now, Dead, out)
+	}
+}
+
+// probeNext pings the next member of a round; a round visits each member once
+// in random order, which bounds the time until a given member is probed.
+func (c *Core) probeNext(now time.Time, round *[]string, targets func() []string, out *Output) {
+	for refilled := false; ; {
+		if len(*round) == 0 {
+			if refilled {
+				return
+			}
+			refilled = true
+			*round = targets()
+			c.random.Shuffle(len(*round), func(i, j int) { (*round)[i], (*round)[j] = (*round)[j], (*round)[i] })
+			continue
+		}
+		id := (*round)[0]
+		*round = (*round)[1:]
+		if e := c.members.Get(id); e != nil && e.State != Dead {
+			c.ping(now, e, out)
+			return
+		}
+	}
+}
+
+func (c *Core) ping(now time.Time, e *entry, out *Output) {
+	seq := c.random.Uint64()
+	c.probes.Put(seq, probe{target: e.ID, sent: now})
+	message := Message{Kind: Ping, Seq: seq, From: c.self.ID, To: e.ID}
+	if !now.Before(c.nextDigest) && c.queue.Len() == 0 {
+		c.nextDigest = now.Add(c.times.digestEvery)
+		message.Digests = c.digestList()
+	}
+	c.send(e.Addr, message, out)
+}
+
+// probeRandom pings one member in a state. The ping names the state that is
+// held against the member and so lets it refute: a suspicion before it ends,
+// and a death after both sides of a partition can reach each other again.
+func (c *Core) probeRandom(now time.Time, state State, out *Output) {
+	var found []*entry
+	c.members.Each(func(_ string, e *entry) bool {
+		if e.State == state {
+			found = append(found, e)
+		}
+		return true
+	})
+	if len(found) > 0 {
+		c.ping(now, found[c.random.IntN(len(found))], out)
+	}
+}
+
+// contactSeeds pings seeds whose address belongs to no live member. An
+// answer, and the exchange of rows that follows, is how a host joins.
+func (c *Core) contactSeeds(now time.Time, out *Output) {
+	if now.Before(c.nextSeed) {
+		return
+	}
+	live := make(map[string]bool)
+	c.members.Each(func(_ string, e *entry) bool {
+		if e.State != Dead {
+			live[e.Addr] = true
+		}
+		return true
+	})
+	c.nextSeed = now.Add(c.times.seedEvery)
+	var unknown []string
+	for _, seed := range c.cfg.Seeds {
+		if seed != c.self.Addr && !live[seed] {
+			unknown = append(unknown, seed)
+		}
+	}
+	if len(unknown) == 0 {
+		return
+	}
+	if len(live) > 0 { // only to find a group of hosts that was never met
+		c.nextSeed = now.Add(10 * c.times.seedEvery)
+		unknown = []string{unknown[c.random.IntN(len(unknown))]}
+	}
+	for _, seed := range unknown {
+		c.send(seed, Message{Kind: Ping, Seq: c.random.Uint64(), From: c.self.ID,
+			Updates: []Row{c.self}, Digests: c.digestList()}, out)
+	}
+}
+
+// expireProbes asks helpers after the direct timeout and suspects the target
+// when no answer came by any way.
+func (c *Core) expireProbes(now time.Time, out *Output) {
+	c.probes.Each(func(seq uint64, p *probe) bool {
+		e := c.members.Get(p.target)
+		age := now.Sub(p.sent)
+		switch {
+		case e == nil:
+			c.probes.Delete(seq)
+		case age >= c.times.probeTimeout:
+			c.probes.Delete(seq)
+			if e.State == Alive {
+				row := e.Row
+				row.State = Suspect
+				c.merge(now, row, c.self.ID, "probe failed", out)
+			}
+		case age >= c.times.directTimeout && !p.indirect && e.State != Dead:
+			p.indirect = true
+			c.askHelpers(seq, e, out)
+		}
+		return true
+	})
+	c.relays.Each(func(seq uint64, r *relay) bool {
+		if now.Sub(r.sent) >= c.times.probeTimeout {
+			c.relays.Delete(seq)
+		}
+		return true
+	})
+}
+
+func (c *Core) askHelpers(seq uint64, e *entry, out *Output) {
+	c.send(e.Addr, Message{Kind: Ping, Seq: seq, From: c.self.ID, To: e.ID}, out)
+	for _, helper := range c.randomLive(indirectHelpers, e.ID) {
+		c.send(helper.Addr, Message{Kind: PingRequest, Seq: seq, From: c.self.ID, To: helper.ID,
+			Subject: e.ID, SubjectAddr: e.Addr}, out)
+	}
+}
+
+// randomLive returns up to n random members that are not dead.
+func (c *Core) randomLive(n int, except string) []*entry {
+	var live []*entry
+	c.members.Each(func(id string, e *entry) bool {
+		if e.State != Dead && id != except {
+			live = append(live, e)
+		}
+		return true
+	})
+	n = min(n, len(live))
+	for i := range n {
+		j := i + c.random.IntN(len(live)-i)
+		live[i], live[j] = live[j], live[i]
+	}
+	return live[:n]
+}
+
+func (c *Core) localTargets() []string {
+	var ids []string
+	c.members.Each(func(id string, e *entry) bool {
+		if e.State != Dead && e.DataCentre == c.self.DataCentre {
+			ids = append(ids, id)
+		}
+		return true
+	})
+	return ids
+}
+
+// remoteProbeTargets returns the members of other data centres for which this
+// host is among the remoteProbers hosts of its data centre with the highest
+// rendezvous hash. All hosts of the data centre come to the same choice
+// without messages.
+func (c *Core) remoteProbeTargets() []string {
+	if !c.targetsStale {
+		return slices.Clone(c.remoteTargets)
+	}
+	c.targetsStale = false
+	var mates []uint64
+	c.members.Each(func(_ string, e *entry) bool {
+		if e.State != Dead && e.DataCentre == c.self.DataCentre {
+			mates = append(mates, e.hash)
+		}
+		return true
+	})
+	own := xxhash.Sum64String(c.self.ID)
+	c.remoteTargets = c.remoteTargets[:0]
+	c.members.Each(func(id string, e *entry) bool {
+		if e.State == Dead || e.DataCentre == c.self.DataCentre {
+			return true
+		}
+		ahead := 0
+		for _, mate := range mates {
+			if pairHash(mate, e.hash) > pairHash(own, e.hash) {
+				ahead++
+			}
+		}
+		if ahead < remoteProbers {
+			c.remoteTargets = append(c.remoteTargets, id)
+		}
+		return true
+	})
+	return slices.Clone(c.remoteTargets)
+}
+
+// pairHash mixes two hashes. It stands in for hashing the two names together,
+// which takes too long for 550 remote members times 37 hosts.
+func pairHash(a, b uint64) uint64 {
+	high, low := bits.Mul64(a^0x9e3779b97f4a7c15, b^0xd6e8feb86659fd93)
+	return high ^ low
+}
