Feed trainers from their home with whole groups in sequence

Cause: trainers need groups of samples delivered once although no host keeps anything, and the other roles need the constructor to be wired. Ruled out: a void marker in place of an offered group that became too stale; a trainer that took the first copy of it from a late answer would get the group again under another number. A new epoch makes the trainer say what it lacks. Reusing an epoch after a call under a foreign one was ruled out for the same reason. Change: core/sample with epochs, sequence numbers, surplus, hedges, staleness at delivery, memory bounds and order; internal/trainers with the HTTP calls, forwarding to the home, samples, scoring and drain.

--- /dev/null
+++ b/internal/core/sample/deliver.go
@@ -0,0 +1,166 @@
+package sample
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Delivered is a whole group as it is given to the trainer. It is the same
+// each time that it is given under its sequence number.
+type Delivered struct {
+	Seq      int64
+	ID       string
+	Step     int64
+	Unscored bool // scoring failed and the declaration allows that
+	Samples  []DeliveredSample
+}
+
+// DeliveredSample is one sample of a delivered group.
+type DeliveredSample struct {
+	ID       string
+	Tokens   []string
+	Versions []int64 // in order of first appearance
+	Score    float64
+	HasScore bool
+	Finish   string
+}
+
+// Pull confirms all groups up to cursor and returns the next ones, at most
+// limit. An empty result means that nothing is ready.
+func (h *Home) Pull(now time.Duration, name, epoch string, cursor int64, limit int) (Verdict, string, []Delivered) {
+	t := h.trainers.Get(name)
+	if t == nil {
+		return UnknownTrainer, "", nil
+	}
+	if !h.enter(t, epoch, now) || epoch == "" {
+		return EpochChanged, t.epoch, nil
+	}
+	if cursor < t.acknowledged || cursor > t.seq() {
+		// The trainer went back to an older state of its own, or the home was
+		// told of groups that it never gave.
+		h.newEpoch(t, epoch, now)
+		return EpochChanged, t.epoch, nil
+	}
+	h.acknowledge(t, cursor)
+	if len(t.offered) > 0 && t.staleGroup(t.offered[0]) {
+		// The trainer may hold this group already, so its place in the sequence
+		// can neither be given again nor be filled with other content.
+		h.newEpoch(t, epoch, now)
+		return EpochChanged, t.epoch, nil
+	}
+	return Accepted, t.epoch, h.give(t, limit)
+}
+
+func (h *Home) acknowledge(t *trainer, cursor int64) {
+	for t.acknowledged < cursor {
+		g := t.offered[0]
+		t.offered = t.offered[1:]
+		t.acknowledged++
+		t.done[g.id] = true
+		t.remove(g)
+		t.counts.Delivered++
+	}
+}
+
+// give lists the offered groups again and adds ready ones behind them. It
+// stops before an offered group that became too stale.
+func (h *Home) give(t *trainer, limit int) []Delivered {
+	limit = max(limit, 1)
+	var out []Delivered
+	for i, g := range t.offered {
+		if len(out) == limit || t.staleGroup(g) {
+			return out
+		}
+		out = append(out, t.delivered(g, t.acknowledged+int64(i)+1))
+		t.counts.Redelivered++
+	}
+	for _, g := range t.deliverable() {
+		if len(out) == limit {
+			break
+		}
+		g.phase = offered
+		t.offered = append(t.offered, g)
+		out = append(out, t.delivered(g, t.seq()))
+	}
+	return out
+}
+
+// deliverable returns the ready groups in the order in which they are given.
+func (t *trainer) deliverable() []*group {
+	var found []*group
+	t.groups.Each(func(_ string, g *group) bool {
+		if g.phase == ready && !g.parked && !t.staleGroup(g) {
+			found = append(found, g)
+		}
+		return true
+	})
+	slices.SortFunc(found, func(a, b *group) int {
+		if c := cmp.Compare(a.step, b.step); c != 0 && !t.params.Policy.FirstCome {
+			return c
+		}
+		return cmp.Compare(a.readyOrder, b.readyOrder)
+	})
+	return found
+}
+
+func (t *trainer) delivered(g *group, seq int64) Delivered {
+	d := Delivered{Seq: seq, ID: g.id, Step: g.step, Unscored: g.unscored}
+	for i, s := range g.samples {
+		out := DeliveredSample{ID: s.id, Tokens: s.tokens, Versions: s.versions, Finish: s.finish}
+		if i < len(g.scores) {
+			out.Score, out.HasScore = g.scores[i], true
+		}
+		d.Samples = append(d.Samples, out)
+	}
+	return d
+}
+
+// Newest raises the newest weight version of a trainer; lower values are
+// ignored.
+func (h *Home) Newest(now time.Duration, name string, version int64) {
+	t := h.trainers.Get(name)
+	if t == nil || version <= t.newest {
+		return
+	}
+	t.pace.raise(now, version-t.newest)
+	t.newest = version
+	h.dropStale(t)
+}
+
+func (t *trainer) staleSample(s *sample) bool {
+	return len(s.versions) > 0 && t.newest-s.lowest > t.params.Bound
+}
+
+func (t *trainer) staleGroup(g *group) bool {
+	return slices.ContainsFunc(g.samples, t.staleSample)
+}
+
+// dropStale drops every sample that can no longer be delivered, also while it
+// runs. Offered groups are left as they are, because their content is fixed.
+func (h *Home) dropStale(t *trainer) {
+	t.groups.Each(func(_ string, g *group) bool {
+		if g.phase != offered && t.staleGroup(g) {
+			h.dropStaleOf(t, g)
+		}
+		return true
+	})
+}
+
+func (h *Home) dropStaleOf(t *trainer, g *group) {
+	kept := make([]*sample, 0, len(g.samples))
+	for _, s := range g.samples {
+		if !t.staleSample(s) {
+			kept = append(kept, s)
+			continue
+		}
+		t.counts.Stale++
+		if s.finish == "" {
+			h.cancel(s)
+		}
+	}
+	g.samples = kept
+	g.phase, g.scores, g.unscored, g.scoreBusy = collecting, nil, false, false
+	g.attempt++
+	t.recount(g)
+}
--- /dev/null
+++ b/internal/trainers/harness_test.go
@@ -0,0 +1,215 @@
+package trainers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
+)
+
+// net is a set of hosts whose peer calls are made directly, together with what
+// all of them share: membership, configuration, versions, inventory, engines.
+type testNet struct {
+	t        *testing.T
+	mu       sync.Mutex
+	members  []cluster.Member
+	hosts    map[string]*Controller // by peer address
+	trainers map[string]*declare.Trainer
+	newest   map[string]int64
+	servers  []platform.BackendServer
+	// generate runs one sample; the default writes three tokens.
+	generate func(context.Context, cluster.Generation, func(engine.Chunk) error) error
+}
+
+func newNet(t *testing.T, hosts ...string) *testNet {
+	n := &testNet{
+		t: t, hosts: make(map[string]*Controller), newest: map[string]int64{"album": 7},
+		trainers: map[string]*declare.Trainer{"captions": {
+			Name: "captions", Model: "album", GroupSize: 2, Surplus: 1, IdleWeight: 1, StalenessBound: 2, MaxTokens: 16,
+		}},
+	}
+	n.generate = n.threeTokens
+	for i, id := range hosts {
+		n.members = append(n.members, cluster.Member{ID: id, DataCentre: "yoff", PeerAddr: fmt.Sprintf("127.0.0.1:%d", 7000+i)})
+	}
+	for _, m := range n.members {
+		recorder, err := telemetry.NewRecorder(m.ID, 1)
+		must.NoError(t, err)
+		host := New(Config{TickInterval: 5 * time.Millisecond, ScoreTimeout: 300 * time.Millisecond},
+			n, view{n, m}, n, n, n, n, recorder)
+		n.hosts[m.PeerAddr] = host
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error)
+		go func() { ended <- host.Run(ctx) }()
+		t.Cleanup(func() { cancel(); must.NoError(t, <-ended) })
+	}
+	return n
+}
+
+func (n *testNet) host(id string) *Controller {
+	for _, m := range n.members {
+		if m.ID == id {
+			return n.hosts[m.PeerAddr]
+		}
+	}
+	return nil
+}
+
+func (n *testNet) setState(id string, state cluster.MemberState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range n.members {
+		if n.members[i].ID == id {
+			n.members[i].State = state
+		}
+	}
+}
+
+type view struct {
+	net  *testNet
+	self cluster.Member
+}
+
+func (v view) Self() cluster.Member { return v.self }
+func (v view) All() []cluster.Member {
+	v.net.mu.Lock()
+	defer v.net.mu.Unlock()
+	return append([]cluster.Member(nil), v.net.members...)
+}
+
+func (n *testNet) Generate(ctx context.Context, g cluster.Generation, sink func(engine.Chunk) error) error {
+	n.mu.Lock()
+	generate := n.generate
+	n.mu.Unlock()
+	return generate(ctx, g, sink)
+}
+
+func (n *testNet) threeTokens(_ context.Context, g cluster.Generation, sink func(engine.Chunk) error) error {
+	for i, token := range []string{"a", "b", "c"} {
+		chunk := engine.Chunk{RequestID: g.RequestID, Index: i, Token: token, WeightVersion: n.Newest(g.Model)}
+		if i == 2 {
+			chunk.FinishReason = "stop"
+		}
+		if err := sink(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *testNet) Current() (*declare.Set, int64) { return &declare.Set{Trainers: n.trainers}, 1 }
+
+func (n *testNet) Newest(model string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.newest[model]
+}
+
+func (n *testNet) Announce(model string, version int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.newest[model] = max(n.newest[model], version)
+}
+
+func (n *testNet) BackendServers() []platform.BackendServer { return n.servers }
+
+func (n *testNet) Client(addr string) (peerpb.PeerClient, error) {
+	return directClient{host: n.hosts[addr]}, nil
+}
+
+type directClient struct {
+	peerpb.PeerClient
+	host *Controller
+}
+
+func (d directClient) Trainer(ctx context.Context, in *peerpb.TrainerRequest, _ ...grpc.CallOption) (*peerpb.TrainerReply, error) {
+	return d.host.Trainer(ctx, in)
+}
+
+// post calls one host and decodes the body into out.
+func (n *testNet) post(host *Controller, name, operation string, body, out any) int {
+	n.t.Helper()
+	encoded, err := json.Marshal(body)
+	must.NoError(n.t, err)
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, pathPrefix+name+"/"+operation, bytes.NewReader(encoded))
+	host.ServeHTTP(w, r)
+	if out != nil {
+		must.NoError(n.t, json.Unmarshal(w.Body.Bytes(), out))
+	}
+	return w.Code
+}
+
+// client is a trainer that follows the protocol of the package comment.
+type client struct {
+	net    *testNet
+	name   string
+	epoch  string
+	cursor int64
+	wanted []GroupPrompt
+	took   []Group
+}
+
+func (c *client) submit(host *Controller) int {
+	var reply GroupsReply
+	status := c.net.post(host, c.name, operationGroups, GroupsRequest{Epoch: c.epoch, Step: 1, Groups: c.wanted}, &reply)
+	if reply.Epoch != c.epoch {
+		c.epoch, c.cursor = reply.Epoch, 0
+	}
+	return status
+}
+
+// pull pulls once, and moves to a new epoch when told.
+func (c *client) pull(host *Controller, limit int) int {
+	var reply PullReply
+	status := c.net.post(host, c.name, operationPull, PullRequest{Epoch: c.epoch, Cursor: c.cursor, WaitMs: 500, Max: limit}, &reply)
+	if status == http.StatusConflict {
+		c.epoch, c.cursor = reply.Epoch, 0
+		c.submit(host)
+	}
+	for _, g := range reply.Groups {
+		must.Eq(c.net.t, c.cursor+1, g.Seq)
+		c.cursor = g.Seq
+		c.took = append(c.took, g)
+		for i, w := range c.wanted {
+			if w.ID == g.ID {
+				c.wanted = append(c.wanted[:i:i], c.wanted[i+1:]...)
+				break
+			}
+		}
+	}
+	return status
+}
+
+// pullAll pulls until nothing is wanted.
+func (c *client) pullAll(host *Controller) {
+	c.net.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for len(c.wanted) > 0 && time.Now().Before(deadline) {
+		c.pull(host, 8)
+	}
+	must.SliceEmpty(c.net.t, c.wanted)
+}
+
+func (c *client) ids() []string {
+	var ids []string
+	for _, g := range c.took {
+		ids = append(ids, g.ID)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/trainers/wire.go
@@ -0,0 +1,105 @@
+package trainers
+
+import "github.com/sesamestand/sesamestand/internal/core/sample"
+
+// GroupsRequest is the body of POST /v1/trainers/{name}/groups. A trainer that
+// knows no epoch yet leaves it empty.
+type GroupsRequest struct {
+	Epoch  string        `json:"epoch"`
+	Step   int64         `json:"step"`
+	Groups []GroupPrompt `json:"groups"`
+}
+
+// GroupPrompt is one submitted group.
+type GroupPrompt struct {
+	ID     string `json:"id"`
+	Prompt string `json:"prompt"`
+}
+
+// GroupsReply answers a GroupsRequest. Accepted counts all groups of the call,
+// those that were known before included.
+type GroupsReply struct {
+	Epoch    string `json:"epoch"`
+	Accepted int    `json:"accepted"`
+}
+
+// PullRequest is the body of POST /v1/trainers/{name}/pull. Cursor is the last
+// sequence number that the trainer accepted under the epoch.
+type PullRequest struct {
+	Epoch  string `json:"epoch"`
+	Cursor int64  `json:"cursor"`
+	WaitMs int64  `json:"wait_ms"`
+	Max    int    `json:"max"`
+}
+
+// PullReply answers a PullRequest; no groups means that none became ready in
+// time.
+type PullReply struct {
+	Epoch  string  `json:"epoch"`
+	Groups []Group `json:"groups"`
+}
+
+// Group is one whole group.
+type Group struct {
+	Seq  int64  `json:"seq"`
+	ID   string `json:"id"`
+	Step int64  `json:"step"`
+	// Unscored says that scoring failed and the samples have no score.
+	Unscored bool     `json:"unscored,omitempty"`
+	Samples  []Sample `json:"samples"`
+}
+
+// Sample is one sample of a group with the weight versions that produced it,
+// in order of first appearance.
+type Sample struct {
+	ID           string   `json:"id"`
+	Tokens       []string `json:"tokens"`
+	Versions     []int64  `json:"versions"`
+	Score        *float64 `json:"score,omitempty"`
+	FinishReason string   `json:"finish_reason"`
+}
+
+// WeightsRequest is the body of POST /v1/trainers/{name}/weights.
+type WeightsRequest struct {
+	Version int64 `json:"version"`
+}
+
+// WeightsReply answers a WeightsRequest with the newest known version.
+type WeightsReply struct {
+	Version int64 `json:"version"`
+}
+
+// EpochReply is the body of status 409.
+type EpochReply struct {
+	Epoch string `json:"epoch"`
+}
+
+// ScoreRequest is the body of POST /score towards a scoring service.
+type ScoreRequest struct {
+	Group   string     `json:"group"`
+	Samples [][]string `json:"samples"`
+}
+
+// ScoreReply answers a ScoreRequest with one score per sample.
+type ScoreReply struct {
+	Scores []float64 `json:"scores"`
+}
+
+func wireGroups(delivered []sample.Delivered) []Group {
+	groups := make([]Group, 0, len(delivered))
+	for _, d := range delivered {
+		g := Group{Seq: d.Seq, ID: d.ID, Step: d.Step, Unscored: d.Unscored}
+		for _, s := range d.Samples {
+			w := Sample{ID: s.ID, Tokens: s.Tokens, Versions: s.Versions, FinishReason: s.Finish}
+			if w.Tokens == nil {
+				w.Tokens = []string{}
+			}
+			if s.HasScore {
+				w.Score = &s.Score
+			}
+			g.Samples = append(g.Samples, w)
+		}
+		groups = append(groups, g)
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/trainers/work.go
@@ -0,0 +1,160 @@
+package trainers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/sample"
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/platform"
+)
+
+// runSystems runs the core and does what it decided. The caller holds the lock.
+func (c *Controller) runSystems() {
+	for _, action := range c.home.Run(c.now()) {
+		switch a := action.(type) {
+		case sample.Start:
+			c.startSample(a)
+		case sample.Cancel:
+			if cancel := c.cancels[a.Sample]; cancel != nil {
+				cancel()
+			}
+		case sample.Score:
+			c.startScore(a)
+		case sample.Wake:
+			c.wake(a.Trainer)
+		}
+	}
+}
+
+func (c *Controller) startSample(a sample.Start) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.config.SampleTimeout)
+	c.cancels[a.Sample] = cancel
+	model := c.declared[a.Trainer].model
+	c.recorder.Decision("sample-start", a.Sample, "trainer", a.Trainer, "group", a.Group,
+		"min_version", a.MinVersion, "hedge", a.Hedge, "avoid", a.Avoid)
+	c.work.Go(func() {
+		defer cancel()
+		err := c.generate(ctx, model, a)
+		if err != nil && ctx.Err() == nil {
+			klog.V(1).InfoS("sample failed", "sample", a.Sample, "trainer", a.Trainer, "err", err)
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.cancels, a.Sample)
+		c.home.Ended(c.now(), a.Sample)
+		c.runSystems()
+	})
+}
+
+func (c *Controller) generate(ctx context.Context, model string, a sample.Start) error {
+	generation := cluster.Generation{
+		RequestID:  a.Sample,
+		Model:      model,
+		Prompt:     a.Prompt,
+		MaxTokens:  a.MaxTokens,
+		Seed:       int64(xxhash.Sum64String(a.Sample) >> 1),
+		Class:      declare.ClassTraining,
+		Trainer:    a.Trainer,
+		MinVersion: a.MinVersion,
+		Avoid:      a.Avoid,
+		Priority:   a.Priority,
+	}
+	return c.generator.Generate(ctx, generation, func(chunk engine.Chunk) error {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.home.Chunk(c.now(), a.Sample, chunk.Token, chunk.WeightVersion, chunk.FinishReason) {
+			c.runSystems()
+		}
+		return nil
+	})
+}
+
+func (c *Controller) startScore(a sample.Score) {
+	scorer := c.declared[a.Trainer].scorer
+	slots := c.slots[a.Trainer]
+	if slots == nil {
+		slots = make(chan struct{}, c.config.ScoreConcurrency)
+		c.slots[a.Trainer] = slots
+	}
+	c.nextScorer++
+	turn := c.nextScorer
+	c.work.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, c.config.ScoreTimeout)
+		defer cancel()
+		scores, err := c.scores(ctx, slots, scorer, turn, a)
+		if err != nil {
+			klog.V(1).InfoS("scoring failed", "trainer", a.Trainer, "group", a.Group, "err", err)
+			c.recorder.Count("trainer_scoring_failed_total", "trainer", a.Trainer)
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.home.Scored(c.now(), a.Trainer, a.Group, a.Attempt, scores)
+		c.runSystems()
+	})
+}
+
+func (c *Controller) scores(ctx context.Context, slots chan struct{}, scorer string, turn int, a sample.Score) ([]float64, error) {
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+	case <-ctx.Done():
+		return nil, eris.Wrap(ctx.Err(), "wait for a scoring slot")
+	}
+	addr, ok := c.scorerAddr(scorer, turn)
+	if !ok {
+		return nil, eris.Errorf("no backend server of scoring service %q is known", scorer)
+	}
+	body := marshal(ScoreRequest{Group: a.Group, Samples: a.Samples})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/score", bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "make the scoring request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if c.config.BackendToken != "" {
+		request.Header.Set("Authorization", "Bearer "+c.config.BackendToken)
+	}
+	response, err := c.scorers.Do(request)
+	if err != nil {
+		return nil, eris.Wrapf(err, "call scorer %s", addr)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("scorer %s answered status %d", addr, response.StatusCode)
+	}
+	var reply ScoreReply
+	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, c.config.BodyBytes)).Decode(&reply); err != nil {
+		return nil, eris.Wrapf(err, "read the scores of %s", addr)
+	}
+	return reply.Scores, nil
+}
+
+// scorerAddr returns the next backend server of the service, of this data
+// centre when it has any.
+func (c *Controller) scorerAddr(service string, turn int) (string, bool) {
+	var near, far []string
+	for _, b := range c.inventory.BackendServers() {
+		switch {
+		case b.Kind != platform.KindService || b.Service != service || b.Leaving:
+		case b.DataCentre == c.members.Self().DataCentre:
+			near = append(near, b.Addr)
+		default:
+			far = append(far, b.Addr)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return "", false
+	}
+	return near[turn%len(near)], true
+}
