Run calls to plain services at most once

A tray confirmation that runs twice bakes trays that nobody pays for, and a caller sends it again whenever an answer is lost.

A host appends an intent for the call's key, reads the log up to it and sends the call only when no other intent of the key is in force. An intent that found another one in force has lost for good; the design's text would block a key until the loser, too, had written an abandon record. An abandon record that reaches the log before its intent also counts, because an unanswered append may take effect late.

Go's transport repeats a POST by itself on a broken pooled connection when it carries an Idempotency-Key. Such calls use a connection of their own and a body that cannot be rewound, and redirects are not followed. A server that could not be connected has got nothing, so the next one is tried.

GET, HEAD and declared paths are retried on other servers within the retry budget.

--- /dev/null
+++ b/internal/core/intent/ledger.go
@@ -0,0 +1,244 @@
+package intent
+
+import (
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/table"
+)
+
+// Config holds the ledger's settings.
+type Config struct {
+	Self Author
+	// Retention is how long the log keeps intents.
+	Retention time.Duration
+	// Skew is the largest allowed difference of two clocks.
+	Skew time.Duration
+	// Patience is the longest wait for an own intent to come into force.
+	Patience time.Duration
+	// Resend is the time after which a record whose append was not answered is
+	// appended again.
+	Resend time.Duration
+	// Contact is the age of the last read at which the log counts as out.
+	Contact time.Duration
+	// MaxAttempts bounds the attempts that wait for the log.
+	MaxAttempts int
+	// MaxResultBytes bounds the stored answers; the oldest are dropped first.
+	MaxResultBytes int
+}
+
+// margin is taken off the retention: a key older than the rest may already
+// have lost records. The design asks for at least twice the skew. Four times
+// also covers a caller, an author, a reader and the log that each differ by one
+// skew in the worst direction.
+func (c Config) margin() time.Duration { return max(c.Retention/10, 4*c.Skew) }
+
+// Result is a backend server's answer to a call.
+type Result struct {
+	Status int
+	Header map[string]string
+	Body   []byte
+}
+
+// Stage is how far an attempt of this host has come.
+type Stage int
+
+// Stages of an attempt. All from StageDone on are final.
+const (
+	StageWaiting   Stage = iota // its intent is not yet known to be in force
+	StageGranted                // its intent is in force and it was not sent
+	StageSent                   // it was given to a backend server
+	StageDone                   // the answer is stored
+	StageUnknown                // it was sent and its answer was lost
+	StageAbandoned              // it was not sent and never will be
+	StageLost                   // another host's intent is in force
+)
+
+// Final says that the stage never changes.
+func (s Stage) Final() bool { return s >= StageDone }
+
+// View is what a caller or another host may know about an attempt.
+type View struct {
+	ID     int64
+	Stage  Stage
+	Result Result
+	// Refusal is set for StageUnknown and StageAbandoned.
+	Refusal *cluster.Refusal
+	// Author and Nonce name the intent in force for StageLost.
+	Author Author
+	Nonce  string
+}
+
+// attempt is one try of this host to run a call.
+type attempt struct {
+	id       int64
+	key      Key
+	nonce    string
+	deadline time.Time // of the caller
+	patience time.Time // to come into force
+	stage    Stage
+	entry    *entry // record of the intent, until it is settled
+	result   Result
+	refusal  *cluster.Refusal
+	holder   holder // of the key when the attempt lost
+}
+
+// holder is an intent in force.
+type holder struct {
+	author Author
+	nonce  string
+}
+
+// keyRow is what the log says about a key.
+type keyRow struct {
+	holder  holder // zero when none is in force
+	dead    []string
+	offset  int64 // of the newest record
+	attempt int64 // newest attempt of this host, 0 for none
+}
+
+// Ledger holds what a host knows of all intents, and its own attempts. It is
+// not safe for concurrent use.
+type Ledger struct {
+	config Config
+	keys   map[Key]*keyRow
+	aging  []agingKey // keys in the order of their records, for expiry
+
+	next     int64     // offset to read next
+	caughtUp bool      // the stream was read up to its end once
+	lastRead time.Time // of the newest successful read
+	floor    time.Time // the log's records before this time may be unread
+
+	open     *table.Table[int64, *attempt] // attempts that are not final
+	closed   map[int64]*attempt            // final attempts, for repeated calls
+	byNonce  map[string]*attempt
+	lastID   int64
+	closing  []agingAttempt // closed attempts in order, for expiry
+	results  []int64        // attempts with stored answers, oldest first
+	resBytes int
+
+	queue *table.Table[int64, *entry] // records that must get into the log
+	order int64                       // last used key of queue
+}
+
+type agingKey struct {
+	key    Key
+	offset int64
+	time   time.Time
+}
+
+type agingAttempt struct {
+	id   int64
+	time time.Time
+}
+
+// NewLedger returns a ledger that has read nothing.
+func NewLedger(config Config) *Ledger {
+	return &Ledger{
+		config:  config,
+		keys:    make(map[Key]*keyRow),
+		open:    table.New[int64, *attempt](),
+		closed:  make(map[int64]*attempt),
+		byNonce: make(map[string]*attempt),
+		queue:   table.New[int64, *entry](),
+	}
+}
+
+// Ready says that the stream was read up to its end at least once.
+func (l *Ledger) Ready() bool { return l.caughtUp }
+
+// Next returns the offset to read next.
+func (l *Ledger) Next() int64 { return l.next }
+
+// Waiting returns the number of attempts that are not final.
+func (l *Ledger) Waiting() int { return l.open.Len() }
+
+// Begin takes a call. Nonce must never have been used before. The returned
+// view is final, or names an attempt to wait for, which may be an earlier one
+// of the same key.
+func (l *Ledger) Begin(key Key, nonce string, deadline, now time.Time) View {
+	row := l.keys[key]
+	if row != nil && row.attempt != 0 {
+		if a := l.attempt(row.attempt); a != nil && a.stage != StageAbandoned && a.stage != StageLost {
+			return a.view()
+		}
+	}
+	if refusal := l.checkAge(key, now); refusal != nil {
+		return View{Stage: StageUnknown, Refusal: refusal}
+	}
+	if row != nil && row.holder.nonce != "" && row.holder.author != l.config.Self {
+		return View{Stage: StageLost, Author: row.holder.author, Nonce: row.holder.nonce}
+	}
+	if refusal := l.checkLog(now); refusal != nil {
+		return View{Stage: StageAbandoned, Refusal: refusal}
+	}
+	if !now.Before(deadline) {
+		return View{Stage: StageAbandoned, Refusal: notRun(cluster.ReasonDeadline, "the deadline has passed")}
+	}
+	return l.start(key, nonce, deadline, now).view()
+}
+
+func (l *Ledger) start(key Key, nonce string, deadline, now time.Time) *attempt {
+	l.lastID++
+	a := &attempt{id: l.lastID, key: key, nonce: nonce, deadline: deadline, patience: now.Add(l.config.Patience)}
+	a.entry = l.enqueue(KindIntent, key, nonce)
+	l.open.Put(a.id, a)
+	l.byNonce[nonce] = a
+	l.row(key).attempt = a.id
+	return a
+}
+
+// checkAge refuses keys whose earlier intents may have expired, and keys from
+// the future, which would outlive their intents.
+func (l *Ledger) checkAge(key Key, now time.Time) *cluster.Refusal {
+	issued := key.Time()
+	switch {
+	case issued.After(now.Add(l.config.Skew)):
+		return unknown(cluster.ReasonKeyExpired, "the key's time is "+issued.Sub(now).Round(time.Millisecond).String()+" in the future")
+	case issued.Before(now.Add(l.config.margin() - l.config.Retention)):
+		return unknown(cluster.ReasonKeyExpired, "the key is older than the intents that are kept")
+	case !l.floor.IsZero() && issued.Before(l.floor.Add(2*l.config.Skew)):
+		return unknown(cluster.ReasonKeyExpired, "intents of the key's time have expired unread")
+	}
+	return nil
+}
+
+func (l *Ledger) checkLog(now time.Time) *cluster.Refusal {
+	switch {
+	case !l.caughtUp:
+		return notRun(cluster.ReasonLogUnavailable, "this host has not read all intents yet")
+	case now.Sub(l.lastRead) > l.config.Contact:
+		return notRun(cluster.ReasonLogUnavailable, "the log has not answered since "+now.Sub(l.lastRead).Round(time.Millisecond).String())
+	case l.open.Len() >= l.config.MaxAttempts || l.queue.Len() >= 2*l.config.MaxAttempts:
+		return notRun(cluster.ReasonOverload, "too many calls wait for the log")
+	}
+	return nil
+}
+
+func (l *Ledger) attempt(id int64) *attempt {
+	if row := l.open.Get(id); row != nil {
+		return *row
+	}
+	return l.closed[id]
+}
+
+func (l *Ledger) row(key Key) *keyRow {
+	row := l.keys[key]
+	if row == nil {
+		row = &keyRow{}
+		l.keys[key] = row
+	}
+	return row
+}
+
+func (a *attempt) view() View {
+	return View{ID: a.id, Stage: a.stage, Result: a.result, Refusal: a.refusal, Author: a.holder.author, Nonce: a.holder.nonce}
+}
+
+func notRun(reason cluster.Reason, message string) *cluster.Refusal {
+	return &cluster.Refusal{Outcome: cluster.OutcomeNotRun, Reason: reason, Message: message}
+}
+
+func unknown(reason cluster.Reason, message string) *cluster.Refusal {
+	return &cluster.Refusal{Outcome: cluster.OutcomeUnknown, Reason: reason, Message: message}
+}
--- /dev/null
+++ b/internal/core/intent/record.go
@@ -0,0 +1,107 @@
+// Package intent decides which host may send a non-idempotent call, so that
+// the call runs at most once in the whole system.
+//
+// A host writes an intent for the call's key to the log and reads the log up
+// to its own record. An intent comes into force when no intent of the key is in
+// force at its offset. Only its author sends the call, and only once. An author
+// that gives up first marks the attempt as abandoned in memory, so that it
+// never sends, and then writes an abandon record, after which a later intent of
+// the key can come into force. An intent that finds another one in force has
+// lost for good: its author never sends it, and a repeated record of it is
+// ignored.
+package intent
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+)
+
+// Kind tells intents from abandon records.
+type Kind string
+
+// Kinds of records.
+const (
+	KindIntent  Kind = "intent"
+	KindAbandon Kind = "abandon"
+)
+
+// Bounds of a record's texts in bytes.
+const (
+	maxHostBytes  = 256
+	maxNonceBytes = 64
+)
+
+// Key identifies a call. It is a UUIDv7.
+type Key [16]byte
+
+// ParseKey reads the canonical text form of a UUIDv7.
+func ParseKey(text string) (Key, error) {
+	id, err := uuid.Parse(text)
+	if err != nil || len(text) != len(uuid.Nil.String()) {
+		return Key{}, eris.New("idempotency key is not a UUID")
+	}
+	if id.Version() != 7 || id.Variant() != uuid.RFC4122 {
+		return Key{}, eris.Errorf("idempotency key is a UUID of version %d, want 7", id.Version())
+	}
+	return Key(id), nil
+}
+
+// String returns the canonical text form.
+func (k Key) String() string { return uuid.UUID(k).String() }
+
+// Time is the time that the caller put into the key, in whole milliseconds.
+func (k Key) Time() time.Time {
+	var ms int64
+	for _, b := range k[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms)
+}
+
+// Author is one life of an entry host. A host that starts again is another
+// author, because it has lost its memory.
+type Author struct {
+	Host        string
+	Incarnation int64
+}
+
+// Record is one record of the intent stream.
+type Record struct {
+	Kind        Kind   `json:"kind"`
+	Key         string `json:"key"`
+	Host        string `json:"host"`
+	Incarnation int64  `json:"incarnation"`
+	Nonce       string `json:"nonce"`
+}
+
+// Author returns the author of the record.
+func (r Record) Author() Author { return Author{r.Host, r.Incarnation} }
+
+// Encode returns the record's form in the log.
+func (r Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, eris.Wrap(err, "encode intent record")
+}
+
+// Decode reads a record and its key from its form in the log.
+func Decode(data []byte) (Record, Key, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, Key{}, eris.Wrap(err, "decode intent record")
+	}
+	key, err := ParseKey(r.Key)
+	switch {
+	case err != nil:
+		return Record{}, Key{}, eris.Wrap(err, "decode intent record")
+	case r.Kind != KindIntent && r.Kind != KindAbandon:
+		return Record{}, Key{}, eris.Errorf("intent record has the unknown kind %q", r.Kind)
+	case r.Host == "" || len(r.Host) > maxHostBytes:
+		return Record{}, Key{}, eris.Errorf("intent record names a host of %d bytes, want 1 to %d", len(r.Host), maxHostBytes)
+	case r.Nonce == "" || len(r.Nonce) > maxNonceBytes:
+		return Record{}, Key{}, eris.Errorf("intent record has a nonce of %d bytes, want 1 to %d", len(r.Nonce), maxNonceBytes)
+	}
+	return r, key, nil
+}
--- /dev/null
+++ b/internal/services/once_test.go
@@ -0,0 +1,168 @@
+package services
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/testlog"
+)
+
+// Guards against a call that runs again when it is repeated at the same host
+// or at another one, and against a repeated call without the whole answer.
+func TestRepeatedCallGetsTheFirstAnswer(t *testing.T) {
+	w := newWorld(t)
+	desk := &counter{}
+	w.server("s1", "here", desk.handle)
+	a, b := w.start("a"), w.start("b")
+	key := newKey(t)
+	first := a.post(key)
+	must.Eq(t, 201, first.Code)
+	must.Eq(t, "12 trays", desk.body)
+	for _, h := range []*host{a, b, b} {
+		again := h.post(key)
+		must.Eq(t, 201, again.Code)
+		must.Eq(t, first.Body.String(), again.Body.String())
+		must.Eq(t, "1", again.Header().Get("Receipt"))
+		must.Eq(t, "true", again.Header().Get("Sesamestand-Replayed"))
+	}
+	must.Eq(t, 1, desk.count(key))
+}
+
+// Guards against two runs when the same call arrives at all hosts at once, with
+// lost answers of the log.
+func TestConcurrentCallsRunOnce(t *testing.T) {
+	w := newWorld(t)
+	desk := &counter{}
+	w.server("s1", "here", desk.handle)
+	hosts := []*host{w.start("a"), w.start("b"), w.start("c")}
+	w.log.Fail(testlog.LoseAnswer, testlog.LoseRequest, testlog.LoseAnswer, testlog.Refuse, testlog.LoseAnswer)
+	var group sync.WaitGroup
+	for range 20 {
+		key := newKey(t)
+		for i := range 6 {
+			group.Go(func() {
+				answer := hosts[i%3].post(key)
+				if answer.Code != 201 {
+					must.Eq(t, 0, strings.Count(answer.Body.String(), "receipt"))
+				}
+			})
+		}
+	}
+	group.Wait()
+	desk.mu.Lock()
+	defer desk.mu.Unlock()
+	for key, n := range desk.calls {
+		must.Eq(t, 1, n, must.Sprint(key))
+	}
+	must.Greater(t, 0, len(desk.calls))
+}
+
+// Guards against "not run" for a call that another host's author ran before it
+// died, and for a call whose answer was lost.
+func TestLostAuthorAndLostAnswerAreUnknown(t *testing.T) {
+	w := newWorld(t)
+	desk := &counter{}
+	w.server("s1", "here", desk.handle)
+	a, b := w.start("a"), w.start("b")
+	key := newKey(t)
+	must.Eq(t, 201, a.post(key).Code)
+	a.stop()
+	must.Eq(t, "unknown other-author", outcome(b.post(key)))
+	a = w.start("a") // another life without memory
+	must.Eq(t, "unknown other-author", outcome(a.post(key)))
+	must.Eq(t, 1, desk.count(key))
+
+	w.servers = nil
+	w.server("s2", "here", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	key = newKey(t)
+	must.Eq(t, "unknown backend-server-failed", outcome(a.post(key)))
+	must.Eq(t, "unknown backend-server-failed", outcome(a.post(key)))
+	must.Eq(t, "unknown other-author", outcome(b.post(key)))
+}
+
+// Guards against a confirmation that runs although it was refused in an
+// outage, and against a host that does not recover.
+func TestOutageRefusesNotRun(t *testing.T) {
+	w := newWorld(t)
+	desk := &counter{}
+	w.server("s1", "here", desk.handle)
+	a := w.start("a")
+	key := newKey(t)
+	w.log.SetDown(true)
+	must.Eq(t, "not-run log-unavailable", outcome(a.post(key)))
+	fresh := w.startUnready("b")
+	must.Eq(t, "not-run log-unavailable", outcome(fresh.post(newKey(t))))
+	must.Eq(t, 201, a.do(http.MethodGet, "/trays").Code)
+	w.log.SetDown(false)
+	w.until("calls run again", func() bool { return a.post(key).Code == 201 })
+	w.until("the fresh host takes calls", func() bool { return fresh.post(newKey(t)).Code == 201 })
+	must.Eq(t, 1, desk.count(key))
+}
+
+// Guards against a call that is given up for good when no backend server could
+// be connected: nothing was sent, so the caller may send the key again.
+func TestUnreachableServerIsNotRunAndTheKeyStaysUsable(t *testing.T) {
+	w := newWorld(t)
+	gone := w.server("s1", "here", nil)
+	gone.Close()
+	a, b := w.start("a"), w.start("b")
+	key := newKey(t)
+	must.Eq(t, "not-run backend-server-failed", outcome(a.post(key)))
+	desk := &counter{}
+	w.server("s2", "there", desk.handle)
+	w.until("the key runs at another host", func() bool { return b.post(key).Code == 201 })
+	must.Eq(t, 1, desk.count(key))
+}
+
+// Guards against calls without a usable key.
+func TestKeysAreChecked(t *testing.T) {
+	w := newWorld(t)
+	desk := &counter{}
+	w.server("s1", "here", desk.handle)
+	a := w.start("a")
+	must.Eq(t, "not-run key-invalid", outcome(a.post("")))
+	must.Eq(t, "not-run key-invalid", outcome(a.post(uuid.NewString())))
+	must.Eq(t, "unknown key-expired", outcome(a.post(keyAt(time.Now().Add(-23*time.Hour)))))
+	must.Eq(t, "unknown key-expired", outcome(a.post(keyAt(time.Now().Add(time.Minute)))))
+	must.Eq(t, 0, desk.total)
+	must.Len(t, 0, w.log.Records(platform.StreamIntent))
+}
+
+// keyAt returns a UUIDv7 with a chosen time.
+func keyAt(at time.Time) string {
+	id := uuid.Must(uuid.NewV7())
+	for i, shift := range []int{40, 32, 24, 16, 8, 0} {
+		id[i] = byte(at.UnixMilli() >> shift)
+	}
+	return id.String()
+}
+
+// Guards against a deadline that is ignored, and against "not run" for a call
+// that is running when the deadline passes.
+func TestDeadlineOfARunningCallIsUnknown(t *testing.T) {
+	w := newWorld(t)
+	desk := &counter{delay: make(chan struct{})}
+	w.server("s1", "here", desk.handle)
+	a, b := w.start("a"), w.start("b")
+	key := newKey(t)
+	var group sync.WaitGroup
+	var first *httptest.ResponseRecorder
+	group.Go(func() { first = a.post(key, "Request-Timeout-Ms", "2000") })
+	w.until("the call runs", func() bool { return desk.count(key) == 1 })
+	must.Eq(t, "unknown deadline", outcome(b.post(key, "Request-Timeout-Ms", "50")))
+	must.Eq(t, "unknown deadline", outcome(a.post(key, "Request-Timeout-Ms", "50")))
+	group.Wait()
+	must.Eq(t, "unknown deadline", outcome(first))
+	close(desk.delay)
+	w.until("the answer is stored", func() bool { return a.post(key, "Request-Timeout-Ms", "50").Code == 201 })
+	must.Eq(t, 201, b.post(key).Code)
+	must.Eq(t, 1, desk.count(key))
+}
--- /dev/null
+++ b/internal/services/request.go
@@ -0,0 +1,154 @@
+package services
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/intent"
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/httpapi"
+)
+
+// pathPrefix precedes the name of the service in request paths.
+const pathPrefix = "/v1/services/"
+
+// request is a caller's request to a plain service, read completely.
+type request struct {
+	id       string
+	service  *declare.Service
+	method   string
+	path     string // decoded path behind the service's name
+	uri      string // path and query as sent to the backend server
+	header   http.Header
+	body     []byte
+	deadline time.Time
+}
+
+// connectionHeaders belong to one connection and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func (c *Controller) parse(w http.ResponseWriter, r *http.Request, requestID string) (*request, *cluster.Refusal) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
+	rest = "/" + rest
+	if clean := path.Clean(rest); clean != rest && clean+"/" != rest {
+		// A path like /score/../orders would pass as a path below /score.
+		return nil, notRun(cluster.ReasonBadRequest, "the path must not hold empty, \".\" or \"..\" segments")
+	}
+	service := c.service(name)
+	if service == nil {
+		return nil, notRun(cluster.ReasonUnknownName, "service "+strconv.Quote(name)+" is not declared")
+	}
+	timeout, err := c.timeout(r.Header.Get(httpapi.HeaderRequestTimeout))
+	if err != nil {
+		return nil, notRun(cluster.ReasonBadRequest, err.Error())
+	}
+	deadline := time.Now().Add(timeout)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.config.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, notRun(cluster.ReasonTooLarge, "the body is over "+strconv.FormatInt(c.config.BodyBytes, 10)+" bytes")
+	case err != nil:
+		return nil, notRun(cluster.ReasonBadRequest, "the body could not be read: "+err.Error())
+	}
+	escaped := strings.TrimPrefix(r.URL.EscapedPath(), pathPrefix)
+	_, escaped, _ = strings.Cut(escaped, "/")
+	uri := "/" + escaped
+	if r.URL.RawQuery != "" {
+		uri += "?" + r.URL.RawQuery
+	}
+	return &request{
+		id: requestID, service: service, method: r.Method, path: rest, uri: uri,
+		header: passedOn(r.Header), body: body, deadline: deadline,
+	}, nil
+}
+
+func (c *Controller) timeout(text string) (time.Duration, error) {
+	if text == "" {
+		return c.config.RequestTimeout, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, errors.New(httpapi.HeaderRequestTimeout + " must be a positive number of milliseconds")
+	}
+	if ms > maxRequestTimeout.Milliseconds() {
+		return maxRequestTimeout, nil
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// passedOn returns the headers without those of the connection.
+func passedOn(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			kept.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		kept.Del(name)
+	}
+	return kept
+}
+
+// repeatable says that the request may run more than once.
+func (r *request) repeatable() bool {
+	if r.method == http.MethodGet || r.method == http.MethodHead {
+		return true
+	}
+	return slices.ContainsFunc(r.service.RepeatablePaths, func(prefix string) bool {
+		prefix = strings.TrimSuffix(prefix, "/")
+		return r.path == prefix || strings.HasPrefix(r.path, prefix+"/")
+	})
+}
+
+// answer is a backend server's whole answer.
+type answer struct {
+	status   int
+	header   http.Header
+	body     []byte
+	replayed bool
+}
+
+func (a *answer) write(w http.ResponseWriter, requestID string) {
+	for name, values := range a.header {
+		w.Header()[name] = values
+	}
+	w.Header().Set(httpapi.HeaderRequestID, requestID)
+	if a.replayed {
+		w.Header().Set(httpapi.HeaderReplayed, "true")
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body) // the caller is gone; the answer stays stored
+}
+
+// headerSeparator joins the values of one header in a stored answer. Values
+// cannot hold it.
+const headerSeparator = "\n"
+
+func (a *answer) result() intent.Result {
+	header := make(map[string]string, len(a.header))
+	for name, values := range a.header {
+		header[name] = strings.Join(values, headerSeparator)
+	}
+	return intent.Result{Status: a.status, Header: header, Body: a.body}
+}
+
+func stored(result intent.Result) *answer {
+	header := make(http.Header, len(result.Header))
+	for name, values := range result.Header {
+		header[name] = strings.Split(values, headerSeparator)
+	}
+	return &answer{status: result.Status, header: header, body: result.Body}
+}
--- /dev/null
+++ b/internal/services/stream.go
@@ -0,0 +1,153 @@
+package services
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/core/intent"
+	"github.com/sesamestand/sesamestand/internal/platform"
+)
+
+const (
+	// readGrace is added to the wait of a read before the read counts as failed.
+	readGrace = 2 * time.Second
+	// appendTimeout bounds one append. A shorter one would turn slow appends into
+	// repeated ones.
+	appendTimeout = 3 * time.Second
+	// maxBatch bounds the records of one append.
+	maxBatch = 500
+	// retryDelay is the first pause after a failed read; it doubles up to maxRetryDelay.
+	retryDelay    = 50 * time.Millisecond
+	maxRetryDelay = time.Second
+	// tickInterval is the time between two looks for attempts that waited too
+	// long, and for records whose append must be repeated.
+	tickInterval = 50 * time.Millisecond
+)
+
+// follow reads the intent stream.
+func (c *Controller) follow(ctx context.Context) error {
+	delay := retryDelay
+	for ctx.Err() == nil {
+		err := c.readPage(ctx)
+		if err == nil {
+			delay = retryDelay
+			continue
+		}
+		c.recorder.Count("intent_read_errors_total")
+		klog.V(1).InfoS("intent stream cannot be read", "err", err)
+		sleep(ctx, delay)
+		delay = min(2*delay, maxRetryDelay)
+	}
+	return ctx.Err()
+}
+
+func (c *Controller) readPage(ctx context.Context) error {
+	c.mu.Lock()
+	next, wait := c.ledger.Next(), c.config.PollWait
+	if !c.ledger.Ready() {
+		wait = 0 // learn the end of the stream at once
+	}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	defer cancel()
+	// The time before the read: the page tells nothing about later intents.
+	now := time.Now()
+	page, err := c.log.Read(ctx, platform.StreamIntent, next, wait)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, view := range c.ledger.Apply(page, now) {
+		c.settle(view)
+	}
+	return nil
+}
+
+// write appends queued records, one append at a time.
+func (c *Controller) write(ctx context.Context) error {
+	for {
+		select {
+		case <-c.appending:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		for c.appendBatch(ctx) {
+			sleep(ctx, c.config.AppendInterval)
+		}
+	}
+}
+
+// appendBatch appends what is queued and says whether there was anything.
+func (c *Controller) appendBatch(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	c.mu.Lock()
+	batch := c.ledger.NextBatch(maxBatch, time.Now())
+	c.mu.Unlock()
+	if len(batch.Records) == 0 {
+		return false
+	}
+	outcome := c.appendRecords(ctx, batch.Records)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Appended(batch, outcome, time.Now())
+	return true
+}
+
+func (c *Controller) appendRecords(ctx context.Context, records []intent.Record) intent.AppendOutcome {
+	data := make([][]byte, 0, len(records))
+	for _, record := range records {
+		encoded, err := record.Encode()
+		if err != nil {
+			klog.ErrorS(err, "intent record was not encoded", "key", record.Key)
+			continue
+		}
+		data = append(data, encoded)
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	started := time.Now()
+	_, err := c.log.Append(ctx, platform.StreamIntent, data)
+	c.recorder.Observe("intent_append_seconds", time.Since(started).Seconds())
+	switch {
+	case err == nil:
+		c.recorder.Add("intent_records_total", int64(len(data)))
+		return intent.AppendStored
+	case errors.Is(err, platform.ErrRefused):
+		c.recorder.Count("intent_append_errors_total", "outcome", "refused")
+		return intent.AppendRefused
+	}
+	c.recorder.Count("intent_append_errors_total", "outcome", "unknown")
+	return intent.AppendUnknown
+}
+
+// tick ends attempts that waited too long and wakes the writer for repeats.
+func (c *Controller) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		c.mu.Lock()
+		for _, view := range c.ledger.Tick(time.Now()) {
+			c.settle(view)
+		}
+		c.mu.Unlock()
+		c.wakeWriter()
+	}
+}
+
+func (c *Controller) wakeWriter() {
+	select {
+	case c.appending <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/services/world_test.go
@@ -0,0 +1,197 @@
+package services
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"google.golang.org/grpc"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
+	"github.com/sesamestand/sesamestand/internal/testlog"
+)
+
+// world is a log, backend servers and entry hosts in one process.
+type world struct {
+	t   *testing.T
+	log *testlog.Log
+
+	mu      sync.Mutex
+	servers []platform.BackendServer
+	hosts   map[string]*host
+}
+
+type host struct {
+	*Controller
+	stop func()
+}
+
+// view is what one entry host sees of the world.
+type view struct {
+	*world
+	self string
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{t: t, log: testlog.New(), hosts: make(map[string]*host)}
+}
+
+func (w *world) BackendServers() []platform.BackendServer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.servers
+}
+
+func (w *world) Current() (*declare.Set, int64) {
+	set, _ := declare.ParseFiles(map[string]string{"s.ini": "[service orders]\ntimeout = 10s\nrepeatable_paths = /search\n"})
+	return set, 1
+}
+
+func (v view) Self() cluster.Member { return cluster.Member{ID: v.self, DataCentre: "here"} }
+
+func (v view) All() (all []cluster.Member) {
+	for _, id := range []string{"a", "b", "c"} {
+		all = append(all, cluster.Member{ID: id, PeerAddr: id, DataCentre: "here"})
+	}
+	return all
+}
+
+type peerClient struct {
+	peerpb.PeerClient
+	host *host
+}
+
+func (c peerClient) IntentResult(ctx context.Context, r *peerpb.IntentResultRequest, _ ...grpc.CallOption) (*peerpb.IntentResultReply, error) {
+	return c.host.IntentResult(ctx, r)
+}
+
+func (w *world) Client(addr string) (peerpb.PeerClient, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.hosts[addr] == nil {
+		return nil, errors.New("host is gone")
+	}
+	return peerClient{host: w.hosts[addr]}, nil
+}
+
+// server adds a backend server of the service orders.
+func (w *world) server(id, dataCentre string, handler http.HandlerFunc) *httptest.Server {
+	server := httptest.NewServer(handler)
+	w.t.Cleanup(server.Close)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers = append(w.servers, platform.BackendServer{
+		ID: id, Kind: platform.KindService, Service: "orders", DataCentre: dataCentre,
+		Addr: strings.TrimPrefix(server.URL, "http://"),
+	})
+	return server
+}
+
+// start runs an entry host and waits until it has read the intent stream.
+func (w *world) start(id string) *host {
+	h := w.startUnready(id)
+	w.until("host is ready", h.Ready)
+	return h
+}
+
+func (w *world) startUnready(id string) *host {
+	recorder, err := telemetry.NewRecorder(id, 100)
+	must.NoError(w.t, err)
+	config := Config{PollWait: 20 * time.Millisecond, Patience: 500 * time.Millisecond, BodyBytes: 1000}
+	h := &host{Controller: New(config, w.log, w, view{w, id}, w, w, recorder)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = h.Run(ctx) })
+	h.stop = func() {
+		w.mu.Lock()
+		delete(w.hosts, id)
+		w.mu.Unlock()
+		cancel()
+		done.Wait()
+	}
+	w.t.Cleanup(h.stop)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hosts[id] = h
+	return h
+}
+
+func (w *world) until(what string, condition func() bool) {
+	w.t.Helper()
+	must.Wait(w.t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(30*time.Second), wait.Gap(time.Millisecond)), must.Sprint(what))
+}
+
+func newKey(t *testing.T) string {
+	id, err := uuid.NewV7()
+	must.NoError(t, err)
+	return id.String()
+}
+
+// post sends a tray confirmation; headers alternate names and values.
+func (h *host) post(key string, headers ...string) *httptest.ResponseRecorder {
+	return h.do(http.MethodPost, "/trays", append(headers, "Idempotency-Key", key)...)
+}
+
+func (h *host) do(method, path string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "/v1/services/orders"+path, strings.NewReader("12 trays"))
+	for i := 0; i+1 < len(headers); i += 2 {
+		if headers[i+1] != "" {
+			r.Header.Set(headers[i], headers[i+1])
+		}
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+func outcome(w *httptest.ResponseRecorder) string {
+	return w.Header().Get("Sesamestand-Outcome") + " " + w.Header().Get("Sesamestand-Reason")
+}
+
+// counter is a backend server that counts calls by key.
+type counter struct {
+	mu    sync.Mutex
+	calls map[string]int
+	total int
+	delay chan struct{} // calls wait for it when not nil
+	body  string
+}
+
+func (c *counter) handle(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	c.mu.Lock()
+	if c.calls == nil {
+		c.calls = make(map[string]int)
+	}
+	c.calls[r.Header.Get("Idempotency-Key")]++
+	c.total++
+	c.body = string(body)
+	n, delay := c.total, c.delay
+	c.mu.Unlock()
+	if delay != nil {
+		<-delay
+	}
+	w.Header().Add("Receipt", fmt.Sprint(n))
+	w.WriteHeader(http.StatusCreated)
+	_, _ = fmt.Fprintf(w, "receipt %d", n)
+}
+
+func (c *counter) count(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls[key]
+}
