--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,10 +55,16 @@
 	services  *services.Controller
 	trainers  *trainers.Controller
 
-	draining atomic.Bool
-	inFlight inFlight
+	draining  atomic.Bool
+	inFlight  inFlight
+	aborted   chan struct{}
+	abortOnce sync.Once
 }
 
+// Abort ends Run without a drain. It stands for the death of the process
+// where several entry hosts run in one process.
+func (h *Host) Abort() { h.abortOnce.Do(func() { close(h.aborted) }) }
+
 // Run serves until ctx ends, then drains and returns.
 func (h *Host) Run(ctx context.Context) error {
 	httpListener, err := net.Listen("tcp", h.settings.Host.HTTPAddr)
@@ -90,6 +97,9 @@
 	select {
 	case <-ctx.Done():
 		h.drain(httpServer, grpcServer)
+	case <-h.aborted:
+		_ = httpServer.Close()
+		grpcServer.Stop()
 	case <-groupCtx.Done():
 		_ = httpServer.Close()
 		grpcServer.Stop()
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -18,6 +18,7 @@
 	doc      string
 	required bool
 	set      func(*Settings, string) error
+	get      func(*Settings) string
 }
 
 // keys lists every key in the order of the reference page.
@@ -26,13 +27,15 @@
 	textKey("host", "data_centre", "name of the data centre that this entry host is in", true, func(s *Settings) *string { return &s.Host.DataCentre }),
 	addrKey("host", "http_addr", "address for callers, trainers and operators", true, func(s *Settings) *string { return &s.Host.HTTPAddr }),
 	addrKey("host", "peer_addr", "address for other entry hosts: gRPC over TCP and membership over UDP", true, func(s *Settings) *string { return &s.Host.PeerAddr }),
-	{section: "host", name: "peers", unit: "IP:port list", doc: "peer_addr of other entry hosts to contact at start; a few are enough", set: setPeers},
+	{section: "host", name: "peers", unit: "IP:port list", doc: "peer_addr of other entry hosts to contact at start; a few are enough", set: setPeers,
+		get: func(s *Settings) string { return strings.Join(s.Peers, ", ") }},
 
 	addrKey("platform", "log_addr", "log service", true, func(s *Settings) *string { return &s.Platform.LogAddr }),
 	addrKey("platform", "hosts_addr", "host list", true, func(s *Settings) *string { return &s.Platform.HostsAddr }),
 	addrKey("platform", "weights_addr", "weight store", true, func(s *Settings) *string { return &s.Platform.WeightsAddr }),
 
-	{section: "auth", name: "caller_tokens", unit: "token list", doc: "tokens that callers may use; none lets every caller in", set: setCallerTokens},
+	{section: "auth", name: "caller_tokens", unit: "token list", doc: "tokens that callers may use; none lets every caller in", set: setCallerTokens,
+		get: func(s *Settings) string { return strings.Join(s.Auth.CallerTokens, ", ") }},
 	textKey("auth", "operator_token", "token for status, explain and metrics; none leaves them open", false, func(s *Settings) *string { return &s.Auth.OperatorToken }),
 	textKey("auth", "cluster_token", "token shared by all entry hosts", true, func(s *Settings) *string { return &s.Auth.ClusterToken }),
 	textKey("auth", "backend_token", "token sent to backend servers", false, func(s *Settings) *string { return &s.Auth.BackendToken }),
@@ -62,7 +65,8 @@
 	textKey("tls", "key_file", "private key (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.KeyFile }),
 	textKey("tls", "ca_file", "certificates (PEM) that other entry hosts must chain to", false, func(s *Settings) *string { return &s.TLS.CAFile }),
 
-	{section: "policy", name: "name", unit: "name", fallback: "sesamestand", bounds: "sesamestand or baseline", doc: "baseline is round robin, first come first served, no surplus samples and plain retries, for comparison", set: setPolicy},
+	{section: "policy", name: "name", unit: "name", fallback: "sesamestand", bounds: "sesamestand or baseline", doc: "baseline is round robin, first come first served, no surplus samples and plain retries, for comparison", set: setPolicy,
+		get: func(s *Settings) string { return s.Policy }},
 }
 
 func textKey(section, name, doc string, required bool, field func(*Settings) *string) key {
@@ -70,7 +74,8 @@
 		set: func(s *Settings, value string) error {
 			*field(s) = value
 			return nil
-		}}
+		},
+		get: func(s *Settings) string { return *field(s) }}
 }
 
 func addrKey(section, name, doc string, required bool, field func(*Settings) *string) key {
@@ -81,7 +86,8 @@
 			}
 			*field(s) = value
 			return nil
-		}}
+		},
+		get: func(s *Settings) string { return *field(s) }}
 }
 
 func intKey[T int | int64](section, name, unit, fallback string, low, high T, doc string, field func(*Settings) *T) key {
@@ -97,7 +103,8 @@
 			}
 			*field(s) = T(n)
 			return nil
-		}}
+		},
+		get: func(s *Settings) string { return strconv.FormatInt(int64(*field(s)), 10) }}
 }
 
 func floatKey(section, name, unit, fallback string, low, high float64, doc string, field func(*Settings) *float64) key {
@@ -114,7 +121,8 @@
 			}
 			*field(s) = f
 			return nil
-		}}
+		},
+		get: func(s *Settings) string { return strconv.FormatFloat(*field(s), 'g', -1, 64) }}
 }
 
 func durationKey(section, name, fallback string, low, high time.Duration, doc string, field func(*Settings) *time.Duration) key {
@@ -130,7 +138,8 @@
 			}
 			*field(s) = d
 			return nil
-		}}
+		},
+		get: func(s *Settings) string { return field(s).String() }}
 }
 
 func setPeers(s *Settings, value string) error {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -40,6 +40,10 @@
 	must.Eq(t, 3*time.Second, s.Timing.LeaseTerm)
 	must.Eq(t, 5*time.Second, s.Timing.ProgressTimeout)
 	must.Eq(t, "abc", s.Auth.TrainerTokens["captions"])
+
+	again, err := Parse("host.ini", []byte(Format(s)))
+	must.NoError(t, err)
+	must.Eq(t, s, again)
 }
 
 // Guards against stopping at the first problem and against findings without their line.
