Add the load tool

Drives a running system as callers, order desks and trainers do and reports what they saw. Arrivals are a Poisson process that does not wait for answers, because a closed loop would hide queueing.

--- /dev/null
+++ b/internal/load/callers.go
@@ -0,0 +1,248 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// lineLimit bounds one line of an event stream.
+const lineLimit = 1 << 20
+
+var errNotWhole = errors.New("the stream ended without a finish reason")
+
+// completionBody is the body of POST /v1/completions.
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens,omitempty"`
+	Seed      int64  `json:"seed"`
+	Stream    bool   `json:"stream"`
+}
+
+// completionAnswer is a whole answer or one event of a stream, in the OpenAI
+// style, with the request ID, index and weight version of a part beside it.
+type completionAnswer struct {
+	RequestID      string   `json:"request_id"`
+	Index          *int     `json:"index"`
+	Token          string   `json:"token"`
+	WeightVersion  int64    `json:"weight_version"`
+	WeightVersions []int64  `json:"weight_versions"`
+	FinishReason   string   `json:"finish_reason"`
+	Tokens         []string `json:"tokens"`
+	Choices        []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Error json.RawMessage `json:"error"`
+}
+
+// call is one request of a caller with all its attempts.
+type call struct {
+	attempt Attempt // template
+	body    []byte
+	stream  bool
+	timeout time.Duration
+}
+
+func (m CallerMix) newCall(random *rand.Rand) (call, error) {
+	id, err := uuid.NewRandom()
+	if err != nil {
+		return call{}, err
+	}
+	prompt := m.prompt(random, id.String())
+	body := completionBody{
+		Model: m.Model, Prompt: prompt, MaxTokens: m.MaxTokens,
+		Seed: random.Int64N(1 << 40), Stream: random.Float64() < m.StreamShare,
+	}
+	data, err := json.Marshal(body)
+	return call{
+		attempt: Attempt{
+			Mix: m.Name, Class: m.Class, RequestID: id.String(), Model: m.Model,
+			Prompt: prompt, Seed: body.Seed, MaxTokens: m.MaxTokens,
+		},
+		body: data, stream: body.Stream, timeout: m.Timeout,
+	}, err
+}
+
+// prompt begins with a shared part, so that engines can use their caches, and
+// ends with the request's ID, so that no two answers are equal.
+func (m CallerMix) prompt(random *rand.Rand, id string) string {
+	var b strings.Builder
+	if m.SharedPrefixes > 0 && m.PrefixBytes > 0 {
+		unit := fmt.Sprintf("%s instructions %d. ", m.Name, random.IntN(m.SharedPrefixes))
+		b.WriteString(strings.Repeat(unit, m.PrefixBytes/len(unit)+1)[:m.PrefixBytes])
+	}
+	if m.PoisonShare > 0 && random.Float64() < m.PoisonShare {
+		b.WriteString(m.Poison + " ")
+	}
+	b.WriteString("request " + id)
+	return b.String()
+}
+
+// run sends the call until it has an answer or a refusal, or its time is over.
+func (d *driver) run(ctx context.Context, c call, send func(context.Context, call, *Attempt)) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	entry := d.entries.pick()
+	for {
+		attempt := c.attempt
+		attempt.Entry, attempt.Start = entry, time.Now()
+		send(ctx, c, &attempt)
+		attempt.End = time.Now()
+		again := attempt.Result == ResultBroken || attempt.Result == ResultNoHost
+		if again && ctx.Err() == nil {
+			select {
+			case <-time.After(repeatPause):
+			case <-ctx.Done():
+			}
+		}
+		attempt.Last = !again || ctx.Err() != nil
+		d.recorder.record(func(r *Records) { r.Attempts = append(r.Attempts, attempt) })
+		if attempt.Last {
+			return
+		}
+		entry = d.entries.after(entry)
+	}
+}
+
+// repeatPause lies between a broken attempt and the next one.
+const repeatPause = 50 * time.Millisecond
+
+// complete sends one attempt of a completion.
+func (d *driver) complete(ctx context.Context, c call, attempt *Attempt) {
+	response, err := d.post(ctx, "http://"+attempt.Entry+"/v1/completions", c, func(h http.Header) {
+		h.Set("Request-Id", attempt.RequestID)
+	})
+	if err != nil {
+		attempt.setFailure(err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	attempt.Status = response.StatusCode
+	attempt.Replayed = response.Header.Get(headerReplayed) == "true"
+	if response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		attempt.readStream(response.Body)
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	switch {
+	case response.StatusCode != http.StatusOK:
+		attempt.setRefusal(response.Header, data)
+	case err != nil:
+		attempt.setFailure(err)
+	default:
+		attempt.readWhole(data)
+	}
+}
+
+// post sends a call with the headers that all calls share.
+func (d *driver) post(ctx context.Context, url string, c call, headers func(http.Header)) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, err
+	}
+	setHeaders(request, d.config.CallerToken)
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	}
+	headers(request.Header)
+	return d.client.Do(request)
+}
+
+// readWhole takes an answer that is not streamed.
+func (a *Attempt) readWhole(data []byte) {
+	var answer completionAnswer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		a.setFailure(fmt.Errorf("decode answer: %w", err))
+		return
+	}
+	a.Result, a.FirstToken = ResultAnswered, time.Now()
+	a.take(answer)
+	a.Versions = mergeVersions(a.Versions, answer.WeightVersions...)
+	if a.Finish == "" {
+		a.setFailure(errNotWhole)
+	}
+}
+
+// readStream takes an answer as server-sent events.
+func (a *Attempt) readStream(body io.Reader) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, lineLimit)
+	next := 0
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data:")
+		if data = strings.TrimSpace(data); !ok || data == "" {
+			continue
+		}
+		if data == "[DONE]" {
+			break
+		}
+		var event completionAnswer
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			a.setFailure(fmt.Errorf("decode event: %w", err))
+			return
+		}
+		if len(event.Error) > 0 && string(event.Error) != "null" {
+			a.setRefusal(http.Header{}, []byte(data))
+			return
+		}
+		if event.Index != nil && *event.Index != next || event.RequestID != "" && event.RequestID != a.RequestID {
+			a.Foreign++
+		}
+		next++
+		if a.FirstToken.IsZero() {
+			a.FirstToken = time.Now()
+		}
+		a.take(event)
+	}
+	a.Result = ResultAnswered
+	if err := lines.Err(); err != nil {
+		a.setFailure(err)
+	} else if a.Finish == "" {
+		a.setFailure(errNotWhole)
+	}
+}
+
+// take adds the text of an answer or event.
+func (a *Attempt) take(answer completionAnswer) {
+	a.Versions = mergeVersions(a.Versions, answer.WeightVersion)
+	if answer.FinishReason != "" {
+		a.Finish = answer.FinishReason
+	}
+	if len(answer.Choices) > 0 {
+		a.Text += answer.Choices[0].Text
+		if reason := answer.Choices[0].FinishReason; reason != nil && *reason != "" {
+			a.Finish = *reason
+		}
+		return
+	}
+	a.Text += answer.Token + strings.Join(answer.Tokens, "")
+}
+
+// mergeVersions adds versions that are not yet named; 0 is no version.
+func mergeVersions(named []int64, versions ...int64) []int64 {
+next:
+	for _, version := range versions {
+		for _, n := range named {
+			if n == version {
+				continue next
+			}
+		}
+		if version != 0 {
+			named = append(named, version)
+		}
+	}
+	return named
+}
--- /dev/null
+++ b/internal/load/config.go
@@ -0,0 +1,132 @@
+// Package load drives a running system over HTTP as callers and trainers do,
+// and reports what they saw: latencies, idle time, staleness, duplicates,
+// losses and refusals. It knows nothing of the system but its HTTP interface.
+package load
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/declare"
+)
+
+// Config describes one run.
+type Config struct {
+	// Entries lists the HTTP addresses (IP:port) of the entry hosts. A caller
+	// goes on at the next one after a connection error.
+	Entries       []string
+	CallerToken   string
+	TrainerTokens map[string]string // by trainer name
+	WeightsAddr   string            // weight store; empty means that no version is stored
+	WeightsToken  string
+	// Declared holds the models and trainers that the run refers to.
+	Declared *declare.Set
+	Callers  []CallerMix
+	Services []ServiceMix
+	Trainers []TrainerPlan
+	// ProbeServices are asked for at every entry host each ProbeInterval, to
+	// see which configuration is in force there.
+	ProbeServices []string
+	ProbeInterval time.Duration // 0 means 500 ms
+	Duration      time.Duration
+	// Finish is the time that requests in flight get after Duration; 0 means 30 s.
+	Finish time.Duration
+	Seed   uint64
+}
+
+// CallerMix is one population of callers of completions. Arrivals are a
+// Poisson process and do not wait for answers (open loop).
+type CallerMix struct {
+	Name          string
+	Model         string
+	Class         declare.Class
+	RatePerSecond float64
+	StreamShare   float64 // share of requests with "stream": true
+	MaxTokens     int
+	Timeout       time.Duration // of the whole request with repetitions; 0 means 30 s
+	// SharedPrefixes is the number of different prompt beginnings, and
+	// PrefixBytes is their length. Zero means that prompts share nothing.
+	SharedPrefixes int
+	PrefixBytes    int
+	// PoisonShare is the share of requests whose prompt contains Poison.
+	Poison      string
+	PoisonShare float64
+}
+
+// ServiceMix is one population of callers of a plain service. Each request is
+// a POST with its own UUIDv7 key, for example the confirmation of a tray.
+type ServiceMix struct {
+	Name          string // service
+	Path          string // below /v1/services/{name}
+	Class         declare.Class
+	RatePerSecond float64
+	Timeout       time.Duration // 0 means 30 s
+}
+
+// TrainerPlan is one simulated trainer.
+type TrainerPlan struct {
+	Name          string // as declared
+	GroupsPerStep int
+	TrainTime     time.Duration // from the last sample of a step to the new version
+	// Ahead is the number of later steps whose groups are submitted early.
+	Ahead        int
+	FirstVersion int64 // weight version that the engines start with
+	PromptBytes  int   // length of the part of prompts that all groups of a step share
+	PullMax      int   // groups per pull; 0 means 8
+	PullWait     time.Duration
+	// LossAfter is the time after which a group that was accepted and not
+	// delivered counts as lost and is submitted again; 0 means 60 s.
+	LossAfter time.Duration
+}
+
+const (
+	defaultTimeout  = 30 * time.Second
+	defaultFinish   = 30 * time.Second
+	defaultPullWait = time.Second
+	defaultPullMax  = 8
+	defaultLoss     = 60 * time.Second
+	defaultProbe    = 500 * time.Millisecond
+)
+
+// withDefaults checks the configuration and fills in defaults.
+func (c Config) withDefaults() (Config, error) {
+	if len(c.Entries) == 0 {
+		return c, eris.New("no entry host is named")
+	}
+	if c.Duration <= 0 {
+		return c, eris.New("the duration is not positive")
+	}
+	setDefault(&c.Finish, defaultFinish)
+	setDefault(&c.ProbeInterval, defaultProbe)
+	c.Callers = append([]CallerMix(nil), c.Callers...)
+	for i := range c.Callers {
+		setDefault(&c.Callers[i].Timeout, defaultTimeout)
+	}
+	c.Services = append([]ServiceMix(nil), c.Services...)
+	for i := range c.Services {
+		setDefault(&c.Services[i].Timeout, defaultTimeout)
+	}
+	c.Trainers = append([]TrainerPlan(nil), c.Trainers...)
+	for i := range c.Trainers {
+		plan := &c.Trainers[i]
+		if c.Declared == nil || c.Declared.Trainers[plan.Name] == nil {
+			return c, eris.Errorf("trainer %q is not declared", plan.Name)
+		}
+		if plan.GroupsPerStep <= 0 {
+			return c, eris.Errorf("trainer %q has no groups per step", plan.Name)
+		}
+		setDefault(&plan.PullWait, defaultPullWait)
+		setDefault(&plan.LossAfter, defaultLoss)
+		if plan.PullMax == 0 {
+			plan.PullMax = defaultPullMax
+		}
+	}
+	return c, nil
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
--- /dev/null
+++ b/internal/load/services.go
@@ -0,0 +1,89 @@
+package load
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+func (m ServiceMix) newCall() (call, error) {
+	key, err := uuid.NewV7()
+	return call{
+		attempt: Attempt{Mix: m.Name, Class: m.Class, Key: key.String(), Service: m.Name, Path: m.Path},
+		body:    []byte(`{"confirmation":"` + key.String() + `"}`),
+		timeout: m.Timeout,
+	}, err
+}
+
+// confirm sends one attempt of a call to a plain service. The key stays the
+// same for all attempts, so that the call runs at most once.
+func (d *driver) confirm(ctx context.Context, c call, attempt *Attempt) {
+	url := "http://" + attempt.Entry + "/v1/services/" + attempt.Service + "/" + strings.TrimPrefix(attempt.Path, "/")
+	response, err := d.post(ctx, url, c, func(h http.Header) { h.Set("Idempotency-Key", attempt.Key) })
+	if err != nil {
+		attempt.setFailure(err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	attempt.Status = response.StatusCode
+	attempt.Replayed = response.Header.Get(headerReplayed) == "true"
+	data, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	switch {
+	case response.Header.Get(headerOutcome) != "":
+		attempt.setRefusal(response.Header, data)
+	case err != nil:
+		attempt.setFailure(err)
+	case response.StatusCode >= http.StatusInternalServerError:
+		// The service's own error: it may have run the call.
+		attempt.Result, attempt.Outcome, attempt.Reason = ResultRefused, "unknown", "service-error"
+	default:
+		attempt.Result, attempt.Text = ResultAnswered, string(data)
+	}
+}
+
+// reasonUnknownName is the reason of a refusal for a name that the
+// configuration in force does not hold.
+const reasonUnknownName = "unknown-name"
+
+// probe asks every entry host for every probed service.
+func (d *driver) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, entry := range d.config.Entries {
+			for _, service := range d.config.ProbeServices {
+				d.probeOne(ctx, entry, service)
+			}
+		}
+		select {
+		case <-time.After(d.config.ProbeInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// probeTimeout bounds one probe.
+const probeTimeout = 2 * time.Second
+
+func (d *driver) probeOne(ctx context.Context, entry, service string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/v1/services/"+service+"/probe", nil)
+	if err != nil {
+		return
+	}
+	setHeaders(request, d.config.CallerToken)
+	at := time.Now()
+	response, err := d.client.Do(request)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, answerLimit))
+	_ = response.Body.Close()
+	known := response.Header.Get(headerReason) != reasonUnknownName
+	d.recorder.record(func(r *Records) {
+		r.Probes = append(r.Probes, Probe{Entry: entry, Service: service, At: at, Known: known})
+	})
+}
--- /dev/null
+++ b/internal/load/trainers.go
@@ -0,0 +1,296 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/declare"
+)
+
+// trainer simulates one trainer. All its calls run on one goroutine.
+type trainer struct {
+	d        *driver
+	plan     TrainerPlan
+	declared *declare.Trainer
+	entry    string
+	epoch    string
+	cursor   int64
+	groups   map[string]*group
+	steps    map[int][]*group
+	asked    time.Time // start of the first pull since the last answer
+	newest   int64     // newest version announced before asked
+	time     TrainerTime
+}
+
+// group is one group of a step.
+type group struct {
+	ID        string `json:"id"`
+	Prompt    string `json:"prompt"`
+	step      int
+	submitted time.Time // when the system last accepted it; zero when it has to be submitted
+	taken     bool
+}
+
+type submitBody struct {
+	Epoch  string   `json:"epoch"`
+	Step   int      `json:"step"`
+	Groups []*group `json:"groups"`
+}
+
+type submitAnswer struct {
+	Epoch    string `json:"epoch"`
+	Accepted int    `json:"accepted"`
+}
+
+type pullBody struct {
+	Epoch  string `json:"epoch"`
+	Cursor int64  `json:"cursor"`
+	WaitMS int64  `json:"wait_ms"`
+	Max    int    `json:"max"`
+}
+
+type pullAnswer struct {
+	Epoch  string        `json:"epoch"`
+	Groups []pulledGroup `json:"groups"`
+}
+
+type pulledGroup struct {
+	Seq     int64    `json:"seq"`
+	ID      string   `json:"id"`
+	Step    int      `json:"step"`
+	Samples []Sample `json:"samples"`
+}
+
+func newTrainer(d *driver, plan TrainerPlan) *trainer {
+	return &trainer{
+		d: d, plan: plan, declared: d.config.Declared.Trainers[plan.Name],
+		entry:  d.entries.pick(),
+		groups: make(map[string]*group),
+		steps:  make(map[int][]*group),
+		time:   TrainerTime{Trainer: plan.Name},
+	}
+}
+
+// run goes from step to step until ctx ends.
+func (t *trainer) run(ctx context.Context) {
+	began := time.Now()
+	for step := 1; ctx.Err() == nil; step++ {
+		waiting := time.Now()
+		whole := t.collect(ctx, step)
+		t.time.Idle += time.Since(waiting)
+		if !whole {
+			break
+		}
+		t.time.Steps++
+		select {
+		case <-time.After(t.plan.TrainTime):
+		case <-ctx.Done():
+		}
+		t.announce(ctx)
+		delete(t.steps, step)
+	}
+	t.time.Total = time.Since(began)
+	for _, g := range t.groups {
+		if !g.taken && !g.submitted.IsZero() {
+			t.time.Outstanding++
+		}
+	}
+	t.d.recorder.record(func(r *Records) { r.Trainers = append(r.Trainers, t.time) })
+}
+
+// collect submits and pulls until the step is whole.
+func (t *trainer) collect(ctx context.Context, step int) bool {
+	for ctx.Err() == nil {
+		if !t.submitUpTo(ctx, step+t.plan.Ahead, step) {
+			continue
+		}
+		if t.whole(step) {
+			return true
+		}
+		t.pull(ctx)
+		t.resubmitLost()
+	}
+	return false
+}
+
+func (t *trainer) whole(step int) bool {
+	for _, g := range t.steps[step] {
+		if !g.taken {
+			return false
+		}
+	}
+	return true
+}
+
+// submitUpTo submits every group of the steps that the system does not have.
+func (t *trainer) submitUpTo(ctx context.Context, last, first int) bool {
+	for step := first; step <= last; step++ {
+		if t.steps[step] == nil {
+			t.makeGroups(step)
+		}
+		var missing []*group
+		for _, g := range t.steps[step] {
+			if !g.taken && g.submitted.IsZero() {
+				missing = append(missing, g)
+			}
+		}
+		if len(missing) > 0 && !t.submit(ctx, step, missing) {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *trainer) makeGroups(step int) {
+	for i := 1; i <= t.plan.GroupsPerStep; i++ {
+		shared := fmt.Sprintf("%s step %d. ", t.plan.Name, step)
+		shared = strings.Repeat(shared, t.plan.PromptBytes/len(shared)+1)
+		g := &group{ID: fmt.Sprintf("s%d-g%d", step, i), step: step}
+		g.Prompt = fmt.Sprintf("%sgroup %d of run %d", shared, i, t.d.started.UnixNano())
+		t.groups[g.ID] = g
+		t.steps[step] = append(t.steps[step], g)
+	}
+}
+
+func (t *trainer) submit(ctx context.Context, step int, groups []*group) bool {
+	var answer submitAnswer
+	status := t.call(ctx, "groups", submitBody{Epoch: t.epoch, Step: step, Groups: groups}, &answer)
+	switch {
+	case status == http.StatusConflict:
+		t.changeEpoch(answer.Epoch)
+		return false
+	case status/100 != 2:
+		return false
+	case t.epoch != "" && answer.Epoch != t.epoch:
+		t.changeEpoch(answer.Epoch)
+		return false
+	}
+	t.epoch = answer.Epoch
+	now := time.Now()
+	t.d.recorder.record(func(r *Records) {
+		for _, g := range groups {
+			g.submitted = now
+			r.Submissions = append(r.Submissions, Submission{Trainer: t.plan.Name, Epoch: t.epoch, Group: g.ID, At: now})
+		}
+	})
+	return true
+}
+
+// changeEpoch starts anew with another home: all groups that were not taken
+// are submitted again.
+func (t *trainer) changeEpoch(epoch string) {
+	t.time.EpochChange++
+	t.epoch, t.cursor, t.asked = epoch, 0, time.Time{}
+	for _, g := range t.groups {
+		if !g.taken {
+			g.submitted = time.Time{}
+		}
+	}
+}
+
+func (t *trainer) pull(ctx context.Context) {
+	if t.asked.IsZero() {
+		t.newest = t.d.recorder.newestVersion(t.declared.Model)
+		t.asked = time.Now()
+	}
+	var answer pullAnswer
+	body := pullBody{Epoch: t.epoch, Cursor: t.cursor, WaitMS: t.plan.PullWait.Milliseconds(), Max: t.plan.PullMax}
+	status := t.call(ctx, "pull", body, &answer)
+	switch {
+	case status == http.StatusConflict:
+		t.changeEpoch(answer.Epoch)
+	case status/100 == 2 && answer.Epoch == t.epoch:
+		for _, pulled := range answer.Groups {
+			t.take(pulled)
+		}
+		t.asked = time.Time{}
+	}
+}
+
+// take accepts a group when it is the next in the sequence.
+func (t *trainer) take(pulled pulledGroup) {
+	if pulled.Seq != t.cursor+1 {
+		t.time.Redelivered++
+		return
+	}
+	t.cursor = pulled.Seq
+	delivery := Delivery{
+		Trainer: t.plan.Name, Model: t.declared.Model, Epoch: t.epoch, Seq: pulled.Seq, Group: pulled.ID,
+		Step: pulled.Step, Asked: t.asked, At: time.Now(), Newest: t.newest, Wanted: t.declared.GroupSize,
+		Bound: t.declared.StalenessBound, MaxTokens: t.declared.MaxTokens, Samples: pulled.Samples,
+	}
+	if g := t.groups[pulled.ID]; g != nil {
+		delivery.Known, delivery.Repeated, delivery.Prompt = true, g.taken, g.Prompt
+		g.taken = true
+	}
+	t.d.recorder.record(func(r *Records) { r.Deliveries = append(r.Deliveries, delivery) })
+}
+
+// resubmitLost submits groups again that were accepted long ago. The call is
+// idempotent, so this is harmless when the group is only late.
+func (t *trainer) resubmitLost() {
+	for _, g := range t.groups {
+		if !g.taken && !g.submitted.IsZero() && time.Since(g.submitted) > t.plan.LossAfter {
+			g.submitted = time.Time{}
+			t.time.Lost++
+		}
+	}
+}
+
+// announce publishes a new version to the weight store and to the system.
+func (t *trainer) announce(ctx context.Context) {
+	version := t.d.recorder.nextVersion(t.declared.Model, t.d.versions)
+	if t.d.config.WeightsAddr != "" {
+		url := fmt.Sprintf("http://%s/models/%s/versions/%d", t.d.config.WeightsAddr, t.declared.Model, version)
+		for ctx.Err() == nil {
+			status, _, err := postJSON(ctx, t.d.client, url, t.d.config.WeightsToken, struct{}{})
+			if err == nil && status/100 == 2 {
+				break
+			}
+			t.pause(ctx)
+		}
+	}
+	for ctx.Err() == nil {
+		if t.call(ctx, "weights", map[string]int64{"version": version}, nil)/100 == 2 {
+			t.d.recorder.announced(Announcement{Trainer: t.plan.Name, Model: t.declared.Model, Version: version, At: time.Now()})
+			return
+		}
+	}
+}
+
+// call sends one call to the trainer's entry host. After a failure it pauses
+// and goes on at the next host; the status is then 0.
+func (t *trainer) call(ctx context.Context, operation string, body, answer any) int {
+	limit, cancel := context.WithTimeout(ctx, t.plan.PullWait+callLimit)
+	defer cancel()
+	url := "http://" + t.entry + "/v1/trainers/" + t.plan.Name + "/" + operation
+	status, data, err := postJSON(limit, t.d.client, url, t.d.config.TrainerTokens[t.plan.Name], body)
+	if err == nil && answer != nil && (status/100 == 2 || status == http.StatusConflict) {
+		err = json.Unmarshal(data, answer)
+	}
+	if err == nil && (status/100 == 2 || status == http.StatusConflict) {
+		return status
+	}
+	if ctx.Err() == nil {
+		klog.V(1).InfoS("trainer call failed", "trainer", t.plan.Name, "operation", operation, "entry", t.entry, "status", status, "err", err)
+	}
+	t.entry = t.d.entries.after(t.entry)
+	t.pause(ctx)
+	return 0
+}
+
+// callLimit is the longest time of a call beyond the wait of a long poll.
+const callLimit = 5 * time.Second
+
+func (t *trainer) pause(ctx context.Context) {
+	select {
+	case <-time.After(repeatPause):
+	case <-ctx.Done():
+	}
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -53,6 +53,7 @@
 
 // call sends one request and decodes the JSON answer into target. After a
 // timeout it drops pooled connections, so that the next call uses a new one.
+// The transport repeats a POST by itself only when none of it was written.
 func (c httpClient) call(ctx context.Context, method, path string, timeout time.Duration, body []byte, target any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -61,11 +62,6 @@
 		return eris.Wrap(err, "build request")
 	}
 	request.Header.Set("Content-Type", "application/json")
-	if method == http.MethodPost {
-		// Without GetBody the transport cannot send an append again by itself
-		// when a pooled connection breaks.
-		request.GetBody = nil
-	}
 	if c.token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.token)
 	}
