--- a/cmd/sesamestand/arguments.go
+++ b/cmd/sesamestand/arguments.go
@@ -5,8 +5,10 @@
 // arguments lists the subcommands; each has its own file.
 type arguments struct {
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run an entry host"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"validate declaration files"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show what an entry host knows"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"show the decisions taken for a request"`
+	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in of an outside system"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"print the settings reference or check a settings file"`
 }
 
