--- /dev/null
+++ b/internal/entry/providers.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/google/wire"
+
+	"github.com/sesamestand/sesamestand/internal/callers"
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/configs"
+	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/inventory"
+	"github.com/sesamestand/sesamestand/internal/members"
+	"github.com/sesamestand/sesamestand/internal/orders"
+	"github.com/sesamestand/sesamestand/internal/owner"
+	"github.com/sesamestand/sesamestand/internal/peer"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/services"
+	"github.com/sesamestand/sesamestand/internal/settings"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
+	"github.com/sesamestand/sesamestand/internal/tlsfiles"
+	"github.com/sesamestand/sesamestand/internal/trainers"
+)
+
+// configPollWait is how long one read of the config stream waits for a record.
+const configPollWait = 2 * time.Second
+
+// roles lists the constructors of an entry host.
+var roles = wire.NewSet(
+	newRecorder, newTLS, newPool,
+	newLog, newHostList, newWeightStore,
+	newMembers, newEngineClient,
+	inventory.New,
+	newConfigsConfig, configs.New,
+	newOrdersConfig, orders.New,
+	newOwnerConfig, owner.New,
+	newCallersConfig, callers.New,
+	newServicesConfig, services.New,
+	newTrainersConfig, trainers.New,
+	newHost,
+	wire.Bind(new(cluster.Members), new(*members.Controller)),
+	wire.Bind(new(cluster.Versions), new(*members.Controller)),
+	wire.Bind(new(cluster.Inventory), new(*inventory.Controller)),
+	wire.Bind(new(cluster.Configs), new(*configs.Controller)),
+	wire.Bind(new(cluster.Ownership), new(*orders.Controller)),
+	wire.Bind(new(cluster.ReplicaStates), new(*orders.Controller)),
+	wire.Bind(new(cluster.Generator), new(*callers.Controller)),
+	wire.Bind(new(peer.Clients), new(*peer.Pool)),
+)
+
+func newRecorder(s settings.Settings) (*telemetry.Recorder, error) {
+	return telemetry.NewRecorder(s.Host.ID, s.Limits.DecisionLogPerSec)
+}
+
+func newTLS(s settings.Settings) (*tlsfiles.Source, error) { return tlsfiles.New(s.TLS) }
+
+func newPool(s settings.Settings, source *tlsfiles.Source) *peer.Pool {
+	return peer.NewPool(s.Auth.ClusterToken, source)
+}
+
+func newLog(s settings.Settings) platform.Log {
+	return platform.NewHTTPLog(s.Platform.LogAddr, s.Auth.PlatformToken)
+}
+
+func newHostList(s settings.Settings) platform.HostList {
+	return platform.NewHTTPHostList(s.Platform.HostsAddr, s.Auth.PlatformToken)
+}
+
+func newWeightStore(s settings.Settings) platform.WeightStore {
+	return platform.NewHTTPWeightStore(s.Platform.WeightsAddr, s.Auth.PlatformToken)
+}
+
+func newMembers(s settings.Settings, recorder *telemetry.Recorder) *members.Controller {
+	return members.New(members.Config{
+		Self:          cluster.Member{ID: s.Host.ID, DataCentre: s.Host.DataCentre, PeerAddr: s.Host.PeerAddr},
+		Seeds:         s.Peers,
+		ClusterToken:  s.Auth.ClusterToken,
+		ProbeInterval: s.Timing.ProbeInterval,
+		Recorder:      recorder,
+	})
+}
+
+func newConfigsConfig(s settings.Settings) configs.Config {
+	return configs.Config{Retention: s.Timing.LogRetention, PollWait: configPollWait}
+}
+
+func newTrainersConfig(s settings.Settings) trainers.Config {
+	return trainers.Config{
+		Policy: s.Policy, BackendToken: s.Auth.BackendToken, BodyBytes: int64(s.Limits.BodyBytes),
+	}
+}
