Add the checker of the promises and tests of the load tool

The checker judges P1 to P9 from what callers, trainers and stand-ins recorded. It reads nothing from the entry hosts, so a fault there cannot hide itself. Staleness is judged by the versions announced before the pull began: judging by the time of receipt would count announcements that crossed a delivery. A refusal "not run" is broken when the request ran at any time before the caller sent it again.

The load tool now records the answer limit in force for each request, which the checker needs to judge answers that stopped for their length. Scoring requests carry lists of tokens, as the trainers' home sends them.

--- /dev/null
+++ b/internal/checker/checker_test.go
@@ -0,0 +1,169 @@
+package checker
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/load"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/standin/engined"
+	"github.com/sesamestand/sesamestand/internal/standin/hostsd"
+	"github.com/sesamestand/sesamestand/internal/standin/serviced"
+)
+
+// Guards against a checker that finds faults where there are none, and
+// against a load tool that miscounts lost answers and epoch changes.
+func TestRunAgainstAFaultlessSystem(t *testing.T) {
+	system, entries := newSystem(t)
+	report, err := load.Run(t.Context(), load.Config{
+		Entries: entries,
+		Declared: &declare.Set{Trainers: map[string]*declare.Trainer{
+			"captions": {Name: "captions", Model: "album", GroupSize: groupSize, StalenessBound: 1},
+		}},
+		Callers:       []load.CallerMix{{Name: "pages", Model: "album", RatePerSecond: 30, StreamShare: 0.5, SharedPrefixes: 2, PrefixBytes: 100}},
+		Services:      []load.ServiceMix{{Name: "desk", Path: "/trays", RatePerSecond: 20}},
+		Trainers:      []load.TrainerPlan{{Name: "captions", GroupsPerStep: 3, TrainTime: 10 * time.Millisecond, Ahead: 1, FirstVersion: 7}},
+		ProbeServices: []string{"desk"},
+		ProbeInterval: 50 * time.Millisecond,
+		Duration:      3 * time.Second,
+	})
+	must.NoError(t, err)
+	result := Check(Facts{
+		Load: report.Records, Engines: []engined.Journal{system.engine.Journal()}, Services: system.service.Journal(),
+		Publications: []Publication{{Service: "desk", At: time.Now().Add(-time.Hour)}},
+	})
+	var table strings.Builder
+	must.NoError(t, result.WriteTable(&table))
+	must.NoError(t, report.WriteTable(&table))
+	must.Eq(t, 0, result.Broken(), must.Sprint(table.String()))
+	for _, id := range []string{"P1", "P2", "P3", "P4", "P6", "P9"} {
+		must.Positive(t, result.Promise(id).Checked, must.Sprint(id))
+	}
+	trainer := report.Trainers[0]
+	must.Eq(t, 1, trainer.EpochChanges)
+	must.Greater(t, 1, trainer.Steps)
+	must.Eq(t, 0, trainer.Duplicates)
+	must.Positive(t, len(report.Callers))
+	must.NoError(t, report.WriteJSON(&table))
+}
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return begin.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// wholeFacts returns facts about one sample, one completion, one confirmation,
+// one refusal, one drain, one leaving engine and one publication, all in order.
+func wholeFacts() Facts {
+	sample, finish := engined.ExpectedTokens("album", "group", 5, engined.Lengths{Mean: 8}, 0)
+	page, pageFinish := engined.ExpectedTokens("album", "page", 6, engined.Lengths{Mean: 8}, 0)
+	entry := func(id, prompt string, seed int64, n int) engined.RequestEntry {
+		return engined.RequestEntry{
+			Time: at(1), Engine: "e1", RequestID: id, AnswerTag: engined.AnswerTag("album", prompt, seed),
+			Segments: []engined.Segment{{Version: 7, From: 0, To: 2}, {Version: 8, From: 2, To: n}}, End: engined.EndFinished,
+		}
+	}
+	return Facts{
+		Load: load.Records{
+			Attempts: []load.Attempt{
+				{RequestID: "page", Entry: "h1", Model: "album", Prompt: "page", Seed: 6, Start: at(1), End: at(3), Result: load.ResultAnswered, Last: true, Text: strings.Join(page, ""), Finish: pageFinish, Versions: []int64{7, 8}},
+				{Key: "tray", Entry: "h1", Start: at(1), End: at(2), Result: load.ResultAnswered, Last: true, Text: `{"key":"tray"}`},
+				{RequestID: "refused", Entry: "h1", Model: "album", Prompt: "refused", Start: at(1), End: at(2), Result: load.ResultRefused, Last: true, Outcome: "not-run", Reason: "overload"},
+			},
+			Deliveries: []load.Delivery{{
+				Trainer: "captions", Model: "album", Group: "g1", Prompt: "group", Asked: at(4), At: at(5), Newest: 8, Wanted: 1, Bound: 1, Known: true,
+				Samples: []load.Sample{{ID: "s1", Tokens: sample, Versions: []int64{7, 8}, FinishReason: finish}},
+			}},
+			Announcements: []load.Announcement{{Model: "album", Version: 8, At: at(2)}},
+			Probes:        []load.Probe{{Entry: "h1", Service: "desk", At: at(3)}, {Entry: "h1", Service: "desk", At: at(5), Known: true}, {Entry: "h1", Service: "desk", At: at(20), Known: true}},
+		},
+		Engines:      []engined.Journal{{Requests: []engined.RequestEntry{entry("s1", "group", 5, len(sample)), entry("page", "page", 6, len(page))}}},
+		Services:     []serviced.Call{{Time: at(1), Server: "desk1", Key: "tray", Ran: true}},
+		Hosts:        []hostsd.Change{{Time: at(0), Visible: at(1), Row: platform.BackendServer{ID: "e1", Leaving: true}}},
+		Drains:       []Drain{{Entry: "h1", Start: at(2), End: at(4)}},
+		Publications: []Publication{{Service: "desk", At: at(2)}},
+	}
+}
+
+// Guards against a checker that overlooks a broken promise, or that blames
+// another one for it.
+func TestEachBrokenPromiseIsFound(t *testing.T) {
+	must.Eq(t, 0, Check(wholeFacts()).Broken())
+	cases := []struct {
+		name, promise string
+		damage        func(*Facts)
+		also          []string // promises that the same damage breaks by its nature
+	}{
+		{"version that is not named", "P1", func(f *Facts) { sampleOf(f).Versions = []int64{8} }, nil},
+		{"version that produced nothing", "P1", func(f *Facts) { sampleOf(f).Versions = []int64{7, 8, 9} }, nil},
+		{"no version", "P1", func(f *Facts) { f.Load.Attempts[0].Versions = []int64{6} }, nil},
+		{"sample over the bound", "P2", func(f *Facts) {
+			f.Load.Announcements = append(f.Load.Announcements, load.Announcement{Model: "album", Version: 9, At: at(3)})
+		}, nil},
+		{"group delivered twice", "P3", func(f *Facts) {
+			again := f.Load.Deliveries[0]
+			again.Repeated = true
+			f.Load.Deliveries = append(f.Load.Deliveries, again)
+		}, nil},
+		{"same answer under another ID", "P3", func(f *Facts) {
+			again := *sampleOf(f)
+			again.ID = "s2"
+			f.Load.Deliveries[0].Wanted = 2
+			f.Load.Deliveries[0].Samples = append(f.Load.Deliveries[0].Samples, again)
+		}, nil},
+		{"group that is not whole", "P3", func(f *Facts) { f.Load.Deliveries[0].Wanted = 2 }, nil},
+		{"no answer", "P3", func(f *Facts) {
+			f.Load.Attempts[0].Result = load.ResultBroken
+			f.Drains = nil
+		}, nil},
+		{"cut answer", "P4", func(f *Facts) {
+			tokens := sampleOf(f).Tokens
+			sampleOf(f).Tokens = tokens[:len(tokens)-1]
+		}, nil},
+		{"answer of another seed", "P4", func(f *Facts) { f.Load.Attempts[0].Seed++ }, nil},
+		{"receipt of another key", "P4", func(f *Facts) { f.Load.Attempts[1].Text = `{"key":"other"}` }, nil},
+		{"refused, but ran", "P5", func(f *Facts) {
+			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(1.5), AnswerTag: engined.AnswerTag("album", "refused", 0)})
+		}, nil},
+		{"ran after the refusal", "P5", func(f *Facts) {
+			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(9), AnswerTag: engined.AnswerTag("album", "refused", 0)})
+		}, nil},
+		{"tray baked twice", "P6", func(f *Facts) { f.Services = append(f.Services, f.Services[0]) }, nil},
+		{"work at a leaving engine", "P7", func(f *Facts) {
+			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(7), Engine: "e1"})
+		}, nil},
+		{"cut off by a shutdown", "P8", func(f *Facts) { f.Load.Attempts[0].Result = load.ResultBroken }, []string{"P3"}},
+		{"configuration that came late", "P9", func(f *Facts) { f.Load.Probes = []load.Probe{{Entry: "h2", Service: "desk", At: at(13)}} }, nil},
+		{"configuration that reverted", "P9", func(f *Facts) {
+			f.Load.Probes = append(f.Load.Probes[:2], load.Probe{Entry: "h1", Service: "desk", At: at(6)})
+		}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			facts := wholeFacts()
+			c.damage(&facts)
+			for _, p := range Check(facts).Promises {
+				expected := p.ID == c.promise || slices.Contains(c.also, p.ID)
+				must.Eq(t, expected, p.Broken > 0, must.Sprint(p))
+			}
+		})
+	}
+}
+
+func sampleOf(f *Facts) *load.Sample { return &f.Load.Deliveries[0].Samples[0] }
+
+// Guards against a repetition after a true refusal that is held against it.
+func TestRequestSentAgainAfterRefusalMayRun(t *testing.T) {
+	facts := wholeFacts()
+	again := facts.Load.Attempts[2]
+	again.Start, again.End, again.Outcome = at(8), at(10), "unknown"
+	facts.Load.Attempts = append(facts.Load.Attempts, again)
+	facts.Engines[0].Requests = append(facts.Engines[0].Requests, engined.RequestEntry{Time: at(9), AnswerTag: engined.AnswerTag("album", "refused", 0)})
+	must.Eq(t, 0, Check(facts).Broken())
+}
--- /dev/null
+++ b/internal/checker/system_test.go
@@ -0,0 +1,151 @@
+package checker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/standin"
+	"github.com/sesamestand/sesamestand/internal/standin/engined"
+	"github.com/sesamestand/sesamestand/internal/standin/serviced"
+)
+
+const groupSize = 2
+
+// system is the least that keeps the promises: one process that forwards to
+// one engine and one service, and one trainer's home. It can lose answers.
+type system struct {
+	engine  *engined.Server
+	address string // engine
+	service *serviced.Server
+
+	mu     sync.Mutex
+	epoch  int
+	groups []map[string]any
+	pulls  int
+}
+
+// newSystem returns the system and the addresses of its two entry hosts.
+func newSystem(t *testing.T) (*system, []string) {
+	s := &system{
+		engine:  engined.New(engined.Config{ID: "e1", Model: "album", Version: 7, Lengths: engined.Lengths{Mean: 8}, TokenTime: time.Millisecond}),
+		service: serviced.New(serviced.Config{ID: "desk1"}),
+		epoch:   1,
+	}
+	var err error
+	s.address, err = s.engine.Start("127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = s.engine.Close() })
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", s.complete)
+	mux.Handle("POST /v1/services/desk/", http.StripPrefix("/v1/services/desk", s.service.Handler()))
+	mux.HandleFunc("GET /v1/services/{name}/probe", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST /v1/trainers/captions/groups", s.submit)
+	mux.HandleFunc("POST /v1/trainers/captions/pull", s.pull)
+	mux.HandleFunc("POST /v1/trainers/captions/weights", s.weights)
+	var entries []string
+	for range 2 {
+		endpoint, err := standin.Listen("127.0.0.1:0", mux)
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = endpoint.Close() })
+		entries = append(entries, endpoint.Addr())
+	}
+	return s, entries
+}
+
+func (s *system) complete(w http.ResponseWriter, r *http.Request) {
+	var request engine.GenerateRequest
+	standin.ReadJSON(w, r, &request)
+	request.RequestID = r.Header.Get("Request-Id")
+	body, _ := json.Marshal(request)
+	response, err := http.Post("http://"+s.address+"/v1/completions", "application/json", bytes.NewReader(body))
+	if err != nil {
+		standin.Abort()
+	}
+	defer func() { _ = response.Body.Close() }()
+	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	_, _ = io.Copy(w, response.Body)
+}
+
+func (s *system) submit(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Epoch  string
+		Step   int
+		Groups []struct{ ID, Prompt string }
+	}
+	standin.ReadJSON(w, r, &body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if body.Epoch != "" && body.Epoch != fmt.Sprint(s.epoch) {
+		standin.WriteJSON(w, http.StatusConflict, map[string]any{"epoch": fmt.Sprint(s.epoch)})
+		return
+	}
+	for _, g := range body.Groups {
+		group := map[string]any{"seq": len(s.groups) + 1, "id": g.ID, "step": body.Step}
+		var samples []any
+		for i := range groupSize {
+			samples = append(samples, s.sample(fmt.Sprintf("%d/%s/%d", s.epoch, g.ID, i), g.Prompt, int64(i)))
+		}
+		group["samples"] = samples
+		s.groups = append(s.groups, group)
+	}
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"epoch": fmt.Sprint(s.epoch), "accepted": len(body.Groups)})
+}
+
+func (s *system) sample(id, prompt string, seed int64) any {
+	body, _ := json.Marshal(engine.GenerateRequest{RequestID: id, Model: "album", Prompt: prompt, Seed: seed})
+	response, err := http.Post("http://"+s.address+"/v1/completions", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer engined.Answer
+	_ = json.NewDecoder(response.Body).Decode(&answer)
+	return map[string]any{"id": id, "tokens": answer.Tokens, "versions": answer.WeightVersions[:1], "finish_reason": answer.FinishReason}
+}
+
+// pull loses every fourth answer and changes the epoch once, before the tenth.
+func (s *system) pull(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Epoch  string
+		Cursor int
+	}
+	standin.ReadJSON(w, r, &body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pulls++; s.pulls == 10 {
+		s.epoch, s.groups = s.epoch+1, nil
+	}
+	if body.Epoch != fmt.Sprint(s.epoch) {
+		standin.WriteJSON(w, http.StatusConflict, map[string]any{"epoch": fmt.Sprint(s.epoch)})
+		return
+	}
+	if s.pulls%4 == 0 {
+		standin.Abort()
+	}
+	next := s.groups[min(body.Cursor, len(s.groups)):]
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"epoch": body.Epoch, "groups": next[:min(1, len(next))]})
+}
+
+func (s *system) weights(w http.ResponseWriter, r *http.Request) {
+	var body struct{ Version int64 }
+	standin.ReadJSON(w, r, &body)
+	order, _ := json.Marshal(engine.Order{Kind: engine.OrderLoadVersion, Version: body.Version})
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+s.address+"/orders", bytes.NewReader(order))
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+	for s.engine.State().Version < body.Version {
+		time.Sleep(time.Millisecond)
+	}
+	standin.WriteJSON(w, http.StatusOK, body)
+}
--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -56,7 +56,8 @@
 	timeout time.Duration
 }
 
-func (m CallerMix) newCall(random *rand.Rand) (call, error) {
+// newCall builds a request; modelLimit is the longest answer of its model.
+func (m CallerMix) newCall(random *rand.Rand, modelLimit int) (call, error) {
 	id, err := uuid.NewRandom()
 	if err != nil {
 		return call{}, err
@@ -70,12 +71,20 @@
 	return call{
 		attempt: Attempt{
 			Mix: m.Name, Class: m.Class, RequestID: id.String(), Model: m.Model,
-			Prompt: prompt, Seed: body.Seed, MaxTokens: m.MaxTokens,
+			Prompt: prompt, Seed: body.Seed, MaxTokens: tighter(m.MaxTokens, modelLimit),
 		},
 		body: data, stream: body.Stream, timeout: m.Timeout,
 	}, err
 }
 
+// tighter returns the lower of two limits; 0 is no limit.
+func tighter(a, b int) int {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // prompt begins with a shared part, so that engines can use their caches, and
 // ends with the request's ID, so that no two answers are equal.
 func (m CallerMix) prompt(random *rand.Rand, id string) string {
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,69 @@
+package load
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const openAIStream = `data: {"request_id":"r1","index":0,"weight_version":7,"choices":[{"text":"a ","finish_reason":null}]}
+
+data: {"request_id":"r1","index":1,"weight_version":8,"choices":[{"text":"b.","finish_reason":"stop"}]}
+
+data: [DONE]
+`
+
+// Guards against streams of which the tool misreads the end, the order or the
+// owner, because every latency and promise is judged by them.
+func TestReadStream(t *testing.T) {
+	cases := []struct {
+		name, stream string
+		result       Result
+		foreign      int
+	}{
+		{"whole", openAIStream, ResultAnswered, 0},
+		{"cut", openAIStream[:strings.Index(openAIStream, "\n")+2], ResultBroken, 0},
+		{"error event", `data: {"error":{"outcome":"partial","reason":"deadline"}}` + "\n", ResultRefused, 0},
+		{"chunk of another request", strings.Replace(openAIStream, "r1", "r2", 1), ResultAnswered, 1},
+		{"index out of order", strings.Replace(openAIStream, `"index":1`, `"index":2`, 1), ResultAnswered, 1},
+		{"engine chunks", `data: {"request_id":"r1","index":0,"token":"a","weight_version":7,"finish_reason":"length"}` + "\n", ResultAnswered, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			attempt := Attempt{RequestID: "r1"}
+			attempt.readStream(strings.NewReader(c.stream))
+			must.Eq(t, c.result, attempt.Result)
+			must.Eq(t, c.foreign, attempt.Foreign)
+		})
+	}
+	attempt := Attempt{RequestID: "r1"}
+	attempt.readStream(strings.NewReader(openAIStream))
+	must.Eq(t, "a b.", attempt.Text)
+	must.Eq(t, []int64{7, 8}, attempt.Versions)
+	must.Eq(t, "stop", attempt.Finish)
+}
+
+// Guards against latencies that start anew with each repetition, and against
+// samples over the bound that are not counted.
+func TestReport(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	broken := Attempt{Mix: "pages", RequestID: "r1", Start: start, End: start.Add(time.Second), Result: ResultBroken}
+	answered := Attempt{Mix: "pages", RequestID: "r1", Start: start.Add(time.Second), End: start.Add(3 * time.Second), Result: ResultAnswered, Last: true}
+	delivery := Delivery{Trainer: "captions", Newest: 9, Bound: 1, Samples: []Sample{{ID: "a", Versions: []int64{9, 7}}, {ID: "a", Versions: []int64{8}}}}
+	report := newReport(time.Minute, Records{
+		Attempts:   []Attempt{broken, answered},
+		Deliveries: []Delivery{delivery},
+		Trainers:   []TrainerTime{{Trainer: "captions", Idle: time.Second, Total: 4 * time.Second}},
+	})
+	must.Eq(t, 1, report.Callers[0].Requests)
+	must.Eq(t, 1, report.Callers[0].Answered)
+	must.Eq(t, 3000.0, report.Callers[0].Latency.P50)
+	trainer := report.Trainers[0]
+	must.Eq(t, 0.25, trainer.IdleShare)
+	must.Eq(t, 1.5, trainer.StalenessMean)
+	must.Eq(t, 2, trainer.StalenessP99)
+	must.Eq(t, 1, trainer.OverBound)
+	must.Eq(t, 1, trainer.Duplicates)
+}
--- a/internal/load/records.go
+++ b/internal/load/records.go
@@ -28,7 +28,7 @@
 	Model      string
 	Prompt     string
 	Seed       int64
-	MaxTokens  int
+	MaxTokens  int    // limit in force: the request's or the model's
 	Key        string // Idempotency-Key of calls to plain services
 	Service    string
 	Path       string
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -55,7 +55,7 @@
 	for i, mix := range d.config.Callers {
 		random := rand.New(rand.NewPCG(d.config.Seed, uint64(i)))
 		wg.Go(func() {
-			d.arrive(arrivals, requests, mix.RatePerSecond, random, d.complete, func() (call, error) { return mix.newCall(random) })
+			d.arrive(arrivals, requests, mix.RatePerSecond, random, d.complete, func() (call, error) { return mix.newCall(random, d.modelLimit(mix.Model)) })
 		})
 	}
 	for i, mix := range d.config.Services {
@@ -71,6 +71,14 @@
 	wg.Wait()
 }
 
+// modelLimit returns the declared longest answer of a model, or 0.
+func (d *driver) modelLimit(model string) int {
+	if d.config.Declared == nil || d.config.Declared.Models[model] == nil {
+		return 0
+	}
+	return d.config.Declared.Models[model].MaxTokens
+}
+
 // arrive starts calls as a Poisson process and waits for the last of them.
 func (d *driver) arrive(arrivals, requests context.Context, perSecond float64, random *rand.Rand,
 	send func(context.Context, call, *Attempt), next func() (call, error)) {
--- a/internal/load/trainers.go
+++ b/internal/load/trainers.go
@@ -223,7 +223,8 @@
 	delivery := Delivery{
 		Trainer: t.plan.Name, Model: t.declared.Model, Epoch: t.epoch, Seq: pulled.Seq, Group: pulled.ID,
 		Step: pulled.Step, Asked: t.asked, At: time.Now(), Newest: t.newest, Wanted: t.declared.GroupSize,
-		Bound: t.declared.StalenessBound, MaxTokens: t.declared.MaxTokens, Samples: pulled.Samples,
+		Bound: t.declared.StalenessBound, Samples: pulled.Samples,
+		MaxTokens: tighter(t.declared.MaxTokens, t.d.modelLimit(t.declared.Model)),
 	}
 	if g := t.groups[pulled.ID]; g != nil {
 		delivery.Known, delivery.Repeated, delivery.Prompt = true, g.taken, g.Prompt
--- a/internal/standin/scorerd/scorerd.go
+++ b/internal/standin/scorerd/scorerd.go
@@ -26,16 +26,10 @@
 	DelayMS int  `json:"delay_ms"`
 }
 
-// Sample is one sample to score.
-type Sample struct {
-	ID     string   `json:"id"`
-	Tokens []string `json:"tokens"`
-}
-
-// Request is the body of POST /score.
+// Request is the body of POST /score. Each sample is a list of tokens.
 type Request struct {
-	Group   string   `json:"group"`
-	Samples []Sample `json:"samples"`
+	Group   string     `json:"group"`
+	Samples [][]string `json:"samples"`
 }
 
 // Reply holds one score per sample, in the order of the request.
@@ -99,7 +93,7 @@
 	}
 	reply := Reply{Scores: make([]float64, 0, len(request.Samples))}
 	for _, sample := range request.Samples {
-		reply.Scores = append(reply.Scores, Score(sample.Tokens))
+		reply.Scores = append(reply.Scores, Score(sample))
 	}
 	s.mu.Lock()
 	s.scored += len(request.Samples)
