Add ownership by the view stream and orders to engines

Cause: replicas need one owner each that admits work and brings the engine to what the operators declared. Ruled out: a lease record per replica (12,000 renewals) and counting on the engines' fencing numbers alone, which some engines ignore. Change: core/lease applies view records, picks owners by rendezvous hash and checks the permission of an order; core/place assigns models and rolls out versions in chains; internal/orders follows the view stream, reads states back and sends orders; engine.Admin is the client for states and orders. A host that ends without leaving no longer announces its end.

--- /dev/null
+++ b/internal/core/lease/record.go
@@ -0,0 +1,59 @@
+package lease
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// NoEpoch is the base of a data centre's first view.
+const NoEpoch int64 = -1
+
+// maxHosts bounds the hosts of one record; a data centre has about 37.
+const maxHosts = 1000
+
+// Record is the content of one record of the view stream.
+type Record struct {
+	ID         string   `json:"id"` // unique, to find the record of a lost answer
+	DataCentre string   `json:"data_centre"`
+	BaseEpoch  int64    `json:"base_epoch"`
+	Hosts      []string `json:"hosts"`
+	Proposer   string   `json:"proposer"`
+}
+
+// Encode returns the bytes of a record for the log.
+func (r Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, eris.Wrap(err, "encode view record")
+}
+
+// Decode reads and checks a record.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, eris.Wrap(err, "decode view record")
+	}
+	switch {
+	case r.DataCentre == "":
+		return r, eris.New("view record has no data centre")
+	case r.BaseEpoch < NoEpoch:
+		return r, eris.Errorf("view record has the base epoch %d", r.BaseEpoch)
+	case len(r.Hosts) == 0 || len(r.Hosts) > maxHosts:
+		return r, eris.Errorf("view record has %d hosts", len(r.Hosts))
+	case slices.Contains(r.Hosts, ""):
+		return r, eris.New("view record has a host without a name")
+	}
+	slices.Sort(r.Hosts)
+	r.Hosts = slices.Compact(r.Hosts)
+	return r, nil
+}
+
+// View is the set of hosts of a data centre that own its replicas.
+type View struct {
+	Record
+	Epoch  int64     // offset of the record
+	Time   time.Time // set by the log
+	ReadAt time.Time // when this host applied it
+}
--- a/internal/members/controller.go
+++ b/internal/members/controller.go
@@ -70,8 +70,9 @@
 	return c
 }
 
-// Run opens the UDP socket and takes part in membership until ctx ends. Then
-// it announces the end of this host.
+// Run opens the UDP socket and takes part in membership until ctx ends. A host
+// that announced that it is leaving then announces its end; the others find
+// out about any other end by failure detection.
 func (c *Controller) Run(ctx context.Context) error {
 	transport, err := gossip.Listen(c.cfg.Self.PeerAddr, c.cfg.ClusterToken, c.cfg.Recorder)
 	if err != nil {
@@ -84,7 +85,12 @@
 	var group errgroup.Group
 	group.Go(func() error { return transport.Receive(receiving, c.receive) })
 	c.tickUntil(ctx)
-	c.step(func(time.Time) member.Output { return c.core.Quit() })
+	c.step(func(time.Time) member.Output {
+		if !c.core.Self().Leaving {
+			return member.Output{}
+		}
+		return c.core.Quit()
+	})
 	stopReceiving()
 	return group.Wait()
 }
--- /dev/null
+++ b/internal/orders/controller.go
@@ -0,0 +1,143 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/lease"
+	"github.com/sesamestand/sesamestand/internal/core/place"
+	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
+)
+
+const (
+	defaultLeaseTerm     = 6 * time.Second
+	defaultStateInterval = time.Second
+	defaultViewRetention = 24 * time.Hour
+	// snapshotInterval bounds the time until a change of membership shows in
+	// the ownership of replicas.
+	snapshotInterval = 100 * time.Millisecond
+)
+
+// Admin reads engines' state and sends orders to them.
+type Admin interface {
+	State(ctx context.Context, addr string) (engine.State, error)
+	SendOrder(ctx context.Context, addr string, order engine.Order) error
+}
+
+// Config configures a Controller. Zero values get the design's defaults.
+type Config struct {
+	LeaseTerm     time.Duration
+	StateInterval time.Duration
+	// ViewRetention is how long the log keeps records of the view stream.
+	ViewRetention time.Duration
+	BackendToken  string
+	// Demand returns the load of each model in replicas of this data centre,
+	// for example 3.5 when the requests could fill three and a half. Nil or
+	// missing models keep the declared mix.
+	Demand func() map[string]float64
+	// Admin replaces the HTTP client, for tests.
+	Admin Admin
+}
+
+// Controller implements cluster.Ownership and cluster.ReplicaStates.
+type Controller struct {
+	cfg       Config
+	log       platform.Log
+	members   cluster.Members
+	configs   cluster.Configs
+	versions  cluster.Versions
+	inventory cluster.Inventory
+	recorder  *telemetry.Recorder
+	admin     Admin
+	self      cluster.Member
+
+	mu        sync.Mutex // guards the fields below
+	permit    lease.Permit
+	proposer  *lease.Proposer
+	planner   *place.Planner
+	polls     map[string]*poll
+	appending bool
+	ordering  map[string]bool // replicas with an order on its way
+
+	snapshot atomic.Pointer[snapshot]
+}
+
+var (
+	_ cluster.Ownership     = (*Controller)(nil)
+	_ cluster.ReplicaStates = (*Controller)(nil)
+)
+
+// New returns a controller that derives ownership from membership until Run
+// has read the view stream.
+func New(cfg Config, log platform.Log, members cluster.Members, configs cluster.Configs,
+	versions cluster.Versions, inventory cluster.Inventory, recorder *telemetry.Recorder) *Controller {
+	if cfg.LeaseTerm <= 0 {
+		cfg.LeaseTerm = defaultLeaseTerm
+	}
+	if cfg.StateInterval <= 0 {
+		cfg.StateInterval = defaultStateInterval
+	}
+	if cfg.ViewRetention <= 0 {
+		cfg.ViewRetention = defaultViewRetention
+	}
+	if cfg.Admin == nil {
+		cfg.Admin = engine.NewAdmin(cfg.BackendToken)
+	}
+	self := members.Self()
+	c := &Controller{
+		cfg: cfg, log: log, members: members, configs: configs, versions: versions, inventory: inventory,
+		recorder: recorder, admin: cfg.Admin, self: self,
+		permit:   lease.Permit{Book: lease.NewBook(), Self: self.ID, Term: cfg.LeaseTerm},
+		proposer: lease.NewProposer(self.ID, self.DataCentre, cfg.ViewRetention),
+		planner:  place.NewPlanner(self.DataCentre),
+		polls:    make(map[string]*poll),
+		ordering: make(map[string]bool),
+	}
+	c.refresh()
+	return c
+}
+
+// Run follows the view stream and controls the owned replicas until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.followViews(ctx) })
+	group.Go(func() error { return c.proposeViews(ctx) })
+	group.Go(func() error { return c.control(ctx) })
+	group.Go(func() error {
+		return every(ctx, snapshotInterval, func(time.Time) { c.refresh() })
+	})
+	return group.Wait()
+}
+
+// every calls f in each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f(time.Now())
+		}
+	}
+}
+
+func (c *Controller) count(name string, labels ...string) {
+	if c.recorder != nil {
+		c.recorder.Count(name, labels...)
+	}
+}
+
+func (c *Controller) decision(keysAndValues ...any) {
+	if c.recorder != nil {
+		c.recorder.Decision("place", "", keysAndValues...)
+	}
+}
--- /dev/null
+++ b/internal/orders/views.go
@@ -0,0 +1,153 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/lease"
+	"github.com/sesamestand/sesamestand/internal/platform"
+)
+
+const (
+	// readsPerTerm is the number of reads of the view stream that fit into a
+	// lease term, so that the lease is renewed long before it ends.
+	readsPerTerm = 4
+	// retryRead is the wait after a failed read.
+	retryRead = 300 * time.Millisecond
+	// proposeTick is how often a proposal is considered.
+	proposeTick = 200 * time.Millisecond
+	// appendTimeout bounds one append to the view stream.
+	appendTimeout = 3 * time.Second
+)
+
+// followViews applies the view stream until ctx ends.
+func (c *Controller) followViews(ctx context.Context) error {
+	offset := int64(0)
+	for ctx.Err() == nil {
+		wait := c.cfg.LeaseTerm / readsPerTerm
+		reading, cancel := context.WithTimeout(ctx, wait+c.cfg.LeaseTerm)
+		start := time.Now()
+		page, err := c.log.Read(reading, platform.StreamView, offset, wait)
+		cancel()
+		if err != nil {
+			c.count("view_read_errors_total")
+			klog.V(1).ErrorS(err, "read the view stream", "offset", offset)
+			sleep(ctx, retryRead+rand.N(retryRead))
+			continue
+		}
+		offset = c.applyPage(start, offset, page)
+	}
+	return nil
+}
+
+// applyPage applies one page and returns the offset to read next.
+func (c *Controller) applyPage(start time.Time, offset int64, page platform.Page) int64 {
+	c.mu.Lock()
+	now := time.Now()
+	if page.Earliest > offset {
+		c.permit.Book.Lost()
+		c.count("view_records_lost_total")
+	}
+	for _, record := range page.Records {
+		c.applyLocked(now, record)
+	}
+	next := max(offset, page.Next)
+	if next >= page.End {
+		c.permit.ReadStart = start
+	}
+	c.permit.Book.Prune(now, c.cfg.LeaseTerm)
+	c.mu.Unlock()
+	if len(page.Records) > 0 {
+		c.refresh()
+	}
+	return next
+}
+
+func (c *Controller) applyLocked(now time.Time, record platform.Record) {
+	view, verdict, err := c.permit.Book.Apply(now, record.Offset, record.Time, record.Data)
+	switch verdict {
+	case lease.Bad:
+		c.count("view_records_total", "verdict", "bad")
+		klog.ErrorS(err, "skip a bad record of the view stream", "offset", record.Offset)
+	case lease.Stale:
+		c.count("view_records_total", "verdict", "stale")
+	case lease.Accepted:
+		c.count("view_records_total", "verdict", "accepted")
+		c.decision("what", "view", "data_centre", view.DataCentre, "epoch", record.Offset, "base", view.BaseEpoch,
+			"hosts", view.Hosts, "proposer", view.Proposer)
+	}
+}
+
+// proposeViews proposes a view when core/lease says so. One append is in
+// flight at a time; whether it took effect is settled by reading the stream.
+func (c *Controller) proposeViews(ctx context.Context) error {
+	return every(ctx, proposeTick, func(now time.Time) {
+		live := c.liveHosts()
+		c.mu.Lock()
+		var record lease.Record
+		wanted := false
+		// A proposal from an old reading would only be stale.
+		current := !c.permit.ReadStart.IsZero() && now.Sub(c.permit.ReadStart) < c.cfg.LeaseTerm
+		if !c.appending && current {
+			record, wanted = c.proposer.Next(now, c.permit.Book, live)
+			c.appending = wanted
+		}
+		c.mu.Unlock()
+		if wanted {
+			go c.propose(ctx, record)
+		}
+	})
+}
+
+func (c *Controller) propose(ctx context.Context, record lease.Record) {
+	defer func() {
+		c.mu.Lock()
+		c.appending = false
+		c.mu.Unlock()
+	}()
+	record.ID = uuid.NewString()
+	data, err := record.Encode()
+	if err != nil {
+		klog.ErrorS(err, "propose a view")
+		return
+	}
+	appending, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = c.log.Append(appending, platform.StreamView, [][]byte{data})
+	switch {
+	case err == nil:
+		c.count("view_proposals_total", "outcome", "appended")
+	case errors.Is(err, platform.ErrRefused):
+		c.count("view_proposals_total", "outcome", "refused")
+	default:
+		c.count("view_proposals_total", "outcome", "unknown")
+	}
+	klog.V(1).InfoS("proposed a view", "base", record.BaseEpoch, "hosts", record.Hosts, "err", err)
+}
+
+// liveHosts returns the sorted IDs of the data centre's hosts that may own
+// replicas.
+func (c *Controller) liveHosts() []string {
+	var live []string
+	for _, m := range c.members.All() {
+		if m.DataCentre == c.self.DataCentre && (m.State == cluster.MemberAlive || m.State == cluster.MemberSuspect) {
+			live = append(live, m.ID)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
