Add the demo, the experiment driver and the weight store's watcher

Cause: policies need comparing under the same load and faults, and a new user needs one command that shows the whole system.

--- a/cmd/sesamestand/arguments.go
+++ b/cmd/sesamestand/arguments.go
@@ -8,6 +8,7 @@
 	Check    *checkCommand    `arg:"subcommand:check" help:"validate declaration files"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show what an entry host knows"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"show the decisions taken for a request"`
+	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a whole system on loopback and check every promise"`
 	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in of an outside system"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"print the settings reference or check a settings file"`
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -29,6 +29,7 @@
 	"github.com/sesamestand/sesamestand/internal/telemetry"
 	"github.com/sesamestand/sesamestand/internal/tlsfiles"
 	"github.com/sesamestand/sesamestand/internal/trainers"
+	"github.com/sesamestand/sesamestand/internal/versions"
 )
 
 const (
@@ -54,6 +55,7 @@
 	callers   *callers.Controller
 	services  *services.Controller
 	trainers  *trainers.Controller
+	versions  *versions.Watcher
 
 	draining  atomic.Bool
 	inFlight  inFlight
@@ -87,7 +89,7 @@
 	group.Go(func() error { return grpcServer.Serve(peerListener) })
 	for _, run := range []func(context.Context) error{
 		h.members.Run, h.inventory.Run, h.configs.Run, h.orders.Run,
-		h.owner.Run, h.services.Run, h.trainers.Run,
+		h.owner.RunLoops, h.services.Run, h.trainers.Run, h.versions.Run,
 	} {
 		group.Go(func() error { return run(groupCtx) })
 	}
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -8,6 +8,9 @@
 	"github.com/sesamestand/sesamestand/internal/callers"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/configs"
+	"github.com/sesamestand/sesamestand/internal/core/admit"
+	"github.com/sesamestand/sesamestand/internal/core/flight"
+	"github.com/sesamestand/sesamestand/internal/core/suspect"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/inventory"
 	"github.com/sesamestand/sesamestand/internal/members"
@@ -20,6 +23,7 @@
 	"github.com/sesamestand/sesamestand/internal/telemetry"
 	"github.com/sesamestand/sesamestand/internal/tlsfiles"
 	"github.com/sesamestand/sesamestand/internal/trainers"
+	"github.com/sesamestand/sesamestand/internal/versions"
 )
 
 // configPollWait is how long one read of the config stream waits for a record.
@@ -29,7 +33,7 @@
 var roles = wire.NewSet(
 	newRecorder, newTLS, newPool,
 	newLog, newHostList, newWeightStore,
-	newMembers, newEngineClient,
+	newMembers, newEngineClient, versions.NewWatcher,
 	inventory.New,
 	newConfigsConfig, configs.New,
 	newOrdersConfig, orders.New,
@@ -89,3 +93,56 @@
 		Policy: s.Policy, BackendToken: s.Auth.BackendToken, BodyBytes: int64(s.Limits.BodyBytes),
 	}
 }
+
+func newEngineClient(s settings.Settings) *engine.Client {
+	return engine.NewClient(engine.Config{ProgressTimeout: s.Timing.ProgressTimeout, Token: s.Auth.BackendToken})
+}
+
+func newOrdersConfig(s settings.Settings) orders.Config {
+	return orders.Config{
+		LeaseTerm: s.Timing.LeaseTerm, StateInterval: s.Timing.StateInterval,
+		ViewRetention: s.Timing.LogRetention, BackendToken: s.Auth.BackendToken,
+	}
+}
+
+func newOwnerConfig(s settings.Settings) owner.Config {
+	admission := admit.Defaults()
+	admission.InitialLimit = s.Limits.InitialConcurrency
+	admission.MaxLimit = s.Limits.MaxConcurrency
+	admission.MinTrainingShare = s.Limits.MinTrainingShare
+	suspicion := suspect.Defaults()
+	suspicion.CrashesToRefuse = s.Limits.CrashesToRefuse
+	return owner.Config{Policy: s.Policy, Admit: admission, Suspect: suspicion}
+}
+
+func newCallersConfig(s settings.Settings) callers.Config {
+	home := flight.HomeDefaults()
+	home.Retention = s.Timing.AnswerRetention
+	return callers.Config{
+		Policy: s.Policy, ProgressTimeout: s.Timing.ProgressTimeout, RequestTimeout: s.Timing.RequestTimeout,
+		BodyBytes: int64(s.Limits.BodyBytes), RetryShare: s.Limits.RetryShare, RetryReserve: s.Limits.RetryReserve,
+		Home: home,
+	}
+}
+
+func newServicesConfig(s settings.Settings) services.Config {
+	return services.Config{
+		BodyBytes: int64(s.Limits.BodyBytes), RequestTimeout: s.Timing.RequestTimeout,
+		BackendToken: s.Auth.BackendToken, Retention: s.Timing.LogRetention, ClockSkew: s.Timing.ClockSkew,
+		RetryShare: s.Limits.RetryShare, RetryReserve: s.Limits.RetryReserve,
+	}
+}
+
+func newHost(
+	s settings.Settings, recorder *telemetry.Recorder, source *tlsfiles.Source, pool *peer.Pool,
+	memberRole *members.Controller, orderRole *orders.Controller, hostList *inventory.Controller,
+	configRole *configs.Controller, ownerRole *owner.Controller, callerRole *callers.Controller,
+	serviceRole *services.Controller, trainerRole *trainers.Controller, watcher *versions.Watcher,
+) *Host {
+	ownerRole.ShareVersions(memberRole)
+	return &Host{
+		settings: s, recorder: recorder, tls: source, pool: pool, members: memberRole, orders: orderRole,
+		inventory: hostList, configs: configRole, owner: ownerRole, callers: callerRole,
+		services: serviceRole, trainers: trainerRole, versions: watcher, aborted: make(chan struct{}),
+	}
+}
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,259 @@
+// Package experiment measures policies against each other: the same example,
+// load, fault and seed for each policy, with entry hosts as separate processes.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/examples"
+	"github.com/sesamestand/sesamestand/internal/checker"
+	"github.com/sesamestand/sesamestand/internal/configs"
+	"github.com/sesamestand/sesamestand/internal/load"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/settings"
+	"github.com/sesamestand/sesamestand/internal/standin/engined"
+	"github.com/sesamestand/sesamestand/internal/testbed"
+)
+
+const (
+	readyTimeout = 20 * time.Second
+	// finishTime is what requests in flight get after the load.
+	finishTime = 10 * time.Second
+)
+
+// Options of a series of runs.
+type Options struct {
+	Examples []string
+	Policies []string
+	Faults   []string // names; empty means all
+	Runs     int
+	Seed     uint64
+	Duration time.Duration
+	Load     LoadOptions
+	// Binary runs entry hosts as separate processes; empty runs them in this process.
+	Binary string
+	// Parallel is the number of runs at the same time.
+	Parallel int
+	Progress func(Row)
+}
+
+// LoadOptions sizes the load of a run.
+type LoadOptions struct {
+	HostsPerDataCentre int
+	CallerRate         float64 // requests/s of each serving need
+	ServiceRate        float64 // calls/s of each non-idempotent service
+	GroupsPerStep      int
+	TrainTime          time.Duration
+	Ahead              int // steps submitted early
+	MaxBatch           int // of each engine
+}
+
+// Row is the result of one run.
+type Row struct {
+	Example       string         `json:"example"`
+	Policy        string         `json:"policy"`
+	Fault         string         `json:"fault"`
+	Run           int            `json:"run"`
+	Seed          uint64         `json:"seed"`
+	IdleShare     float64        `json:"idle_share"`     // mean of the trainers
+	StalenessMean float64        `json:"staleness_mean"` // versions
+	StalenessP99  int64          `json:"staleness_p99"`  // versions, worst trainer
+	OverBound     int            `json:"over_bound"`
+	Steps         int            `json:"steps"`
+	Samples       int            `json:"samples"`
+	Answered      int            `json:"answered"`
+	Requests      int            `json:"requests"`
+	LatencyP99    float64        `json:"latency_p99_ms"` // interactive callers
+	Broken        map[string]int `json:"broken"`         // promises with broken facts
+	Examples      []string       `json:"broken_examples,omitempty"`
+	Error         string         `json:"error,omitempty"`
+}
+
+// Run carries out all runs and returns their rows in order.
+func Run(ctx context.Context, o Options) ([]Row, error) {
+	plans, err := o.plans()
+	if err != nil {
+		return nil, err
+	}
+	slots := make(chan struct{}, max(1, o.Parallel))
+	rows := make([]Row, len(plans))
+	var wg sync.WaitGroup
+	for i, p := range plans {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			rows[i] = p.measure(ctx, o)
+			if o.Progress != nil {
+				o.Progress(rows[i])
+			}
+		})
+	}
+	wg.Wait()
+	return rows, ctx.Err()
+}
+
+// plan is one run to carry out.
+type plan struct {
+	example, policy string
+	fault           Fault
+	run             int
+	seed            uint64
+}
+
+func (o Options) plans() ([]plan, error) {
+	selected, err := selectFaults(o.Faults)
+	if err != nil {
+		return nil, err
+	}
+	var plans []plan
+	for run := range o.Runs {
+		for _, example := range o.Examples {
+			for _, fault := range selected {
+				// The policies of one comparison follow each other, so that
+				// a change of the machine's load meets both.
+				for _, policy := range o.Policies {
+					plans = append(plans, plan{example: example, policy: policy, fault: fault, run: run, seed: o.Seed + uint64(run)})
+				}
+			}
+		}
+	}
+	return plans, nil
+}
+
+func selectFaults(names []string) ([]Fault, error) {
+	all := Faults()
+	if len(names) == 0 {
+		return all, nil
+	}
+	var selected []Fault
+	for _, name := range names {
+		found := false
+		for _, f := range all {
+			if f.Name == name {
+				selected = append(selected, f)
+				found = true
+			}
+		}
+		if !found {
+			return nil, eris.Errorf("fault %q is not known", name)
+		}
+	}
+	return selected, nil
+}
+
+func (p plan) measure(ctx context.Context, o Options) Row {
+	row := Row{Example: p.example, Policy: p.policy, Fault: p.fault.Name, Run: p.run, Seed: p.seed}
+	if err := p.fill(ctx, o, &row); err != nil {
+		row.Error = err.Error()
+	}
+	return row
+}
+
+func (p plan) fill(ctx context.Context, o Options, row *Row) error {
+	dir, err := os.MkdirTemp("", "sesamestand-experiment-")
+	if err != nil {
+		return eris.Wrap(err, "create a directory for settings and logs")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bed, err := p.start(ctx, o, dir)
+	if err != nil {
+		return err
+	}
+	defer bed.Close()
+	config := bed.Mix(testbed.MixOptions{
+		CallerRate: o.Load.CallerRate, ServiceRate: o.Load.ServiceRate, GroupsPerStep: o.Load.GroupsPerStep,
+		TrainTime: o.Load.TrainTime, Ahead: o.Load.Ahead, Duration: o.Duration,
+	})
+	config.Finish = finishTime
+	report, err := p.load(ctx, bed, config, o.Duration)
+	if err != nil {
+		return err
+	}
+	row.add(report, checker.Check(bed.Facts(report.Records)))
+	return nil
+}
+
+func (p plan) start(ctx context.Context, o Options, dir string) (*testbed.Testbed, error) {
+	files, err := examples.Files(p.example)
+	if err != nil {
+		return nil, err
+	}
+	starter := testbed.InProcess
+	if o.Binary != "" {
+		starter = testbed.Executable(o.Binary, dir)
+	}
+	bed, err := testbed.Start(ctx, testbed.Options{
+		Files: files, HostsPerDataCentre: o.Load.HostsPerDataCentre, Policy: p.policy, Seed: p.seed, Starter: starter,
+		Engine: engined.Config{
+			MaxBatch: o.Load.MaxBatch, TokenTime: 2 * time.Millisecond, BatchSlope: 0.05,
+			PrefillPerBlock: time.Millisecond, CacheBlocks: 256, Lengths: p.fault.lengths,
+			CacheEventDelay: 300 * time.Millisecond, CacheEventGaps: 0.1, LoadLag: 500 * time.Millisecond,
+			SwapPause: 50 * time.Millisecond, PeerBytesPerSecond: 4 << 20,
+		},
+		WeightBytes: 1 << 20, WeightRate: 4 << 20,
+		Adjust: func(s *settings.Settings) { s.Limits.DecisionLogPerSec = 0 },
+	})
+	if err != nil {
+		return nil, err
+	}
+	if _, err := configs.Publish(ctx, platform.NewHTTPLog(bed.LogAddr, ""), files); err != nil {
+		bed.Close()
+		return nil, eris.Wrap(err, "publish the example")
+	}
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := bed.WaitReady(readyCtx); err != nil {
+		bed.Close()
+		return nil, err
+	}
+	return bed, nil
+}
+
+func (p plan) load(ctx context.Context, bed *testbed.Testbed, config load.Config, duration time.Duration) (load.Report, error) {
+	faultCtx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if p.fault.inject != nil {
+			p.fault.inject(faultCtx, bed, duration, rand.New(rand.NewPCG(p.seed, 2)))
+		}
+	}()
+	report, err := load.Run(ctx, config)
+	stop()
+	<-done
+	return report, err
+}
+
+func (r *Row) add(report load.Report, result checker.Result) {
+	for _, t := range report.Trainers {
+		r.IdleShare += t.IdleShare / float64(len(report.Trainers))
+		r.StalenessMean += t.StalenessMean / float64(len(report.Trainers))
+		r.StalenessP99 = max(r.StalenessP99, t.StalenessP99)
+		r.OverBound += t.OverBound
+		r.Steps += t.Steps
+		r.Samples += t.Samples
+	}
+	for _, c := range report.Callers {
+		r.Requests += c.Requests
+		r.Answered += c.Answered
+		if c.Class == "interactive" {
+			r.LatencyP99 = max(r.LatencyP99, c.Latency.P99)
+		}
+	}
+	r.Broken = make(map[string]int)
+	for _, p := range result.Promises {
+		if p.Broken > 0 {
+			r.Broken[p.ID] = p.Broken
+			for _, example := range p.Examples {
+				r.Examples = append(r.Examples, fmt.Sprintf("%s: %s", p.ID, example))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/table.go
@@ -0,0 +1,73 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"slices"
+)
+
+// cell identifies the runs that are summed up together.
+type cell struct{ example, fault, policy string }
+
+// WriteMarkdown writes the median and the range over the runs of each example,
+// fault and policy.
+func WriteMarkdown(w io.Writer, rows []Row) error {
+	var order []cell
+	cells := make(map[cell][]Row)
+	for _, row := range rows {
+		c := cell{row.Example, row.Fault, row.Policy}
+		if _, known := cells[c]; !known {
+			order = append(order, c)
+		}
+		cells[c] = append(cells[c], row)
+	}
+	if _, err := fmt.Fprintln(w, "| example | fault | policy | runs | idle share, % | staleness mean, versions | staleness p99 | over the bound | steps | answered, % | interactive p99, ms | broken facts | failed runs |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|"); err != nil {
+		return err
+	}
+	for _, c := range order {
+		if err := writeCell(w, c, cells[c]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeCell(w io.Writer, c cell, rows []Row) error {
+	var good []Row
+	for _, r := range rows {
+		if r.Error == "" {
+			good = append(good, r)
+		}
+	}
+	over, broken := 0, 0
+	for _, r := range good {
+		over += r.OverBound
+		for _, n := range r.Broken {
+			broken += n
+		}
+	}
+	_, err := fmt.Fprintf(w, "| %s | %s | %s | %d | %s | %s | %s | %d | %s | %s | %s | %d | %d |\n",
+		c.example, c.fault, c.policy, len(good),
+		spread(good, "%.1f", func(r Row) float64 { return 100 * r.IdleShare }),
+		spread(good, "%.2f", func(r Row) float64 { return r.StalenessMean }),
+		spread(good, "%.0f", func(r Row) float64 { return float64(r.StalenessP99) }),
+		over,
+		spread(good, "%.0f", func(r Row) float64 { return float64(r.Steps) }),
+		spread(good, "%.1f", func(r Row) float64 { return 100 * float64(r.Answered) / float64(max(1, r.Requests)) }),
+		spread(good, "%.0f", func(r Row) float64 { return r.LatencyP99 }),
+		broken, len(rows)-len(good))
+	return err
+}
+
+// spread formats the median and the range of a value over the rows.
+func spread(rows []Row, format string, value func(Row) float64) string {
+	if len(rows) == 0 {
+		return "none"
+	}
+	values := make([]float64, len(rows))
+	for i, r := range rows {
+		values[i] = value(r)
+	}
+	slices.Sort(values)
+	return fmt.Sprintf(format+" ("+format+" to "+format+")", values[len(values)/2], values[0], values[len(values)-1])
+}
--- /dev/null
+++ b/internal/versions/watcher.go
@@ -0,0 +1,89 @@
+// Package versions follows the weight store's list of versions, so that new
+// weights are known also when a trainer's announcement is lost.
+package versions
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
+)
+
+const (
+	pollInterval = 2 * time.Second
+	readTimeout  = 2 * time.Second
+)
+
+// Watcher polls the weight store from one entry host of each data centre; the
+// others learn the versions by gossip.
+type Watcher struct {
+	store    platform.WeightStore
+	members  cluster.Members
+	configs  cluster.Configs
+	versions cluster.Versions
+	recorder *telemetry.Recorder
+}
+
+// NewWatcher returns a watcher.
+func NewWatcher(store platform.WeightStore, members cluster.Members, configs cluster.Configs,
+	versions cluster.Versions, recorder *telemetry.Recorder) *Watcher {
+	return &Watcher{store: store, members: members, configs: configs, versions: versions, recorder: recorder}
+}
+
+// Run polls until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		if w.isPoller() {
+			w.poll(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// isPoller says whether this host has the lowest ID among the live hosts of
+// its data centre. Two pollers at once are harmless: versions merge by maximum.
+func (w *Watcher) isPoller() bool {
+	self := w.members.Self()
+	for _, m := range w.members.All() {
+		if m.DataCentre == self.DataCentre && m.State == cluster.MemberAlive && m.ID < self.ID {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *Watcher) poll(ctx context.Context) {
+	set, _ := w.configs.Current()
+	if set == nil {
+		return
+	}
+	models := make([]string, 0, len(set.Models))
+	for name := range set.Models {
+		models = append(models, name)
+	}
+	sort.Strings(models)
+	for _, model := range models {
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		listed, err := w.store.Versions(readCtx, model)
+		cancel()
+		if err != nil {
+			w.recorder.Count("weight_store_errors_total")
+			klog.V(1).InfoS("read the weight store", "model", model, "err", err)
+			return
+		}
+		for _, version := range listed {
+			w.versions.Announce(model, version)
+		}
+	}
+}
