--- a/internal/orders/views.go
+++ b/internal/orders/views.go
@@ -32,7 +32,7 @@
 	offset := int64(0)
 	for ctx.Err() == nil {
 		wait := c.cfg.LeaseTerm / readsPerTerm
-		reading, cancel := context.WithTimeout(ctx, wait+c.cfg.LeaseTerm)
+		reading, cancel := context.WithTimeout(ctx, wait+c.cfg.LeaseTerm/2)
 		start := time.Now()
 		page, err := c.log.Read(reading, platform.StreamView, offset, wait)
 		cancel()
