Add the request path from callers to model engines

Cause: the entry host needs a first working path from POST /v1/completions to an engine that other roles can be integrated against. Ruled out: a digest of each replica's prefix cache in the load rows (192 KB for each full set of 750 replicas, against 9 KB/s); routers agree on two preferred replicas by rendezvous hash of the first block instead. Ruled out: delivering the last streamed chunk before the request's home accepted the answer, because a superseded attempt would then look whole. Change: engine.Client streams completions with a progress timeout and typed failures; core/admit, core/route, core/flight and core/suspect decide; owner.Controller admits and exchanges load rows; callers.Controller serves completions, resumes broken streams and keeps the attempts of a request's home. peer.proto gains ClaimEvent.earlier_reached, CompleteRequest.released and reached, and RunRequest.min_version. The periodic work of the owner is RunLoops, because Run is the name of the peer service's handler. Result: over in-test engines, repeated and crossed chunks are dropped, cut and silent streams resume on another replica, and a caller that leaves ends the work at the engine. 1,000 random interleavings of core/flight pass. They had found two faults: a home that forgot a reached attempt whose record was dropped before it completed, and a "not run" after a late chunk of an earlier attempt. core/admit, core/route and core/suspect have no tests yet.

--- /dev/null
+++ b/internal/callers/call.go
@@ -0,0 +1,136 @@
+package callers
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/route"
+	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
+)
+
+// choose picks a replica for the next attempt.
+func (r *run) choose(solo bool) *route.Candidate {
+	c := r.c
+	now := time.Now()
+	candidates := c.owner.Rows(c.inventory.BackendServers)
+	self := c.members.Self()
+	request := route.Request{
+		Model: r.gen.Model, DataCentre: self.DataCentre, MinVersion: r.gen.MinVersion,
+		Newest: c.versions.Newest(r.gen.Model), Avoid: append(r.flight.Avoid(), r.gen.Avoid...),
+		Prefix: r.blocks, Solo: solo, Seed: xxhash.Sum64String(r.gen.RequestID),
+	}
+	if c.config.Policy == PolicyBaseline {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.rotation.Choose(request, candidates)
+	}
+	c.mu.Lock()
+	corrected := c.pending.apply(candidates, self.ID, now)
+	c.mu.Unlock()
+	var choice route.Choice
+	c.owner.WithPrefixes(func(prefixes *route.Prefixes) {
+		choice = route.Choose(request, corrected, prefixes, c.config.Weights, now)
+	})
+	c.recorder.Observe("route_decision_seconds", time.Since(now).Seconds())
+	if choice.Chosen == nil {
+		c.recorder.Decision("route", r.gen.RequestID, "chosen", "", "removed", choice.Removed.String())
+		return nil
+	}
+	c.recorder.Decision("route", r.gen.RequestID, "chosen", choice.Chosen.Replica, "owner", choice.Chosen.Owner,
+		"solo", solo, "resume", r.flight.Delivered(), "removed", choice.Removed.String(), "scores", choice.Scores())
+	return choice.Chosen
+}
+
+func (c *Controller) sent(replica string, blocks []uint64) *sent {
+	now := time.Now()
+	c.owner.WithPrefixes(func(prefixes *route.Prefixes) { prefixes.Sent(replica, blocks, now) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending.start(replica, now)
+}
+
+func (c *Controller) done(s *sent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.ended = time.Now()
+}
+
+func (r *run) request(ctx context.Context, chosen *route.Candidate, solo bool) *peerpb.RunRequest {
+	req := &peerpb.RunRequest{
+		RequestId: r.gen.RequestID, Replica: chosen.Replica, Model: r.gen.Model, Adapter: r.gen.Adapter,
+		Prompt: r.gen.Prompt, Delivered: r.tokens, MaxTokens: int32(r.gen.MaxTokens),
+		Temperature: r.gen.Temperature, Seed: r.gen.Seed, Class: int32(r.gen.Class), Trainer: r.gen.Trainer,
+		Priority: r.gen.Priority, Solo: solo, Fingerprint: r.fingerprint, MinVersion: r.gen.MinVersion,
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		req.DeadlineMs = max(1, time.Until(deadline).Milliseconds())
+	}
+	return req
+}
+
+// call runs an attempt at the owner of the chosen replica.
+func (c *Controller) call(ctx context.Context, chosen *route.Candidate, req *peerpb.RunRequest,
+	sink func(engine.Chunk) error) error {
+	if chosen.Owner == c.members.Self().ID {
+		return c.owner.RunLocal(ctx, req, sink)
+	}
+	addr := c.peerAddr(chosen.Owner)
+	if addr == "" {
+		return &cluster.Refusal{Outcome: cluster.OutcomeNotRun, Reason: cluster.ReasonNotOwner, Message: "the owner is not known"}
+	}
+	client, err := c.peers.Client(addr)
+	if err != nil {
+		return &cluster.Refusal{Outcome: cluster.OutcomeNotRun, Reason: cluster.ReasonNoReplica, Message: err.Error()}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.Run(ctx, req)
+	if err != nil {
+		return err
+	}
+	// An owner that stops sending after the first chunk is as silent as an
+	// engine; before it, the request may wait in the owner's queue.
+	var watchdog *time.Timer
+	for {
+		message, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if refusal := message.Refusal; refusal != nil {
+			return &cluster.Refusal{
+				Outcome: cluster.Outcome(refusal.Outcome), Reason: cluster.Reason(refusal.Reason),
+				Message: refusal.Message, BackendServer: refusal.BackendServer, Crashed: refusal.Crashed,
+			}
+		}
+		if watchdog == nil {
+			watchdog = time.AfterFunc(2*c.config.ProgressTimeout, cancel)
+			defer watchdog.Stop()
+		}
+		watchdog.Stop()
+		if err := sink(engine.Chunk{
+			RequestID: message.RequestId, Index: int(message.Index), Token: message.Token,
+			WeightVersion: message.WeightVersion, FinishReason: message.FinishReason,
+		}); err != nil {
+			return err
+		}
+		watchdog.Reset(2 * c.config.ProgressTimeout)
+	}
+}
+
+func (c *Controller) peerAddr(id string) string {
+	for _, m := range c.members.All() {
+		if m.ID == id {
+			return m.PeerAddr
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/callers/harness_test.go
@@ -0,0 +1,267 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/admit"
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/owner"
+	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
+)
+
+// testEngine answers completions with tokens that depend only on prompt and index.
+type testEngine struct {
+	server  *httptest.Server
+	mu      sync.Mutex
+	ran     map[string]int // attempts by request ID
+	ended   map[string]int // attempts whose connection ended early
+	version int64
+	// behave is called before each chunk; a non-empty result changes it.
+	behave func(req engine.GenerateRequest, index int) behaviour
+}
+
+type behaviour string
+
+const (
+	normal    behaviour = ""
+	cut       behaviour = "cut"    // breaks the connection
+	hang      behaviour = "hang"   // sends nothing more
+	twice     behaviour = "twice"  // sends the chunk twice
+	crossed   behaviour = "cross"  // sends a chunk of another request first
+	skip      behaviour = "skip"   // loses the chunk
+	slowChunk behaviour = "slow"   // takes a while
+	badStatus behaviour = "status" // refuses
+)
+
+func token(prompt string, index int) string { return fmt.Sprintf("%s-%d ", prompt, index) }
+
+func whole(prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(token(prompt, i))
+	}
+	return b.String()
+}
+
+func newTestEngine(t *testing.T, version int64, behave func(engine.GenerateRequest, int) behaviour) *testEngine {
+	e := &testEngine{ran: make(map[string]int), ended: make(map[string]int), version: version, behave: behave}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.completions)
+	e.server = httptest.NewServer(mux)
+	t.Cleanup(func() { e.server.CloseClientConnections(); e.server.Close() })
+	return e
+}
+
+func (e *testEngine) addr() string { return e.server.Listener.Addr().String() }
+
+func (e *testEngine) count(m map[string]int, id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return m[id]
+}
+
+func (e *testEngine) completions(w http.ResponseWriter, r *http.Request) {
+	var req engine.GenerateRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.ran[req.RequestID]++
+	e.mu.Unlock()
+	send := func(chunk engine.Chunk) {
+		data, _ := json.Marshal(chunk)
+		fmt.Fprintf(w, "data: %s\n\n", data)
+		w.(http.Flusher).Flush()
+	}
+	for i := len(req.Delivered); i < req.MaxTokens; i++ {
+		chunk := engine.Chunk{RequestID: req.RequestID, Index: i, Token: token(req.Prompt, i), WeightVersion: e.version}
+		if i == req.MaxTokens-1 {
+			chunk.FinishReason = "length"
+		}
+		switch e.behave(req, i) {
+		case cut:
+			panic(http.ErrAbortHandler)
+		case hang:
+			<-r.Context().Done()
+		case twice:
+			send(chunk)
+		case crossed:
+			send(engine.Chunk{RequestID: "someone-else", Index: i, Token: "wrong"})
+		case skip:
+			continue
+		case slowChunk:
+			time.Sleep(5 * time.Millisecond)
+		case badStatus:
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+			return
+		}
+		if r.Context().Err() != nil {
+			e.mu.Lock()
+			e.ended[req.RequestID]++
+			e.mu.Unlock()
+			return
+		}
+		send(chunk)
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// fixture is one entry host that owns all replicas.
+type fixture struct {
+	mu         sync.Mutex
+	replicas   []cluster.Replica
+	set        *declare.Set
+	owner      *owner.Controller
+	controller *Controller
+	server     *httptest.Server
+	recorder   *telemetry.Recorder
+}
+
+func (f *fixture) Self() cluster.Member {
+	return cluster.Member{ID: "host-1", DataCentre: "plateau", State: cluster.MemberAlive}
+}
+func (f *fixture) All() []cluster.Member                       { return []cluster.Member{f.Self()} }
+func (f *fixture) Owner(string, string) (cluster.Member, bool) { return f.Self(), true }
+func (f *fixture) MayOrder(string) (int64, bool)               { return 0, false }
+func (f *fixture) Current() (*declare.Set, int64)              { return f.set, 0 }
+func (f *fixture) Newest(string) int64                         { return 0 }
+func (f *fixture) Announce(string, int64)                      {}
+
+func (f *fixture) OwnedReplicas() []cluster.Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]cluster.Replica(nil), f.replicas...)
+}
+
+func (f *fixture) BackendServers() []platform.BackendServer {
+	var servers []platform.BackendServer
+	for _, r := range f.OwnedReplicas() {
+		servers = append(servers, r.BackendServer)
+	}
+	return servers
+}
+
+func (f *fixture) Client(string) (peerpb.PeerClient, error) { return nil, fmt.Errorf("no peers") }
+
+func newFixture(t *testing.T, policy string, engines ...*testEngine) *fixture {
+	recorder, err := telemetry.NewRecorder("host-1", 0)
+	must.NoError(t, err)
+	f := &fixture{recorder: recorder, set: &declare.Set{}}
+	for i, e := range engines {
+		f.replicas = append(f.replicas, cluster.Replica{
+			BackendServer: platform.BackendServer{
+				ID: fmt.Sprintf("replica-%d", i), Kind: platform.KindEngine, Model: "album",
+				Addr: e.addr(), DataCentre: "plateau",
+			},
+			State: engine.State{Model: "album", Version: e.version, Incarnation: 1}, Healthy: true,
+		})
+	}
+	client := engine.NewClient(engine.Config{ProgressTimeout: 300 * time.Millisecond})
+	f.owner = owner.New(owner.Config{Policy: policy, Admit: admit.Defaults()}, f, f, f, f, client, f, recorder)
+	f.controller = New(Config{Policy: policy}, f, f, f, f, f, f.owner, f, recorder)
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	loops.Go(func() { _ = f.owner.RunLoops(ctx) })
+	f.server = httptest.NewServer(http.HandlerFunc(f.controller.Completions))
+	t.Cleanup(func() {
+		f.server.CloseClientConnections()
+		f.server.Close()
+		cancel()
+		loops.Wait()
+	})
+	return f
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	header  http.Header
+	text    string
+	indexes []int
+	whole   bool // the end marker came
+	failure string
+	version []int64
+}
+
+func (f *fixture) post(ctx context.Context, id, prompt string, tokens int, stream bool) (reply, error) {
+	body, _ := json.Marshal(map[string]any{"model": "album", "prompt": prompt, "max_tokens": tokens, "stream": stream})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+"/v1/completions", strings.NewReader(string(body)))
+	if err != nil {
+		return reply{}, err
+	}
+	if id != "" {
+		req.Header.Set("Request-Id", id)
+	}
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer response.Body.Close()
+	got := reply{status: response.StatusCode, header: response.Header}
+	if !stream || response.StatusCode != http.StatusOK {
+		var answer struct {
+			Choices        []struct{ Text string }
+			WeightVersions []int64 `json:"weight_versions"`
+			Error          struct{ Outcome, Reason string }
+		}
+		if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+			return got, err
+		}
+		if len(answer.Choices) > 0 {
+			got.text, got.whole = answer.Choices[0].Text, true
+		}
+		got.version, got.failure = answer.WeightVersions, answer.Error.Reason
+		return got, nil
+	}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			got.whole = true
+		default:
+			var event struct {
+				chunkEvent
+				Error struct{ Reason string }
+			}
+			if err := json.Unmarshal([]byte(data), &event); err != nil {
+				return got, err
+			}
+			if event.Error.Reason != "" {
+				got.failure = event.Error.Reason
+				continue
+			}
+			got.text += event.Token
+			got.indexes = append(got.indexes, event.Index)
+		}
+	}
+	return got, lines.Err()
+}
+
+// eventually waits for a condition with a generous limit.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(20 * time.Second); time.Now().Before(limit); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("did not happen: %s", what)
+}
--- /dev/null
+++ b/internal/core/admit/queue.go
@@ -0,0 +1,53 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+)
+
+// queue holds waiting requests by priority, then by arrival.
+type queue []*item
+
+func (q *queue) push(it *item) {
+	at, _ := slices.BinarySearchFunc(*q, it, func(a, b *item) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.seq, b.seq))
+	})
+	*q = slices.Insert(*q, at, it)
+}
+
+func (q *queue) pop() *item {
+	it := (*q)[0]
+	(*q)[0] = nil
+	*q = (*q)[1:]
+	return it
+}
+
+func (q *queue) remove(id uint64) bool {
+	at := slices.IndexFunc(*q, func(it *item) bool { return it.ID == id })
+	if at < 0 {
+		return false
+	}
+	*q = slices.Delete(*q, at, at+1)
+	return true
+}
+
+// take removes and returns the items that match.
+func (q *queue) take(match func(*item) bool) []*item {
+	var taken []*item
+	*q = slices.DeleteFunc(*q, func(it *item) bool {
+		if match(it) {
+			taken = append(taken, it)
+			return true
+		}
+		return false
+	})
+	return taken
+}
+
+func (q queue) cost() float64 {
+	sum := 0.0
+	for _, it := range q {
+		sum += it.cost
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/core/flight/budget.go
@@ -0,0 +1,54 @@
+package flight
+
+import "time"
+
+// budgetSeconds is the length of the window of a Budget.
+const budgetSeconds = 10
+
+// Budget bounds the retries of one host to a share of its requests over ten
+// seconds plus a reserve, so that retries cannot multiply an overload.
+type Budget struct {
+	share    float64
+	reserve  int
+	requests [budgetSeconds]int
+	retries  [budgetSeconds]int
+	second   int64 // newest second in the window
+}
+
+// NewBudget returns a budget of share times the requests plus reserve.
+func NewBudget(share float64, reserve int) *Budget {
+	return &Budget{share: share, reserve: reserve}
+}
+
+// Request counts one request.
+func (b *Budget) Request(now time.Time) {
+	b.advance(now)
+	b.requests[b.second%budgetSeconds]++
+}
+
+// Retry takes one retry from the budget, or reports false when none is left.
+func (b *Budget) Retry(now time.Time) bool {
+	b.advance(now)
+	requests, retries := 0, 0
+	for i := range b.requests {
+		requests += b.requests[i]
+		retries += b.retries[i]
+	}
+	if float64(retries+1) > b.share*float64(requests)+float64(b.reserve) {
+		return false
+	}
+	b.retries[b.second%budgetSeconds]++
+	return true
+}
+
+func (b *Budget) advance(now time.Time) {
+	second := now.Unix()
+	if second-b.second > budgetSeconds {
+		b.second = second - budgetSeconds
+	}
+	for b.second < second {
+		b.second++
+		b.requests[b.second%budgetSeconds] = 0
+		b.retries[b.second%budgetSeconds] = 0
+	}
+}
--- /dev/null
+++ b/internal/core/route/filter.go
@@ -0,0 +1,60 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Removed counts the candidates that each filter removed.
+type Removed struct {
+	Model, Health, Leaving, Version, Avoid, Reach int
+}
+
+// String formats the counts for the decision line.
+func (r Removed) String() string {
+	return fmt.Sprintf("model %d, health %d, leaving %d, version %d, avoid %d, reach %d",
+		r.Model, r.Health, r.Leaving, r.Version, r.Avoid, r.Reach)
+}
+
+// filter returns the candidates that may take the request.
+func filter(request Request, candidates []Candidate) ([]*Candidate, Removed) {
+	var removed Removed
+	kept := make([]*Candidate, 0, len(candidates))
+	for i := range candidates {
+		c := &candidates[i]
+		switch {
+		case c.Model != request.Model:
+			removed.Model++
+		case c.Leaving:
+			removed.Leaving++
+		case c.Known && !c.Healthy || c.Owner == "":
+			removed.Health++
+		case c.Known && c.Version < request.MinVersion:
+			removed.Version++
+		case slices.Contains(request.Avoid, c.Replica):
+			removed.Avoid++
+		default:
+			kept = append(kept, c)
+		}
+	}
+	return reach(request, kept, &removed)
+}
+
+// reach removes the replicas of other data centres while one of the own data
+// centre has room.
+func reach(request Request, kept []*Candidate, removed *Removed) ([]*Candidate, Removed) {
+	room := slices.ContainsFunc(kept, func(c *Candidate) bool {
+		return c.DataCentre == request.DataCentre && !full(c)
+	})
+	if !room {
+		return kept, *removed
+	}
+	near := slices.DeleteFunc(kept, func(c *Candidate) bool { return c.DataCentre != request.DataCentre })
+	removed.Reach += len(kept) - len(near)
+	return near, *removed
+}
+
+// full reports whether a new request would wait at the replica.
+func full(c *Candidate) bool {
+	return c.Known && load(c) >= 1
+}
--- /dev/null
+++ b/internal/core/route/prefix.go
@@ -0,0 +1,121 @@
+package route
+
+import "time"
+
+const (
+	// sentLifetime is how long a prompt that this router sent is expected to
+	// stay in the replica's cache when no event says so.
+	sentLifetime = 2 * time.Minute
+	// doubt is the weight of what was known before a gap in the events, which
+	// may have lost evictions.
+	doubt = 0.5
+	// maxBlocks bounds the prefix blocks remembered; each takes about 200 bytes.
+	maxBlocks = 20000
+	// maxHolders bounds the replicas remembered per block.
+	maxHolders = 8
+)
+
+type holder struct {
+	replica string
+	until   time.Time // zero means until an eviction
+	gaps    int       // gaps of the replica's events when it was recorded
+}
+
+// Prefixes remembers which replicas probably hold which prefix blocks.
+type Prefixes struct {
+	blocks map[uint64][]holder
+	order  []uint64 // blocks by first use, oldest first
+	gaps   map[string]int
+}
+
+// NewPrefixes returns an empty memory.
+func NewPrefixes() *Prefixes {
+	return &Prefixes{blocks: make(map[uint64][]holder), gaps: make(map[string]int)}
+}
+
+// Sent records that a prompt with these blocks was sent to a replica.
+func (p *Prefixes) Sent(replica string, blocks []uint64, now time.Time) {
+	for _, b := range blocks {
+		p.put(b, holder{replica: replica, until: now.Add(sentLifetime), gaps: p.gaps[replica]})
+	}
+}
+
+// Stored records a cache event. Events come late, so an eviction may have
+// overtaken a later prompt; the next event corrects it.
+func (p *Prefixes) Stored(replica string, block uint64) {
+	p.put(block, holder{replica: replica, gaps: p.gaps[replica]})
+}
+
+// Evicted records the eviction of a block.
+func (p *Prefixes) Evicted(replica string, block uint64) {
+	holders := p.blocks[block]
+	for i := range holders {
+		if holders[i].replica == replica {
+			p.blocks[block] = append(holders[:i], holders[i+1:]...)
+			return
+		}
+	}
+}
+
+// Gap records that events of a replica were lost. What was known about it
+// counts less from then on.
+func (p *Prefixes) Gap(replica string) { p.gaps[replica]++ }
+
+// match is how many leading blocks a replica holds, and their weight.
+type match struct {
+	blocks int
+	weight float64
+}
+
+// Match returns by replica how many leading blocks it probably holds.
+func (p *Prefixes) Match(blocks []uint64, now time.Time) map[string]float64 {
+	var matches map[string]match
+	for i, b := range blocks {
+		found := false
+		for _, h := range p.blocks[b] {
+			m := matches[h.replica]
+			// A block is of use only when all blocks before it are cached.
+			if m.blocks < i || !h.until.IsZero() && now.After(h.until) {
+				continue
+			}
+			if matches == nil {
+				matches = make(map[string]match)
+			}
+			weight := 1.0
+			if h.gaps != p.gaps[h.replica] {
+				weight = doubt
+			}
+			matches[h.replica] = match{blocks: i + 1, weight: m.weight + weight}
+			found = true
+		}
+		if !found {
+			break
+		}
+	}
+	depth := make(map[string]float64, len(matches))
+	for replica, m := range matches {
+		depth[replica] = m.weight
+	}
+	return depth
+}
+
+func (p *Prefixes) put(block uint64, h holder) {
+	holders, known := p.blocks[block]
+	for i := range holders {
+		if holders[i].replica == h.replica {
+			holders[i] = h
+			return
+		}
+	}
+	if !known {
+		if len(p.order) >= maxBlocks {
+			delete(p.blocks, p.order[0])
+			p.order = p.order[1:]
+		}
+		p.order = append(p.order, block)
+	}
+	if len(holders) >= maxHolders {
+		holders = append(holders[:0], holders[1:]...)
+	}
+	p.blocks[block] = append(holders, h)
+}
--- /dev/null
+++ b/internal/owner/run.go
@@ -0,0 +1,203 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/admit"
+	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
+)
+
+// Run admits a generation from another host's router.
+func (c *Controller) Run(req *peerpb.RunRequest, stream grpc.ServerStreamingServer[peerpb.RunChunk]) error {
+	err := c.RunLocal(stream.Context(), req, func(chunk engine.Chunk) error {
+		return stream.Send(&peerpb.RunChunk{
+			RequestId: chunk.RequestID, Index: int32(chunk.Index), Token: chunk.Token,
+			WeightVersion: chunk.WeightVersion, FinishReason: chunk.FinishReason,
+		})
+	})
+	var refusal *cluster.Refusal
+	if errors.As(err, &refusal) {
+		return stream.Send(&peerpb.RunChunk{RequestId: req.RequestId, Refusal: &peerpb.Refusal{
+			Outcome: string(refusal.Outcome), Reason: string(refusal.Reason), Message: refusal.Message,
+			BackendServer: refusal.BackendServer, Crashed: refusal.Crashed,
+		}})
+	}
+	return err
+}
+
+// RunLocal admits a generation and calls sink for each chunk. It returns nil
+// after the chunk with the finish reason, a *cluster.Refusal, the error of
+// sink, or the error of ctx.
+func (c *Controller) RunLocal(ctx context.Context, req *peerpb.RunRequest, sink func(engine.Chunk) error) error {
+	replica, refusal := c.accept(req)
+	if refusal != nil {
+		return c.refuse(req, refusal)
+	}
+	solo := req.Solo
+	switch c.Judge(req.Fingerprint) {
+	case suspect.Refuse:
+		return c.refuse(req, notRun(cluster.ReasonCrashes, req.Replica,
+			"requests with this content crashed backend servers before"))
+	case suspect.RunAlone:
+		solo = true
+	}
+	if c.config.Policy == PolicyBaseline {
+		solo = false
+	}
+	id, err := c.wait(ctx, req, solo)
+	if err != nil {
+		var refusal *cluster.Refusal
+		if errors.As(err, &refusal) {
+			return c.refuse(req, refusal)
+		}
+		return err
+	}
+	return c.send(ctx, id, replica, req, solo, sink)
+}
+
+// accept checks that this host may admit work to the replica.
+func (c *Controller) accept(req *peerpb.RunRequest) (cluster.Replica, *cluster.Refusal) {
+	replica, ok := c.replica(req.Replica)
+	if !ok {
+		c.refresh(time.Now())
+		replica, ok = c.replica(req.Replica)
+	}
+	switch {
+	case !ok:
+		return replica, notRun(cluster.ReasonNotOwner, req.Replica, "this host does not own the replica")
+	case replica.Leaving:
+		return replica, notRun(cluster.ReasonDraining, req.Replica, "the replica is leaving")
+	case req.Model != "" && replica.State.Model != "" && replica.State.Model != req.Model:
+		return replica, notRun(cluster.ReasonNoReplica, req.Replica, "the replica runs another model")
+	case replica.State.Version < req.MinVersion:
+		return replica, notRun(cluster.ReasonNoReplica, req.Replica, fmt.Sprintf(
+			"the replica runs weight version %d; %d is needed", replica.State.Version, req.MinVersion))
+	}
+	return replica, nil
+}
+
+func (c *Controller) replica(id string) (cluster.Replica, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.replicas[id]
+	return r, ok
+}
+
+// wait queues a request until it may start.
+func (c *Controller) wait(ctx context.Context, req *peerpb.RunRequest, solo bool) (uint64, error) {
+	now := time.Now()
+	request := admit.Request{
+		Replica: req.Replica, Class: declare.Class(req.Class), Trainer: req.Trainer,
+		Share: c.share(req.Trainer), Priority: req.Priority, Solo: solo,
+		MaxTokens: max(0, int(req.MaxTokens)-len(req.Delivered)),
+	}
+	if req.DeadlineMs > 0 {
+		request.Deadline = now.Add(time.Duration(req.DeadlineMs) * time.Millisecond)
+	}
+	result := make(chan admit.Action, 1)
+	c.mu.Lock()
+	c.nextID++
+	request.ID = c.nextID
+	c.waiting[request.ID] = result
+	c.dispatch(c.admit.Enqueue(request, now))
+	c.mu.Unlock()
+
+	select {
+	case action := <-result:
+		return request.ID, c.admitted(req, action)
+	case <-ctx.Done():
+		c.abandon(request.ID)
+		return 0, ctx.Err()
+	}
+}
+
+func (c *Controller) admitted(req *peerpb.RunRequest, action admit.Action) error {
+	c.recorder.Observe("queue_wait_seconds", action.Wait.Seconds())
+	if action.Kind == admit.Start {
+		return nil
+	}
+	switch action.Cause {
+	case admit.CauseDeadline:
+		return notRun(cluster.ReasonDeadline, req.Replica, "the deadline cannot be met at this replica")
+	case admit.CauseLeaving:
+		return notRun(cluster.ReasonDraining, req.Replica, "the replica is leaving")
+	case admit.CauseUnknownReplica:
+		return notRun(cluster.ReasonNotOwner, req.Replica, "this host does not own the replica")
+	case admit.CauseUnhealthy:
+		return notRun(cluster.ReasonNoReplica, req.Replica, "the replica is not healthy")
+	default:
+		return notRun(cluster.ReasonOverload, req.Replica, "the queue of the replica is full")
+	}
+}
+
+// abandon ends a request whose caller is gone, whether it waits or just started.
+func (c *Controller) abandon(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, id)
+	now := time.Now()
+	actions, waited := c.admit.Cancel(id, now)
+	if !waited {
+		actions = c.admit.Done(id, false, now)
+	}
+	c.dispatch(actions)
+}
+
+func (c *Controller) share(trainer string) float64 {
+	set, _ := c.configs.Current()
+	if set == nil || set.Trainers[trainer] == nil {
+		return 1
+	}
+	return set.Trainers[trainer].Share
+}
+
+// send runs an admitted request on its engine.
+func (c *Controller) send(ctx context.Context, id uint64, replica cluster.Replica, req *peerpb.RunRequest,
+	solo bool, sink func(engine.Chunk) error) error {
+	last := time.Now()
+	err := c.engines.Stream(ctx, replica.Addr, engine.GenerateRequest{
+		RequestID: req.RequestId, Model: req.Model, Adapter: req.Adapter, Prompt: req.Prompt,
+		Delivered: req.Delivered, MaxTokens: int(req.MaxTokens), Temperature: req.Temperature, Seed: req.Seed,
+	}, func(chunk engine.Chunk) error {
+		gap := time.Since(last)
+		c.mu.Lock()
+		c.admit.Token(id, gap)
+		c.mu.Unlock()
+		// The time that a slow caller takes is not the engine's.
+		defer func() { last = time.Now() }()
+		return sink(chunk)
+	})
+	now := time.Now()
+	c.mu.Lock()
+	c.dispatch(c.admit.Done(id, err == nil, now))
+	c.mu.Unlock()
+	if err == nil {
+		c.succeeded(replica, req, now)
+		return nil
+	}
+	var failure *engine.StreamError
+	if !errors.As(err, &failure) {
+		return err
+	}
+	return c.failed(ctx, replica, req, solo, failure)
+}
+
+func (c *Controller) refuse(req *peerpb.RunRequest, refusal *cluster.Refusal) error {
+	c.recorder.Count("owner_refusals_total", "reason", string(refusal.Reason))
+	c.recorder.Decision("admit", req.RequestId, "replica", req.Replica, "refused", refusal.Reason,
+		"class", int(req.Class), "trainer", req.Trainer)
+	return refusal
+}
+
+func notRun(reason cluster.Reason, replica, message string) *cluster.Refusal {
+	return &cluster.Refusal{Outcome: cluster.OutcomeNotRun, Reason: reason, Message: message, BackendServer: replica}
+}
