Ask the other hosts before a call is refused as not run

While the log is out, a host cannot know whether an earlier try of the same key ran at a host whose intent it has not read. The refusal "not run" was true for the refusing host only, and a caller that took it at its word and sent the order under a new key would have it baked twice.

A host that did not get its own intent in force now asks the live hosts what they know about the key. It passes on the stored answer when one of them has it, and answers "unknown" when a host may have sent the call or does not answer, when a host died after the key was made, or when the key is older than the refusing host, which may have sent it in an earlier life. Answering "unknown" in every outage was ruled out: it would leave every vendor unsure.

Not covered: a host of a data centre that was cut off before the key was made counts as dead, although a caller may still reach it.

The retry budget of core/flight replaces this package's own.

--- a/internal/core/intent/attempt.go
+++ b/internal/core/intent/attempt.go
@@ -120,6 +120,30 @@
 	return a.view()
 }
 
+// ByKey returns what this host knows about a call, for a host that cannot read
+// the log. StageAbandoned says that this host has not sent the call, neither in
+// this life nor in an earlier one, and that it knows of no other host that may
+// have sent it.
+func (l *Ledger) ByKey(key Key, now time.Time) View {
+	row := l.keys[key]
+	if row != nil && row.attempt != 0 {
+		if a := l.attempt(row.attempt); a != nil && a.stage != StageAbandoned && a.stage != StageLost {
+			return a.view()
+		}
+	}
+	abandoned := row != nil && row.attempt != 0 && row.holder.author == l.config.Self
+	switch {
+	case row != nil && row.holder.nonce != "" && !abandoned:
+		return View{Stage: StageUnknown, Refusal: unknown(cluster.ReasonOtherAuthor, "the call may have run at host "+row.holder.author.Host)}
+	case !l.caughtUp && key.Time().Before(l.config.Started.Add(l.config.Skew)):
+		return View{Stage: StageUnknown, Refusal: unknown(cluster.ReasonLogUnavailable, "the call may have run before this host started")}
+	}
+	if refusal := l.checkAge(key, now); refusal != nil {
+		return View{Stage: StageUnknown, Refusal: refusal}
+	}
+	return View{Stage: StageAbandoned, Refusal: notRun(cluster.ReasonLogUnavailable, "this host has not sent the call")}
+}
+
 // abandon makes sure that the attempt is never sent, and lets later intents of
 // the key come into force. The record is not needed when the log cannot hold
 // the intent.
--- a/internal/core/intent/ledger.go
+++ b/internal/core/intent/ledger.go
@@ -10,6 +10,8 @@
 // Config holds the ledger's settings.
 type Config struct {
 	Self Author
+	// Started is when this life of the host began.
+	Started time.Time
 	// Retention is how long the log keeps intents.
 	Retention time.Duration
 	// Skew is the largest allowed difference of two clocks.
@@ -62,6 +64,10 @@
 	ID     int64
 	Stage  Stage
 	Result Result
+	// InForce says that the log has shown this host's intent in force, so that no
+	// other host has run the call. Otherwise StageAbandoned speaks for this host
+	// alone.
+	InForce bool
 	// Refusal is set for StageUnknown and StageAbandoned.
 	Refusal *cluster.Refusal
 	// Author and Nonce name the intent in force for StageLost.
@@ -77,6 +83,7 @@
 	deadline time.Time // of the caller
 	patience time.Time // to come into force
 	stage    Stage
+	inForce  bool
 	entry    *entry // record of the intent, until it is settled
 	result   Result
 	refusal  *cluster.Refusal
@@ -232,7 +239,7 @@
 }
 
 func (a *attempt) view() View {
-	return View{ID: a.id, Stage: a.stage, Result: a.result, Refusal: a.refusal, Author: a.holder.author, Nonce: a.holder.nonce}
+	return View{ID: a.id, Stage: a.stage, Result: a.result, InForce: a.inForce, Refusal: a.refusal, Author: a.holder.author, Nonce: a.holder.nonce}
 }
 
 func notRun(reason cluster.Reason, message string) *cluster.Refusal {
--- a/internal/core/intent/log.go
+++ b/internal/core/intent/log.go
@@ -151,7 +151,7 @@
 		if own == nil || own.stage != StageWaiting {
 			return nil
 		}
-		own.stage = StageGranted
+		own.stage, own.inForce = StageGranted, true
 		return own
 	}
 	row.dead = append(row.dead, record.Nonce)
@@ -161,6 +161,7 @@
 	if row.holder.author == l.config.Self {
 		// The holder is an attempt of this host that was abandoned while its
 		// abandon record is not yet in the log: no other one could be open.
+		own.inForce = true // as the holder was
 		l.close(own, StageAbandoned, notRun(cluster.ReasonLogUnavailable, "an abandoned attempt of the key is not yet cleared in the log"), now)
 		return own
 	}
--- a/internal/services/author.go
+++ b/internal/services/author.go
@@ -68,15 +68,21 @@
 	return nil, status.Error(codes.NotFound, "the author is not a member")
 }
 
-// IntentResult tells another host what became of an intent of this host's. A
-// reply without a state says that the call is still running.
+// IntentResult tells another host what became of an intent of this host's, or,
+// without a nonce, what this host knows about the key. A reply without a state
+// says that the call is still running.
 func (c *Controller) IntentResult(ctx context.Context, r *peerpb.IntentResultRequest) (*peerpb.IntentResultReply, error) {
 	key, err := intent.ParseKey(r.GetKey())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	c.mu.Lock()
-	view := c.ledger.ByNonce(key, r.GetNonce())
+	var view intent.View
+	if r.GetNonce() == "" {
+		view = c.ledger.ByKey(key, time.Now())
+	} else {
+		view = c.ledger.ByNonce(key, r.GetNonce())
+	}
 	waiting := c.calls[view.ID]
 	c.mu.Unlock()
 	if waiting != nil {
--- a/internal/services/controller.go
+++ b/internal/services/controller.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/flight"
 	"github.com/sesamestand/sesamestand/internal/core/intent"
 	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
@@ -84,6 +85,7 @@
 	backends  *backends
 	client    *client
 	budget    *budget
+	deaths    *deaths
 	appending chan struct{} // wakes the writer
 
 	mu     sync.Mutex
@@ -101,18 +103,20 @@
 func New(c Config, log platform.Log, configs cluster.Configs, members cluster.Members,
 	inventory cluster.Inventory, peers peer.Clients, recorder *telemetry.Recorder) *Controller {
 	c = withDefaults(c)
-	self := members.Self()
+	self, now := members.Self(), time.Now()
 	return &Controller{
 		config: c, log: log, configs: configs, members: members, peers: peers, recorder: recorder,
 		backends:  newBackends(inventory, self.DataCentre),
 		client:    newClient(c.BackendToken),
-		budget:    newBudget(c.RetryShare, c.RetryReserve),
+		budget:    &budget{budget: flight.NewBudget(c.RetryShare, c.RetryReserve)},
+		deaths:    newDeaths(members, c.Retention),
 		appending: make(chan struct{}, 1),
 		calls:     make(map[int64]*call),
 		ledger: intent.NewLedger(intent.Config{
 			// The incarnation in the log is that of the process, because membership
 			// may raise its own without a loss of memory.
-			Self:      intent.Author{Host: self.ID, Incarnation: time.Now().UnixNano()},
+			Self:      intent.Author{Host: self.ID, Incarnation: now.UnixNano()},
+			Started:   now,
 			Retention: c.Retention, Skew: c.ClockSkew, Patience: c.Patience,
 			Resend: resendDelay, Contact: contactTimeout + c.PollWait,
 			MaxAttempts: maxWaitingCalls, MaxResultBytes: maxStoredAnswers,
@@ -162,7 +166,12 @@
 		requestID = uuid.NewString()
 	}
 	w.Header().Set(httpapi.HeaderRequestID, requestID)
+	key, err := intent.ParseKey(r.Header.Get(httpapi.HeaderIdempotencyKey))
 	request, refusal := c.parse(w, r, requestID)
+	if refusal != nil && err == nil {
+		c.refuseOrReplay(w, r, requestID, key, refusal)
+		return
+	}
 	if refusal != nil {
 		c.refuse(w, requestID, refusal)
 		return
@@ -173,18 +182,36 @@
 		c.serveRepeatable(ctx, w, request)
 		return
 	}
-	key, err := intent.ParseKey(r.Header.Get(httpapi.HeaderIdempotencyKey))
 	if err != nil {
 		c.refuse(w, requestID, notRun(cluster.ReasonKeyInvalid, "this call needs the header "+
 			httpapi.HeaderIdempotencyKey+" with a UUIDv7: "+err.Error()))
 		return
 	}
-	answer, refusal := c.once(ctx, key, request)
-	if refusal != nil {
+	answer, refusal, settled := c.once(ctx, key, request)
+	switch {
+	case refusal == nil:
+		answer.write(w, requestID)
+	case settled:
+		c.refuse(w, requestID, refusal)
+	default:
+		c.refuseOrReplay(w, r, requestID, key, refusal)
+	}
+}
+
+// refuseOrReplay refuses a call that this host has not sent and never will. An
+// earlier try of the caller may have run at another host that is not yet known
+// from the log, so the others are asked before the answer says "not run".
+func (c *Controller) refuseOrReplay(w http.ResponseWriter, r *http.Request, requestID string, key intent.Key, refusal *cluster.Refusal) {
+	answer, other := c.askAll(r.Context(), key)
+	switch {
+	case answer != nil:
+		answer.write(w, requestID)
+	case other != nil:
+		other.Message += " (here: " + refusal.Message + ")"
+		c.refuse(w, requestID, other)
+	default:
 		c.refuse(w, requestID, refusal)
-		return
 	}
-	answer.write(w, requestID)
 }
 
 func (c *Controller) refuse(w http.ResponseWriter, requestID string, refusal *cluster.Refusal) {
--- a/internal/services/once.go
+++ b/internal/services/once.go
@@ -19,25 +19,27 @@
 }
 
 // once runs a call at most once in the whole system, or returns the answer of
-// the attempt that ran or runs elsewhere.
-func (c *Controller) once(ctx context.Context, key intent.Key, r *request) (*answer, *cluster.Refusal) {
+// the attempt that ran or runs elsewhere. A refusal that is not settled says
+// "not run" only for this host.
+func (c *Controller) once(ctx context.Context, key intent.Key, r *request) (a *answer, refusal *cluster.Refusal, settled bool) {
 	view, waiting, own := c.begin(key, r)
 	if waiting != nil {
 		view = c.wait(ctx, waiting, view, own)
 	}
 	switch view.Stage {
 	case intent.StageDone:
-		a := stored(view.Result)
+		a = stored(view.Result)
 		a.replayed = !own
-		return a, nil
+		return a, nil, true
 	case intent.StageLost:
 		c.recorder.Decision("intent", r.id, "verdict", "other-author", "key", key.String(), "author", view.Author.Host)
-		return c.askAuthor(ctx, key, view)
+		a, refusal = c.askAuthor(ctx, key, view)
+		return a, refusal, true
 	case intent.StageAbandoned, intent.StageUnknown:
-		return nil, view.Refusal
+		return nil, view.Refusal, view.InForce || view.Stage == intent.StageUnknown
 	}
 	// The attempt goes on without this request.
-	return nil, unknown(cluster.ReasonDeadline, "the deadline passed while the call may be running", "")
+	return nil, unknown(cluster.ReasonDeadline, "the deadline passed while the call may be running", ""), true
 }
 
 // begin registers the call. It returns the attempt to wait for, if there is
--- a/internal/services/repeat.go
+++ b/internal/services/repeat.go
@@ -4,15 +4,35 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/flight"
 )
 
 // maxAttempts bounds the backend servers that one repeatable request visits, so
 // that a request which crashes its servers does not take down all of them.
 const maxAttempts = 3
 
+// budget is a retry budget that is safe for concurrent use.
+type budget struct {
+	mu     sync.Mutex
+	budget *flight.Budget
+}
+
+func (b *budget) request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Request(now)
+}
+
+func (b *budget) retry(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Retry(now)
+}
+
 // serveRepeatable answers a request that may run more than once.
 func (c *Controller) serveRepeatable(ctx context.Context, w http.ResponseWriter, r *request) {
 	a, err := c.repeat(ctx, r)
--- a/internal/services/stream.go
+++ b/internal/services/stream.go
@@ -136,6 +136,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		c.deaths.update(time.Now())
 		c.mu.Lock()
 		for _, view := range c.ledger.Tick(time.Now()) {
 			c.settle(view)
