Test intents under random interleavings and settle a stale not-run

The simulation runs three ledgers against one log with lost, late and refused appends, outages, kills, pauses and expired records, 1000 seeds of 500 steps. It checks that a key runs once at most and that "not run" is true for all hosts, as a refusing host finds out by asking them.

--- a/internal/core/intent/ledger.go
+++ b/internal/core/intent/ledger.go
@@ -65,8 +65,8 @@
 	Stage  Stage
 	Result Result
 	// InForce says that the log has shown this host's intent in force, so that no
-	// other host has run the call. Otherwise StageAbandoned speaks for this host
-	// alone.
+	// other host had run the call. Otherwise StageAbandoned speaks for its author
+	// alone: another host's later intent may be unread.
 	InForce bool
 	// Refusal is set for StageUnknown and StageAbandoned.
 	Refusal *cluster.Refusal
--- /dev/null
+++ b/internal/core/intent/ledger_test.go
@@ -0,0 +1,136 @@
+package intent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/platform"
+)
+
+// Guards against a call that runs twice, against "not run" for a call that ran,
+// and against answers of another call. Each seed is one interleaving of three
+// hosts with lost and late appends, outages, kills, pauses and expired records.
+func TestInterleavings(t *testing.T) {
+	const seeds = 1000
+	var total simulation
+	for seed := range uint64(seeds) {
+		s := newSimulation(seed)
+		for range 500 {
+			s.step()
+		}
+		must.Len(t, 0, s.failures, must.Sprintf("seed %d: %v", seed, s.failures))
+		total.answered += s.answered
+		total.notRun += s.notRun
+		total.unknown += s.unknown
+		total.kills += s.kills
+		total.crossed += s.crossed
+	}
+	t.Logf("%d interleavings: %d answered, %d not run, %d unknown, %d kills, %d met another author",
+		seeds, total.answered, total.notRun, total.unknown, total.kills, total.crossed)
+	for _, n := range []int{total.answered, total.notRun, total.unknown, total.kills, total.crossed} {
+		must.Greater(t, seeds, n) // the simulation met each case
+	}
+}
+
+func decided(record Record, now time.Time, offset int64) platform.Record {
+	data, _ := record.Encode()
+	return platform.Record{Offset: offset, Time: now, Data: data}
+}
+
+// Guards against a repeated record of an intent that had lost: it would come
+// into force after the winner was abandoned, and block the key.
+func TestRepeatedRecordOfALostIntentHasNoEffect(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	s := &simulation{now: now, random: newSimulation(1).random}
+	key := s.newKey()
+	intent := func(host, nonce string) Record {
+		return Record{Kind: KindIntent, Key: key.String(), Host: host, Incarnation: 1, Nonce: nonce}
+	}
+	abandon := intent("a", "n1")
+	abandon.Kind = KindAbandon
+	l := NewLedger(Config{Self: Author{"c", 1}, Retention: time.Hour, Skew: time.Second, Patience: time.Second, Contact: time.Second, MaxAttempts: 9})
+	var records []platform.Record
+	for i, r := range []Record{intent("a", "n1"), intent("b", "n2"), abandon, intent("b", "n2"), intent("a", "n1")} {
+		records = append(records, decided(r, now, int64(i)))
+	}
+	l.Apply(platform.Page{Records: records, Next: 5, End: 5}, now)
+	view := l.Begin(key, "n3", now.Add(time.Second), now)
+	must.Eq(t, StageWaiting, view.Stage)
+	batch := l.NextBatch(9, now)
+	must.Len(t, 1, batch.Records)
+	changed := l.Apply(platform.Page{Records: []platform.Record{decided(batch.Records[0], now, 5)}, Next: 6, End: 6}, now)
+	must.Len(t, 1, changed)
+	must.Eq(t, StageGranted, changed[0].Stage)
+}
+
+// Guards against a host that trusts a stream whose beginning has expired: an
+// intent among the expired records may be for the same key.
+func TestKeysOfExpiredRecordsAreUnknown(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	s := &simulation{now: now.Add(-10 * time.Second), random: newSimulation(1).random}
+	old := s.newKey()
+	s.now = now
+	young := s.newKey()
+	l := NewLedger(Config{Self: Author{"c", 1}, Retention: time.Hour, Skew: time.Second, Patience: time.Second, Contact: time.Second, MaxAttempts: 9})
+	must.Eq(t, StageAbandoned, l.Begin(young, "n1", now.Add(time.Second), now).Stage) // nothing read yet
+	first := platform.Record{Offset: 7, Time: now.Add(-4 * time.Second), Data: []byte("x")}
+	l.Apply(platform.Page{Records: []platform.Record{first}, Earliest: 7, Next: 8, End: 8}, now)
+	must.Eq(t, StageUnknown, l.Begin(old, "n2", now.Add(time.Second), now).Stage)
+	must.Eq(t, StageWaiting, l.Begin(young, "n3", now.Add(time.Second), now).Stage)
+}
+
+// Guards against memory that grows with every call and is never freed.
+func TestLedgerForgetsExpiredCalls(t *testing.T) {
+	s := newSimulation(7)
+	for range 3000 {
+		s.step()
+	}
+	s.outage, s.late = false, nil
+	for range 20 {
+		s.now = s.now.Add(s.retention / 2)
+		s.expire()
+		for _, h := range s.hosts {
+			h.paused, h.granted = false, nil
+			h.ledger.Tick(s.now)
+			for len(h.sent) > 0 {
+				s.finish(h)
+			}
+			h.batch = nil
+			s.read(h)
+		}
+	}
+	for _, h := range s.hosts {
+		for h.ledger.Next() < int64(len(s.records)) {
+			s.read(h)
+		}
+		must.Eq(t, 0, h.ledger.Waiting())
+		must.MapLen(t, 0, h.ledger.keys)
+		must.MapLen(t, 0, h.ledger.closed)
+		must.MapLen(t, 0, h.ledger.byNonce)
+	}
+}
+
+// Guards against panics on hostile records, and against records that change by
+// being written again.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"kind":"intent","key":"018bcfe5-6800-7000-8000-000000000001","host":"h1","incarnation":3,"nonce":"n"}`))
+	f.Add([]byte(`{"kind":"abandon","key":"018BCFE5-6800-7000-8000-000000000001","host":"h1","incarnation":-3,"nonce":"n"}`))
+	f.Add([]byte(`{"kind":"intent","key":"{18bcfe5-6800-7000-8000-000000000001}","host":"h1","nonce":"n"}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		record, key, err := Decode(data)
+		if err == nil {
+			again, err := record.Encode()
+			must.NoError(t, err)
+			second, secondKey, err := Decode(again)
+			must.NoError(t, err)
+			must.Eq(t, record, second)
+			must.Eq(t, key, secondKey)
+		}
+		l := NewLedger(Config{Self: Author{"h1", 3}, Retention: time.Hour})
+		l.Apply(platform.Page{Records: []platform.Record{{Data: data}}, Next: 1, End: 1}, time.UnixMilli(1_700_000_000_000))
+		must.Eq(t, 1, l.Next())
+	})
+}
--- a/internal/services/once.go
+++ b/internal/services/once.go
@@ -33,8 +33,10 @@
 		return a, nil, true
 	case intent.StageLost:
 		c.recorder.Decision("intent", r.id, "verdict", "other-author", "key", key.String(), "author", view.Author.Host)
+		// The author may have given the call up before a third host ran it, whose
+		// intent this host has not read yet.
 		a, refusal = c.askAuthor(ctx, key, view)
-		return a, refusal, true
+		return a, refusal, refusal == nil || refusal.Outcome != cluster.OutcomeNotRun
 	case intent.StageAbandoned, intent.StageUnknown:
 		return nil, view.Refusal, view.InForce || view.Stage == intent.StageUnknown
 	}
