--- a/internal/services/world_test.go
+++ b/internal/services/world_test.go
@@ -150,7 +150,11 @@
 }
 
 func (h *host) do(method, path string, headers ...string) *httptest.ResponseRecorder {
-	r := httptest.NewRequest(method, "/v1/services/orders"+path, strings.NewReader("12 trays"))
+	return h.send(method, pathPrefix+"orders"+path, "12 trays", headers...)
+}
+
+func (h *host) send(method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	for i := 0; i+1 < len(headers); i += 2 {
 		if headers[i+1] != "" {
 			r.Header.Set(headers[i], headers[i+1])
@@ -172,6 +176,7 @@
 	total int
 	delay chan struct{} // calls wait for it when not nil
 	body  string
+	token string
 }
 
 func (c *counter) handle(w http.ResponseWriter, r *http.Request) {
@@ -182,7 +187,7 @@
 	}
 	c.calls[r.Header.Get("Idempotency-Key")]++
 	c.total++
-	c.body = string(body)
+	c.body, c.token = string(body), r.Header.Get("Authorization")
 	n, delay := c.total, c.delay
 	c.mu.Unlock()
 	if delay != nil {
@@ -193,6 +198,12 @@
 	_, _ = fmt.Fprintf(w, "receipt %d", n)
 }
 
+func (c *counter) last() (total int, body, token string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.total, c.body, c.token
+}
+
 func (c *counter) count(key string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
