--- a/internal/services/controller.go
+++ b/internal/services/controller.go
@@ -202,6 +202,9 @@
 // earlier try of the caller may have run at another host that is not yet known
 // from the log, so the others are asked before the answer says "not run".
 func (c *Controller) refuseOrReplay(w http.ResponseWriter, r *http.Request, requestID string, key intent.Key, refusal *cluster.Refusal) {
+	if r.Context().Err() != nil {
+		return // the caller is gone
+	}
 	answer, other := c.askAll(r.Context(), key)
 	switch {
 	case answer != nil:
--- a/internal/services/request.go
+++ b/internal/services/request.go
@@ -34,7 +34,7 @@
 
 // connectionHeaders belong to one connection and are not passed on.
 var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
