--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -1,5 +1,7 @@
 package entry
 
+//go:generate go tool wire .
+
 import (
 	"time"
 
