Reserve enough memory per token and wait for backend servers

Refusals 'no-replica' in the first second came from a host list that was read while still empty. Ruled out: a wrong limit after resumption; the owner subtracts delivered tokens only for its estimate. Change: 128 bytes reserved per token; a host is ready once it knows a backend server; the demo trains 3 s a step.

--- a/internal/core/sample/home.go
+++ b/internal/core/sample/home.go
@@ -71,8 +71,12 @@
 // defaultMaxTokens limits samples of trainers that declare no length.
 const defaultMaxTokens = 4096
 
-// tokenBytes is the memory reserved per token: a string header and 16 bytes.
-const tokenBytes = 32
+// tokenHeaderBytes is the memory of a token beside its text.
+const tokenHeaderBytes = 16
+
+// tokenBytes is the memory reserved per token. With 32 bytes, answers of
+// tokens longer than 16 bytes were stopped before their length limit.
+const tokenBytes = tokenHeaderBytes + 112
 
 // groupBytes is the memory counted for a group's own row.
 const groupBytes = 256
--- a/internal/core/sample/stream.go
+++ b/internal/core/sample/stream.go
@@ -31,7 +31,7 @@
 	t := s.trainer
 	if token != "" {
 		s.tokens = append(s.tokens, token)
-		s.bytes += tokenBytes/2 + int64(len(token))
+		s.bytes += tokenHeaderBytes + int64(len(token))
 	}
 	if !slices.Contains(s.versions, version) {
 		if len(s.versions) == 0 || version < s.lowest {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -24,11 +24,14 @@
 )
 
 const (
-	loadTime     = 12 * time.Second
+	loadTime     = 16 * time.Second
 	finishTime   = 5 * time.Second
 	readyTimeout = 10 * time.Second
 	// drainDelay replaces the setting's 2 s, because no balancer stands in front.
 	drainDelay = 500 * time.Millisecond
+	// stateInterval replaces the setting's 1 s: steps take seconds here and
+	// minutes in production.
+	stateInterval = 250 * time.Millisecond
 	// addedService is published during the run, to see the change come into force.
 	addedService = "added-by-demo"
 )
@@ -59,7 +62,10 @@
 			TokenTime: time.Millisecond, BatchSlope: 0.05, Lengths: engined.Lengths{Mean: 32, StragglerShare: 1.0 / 16, StragglerFactor: 6},
 			CacheEventDelay: 200 * time.Millisecond, CacheEventGaps: 0.1, LoadLag: 500 * time.Millisecond, SwapPause: 20 * time.Millisecond,
 		},
-		Adjust: func(s *settings.Settings) { s.Timing.DrainDelay = drainDelay },
+		Adjust: func(s *settings.Settings) {
+			s.Timing.DrainDelay = drainDelay
+			s.Timing.StateInterval = stateInterval
+		},
 	})
 	if err != nil {
 		return Result{}, err
@@ -88,7 +94,7 @@
 // backend server out of service, publishes a change and drains an entry host.
 func loadWithFaults(ctx context.Context, bed *testbed.Testbed, files map[string]string) (Result, error) {
 	config := bed.Mix(testbed.MixOptions{
-		CallerRate: 10, ServiceRate: 10, GroupsPerStep: 6, TrainTime: time.Second, Ahead: 1, Duration: loadTime,
+		CallerRate: 10, ServiceRate: 10, GroupsPerStep: 6, TrainTime: 3 * time.Second, Ahead: 1, Duration: loadTime,
 	})
 	config.Finish = finishTime
 	config.ProbeServices = []string{addedService}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -26,7 +26,6 @@
 
 	mu      sync.Mutex
 	servers []platform.BackendServer
-	read    bool
 	failing bool
 }
 
@@ -44,11 +43,12 @@
 	return c.servers
 }
 
-// Ready says whether the list has been read at least once.
+// Ready says whether at least one backend server is known. Without one, a host
+// could only refuse.
 func (c *Controller) Ready() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.read
+	return len(c.servers) > 0
 }
 
 // Run polls until ctx ends.
@@ -80,6 +80,5 @@
 		return
 	}
 	c.failing = false
-	c.read = true
 	c.servers = servers
 }
