Test the small stand-ins and give callers their own entry hosts

Each data centre has its own home for a trainer, so a trainer that falls over to a host of another data centre would see its epoch change on every call. Plans and mixes therefore name their entry hosts.

Callers now wait 2 s longer than the deadline that they tell the system: before, the client's timeout raced with the refusal that names the deadline, and a request counted as unanswered. An attempt can have a limit of its own, because a connection to an entry host can go silent.

A test of the plain service failed at first: net/http repeats a POST that has an Idempotency-Key when a pooled connection breaks before the answer. The load tool takes GetBody away from its requests, so that each repetition is an attempt on record.

Engines can hang: connections are accepted and nothing is answered. A request that arrives while an engine crashes is dropped with the others.

--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -53,7 +53,9 @@
 	attempt Attempt // template
 	body    []byte
 	stream  bool
-	timeout time.Duration
+
+	timeout, attemptTimeout time.Duration
+	deadline                time.Time // as told to the system
 }
 
 // newCall builds a request; modelLimit is the longest answer of its model.
@@ -73,7 +75,7 @@
 			Mix: m.Name, Class: m.Class, RequestID: id.String(), Model: m.Model,
 			Prompt: prompt, Seed: body.Seed, MaxTokens: tighter(m.MaxTokens, modelLimit),
 		},
-		body: data, stream: body.Stream, timeout: m.Timeout,
+		body: data, stream: body.Stream, timeout: m.Timeout, attemptTimeout: m.AttemptTimeout,
 	}, err
 }
 
@@ -101,28 +103,26 @@
 }
 
 // run sends the call until it has an answer or a refusal, or its time is over.
-func (d *driver) run(ctx context.Context, c call, send func(context.Context, call, *Attempt)) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+func (d *driver) run(ctx context.Context, hosts *entries, c call, send func(context.Context, call, *Attempt)) {
+	c.deadline = time.Now().Add(c.timeout)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	defer cancel()
-	entry := d.entries.pick()
+	entry := hosts.pick()
 	for {
 		attempt := c.attempt
 		attempt.Entry, attempt.Start = entry, time.Now()
-		send(ctx, c, &attempt)
+		limit, stop := context.WithTimeout(ctx, c.attemptTimeout)
+		send(limit, c, &attempt)
+		stop()
 		attempt.End = time.Now()
 		again := attempt.Result == ResultBroken || attempt.Result == ResultNoHost
-		if again && ctx.Err() == nil {
-			select {
-			case <-time.After(repeatPause):
-			case <-ctx.Done():
-			}
-		}
-		attempt.Last = !again || ctx.Err() != nil
+		attempt.Last = !again || ctx.Err() != nil || time.Now().Add(repeatPause).After(c.deadline)
 		d.recorder.record(func(r *Records) { r.Attempts = append(r.Attempts, attempt) })
 		if attempt.Last {
 			return
 		}
-		entry = d.entries.after(entry)
+		time.Sleep(repeatPause)
+		entry = hosts.after(entry)
 	}
 }
 
@@ -162,10 +162,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// With GetBody, the transport itself repeats a POST that has an
+	// Idempotency-Key when a pooled connection breaks, and no attempt shows it.
+	request.GetBody = nil
 	setHeaders(request, d.config.CallerToken)
-	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	}
+	request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
 	headers(request.Header)
 	return d.client.Do(request)
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -23,6 +23,14 @@
 	next  atomic.Uint64
 }
 
+// newEntries returns addrs, or all when addrs is empty.
+func newEntries(addrs, all []string) *entries {
+	if len(addrs) == 0 {
+		addrs = all
+	}
+	return &entries{addrs: addrs}
+}
+
 // pick returns the next address in turn.
 func (e *entries) pick() string {
 	return e.addrs[int(e.next.Add(1)-1)%len(e.addrs)]
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -39,12 +39,16 @@
 // Poisson process and do not wait for answers (open loop).
 type CallerMix struct {
 	Name          string
+	Entries       []string // entry hosts of these callers; empty means all
 	Model         string
 	Class         declare.Class
 	RatePerSecond float64
 	StreamShare   float64 // share of requests with "stream": true
 	MaxTokens     int
 	Timeout       time.Duration // of the whole request with repetitions; 0 means 30 s
+	// AttemptTimeout ends an attempt, for example on a connection that went
+	// silent, and sends the request again; 0 means no limit but Timeout.
+	AttemptTimeout time.Duration
 	// SharedPrefixes is the number of different prompt beginnings, and
 	// PrefixBytes is their length. Zero means that prompts share nothing.
 	SharedPrefixes int
@@ -57,16 +61,21 @@
 // ServiceMix is one population of callers of a plain service. Each request is
 // a POST with its own UUIDv7 key, for example the confirmation of a tray.
 type ServiceMix struct {
-	Name          string // service
-	Path          string // below /v1/services/{name}
-	Class         declare.Class
-	RatePerSecond float64
-	Timeout       time.Duration // 0 means 30 s
+	Name           string   // service
+	Entries        []string // entry hosts of these callers; empty means all
+	Path           string   // below /v1/services/{name}
+	Class          declare.Class
+	RatePerSecond  float64
+	Timeout        time.Duration // 0 means 30 s
+	AttemptTimeout time.Duration // as for CallerMix
 }
 
 // TrainerPlan is one simulated trainer.
 type TrainerPlan struct {
-	Name          string // as declared
+	Name string // as declared
+	// Entries lists the entry hosts of the trainer's data centre; empty means
+	// all. Each data centre has a home of its own for the trainer.
+	Entries       []string
 	GroupsPerStep int
 	TrainTime     time.Duration // from the last sample of a step to the new version
 	// Ahead is the number of later steps whose groups are submitted early.
@@ -87,6 +96,9 @@
 	defaultPullMax  = 8
 	defaultLoss     = 60 * time.Second
 	defaultProbe    = 500 * time.Millisecond
+	// answerGrace is how much longer than its deadline a caller waits for the
+	// refusal that says so.
+	answerGrace = 2 * time.Second
 )
 
 // withDefaults checks the configuration and fills in defaults.
@@ -102,10 +114,12 @@
 	c.Callers = append([]CallerMix(nil), c.Callers...)
 	for i := range c.Callers {
 		setDefault(&c.Callers[i].Timeout, defaultTimeout)
+		setDefault(&c.Callers[i].AttemptTimeout, c.Callers[i].Timeout+answerGrace)
 	}
 	c.Services = append([]ServiceMix(nil), c.Services...)
 	for i := range c.Services {
 		setDefault(&c.Services[i].Timeout, defaultTimeout)
+		setDefault(&c.Services[i].AttemptTimeout, c.Services[i].Timeout+answerGrace)
 	}
 	c.Trainers = append([]TrainerPlan(nil), c.Trainers...)
 	for i := range c.Trainers {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,7 +14,6 @@
 type driver struct {
 	config   Config
 	client   *http.Client
-	entries  *entries
 	recorder *recorder
 	versions map[string]int64 // reserved by trainers; guarded by recorder.mu
 	started  time.Time
@@ -30,7 +29,6 @@
 	d := &driver{
 		config:   config,
 		client:   newClient(),
-		entries:  &entries{addrs: config.Entries},
 		recorder: &recorder{newest: make(map[string]int64)},
 		versions: make(map[string]int64),
 		started:  time.Now(),
@@ -54,13 +52,19 @@
 	var wg sync.WaitGroup
 	for i, mix := range d.config.Callers {
 		random := rand.New(rand.NewPCG(d.config.Seed, uint64(i)))
-		wg.Go(func() {
-			d.arrive(arrivals, requests, mix.RatePerSecond, random, d.complete, func() (call, error) { return mix.newCall(random, d.modelLimit(mix.Model)) })
-		})
+		source := arrival{
+			hosts: newEntries(mix.Entries, d.config.Entries), perSecond: mix.RatePerSecond, random: random, send: d.complete,
+			next: func() (call, error) { return mix.newCall(random, d.modelLimit(mix.Model)) },
+		}
+		wg.Go(func() { d.arrive(arrivals, requests, source) })
 	}
 	for i, mix := range d.config.Services {
 		random := rand.New(rand.NewPCG(d.config.Seed, uint64(1000+i)))
-		wg.Go(func() { d.arrive(arrivals, requests, mix.RatePerSecond, random, d.confirm, mix.newCall) })
+		source := arrival{
+			hosts: newEntries(mix.Entries, d.config.Entries), perSecond: mix.RatePerSecond, random: random, send: d.confirm,
+			next: mix.newCall,
+		}
+		wg.Go(func() { d.arrive(arrivals, requests, source) })
 	}
 	for _, plan := range d.config.Trainers {
 		wg.Go(func() { newTrainer(d, plan).run(arrivals) })
@@ -79,27 +83,36 @@
 	return d.config.Declared.Models[model].MaxTokens
 }
 
+// arrival is one stream of arriving calls. Its random numbers are used by one
+// goroutine only.
+type arrival struct {
+	hosts     *entries
+	perSecond float64
+	random    *rand.Rand
+	next      func() (call, error)
+	send      func(context.Context, call, *Attempt)
+}
+
 // arrive starts calls as a Poisson process and waits for the last of them.
-func (d *driver) arrive(arrivals, requests context.Context, perSecond float64, random *rand.Rand,
-	send func(context.Context, call, *Attempt), next func() (call, error)) {
-	if perSecond <= 0 {
+func (d *driver) arrive(arrivals, requests context.Context, source arrival) {
+	if source.perSecond <= 0 {
 		return
 	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	at := time.Now()
 	for {
-		at = at.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		at = at.Add(time.Duration(source.random.ExpFloat64() / source.perSecond * float64(time.Second)))
 		select {
 		case <-time.After(time.Until(at)):
 		case <-arrivals.Done():
 			return
 		}
-		c, err := next()
+		c, err := source.next()
 		if err != nil {
 			klog.ErrorS(err, "build a request")
 			return
 		}
-		wg.Go(func() { d.run(requests, c, send) })
+		wg.Go(func() { d.run(requests, source.hosts, c, source.send) })
 	}
 }
--- a/internal/load/services.go
+++ b/internal/load/services.go
@@ -15,7 +15,7 @@
 	return call{
 		attempt: Attempt{Mix: m.Name, Class: m.Class, Key: key.String(), Service: m.Name, Path: m.Path},
 		body:    []byte(`{"confirmation":"` + key.String() + `"}`),
-		timeout: m.Timeout,
+		timeout: m.Timeout, attemptTimeout: m.AttemptTimeout,
 	}, err
 }
 
--- a/internal/load/trainers.go
+++ b/internal/load/trainers.go
@@ -18,13 +18,14 @@
 	d        *driver
 	plan     TrainerPlan
 	declared *declare.Trainer
+	hosts    *entries
 	entry    string
 	epoch    string
 	cursor   int64
-	groups   map[string]*group
-	steps    map[int][]*group
-	asked    time.Time // start of the first pull since the last answer
-	newest   int64     // newest version announced before asked
+	groups   map[string]*group // all groups ever made
+	steps    map[int][]*group  // present and later steps
+	asked    time.Time         // start of the first pull since the last answer
+	newest   int64             // newest version announced before asked
 	time     TrainerTime
 }
 
@@ -68,9 +69,11 @@
 }
 
 func newTrainer(d *driver, plan TrainerPlan) *trainer {
+	hosts := newEntries(plan.Entries, d.config.Entries)
 	return &trainer{
 		d: d, plan: plan, declared: d.config.Declared.Trainers[plan.Name],
-		entry:  d.entries.pick(),
+		hosts:  hosts,
+		entry:  hosts.pick(),
 		groups: make(map[string]*group),
 		steps:  make(map[int][]*group),
 		time:   TrainerTime{Trainer: plan.Name},
@@ -96,11 +99,11 @@
 		delete(t.steps, step)
 	}
 	t.time.Total = time.Since(began)
-	for _, g := range t.groups {
-		if !g.taken && !g.submitted.IsZero() {
+	t.wanted(func(g *group) {
+		if !g.submitted.IsZero() {
 			t.time.Outstanding++
 		}
-	}
+	})
 	t.d.recorder.record(func(r *Records) { r.Trainers = append(r.Trainers, t.time) })
 }
 
@@ -187,9 +190,16 @@
 func (t *trainer) changeEpoch(epoch string) {
 	t.time.EpochChange++
 	t.epoch, t.cursor, t.asked = epoch, 0, time.Time{}
-	for _, g := range t.groups {
-		if !g.taken {
-			g.submitted = time.Time{}
+	t.wanted(func(g *group) { g.submitted = time.Time{} })
+}
+
+// wanted calls each for every group of a present step that was not taken.
+func (t *trainer) wanted(each func(*group)) {
+	for _, groups := range t.steps {
+		for _, g := range groups {
+			if !g.taken {
+				each(g)
+			}
 		}
 	}
 }
@@ -236,12 +246,12 @@
 // resubmitLost submits groups again that were accepted long ago. The call is
 // idempotent, so this is harmless when the group is only late.
 func (t *trainer) resubmitLost() {
-	for _, g := range t.groups {
-		if !g.taken && !g.submitted.IsZero() && time.Since(g.submitted) > t.plan.LossAfter {
+	t.wanted(func(g *group) {
+		if !g.submitted.IsZero() && time.Since(g.submitted) > t.plan.LossAfter {
 			g.submitted = time.Time{}
 			t.time.Lost++
 		}
-	}
+	})
 }
 
 // announce publishes a new version to the weight store and to the system.
@@ -281,7 +291,7 @@
 	if ctx.Err() == nil {
 		klog.V(1).InfoS("trainer call failed", "trainer", t.plan.Name, "operation", operation, "entry", t.entry, "status", status, "err", err)
 	}
-	t.entry = t.d.entries.after(t.entry)
+	t.entry = t.hosts.after(t.entry)
 	t.pause(ctx)
 	return 0
 }
--- a/internal/standin/engined/batch.go
+++ b/internal/standin/engined/batch.go
@@ -37,6 +37,10 @@
 		notify:  make(chan struct{}, 1),
 	}
 	r.entry = s.recordLocked(request, now)
+	if s.down {
+		s.endLocked(r, EndCrashed, now)
+		return r
+	}
 	s.waiting = append(s.waiting, r)
 	s.noteLoadLocked(now)
 	if !s.looping {
@@ -65,7 +69,7 @@
 			s.mu.Unlock()
 			return
 		}
-		if !now.Before(s.pausedUntil) {
+		if !now.Before(s.pausedUntil) && !s.faults.Get().Hang {
 			s.stepLocked(now)
 		}
 		duration := s.stepTimeLocked()
--- a/internal/standin/engined/engined.go
+++ b/internal/standin/engined/engined.go
@@ -135,18 +135,29 @@
 	s.mux.HandleFunc("POST /faults", s.handleFaults)
 }
 
-// guard drops connections while the engine is down and checks the token.
+// guard drops connections while the engine is down, answers nothing while it
+// hangs, and checks the token.
 func (s *Server) guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if s.isDown() {
 			standin.Abort()
 		}
+		for s.faults.Get().Hang {
+			select {
+			case <-time.After(hangPoll):
+			case <-r.Context().Done():
+				return
+			}
+		}
 		if standin.Authorized(w, r, s.config.Token) {
 			next(w, r)
 		}
 	}
 }
 
+// hangPoll is the time between two looks whether the engine still hangs.
+const hangPoll = 10 * time.Millisecond
+
 // Handler returns the HTTP interface of the engine. Without Start, a crash
 // drops connections instead of refusing them, and Freeze has no effect.
 func (s *Server) Handler() http.Handler { return s.mux }
--- a/internal/standin/engined/engined_test.go
+++ b/internal/standin/engined/engined_test.go
@@ -243,3 +243,68 @@
 	must.NoError(t, VerifyAnswer("album", "d", texts(fresh), FinishStop, 0))
 	must.Eq(t, 0, len(ended))
 }
+
+// Guards against a failed load that changes the version or stays in state
+// "loading", and against copies from a peer that has other weights.
+func TestLoadFromPeer(t *testing.T) {
+	peer, source := start(t, Config{Version: 9})
+	server, addr := start(t, Config{})
+	order := engine.Order{Kind: engine.OrderLoadVersion, Version: 9, Source: source}
+	server.SetFaults(Faults{FailLoads: 1})
+	post(t, addr, "/orders", order)
+	eventually(t, func() bool { return server.State().LastError != "" })
+	must.Eq(t, 0, server.State().Loading)
+	must.Eq(t, 7, server.State().Version)
+
+	post(t, addr, "/orders", order)
+	eventually(t, func() bool { return server.State().Version == 9 })
+	must.Eq(t, "", server.State().LastError)
+	post(t, addr, "/orders", engine.Order{Kind: engine.OrderLoadVersion, Version: 10, Source: source})
+	eventually(t, func() bool { return server.State().LastError != "" })
+	must.Eq(t, 9, server.State().Version)
+	must.Eq(t, 9, peer.State().Version)
+}
+
+// Guards against imported blocks that do not shorten the prefill, and against
+// blocks of other weights that are taken.
+func TestCacheTransfer(t *testing.T) {
+	_, from := start(t, Config{})
+	server, to := start(t, Config{})
+	_, stale := start(t, Config{Version: 8})
+	prompt := strings.Repeat("p", 3*engine.PrefixBlockBytes)
+	_, err := readStream(post(t, from, "/v1/completions", ask("r1", prompt)), nil)
+	must.NoError(t, err)
+	response := post(t, from, "/kv/export", map[string]string{"model": "album", "prompt": prompt})
+	var blocks KVBlocks
+	must.NoError(t, json.NewDecoder(response.Body).Decode(&blocks))
+	must.Len(t, 3, blocks.Prefixes)
+	must.Eq(t, http.StatusOK, post(t, to, "/kv/import", blocks).StatusCode)
+	must.Eq(t, http.StatusConflict, post(t, stale, "/kv/import", blocks).StatusCode)
+	_, err = readStream(post(t, to, "/v1/completions", ask("r2", prompt)), nil)
+	must.NoError(t, err)
+	must.Eq(t, 3, server.Journal().Requests[0].CachedBlocks)
+}
+
+// Guards against an engine that hangs and still produces, or that does not
+// recover, and against a request for another model that counts as run.
+func TestHangAndRefusal(t *testing.T) {
+	server, addr := start(t, Config{})
+	server.SetFaults(Faults{Hang: true})
+	done := make(chan error, 1)
+	go func() {
+		body, _ := json.Marshal(ask("r1", "a"))
+		response, err := http.Post("http://"+addr+"/v1/completions", "application/json", bytes.NewReader(body))
+		if err == nil {
+			_, err = readStream(response, nil)
+		}
+		done <- err
+	}()
+	must.Len(t, 0, server.Journal().Requests)
+	server.SetFaults(Faults{})
+	must.NoError(t, <-done)
+
+	request := ask("r2", "a")
+	request.Model = "gallery"
+	must.Eq(t, http.StatusNotFound, post(t, addr, "/v1/completions", request).StatusCode)
+	must.Eq(t, EndRefused, server.Journal().Requests[1].End)
+}
--- a/internal/standin/engined/faults.go
+++ b/internal/standin/engined/faults.go
@@ -14,6 +14,7 @@
 // Faults are the faults that can be set at run time.
 type Faults struct {
 	SlowFactor float64  `json:"slow_factor"` // multiplies the time per token; 0 means 1
+	Hang       bool     `json:"hang"`        // connections are accepted, but nothing is answered or produced
 	Poison     string   `json:"poison"`      // a prompt that contains it crashes the engine
 	CrossShare float64  `json:"cross_share"` // share of chunks that follow one of another request
 	FailLoads  int      `json:"fail_loads"`  // coming loads that fail; negative means all
