--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,7 @@
 	"github.com/sesamestand/sesamestand/internal/telemetry"
 	"github.com/sesamestand/sesamestand/internal/tlsfiles"
 	"github.com/sesamestand/sesamestand/internal/trainers"
+	"github.com/sesamestand/sesamestand/internal/versions"
 )
 
 const (
@@ -53,11 +55,18 @@
 	callers   *callers.Controller
 	services  *services.Controller
 	trainers  *trainers.Controller
+	versions  *versions.Watcher
 
-	draining atomic.Bool
-	inFlight inFlight
+	draining  atomic.Bool
+	inFlight  inFlight
+	aborted   chan struct{}
+	abortOnce sync.Once
 }
 
+// Abort ends Run without a drain. It stands for the death of the process
+// where several entry hosts run in one process.
+func (h *Host) Abort() { h.abortOnce.Do(func() { close(h.aborted) }) }
+
 // Run serves until ctx ends, then drains and returns.
 func (h *Host) Run(ctx context.Context) error {
 	httpListener, err := net.Listen("tcp", h.settings.Host.HTTPAddr)
@@ -80,7 +89,7 @@
 	group.Go(func() error { return grpcServer.Serve(peerListener) })
 	for _, run := range []func(context.Context) error{
 		h.members.Run, h.inventory.Run, h.configs.Run, h.orders.Run,
-		h.owner.Run, h.services.Run, h.trainers.Run,
+		h.owner.RunLoops, h.services.Run, h.trainers.Run, h.versions.Run,
 	} {
 		group.Go(func() error { return run(groupCtx) })
 	}
@@ -90,6 +99,9 @@
 	select {
 	case <-ctx.Done():
 		h.drain(httpServer, grpcServer)
+	case <-h.aborted:
+		_ = httpServer.Close()
+		grpcServer.Stop()
 	case <-groupCtx.Done():
 		_ = httpServer.Close()
 		grpcServer.Stop()
