Read the request ID of streamed events and test lost groups

Entry hosts name the request in the field id of each event, engines in request_id; the load tool compared only the latter and would have missed a crossed event of an entry host. It also sends the class of each mix in the header Sesamestand-Class, because a need's class applies only to its model.

A new test lets a trainer's home forget a group that it accepted: the trainer submits it again after LossAfter, the step completes, and the checker counts one broken fact of P3.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -20,6 +20,7 @@
 // against a load tool that miscounts lost answers and epoch changes.
 func TestRunAgainstAFaultlessSystem(t *testing.T) {
 	system, entries := newSystem(t)
+	system.change = 10
 	report, err := load.Run(t.Context(), load.Config{
 		Entries: entries,
 		Declared: &declare.Set{Trainers: map[string]*declare.Trainer{
@@ -52,6 +53,27 @@
 	must.NoError(t, report.WriteJSON(&table))
 }
 
+// Guards against a trainer that waits for good when the system forgets a group
+// that it accepted, and against a loss that nobody reports.
+func TestForgottenGroupCountsAsLost(t *testing.T) {
+	system, entries := newSystem(t)
+	system.forget = "s1-g2"
+	report, err := load.Run(t.Context(), load.Config{
+		Entries: entries,
+		Declared: &declare.Set{Trainers: map[string]*declare.Trainer{
+			"captions": {Name: "captions", Model: "album", GroupSize: groupSize, StalenessBound: 1},
+		}},
+		Trainers: []load.TrainerPlan{{Name: "captions", GroupsPerStep: 3, FirstVersion: 7, LossAfter: 300 * time.Millisecond}},
+		Duration: 3 * time.Second,
+	})
+	must.NoError(t, err)
+	must.Positive(t, report.Trainers[0].Steps)
+	result := Check(Facts{Load: report.Records, Engines: []engined.Journal{system.engine.Journal()}})
+	must.Eq(t, 1, report.Trainers[0].Lost)
+	must.Eq(t, 1, result.Promise("P3").Broken)
+	must.Eq(t, 1, result.Broken())
+}
+
 var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func at(seconds float64) time.Time {
--- a/internal/checker/system_test.go
+++ b/internal/checker/system_test.go
@@ -32,6 +32,8 @@
 	epoch  int
 	groups []map[string]any
 	pulls  int
+	change int    // number of the pull that meets a new epoch; 0 means none
+	forget string // a group that the home forgets once
 }
 
 // newSystem returns the system and the addresses of its two entry hosts.
@@ -90,6 +92,10 @@
 		return
 	}
 	for _, g := range body.Groups {
+		if g.ID == s.forget {
+			s.forget = ""
+			continue
+		}
 		group := map[string]any{"seq": len(s.groups) + 1, "id": g.ID, "step": body.Step}
 		var samples []any
 		for i := range groupSize {
@@ -113,7 +119,7 @@
 	return map[string]any{"id": id, "tokens": answer.Tokens, "versions": answer.WeightVersions[:1], "finish_reason": answer.FinishReason}
 }
 
-// pull loses every fourth answer and changes the epoch once, before the tenth.
+// pull loses every fourth answer.
 func (s *system) pull(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Epoch  string
@@ -122,7 +128,7 @@
 	standin.ReadJSON(w, r, &body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pulls++; s.pulls == 10 {
+	if s.pulls++; s.pulls == s.change {
 		s.epoch, s.groups = s.epoch+1, nil
 	}
 	if body.Epoch != fmt.Sprint(s.epoch) {
@@ -132,6 +138,9 @@
 	if s.pulls%4 == 0 {
 		standin.Abort()
 	}
+	if len(s.groups) <= body.Cursor {
+		time.Sleep(5 * time.Millisecond)
+	}
 	next := s.groups[min(body.Cursor, len(s.groups)):]
 	standin.WriteJSON(w, http.StatusOK, map[string]any{"epoch": body.Epoch, "groups": next[:min(1, len(next))]})
 }
--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -34,6 +34,7 @@
 // completionAnswer is a whole answer or one event of a stream, in the OpenAI
 // style, with the request ID, index and weight version of a part beside it.
 type completionAnswer struct {
+	ID             string   `json:"id"` // request ID
 	RequestID      string   `json:"request_id"`
 	Index          *int     `json:"index"`
 	Token          string   `json:"token"`
@@ -133,6 +134,7 @@
 func (d *driver) complete(ctx context.Context, c call, attempt *Attempt) {
 	response, err := d.post(ctx, "http://"+attempt.Entry+"/v1/completions", c, func(h http.Header) {
 		h.Set("Request-Id", attempt.RequestID)
+		h.Set("Sesamestand-Class", className(attempt.Class))
 	})
 	if err != nil {
 		attempt.setFailure(err)
@@ -179,6 +181,9 @@
 		return
 	}
 	a.Result, a.FirstToken = ResultAnswered, time.Now()
+	if a.foreign(answer.ID) || a.foreign(answer.RequestID) {
+		a.Foreign++
+	}
 	a.take(answer)
 	a.Versions = mergeVersions(a.Versions, answer.WeightVersions...)
 	if a.Finish == "" {
@@ -208,7 +213,7 @@
 			a.setRefusal(http.Header{}, []byte(data))
 			return
 		}
-		if event.Index != nil && *event.Index != next || event.RequestID != "" && event.RequestID != a.RequestID {
+		if event.Index != nil && *event.Index != next || a.foreign(event.ID) || a.foreign(event.RequestID) {
 			a.Foreign++
 		}
 		next++
@@ -225,6 +230,9 @@
 	}
 }
 
+// foreign reports whether a part names another request than this one.
+func (a *Attempt) foreign(id string) bool { return id != "" && id != a.RequestID }
+
 // take adds the text of an answer or event.
 func (a *Attempt) take(answer completionAnswer) {
 	a.Versions = mergeVersions(a.Versions, answer.WeightVersion)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -27,6 +27,7 @@
 		{"cut", openAIStream[:strings.Index(openAIStream, "\n")+2], ResultBroken, 0},
 		{"error event", `data: {"error":{"outcome":"partial","reason":"deadline"}}` + "\n", ResultRefused, 0},
 		{"chunk of another request", strings.Replace(openAIStream, "r1", "r2", 1), ResultAnswered, 1},
+		{"event of another request", strings.Replace(openAIStream, `"request_id":"r1"`, `"id":"r2"`, 1), ResultAnswered, 1},
 		{"index out of order", strings.Replace(openAIStream, `"index":1`, `"index":2`, 1), ResultAnswered, 1},
 		{"engine chunks", `data: {"request_id":"r1","index":0,"token":"a","weight_version":7,"finish_reason":"length"}` + "\n", ResultAnswered, 0},
 	}
