--- a/cmd/sesamestand/arguments.go
+++ b/cmd/sesamestand/arguments.go
@@ -5,6 +5,7 @@
 // arguments lists the subcommands; each has its own file.
 type arguments struct {
 	Serve    *serveCommand    `arg:"subcommand:serve" help:"run an entry host"`
+	Publish  *publishCommand  `arg:"subcommand:publish" help:"publish declaration files through the log"`
 	Check    *checkCommand    `arg:"subcommand:check" help:"validate declaration files"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show what an entry host knows"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"show the decisions taken for a request"`
