Shorten the tokens of the engine stand-in

The trainers' home bounds the memory of a sample at 16 bytes of text per token, and the stand-in's tokens had 25 bytes, far more than tokens of real models. Tokens are now 10 characters of tag, a colon, the index in base 36 and an end mark: 14 bytes up to index 1295. The tag still separates answers with 60 bits.

The check itself is unchanged: an answer that stops for its length must have exactly the declared number of tokens.

go test -race passes on internal/checker and internal/standin/engined.

--- a/internal/checker/requests.go
+++ b/internal/checker/requests.go
@@ -41,7 +41,7 @@
 	if err := engined.VerifyAnswer(a.Model, a.Prompt, tokens, a.Finish, a.MaxTokens); err != nil {
 		return err
 	}
-	if want := answerTag(a) + ":"; tokens[0][:min(len(want), len(tokens[0]))] != want {
+	if engined.TagOf(tokens) != answerTag(a) {
 		return fmt.Errorf("answer %q has another seed", tokens[0])
 	}
 	return nil
--- a/internal/checker/samples.go
+++ b/internal/checker/samples.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/load"
@@ -35,7 +34,7 @@
 	if len(tokens) == 0 || len(named) == 0 {
 		return fmt.Errorf("%d tokens name the versions %v", len(tokens), named)
 	}
-	tag, _, _ := strings.Cut(tokens[0], ":")
+	tag := engined.TagOf(tokens)
 	var possible []int64
 	for index := range tokens {
 		produced := producers(c.answers[tag], index)
@@ -99,8 +98,7 @@
 		p.fact(d.Known && !d.Repeated, "%s: delivered without being wanted (known %t, delivered before %t)", where, d.Known, d.Repeated)
 		p.fact(len(d.Samples) == d.Wanted, "%s: %d samples instead of %d", where, len(d.Samples), d.Wanted)
 		for _, sample := range d.Samples {
-			tag, _, _ := strings.Cut(strings.Join(sample.Tokens[:min(1, len(sample.Tokens))], ""), ":")
-			keys := []string{d.Trainer + "\x00id " + sample.ID, d.Trainer + "\x00answer " + tag}
+			keys := []string{d.Trainer + "\x00id " + sample.ID, d.Trainer + "\x00answer " + engined.TagOf(sample.Tokens)}
 			before := seen[keys[0]] + seen[keys[1]]
 			p.fact(before == "", "%s: sample %s was delivered before (%s)", where, sample.ID, before)
 			seen[keys[0]], seen[keys[1]] = where, where
--- a/internal/standin/engined/tokens.go
+++ b/internal/standin/engined/tokens.go
@@ -1,8 +1,11 @@
 package engined
 
 import (
+	"encoding/base64"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,22 +39,44 @@
 	return max(1, length)
 }
 
+// Tags are short, because entry hosts reserve 16 bytes per token and stop
+// samples that take more.
+const (
+	promptTagChars = 4
+	seedTagChars   = 6
+)
+
 // PromptTag identifies a model and prompt in tokens and journals.
 func PromptTag(model, prompt string) string {
-	return fmt.Sprintf("%012x", xxhash.Sum64String(model+"\x00"+prompt)&(1<<48-1))
+	return shortHash(promptTagChars, model, prompt)
 }
 
 // AnswerTag identifies the answer to a model, prompt and seed. Every token of
 // the answer begins with it.
 func AnswerTag(model, prompt string, seed int64) string {
-	return fmt.Sprintf("%s-%08x", PromptTag(model, prompt), uint32(xxhash.Sum64String(fmt.Sprint("seed", seed))))
+	return PromptTag(model, prompt) + shortHash(seedTagChars, model, prompt, strconv.FormatInt(seed, 10))
+}
+
+// TagOf returns the answer tag of the first of tokens, or "" without tokens.
+func TagOf(tokens []string) string {
+	if len(tokens) == 0 {
+		return ""
+	}
+	tag, _, _ := strings.Cut(tokens[0], ":")
+	return tag
+}
+
+func shortHash(chars int, parts ...string) string {
+	sum := xxhash.Sum64String(strings.Join(parts, "\x00"))
+	return base64.RawURLEncoding.EncodeToString(binary.BigEndian.AppendUint64(nil, sum))[:chars]
 }
 
 func token(tag string, index int, last bool) string {
+	text := tag + ":" + strconv.FormatInt(int64(index), 36)
 	if last {
-		return fmt.Sprintf("%s:%d%s", tag, index, endMark)
+		return text + endMark
 	}
-	return fmt.Sprintf("%s:%d ", tag, index)
+	return text + " "
 }
 
 // ExpectedTokens returns the whole answer and its finish reason. A maxTokens
@@ -93,8 +118,8 @@
 	if len(tokens) == 0 {
 		return errors.New("answer has no tokens")
 	}
-	tag, _, _ := strings.Cut(tokens[0], ":")
-	if !strings.HasPrefix(tag, PromptTag(model, prompt)+"-") {
+	tag := TagOf(tokens)
+	if !strings.HasPrefix(tag, PromptTag(model, prompt)) {
 		return fmt.Errorf("answer %q belongs to another prompt", tokens[0])
 	}
 	for i, got := range tokens {
