Send requests twice at once and check what becomes of them

Mixes can send a share of their requests a second time with the same ID, shortly after the first and whatever became of it, as an impatient caller does. P3 then requires that at most one answer is not marked as replayed.

P5 excused only runs after a later attempt had begun. With two attempts under way at once it would have blamed the refused one for a run that the other caused; such runs are now excused, runs under earlier attempts still are not. P4 also checks that the part of an answer that was cut off is the beginning of the right answer.

Latencies and answers are counted once per request, by its first answer.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -148,11 +148,21 @@
 			tokens := sampleOf(f).Tokens
 			sampleOf(f).Tokens = tokens[:len(tokens)-1]
 		}, nil},
+		{"part of another answer", "P4", func(f *Facts) {
+			f.Load.Attempts[2].Text = f.Load.Attempts[0].Text
+		}, nil},
+		{"answered twice", "P3", func(f *Facts) { f.Load.Attempts = append(f.Load.Attempts, f.Load.Attempts[0]) }, nil},
 		{"answer of another seed", "P4", func(f *Facts) { f.Load.Attempts[0].Seed++ }, nil},
 		{"receipt of another key", "P4", func(f *Facts) { f.Load.Attempts[1].Text = `{"key":"other"}` }, nil},
 		{"refused, but ran", "P5", func(f *Facts) {
 			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(1.5), AnswerTag: engined.AnswerTag("album", "refused", 0)})
 		}, nil},
+		{"refused after an earlier attempt ran", "P5", func(f *Facts) {
+			earlier := f.Load.Attempts[2]
+			earlier.Start, earlier.End, earlier.Result = at(0.1), at(0.9), load.ResultNoHost
+			f.Load.Attempts = append(f.Load.Attempts, earlier)
+			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(0.5), AnswerTag: engined.AnswerTag("album", "refused", 0)})
+		}, nil},
 		{"ran after the refusal", "P5", func(f *Facts) {
 			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(9), AnswerTag: engined.AnswerTag("album", "refused", 0)})
 		}, nil},
@@ -180,6 +190,17 @@
 
 func sampleOf(f *Facts) *load.Sample { return &f.Load.Deliveries[0].Samples[0] }
 
+// Guards against a run that an attempt under way at the same time caused and
+// that is held against the refused one.
+func TestRequestSentTwiceAtOnceMayRunOnce(t *testing.T) {
+	facts := wholeFacts()
+	other := facts.Load.Attempts[2]
+	other.Start, other.End, other.Outcome = at(1.5), at(4), "unknown"
+	facts.Load.Attempts = append(facts.Load.Attempts, other)
+	facts.Engines[0].Requests = append(facts.Engines[0].Requests, engined.RequestEntry{Time: at(3), AnswerTag: engined.AnswerTag("album", "refused", 0)})
+	must.Eq(t, 0, Check(facts).Broken())
+}
+
 // Guards against a repetition after a true refusal that is held against it.
 func TestRequestSentAgainAfterRefusalMayRun(t *testing.T) {
 	facts := wholeFacts()
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -53,6 +53,11 @@
 	// PrefixBytes is their length. Zero means that prompts share nothing.
 	SharedPrefixes int
 	PrefixBytes    int
+	// DoubleShare is the share of requests that are sent a second time, with
+	// the same ID, up to doubleDelay after the first and whatever became of it.
+	// The entry hosts of the mix have to be in one data centre then, because
+	// only the hosts of one data centre know each other's requests.
+	DoubleShare float64
 	// PoisonShare is the share of requests whose prompt contains Poison.
 	Poison      string
 	PoisonShare float64
@@ -68,6 +73,9 @@
 	RatePerSecond  float64
 	Timeout        time.Duration // 0 means 30 s
 	AttemptTimeout time.Duration // as for CallerMix
+	// DoubleShare is the share of calls that are sent a second time with the
+	// same key; the entry hosts may be in different data centres.
+	DoubleShare float64
 }
 
 // TrainerPlan is one simulated trainer.
@@ -99,6 +107,8 @@
 	// answerGrace is how much longer than its deadline a caller waits for the
 	// refusal that says so.
 	answerGrace = 2 * time.Second
+	// doubleDelay is long enough to meet requests that wait, run and have ended.
+	doubleDelay = 300 * time.Millisecond
 )
 
 // withDefaults checks the configuration and fills in defaults.
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -96,21 +96,16 @@
 func reportClass(attempts []Attempt) ClassReport {
 	report := ClassReport{Mix: attempts[0].Mix, Class: className(attempts[0].Class), Attempts: len(attempts), Refusals: map[string]int{}}
 	first := make(map[string]time.Time) // start of a request's first attempt
+	answer := make(map[string]Attempt)  // first answer of a request
 	for _, a := range attempts {
 		id := a.RequestID + a.Key
 		if begun, ok := first[id]; !ok || a.Start.Before(begun) {
 			first[id] = a.Start
 		}
-	}
-	report.Requests = len(first)
-	var latencies, firstTokens []time.Duration
-	for _, a := range attempts {
 		switch {
 		case a.Result == ResultAnswered:
-			report.Answered++
-			latencies = append(latencies, a.End.Sub(first[a.RequestID+a.Key]))
-			if !a.FirstToken.IsZero() {
-				firstTokens = append(firstTokens, a.FirstToken.Sub(first[a.RequestID+a.Key]))
+			if earlier, ok := answer[id]; !ok || a.End.Before(earlier.End) {
+				answer[id] = a
 			}
 		case a.Result == ResultRefused:
 			report.Refusals[a.Outcome+"/"+a.Reason]++
@@ -118,6 +113,14 @@
 			report.Unanswered++
 		}
 	}
+	report.Requests, report.Answered = len(first), len(answer)
+	var latencies, firstTokens []time.Duration
+	for id, a := range answer {
+		latencies = append(latencies, a.End.Sub(first[id]))
+		if !a.FirstToken.IsZero() {
+			firstTokens = append(firstTokens, a.FirstToken.Sub(first[id]))
+		}
+	}
 	report.Latency, report.FirstToken = percentiles(latencies), percentiles(firstTokens)
 	return report
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -53,7 +53,7 @@
 	for i, mix := range d.config.Callers {
 		random := rand.New(rand.NewPCG(d.config.Seed, uint64(i)))
 		source := arrival{
-			hosts: newEntries(mix.Entries, d.config.Entries), perSecond: mix.RatePerSecond, random: random, send: d.complete,
+			hosts: newEntries(mix.Entries, d.config.Entries), perSecond: mix.RatePerSecond, double: mix.DoubleShare, random: random, send: d.complete,
 			next: func() (call, error) { return mix.newCall(random, d.modelLimit(mix.Model)) },
 		}
 		wg.Go(func() { d.arrive(arrivals, requests, source) })
@@ -61,7 +61,7 @@
 	for i, mix := range d.config.Services {
 		random := rand.New(rand.NewPCG(d.config.Seed, uint64(1000+i)))
 		source := arrival{
-			hosts: newEntries(mix.Entries, d.config.Entries), perSecond: mix.RatePerSecond, random: random, send: d.confirm,
+			hosts: newEntries(mix.Entries, d.config.Entries), perSecond: mix.RatePerSecond, double: mix.DoubleShare, random: random, send: d.confirm,
 			next: mix.newCall,
 		}
 		wg.Go(func() { d.arrive(arrivals, requests, source) })
@@ -88,6 +88,7 @@
 type arrival struct {
 	hosts     *entries
 	perSecond float64
+	double    float64 // share of calls sent a second time
 	random    *rand.Rand
 	next      func() (call, error)
 	send      func(context.Context, call, *Attempt)
@@ -114,5 +115,12 @@
 			return
 		}
 		wg.Go(func() { d.run(requests, source.hosts, c, source.send) })
+		if source.random.Float64() < source.double {
+			delay := time.Duration(source.random.Int64N(int64(doubleDelay)))
+			wg.Go(func() {
+				time.Sleep(delay)
+				d.run(requests, source.hosts, c, source.send)
+			})
+		}
 	}
 }
--- a/internal/standin/engined/tokens.go
+++ b/internal/standin/engined/tokens.go
@@ -111,6 +111,19 @@
 	return tokens
 }
 
+// VerifyPart reports an error unless tokens are the beginning of the answer to
+// the model, prompt and seed, whole or not.
+func VerifyPart(model, prompt string, seed int64, tokens []string) error {
+	tag := AnswerTag(model, prompt, seed)
+	for i, got := range tokens {
+		last := i == len(tokens)-1 && got == token(tag, i, true)
+		if want := token(tag, i, last); got != want {
+			return fmt.Errorf("token %d is %q instead of %q", i, got, want)
+		}
+	}
+	return nil
+}
+
 // VerifyAnswer reports an error unless tokens are one whole answer to the
 // model and prompt, whatever its seed: all tokens of one answer, each once
 // and in order, and an end that agrees with the finish reason.
