Make "not run" cover all data centres and confirm crashes

Cause: the balancer may bring a repeated request to another data centre, whose home knows nothing of the first attempt, and a home that just started or just became home knows nothing either; both said "not run" although an attempt had reached an engine. A cut connection without a crash marked innocent requests for half an hour. An engine that queues requests itself did not lower the limit, because its tokens still came fast. Ruled out: a claim in every data centre before each request; only refusals that would say "not run" ask the others. Ruled out: solo requests on all replicas, since one crash would then drain each of them. Change: Complete carries a query for attempts; a home is only sure of the time since it started and since the members last changed, for which a UUIDv7 request ID tells the earliest attempt. Crashes are withdrawn when the same incarnation reads back. Routers mark crashes that other owners report. The limit also falls when first tokens take four times as long as at light load. Solo requests use a quarter of the replicas. Owners follow cache events. The baseline policy repeats requests from the start.

--- a/internal/callers/attempt.go
+++ b/internal/callers/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"k8s.io/klog/v2"
@@ -30,28 +29,12 @@
 	cancel     context.CancelFunc
 }
 
-// homeOf returns the live member of the own data centre with the highest
-// rendezvous hash for a request ID.
-func (c *Controller) homeOf(id string) cluster.Member {
-	self := c.members.Self()
-	home, highest := self, xxhash.Sum64String(self.ID+"\x00"+id)
-	for _, m := range c.members.All() {
-		if m.ID == self.ID || m.DataCentre != self.DataCentre ||
-			m.State == cluster.MemberDead || m.State == cluster.MemberLeaving {
-			continue
-		}
-		if h := xxhash.Sum64String(m.ID + "\x00" + id); h > highest {
-			home, highest = m, h
-		}
-	}
-	return home
-}
-
 // claimAttempt asks the request's home for an attempt.
 func (c *Controller) claimAttempt(ctx context.Context, id, fingerprint string) (*attempt, error) {
-	home := c.homeOf(id)
+	self := c.members.Self()
+	home := homeIn(id, self.DataCentre, c.members.All())
 	a := &attempt{c: c, id: id, cancel: func() {}}
-	if home.ID == c.members.Self().ID {
+	if home.ID == self.ID || home.ID == "" {
 		a.grant, a.superseded = c.claim(id, fingerprint)
 		if a.grant.Conflict {
 			return nil, errConflict
--- a/internal/callers/call.go
+++ b/internal/callers/call.go
@@ -68,6 +68,9 @@
 		Temperature: r.gen.Temperature, Seed: r.gen.Seed, Class: int32(r.gen.Class), Trainer: r.gen.Trainer,
 		Priority: r.gen.Priority, Solo: solo, Fingerprint: r.fingerprint, MinVersion: r.gen.MinVersion,
 	}
+	if r.c.config.Policy == PolicyBaseline {
+		req.Delivered = nil // starts over; the flight drops what was delivered
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		req.DeadlineMs = max(1, time.Until(deadline).Milliseconds())
 	}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -8,6 +8,7 @@
 package callers
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -48,6 +49,9 @@
 	if c.BodyBytes <= 0 {
 		c.BodyBytes = 1 << 20
 	}
+	if c.Policy == PolicyBaseline {
+		c.RetryShare, c.RetryReserve = 0, math.MaxInt32
+	}
 	if c.RetryShare == 0 && c.RetryReserve == 0 {
 		c.RetryShare, c.RetryReserve = 0.10, 3
 	}
@@ -81,6 +85,8 @@
 	home    *flight.Home
 	claims  map[string]claimant
 	started time.Time
+	// memberSets holds the live members of the data centre over the retention.
+	memberSets []memberSet
 }
 
 var (
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/engine"
 )
 
@@ -16,9 +20,9 @@
 	e := newTestEngine(t, 7, func(_ engine.GenerateRequest, i int) behaviour {
 		return []behaviour{normal, twice, crossed}[i%3]
 	})
-	f := newFixture(t, "", e)
+	f := newFixture(t, 1, "", e)
 	for _, stream := range []bool{false, true} {
-		got, err := f.post(context.Background(), "", "proof", 8, stream)
+		got, err := f.hosts[0].post(context.Background(), "", "proof", 8, stream)
 		must.NoError(t, err)
 		must.True(t, got.whole)
 		must.Eq(t, whole("proof", 8), got.text)
@@ -39,8 +43,8 @@
 		return normal
 	}
 	a, b := newTestEngine(t, 1, breaks), newTestEngine(t, 2, breaks)
-	f := newFixture(t, "", a, b)
-	got, err := f.post(context.Background(), "id-1", "proof", 8, true)
+	f := newFixture(t, 1, "", a, b)
+	got, err := f.hosts[0].post(context.Background(), "id-1", "proof", 8, true)
 	must.NoError(t, err)
 	must.Eq(t, []int{0, 1, 2, 3, 4, 5, 6, 7}, got.indexes)
 	must.Eq(t, whole("proof", 8), got.text)
@@ -58,8 +62,8 @@
 		return normal
 	}
 	a, b := newTestEngine(t, 1, hangs), newTestEngine(t, 1, hangs)
-	f := newFixture(t, "", a, b)
-	got, err := f.post(context.Background(), "id-1", "proof", 6, true)
+	f := newFixture(t, 1, "", a, b)
+	got, err := f.hosts[0].post(context.Background(), "id-1", "proof", 6, true)
 	must.NoError(t, err)
 	must.Eq(t, []int{0, 1, 2, 3, 4, 5}, got.indexes)
 	must.True(t, got.whole)
@@ -68,15 +72,158 @@
 // Guards against an engine working on for a caller that is gone.
 func TestCallerGoneCancelsAtTheEngine(t *testing.T) {
 	e := newTestEngine(t, 1, func(engine.GenerateRequest, int) behaviour { return slowChunk })
-	f := newFixture(t, "", e)
+	f := newFixture(t, 1, "", e)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_, _ = f.post(ctx, "id-1", "proof", 100000, true)
+		_, _ = f.hosts[0].post(ctx, "id-1", "proof", 100000, true)
 	}()
 	eventually(t, "the engine runs the request", func() bool { return e.count(e.ran, "id-1") == 1 })
 	cancel()
 	<-done
 	eventually(t, "the engine sees the end", func() bool { return e.count(e.ended, "id-1") == 1 })
 }
+
+func rows(h *testHost) (known int) {
+	for _, c := range h.owner.Rows(h.BackendServers) {
+		if c.Known {
+			known++
+		}
+	}
+	return known
+}
+
+// Guards against load rows that do not reach the other hosts, and against the
+// path over another host's gRPC service losing tokens or failures.
+func TestReplicasOfOtherHostsAreUsed(t *testing.T) {
+	var mu sync.Mutex
+	cuts := make(map[string]bool)
+	behave := func(req engine.GenerateRequest, i int) behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		if i == 4 && !cuts[req.RequestID] {
+			cuts[req.RequestID] = true
+			return cut
+		}
+		return normal
+	}
+	engines := []*testEngine{newTestEngine(t, 1, behave), newTestEngine(t, 1, behave), newTestEngine(t, 1, behave)}
+	f := newFixture(t, 3, "", engines...)
+	for _, h := range f.hosts {
+		eventually(t, "all rows are known", func() bool { return rows(h) == 3 })
+	}
+	for i, h := range f.hosts {
+		got, err := h.post(context.Background(), fmt.Sprint("id-", i), "proof", 9, true)
+		must.NoError(t, err)
+		must.Eq(t, whole("proof", 9), got.text)
+		must.True(t, got.whole)
+	}
+}
+
+// Guards against two whole answers to one request ID: the newer attempt
+// supersedes the running one, and later attempts get the recorded answer,
+// through whichever host they come.
+func TestRepeatedRequestIsSupersededAndReplayed(t *testing.T) {
+	release := make(chan struct{})
+	var mu sync.Mutex
+	first := true
+	e := newTestEngine(t, 1, func(_ engine.GenerateRequest, i int) behaviour {
+		mu.Lock()
+		hold := first && i == 2
+		if hold {
+			first = false
+		}
+		mu.Unlock()
+		if hold {
+			return hang
+		}
+		return normal
+	})
+	f := newFixture(t, 3, "", e)
+	replies := make(chan reply, 1)
+	go func() {
+		got, _ := f.hosts[0].post(context.Background(), "id-1", "proof", 6, true)
+		replies <- got
+		close(release)
+	}()
+	eventually(t, "the first attempt runs", func() bool { return e.count(e.ran, "id-1") == 1 })
+	second, err := f.hosts[1].post(context.Background(), "id-1", "proof", 6, true)
+	must.NoError(t, err)
+	must.True(t, second.whole)
+	must.Eq(t, whole("proof", 6), second.text)
+	superseded := <-replies
+	must.False(t, superseded.whole)
+	must.Eq(t, "superseded", superseded.failure)
+	ran := e.count(e.ran, "id-1")
+	for _, stream := range []bool{false, true} {
+		third, err := f.hosts[2].post(context.Background(), "id-1", "proof", 6, stream)
+		must.NoError(t, err)
+		must.Eq(t, "true", third.header.Get("Sesamestand-Replayed"))
+		must.Eq(t, whole("proof", 6), third.text)
+	}
+	must.Eq(t, ran, e.count(e.ran, "id-1"))
+	other, err := f.hosts[2].post(context.Background(), "id-1", "another prompt", 6, false)
+	must.NoError(t, err)
+	must.Eq(t, "bad-request", other.failure)
+}
+
+// Guards against "not run" for a request ID that an earlier attempt brought to
+// an engine, in the same data centre or another, and against "unknown" for one
+// that never was.
+func TestNotRunCoversAllAttemptsOfARequestID(t *testing.T) {
+	e := newTestEngine(t, 1, func(engine.GenerateRequest, int) behaviour { return badStatus })
+	f := newFixture(t, 2, "", e)
+	far := f.addHost(t, "yoff", "")
+	got, err := f.hosts[0].post(context.Background(), "id-1", "proof", 6, false)
+	must.NoError(t, err)
+	must.Eq(t, "unknown", got.outcome) // the engine was reached
+	f.change(0, func(r *cluster.Replica) { r.Leaving = true })
+	for id, want := range map[string]string{"id-1": "unknown", "id-2": "not-run"} {
+		for _, h := range []*testHost{f.hosts[1], far} {
+			eventually(t, id+" is refused as "+want, func() bool {
+				got, err := h.post(context.Background(), id, "proof", 6, false)
+				must.NoError(t, err)
+				return got.outcome == want && got.failure == "no-replica"
+			})
+		}
+	}
+}
+
+// Guards against a poisonous request crashing engines without end, against
+// innocent requests being refused with it, and against hosts that do not know.
+func TestPoisonousRequestIsRefusedOnAllHosts(t *testing.T) {
+	var mu sync.Mutex
+	crashes := 0
+	poison := func(req engine.GenerateRequest, _ int) behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.HasPrefix(req.Prompt, "poison") {
+			crashes++
+			return cut
+		}
+		return normal
+	}
+	var engines []*testEngine
+	for range 6 {
+		engines = append(engines, newTestEngine(t, 1, poison))
+	}
+	f := newFixture(t, 3, "", engines...)
+	for i := range 4 {
+		got, err := f.hosts[0].post(context.Background(), fmt.Sprint("bad-", i), "poison", 6, false)
+		must.NoError(t, err)
+		must.NotEq(t, http.StatusOK, got.status)
+	}
+	must.LessEq(t, 3, crashes)
+	for i, h := range f.hosts {
+		eventually(t, "every host refuses the content", func() bool {
+			got, err := h.post(context.Background(), fmt.Sprint("later-", i), "poison", 6, false)
+			must.NoError(t, err)
+			return got.failure == "crashes-backend-servers" && got.outcome == "not-run"
+		})
+		got, err := h.post(context.Background(), fmt.Sprint("good-", i), "proof", 6, false)
+		must.NoError(t, err)
+		must.Eq(t, whole("proof", 6), got.text)
+	}
+	must.LessEq(t, 3, crashes)
+}
--- a/internal/callers/claim.go
+++ b/internal/callers/claim.go
@@ -52,7 +52,8 @@
 func (c *Controller) claim(id, fingerprint string) (flight.Grant, <-chan struct{}) {
 	c.homeMu.Lock()
 	defer c.homeMu.Unlock()
-	grant := c.home.Claim(id, fingerprint, c.unsure(id), time.Now())
+	now := time.Now()
+	grant := c.home.Claim(id, fingerprint, c.unsure(id, now), now)
 	if grant.Conflict || grant.Replayed {
 		return grant, nil
 	}
@@ -65,10 +66,6 @@
 	return grant, current.superseded
 }
 
-// unsure reports whether an attempt under the request ID may have run before
-// this host was its home.
-func (c *Controller) unsure(string) bool { return false }
-
 func (c *Controller) release(id string, attempt int64, reached bool) {
 	c.homeMu.Lock()
 	defer c.homeMu.Unlock()
@@ -86,6 +83,12 @@
 // Complete records the answer of an attempt before it is delivered, or its end
 // without one.
 func (c *Controller) Complete(_ context.Context, req *peerpb.CompleteRequest) (*peerpb.CompleteReply, error) {
+	if req.Query {
+		c.homeMu.Lock()
+		defer c.homeMu.Unlock()
+		now := time.Now()
+		return &peerpb.CompleteReply{Reached: c.home.Reached(req.RequestId, c.unsure(req.RequestId, now), now)}, nil
+	}
 	if req.Released {
 		c.release(req.RequestId, req.Attempt, req.Reached)
 		return &peerpb.CompleteReply{Accepted: true}, nil
--- a/internal/callers/completions.go
+++ b/internal/callers/completions.go
@@ -102,6 +102,11 @@
 	}
 	refusal := asRefusal(err)
 	if claimed != nil {
+		if refusal.Outcome == cluster.OutcomeNotRun && c.reachedElsewhere(ctx, gen.RequestID) {
+			copied := *refusal
+			copied.Outcome = cluster.OutcomeUnknown
+			refusal = &copied
+		}
 		claimed.release(ctx, refusal.Outcome != cluster.OutcomeNotRun)
 	}
 	response.refuse(refusal)
@@ -109,6 +114,8 @@
 
 var errSuperseded = eris.New("a newer attempt of the request superseded this one")
 
+var errUncertain = eris.New("an attempt may have reached a backend server in another data centre")
+
 // asRefusal returns the refusal to write for an error.
 func asRefusal(err error) *cluster.Refusal {
 	var refusal *cluster.Refusal
--- a/internal/callers/generate.go
+++ b/internal/callers/generate.go
@@ -19,6 +19,8 @@
 const (
 	// routeBlocks bounds the prefix blocks used for routing: 8 KiB of prompt.
 	routeBlocks = 128
+	// baselineAttempts is the number of attempts of the baseline policy.
+	baselineAttempts = 3
 	// maxShed is the number of owners that may refuse one request because of
 	// load; asking more of them would only multiply an overload.
 	maxShed = 3
@@ -109,6 +111,7 @@
 		return err
 	})
 	r.c.done(sent)
+	r.noteSuspicion(chosen, solo, finished, err)
 	switch {
 	case finished:
 		return []flight.Action{{Kind: flight.Finish, Outcome: flight.Whole}}
@@ -117,7 +120,20 @@
 	case err == nil:
 		err = errors.New("the owner ended the stream without a finish reason")
 	}
-	return r.ended(action.Attempt, r.ending(chosen, err))
+	return r.ended(action.Attempt, r.ending(action.Attempt, chosen, err))
+}
+
+// noteSuspicion records at once on this host what the owner on another host
+// shares with the next exchange.
+func (r *run) noteSuspicion(chosen *route.Candidate, solo, finished bool, err error) {
+	var refusal *cluster.Refusal
+	switch {
+	case chosen.Owner == r.c.members.Self().ID:
+	case finished:
+		r.c.owner.NoteAnswer(r.fingerprint, r.gen.RequestID)
+	case errors.As(err, &refusal) && refusal.Crashed:
+		r.c.owner.NoteCrash(r.fingerprint, r.gen.RequestID, chosen.Replica, solo)
+	}
 }
 
 // errGap ends an attempt whose stream lost a chunk.
@@ -148,11 +164,11 @@
 
 // ending translates the error of an attempt. An error that is not a refusal of
 // the owner leaves open whether the request reached the engine.
-func (r *run) ending(chosen *route.Candidate, err error) flight.Ending {
+func (r *run) ending(attempt int, chosen *route.Candidate, err error) flight.Ending {
 	var refusal *cluster.Refusal
 	if !errors.As(err, &refusal) {
-		return flight.Ending{
-			Reached: true, Replica: chosen.Replica, Reason: string(cluster.ReasonBackendFailed), Message: err.Error(),
+		refusal = &cluster.Refusal{
+			Outcome: cluster.OutcomeUnknown, Reason: cluster.ReasonBackendFailed, Message: err.Error(),
 		}
 	}
 	ending := flight.Ending{
@@ -166,6 +182,9 @@
 	case cluster.ReasonCrashes:
 		ending.Final = true
 	}
+	if r.c.config.Policy == PolicyBaseline {
+		ending.Final = attempt >= baselineAttempts
+	}
 	return ending
 }
 
--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -5,20 +5,23 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/grpc"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
-	"github.com/sesamestand/sesamestand/internal/core/admit"
 	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/owner"
+	"github.com/sesamestand/sesamestand/internal/peer"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 	"github.com/sesamestand/sesamestand/internal/platform"
 	"github.com/sesamestand/sesamestand/internal/telemetry"
@@ -122,47 +125,90 @@
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-// fixture is one entry host that owns all replicas.
+// fixture is a set of entry hosts; the replicas are divided among them.
 type fixture struct {
-	mu         sync.Mutex
-	replicas   []cluster.Replica
-	set        *declare.Set
+	mu       sync.Mutex
+	replicas []cluster.Replica
+	hosts    []*testHost
+	set      *declare.Set
+}
+
+// testHost is one entry host with its gRPC and HTTP servers.
+type testHost struct {
+	*fixture
+	member     cluster.Member
 	owner      *owner.Controller
 	controller *Controller
 	server     *httptest.Server
 	recorder   *telemetry.Recorder
+	*peer.Pool
+	stop func()
+}
+
+func (h *testHost) Self() cluster.Member           { return h.member }
+func (h *testHost) MayOrder(string) (int64, bool)  { return 0, false }
+func (h *testHost) Current() (*declare.Set, int64) { return h.set, 0 }
+func (h *testHost) Newest(string) int64            { return 0 }
+func (h *testHost) Announce(string, int64)         {}
+
+func (f *fixture) All() []cluster.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var members []cluster.Member
+	for _, h := range f.hosts {
+		members = append(members, h.member)
+	}
+	return members
 }
 
-func (f *fixture) Self() cluster.Member {
-	return cluster.Member{ID: "host-1", DataCentre: "plateau", State: cluster.MemberAlive}
+// Owner gives the hosts of the replica's data centre in turn.
+func (f *fixture) Owner(replica, dataCentre string) (cluster.Member, bool) {
+	var live []cluster.Member
+	for _, m := range f.All() {
+		if m.DataCentre == dataCentre && m.State == cluster.MemberAlive {
+			live = append(live, m)
+		}
+	}
+	if len(live) == 0 {
+		return cluster.Member{}, false
+	}
+	n, _ := strconv.Atoi(strings.TrimPrefix(replica, "replica-"))
+	return live[n%len(live)], true
+}
+
+func (h *testHost) OwnedReplicas() []cluster.Replica {
+	var owned []cluster.Replica
+	for _, r := range h.all() {
+		if owner, ok := h.Owner(r.ID, r.DataCentre); ok && owner.ID == h.member.ID {
+			owned = append(owned, r)
+		}
+	}
+	return owned
 }
-func (f *fixture) All() []cluster.Member                       { return []cluster.Member{f.Self()} }
-func (f *fixture) Owner(string, string) (cluster.Member, bool) { return f.Self(), true }
-func (f *fixture) MayOrder(string) (int64, bool)               { return 0, false }
-func (f *fixture) Current() (*declare.Set, int64)              { return f.set, 0 }
-func (f *fixture) Newest(string) int64                         { return 0 }
-func (f *fixture) Announce(string, int64)                      {}
 
-func (f *fixture) OwnedReplicas() []cluster.Replica {
+func (f *fixture) all() []cluster.Replica {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return append([]cluster.Replica(nil), f.replicas...)
 }
 
+func (f *fixture) change(replica int, change func(*cluster.Replica)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.replicas[replica])
+}
+
 func (f *fixture) BackendServers() []platform.BackendServer {
 	var servers []platform.BackendServer
-	for _, r := range f.OwnedReplicas() {
+	for _, r := range f.all() {
 		servers = append(servers, r.BackendServer)
 	}
 	return servers
 }
 
-func (f *fixture) Client(string) (peerpb.PeerClient, error) { return nil, fmt.Errorf("no peers") }
-
-func newFixture(t *testing.T, policy string, engines ...*testEngine) *fixture {
-	recorder, err := telemetry.NewRecorder("host-1", 0)
-	must.NoError(t, err)
-	f := &fixture{recorder: recorder, set: &declare.Set{}}
+// newFixture returns n entry hosts of one data centre in front of engines.
+func newFixture(t *testing.T, n int, policy string, engines ...*testEngine) *fixture {
+	f := &fixture{set: &declare.Set{}}
 	for i, e := range engines {
 		f.replicas = append(f.replicas, cluster.Replica{
 			BackendServer: platform.BackendServer{
@@ -172,20 +218,45 @@
 			State: engine.State{Model: "album", Version: e.version, Incarnation: 1}, Healthy: true,
 		})
 	}
+	for range n {
+		f.addHost(t, "plateau", policy)
+	}
+	return f
+}
+
+func (f *fixture) addHost(t *testing.T, dataCentre, policy string) *testHost {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	id := fmt.Sprintf("host-%d", len(f.All()))
+	recorder, err := telemetry.NewRecorder(id, 0)
+	must.NoError(t, err)
+	h := &testHost{fixture: f, recorder: recorder, Pool: peer.NewPool("token", nil), member: cluster.Member{
+		ID: id, DataCentre: dataCentre, PeerAddr: listener.Addr().String(), State: cluster.MemberAlive,
+	}}
+	f.mu.Lock()
+	f.hosts = append(f.hosts, h)
+	f.mu.Unlock()
 	client := engine.NewClient(engine.Config{ProgressTimeout: 300 * time.Millisecond})
-	f.owner = owner.New(owner.Config{Policy: policy, Admit: admit.Defaults()}, f, f, f, f, client, f, recorder)
-	f.controller = New(Config{Policy: policy}, f, f, f, f, f, f.owner, f, recorder)
+	h.owner = owner.New(owner.Config{Policy: policy, ExchangeInterval: 20 * time.Millisecond}, h, h, h, h, client, h, recorder)
+	h.controller = New(Config{Policy: policy}, h, h, h, h, h, h.owner, h, recorder)
+	h.controller.started = time.Now().Add(-time.Hour) // sure about earlier attempts
+	server := grpc.NewServer(peer.ServerOptions("token", nil)...)
+	peerpb.RegisterPeerServer(server, &peer.Server{RunHandler: h.owner, ExchangeHandler: h.owner, ClaimHandler: h.controller})
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
-	loops.Go(func() { _ = f.owner.RunLoops(ctx) })
-	f.server = httptest.NewServer(http.HandlerFunc(f.controller.Completions))
-	t.Cleanup(func() {
-		f.server.CloseClientConnections()
-		f.server.Close()
+	loops.Go(func() { _ = h.owner.RunLoops(ctx) })
+	loops.Go(func() { _ = server.Serve(listener) })
+	h.server = httptest.NewServer(http.HandlerFunc(h.controller.Completions))
+	h.stop = sync.OnceFunc(func() {
+		h.server.CloseClientConnections()
+		server.Stop()
 		cancel()
 		loops.Wait()
+		h.server.Close()
+		h.Pool.Close()
 	})
-	return f
+	t.Cleanup(h.stop)
+	return h
 }
 
 // reply is what a caller got.
@@ -196,12 +267,13 @@
 	indexes []int
 	whole   bool // the end marker came
 	failure string
+	outcome string
 	version []int64
 }
 
-func (f *fixture) post(ctx context.Context, id, prompt string, tokens int, stream bool) (reply, error) {
+func (h *testHost) post(ctx context.Context, id, prompt string, tokens int, stream bool) (reply, error) {
 	body, _ := json.Marshal(map[string]any{"model": "album", "prompt": prompt, "max_tokens": tokens, "stream": stream})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+"/v1/completions", strings.NewReader(string(body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.server.URL+"/v1/completions", strings.NewReader(string(body)))
 	if err != nil {
 		return reply{}, err
 	}
@@ -226,7 +298,7 @@
 		if len(answer.Choices) > 0 {
 			got.text, got.whole = answer.Choices[0].Text, true
 		}
-		got.version, got.failure = answer.WeightVersions, answer.Error.Reason
+		got.version, got.failure, got.outcome = answer.WeightVersions, answer.Error.Reason, answer.Error.Outcome
 		return got, nil
 	}
 	lines := bufio.NewScanner(response.Body)
@@ -239,13 +311,13 @@
 		default:
 			var event struct {
 				chunkEvent
-				Error struct{ Reason string }
+				Error struct{ Outcome, Reason string }
 			}
 			if err := json.Unmarshal([]byte(data), &event); err != nil {
 				return got, err
 			}
 			if event.Error.Reason != "" {
-				got.failure = event.Error.Reason
+				got.failure, got.outcome = event.Error.Reason, event.Error.Outcome
 				continue
 			}
 			got.text += event.Token
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -210,7 +210,11 @@
 	if r := s.replicas.Get(s.where[id]); r != nil {
 		if run := r.running[id]; run != nil {
 			run.tokens++
-			r.limit.observe(gap)
+			if run.tokens == 1 {
+				r.limit.observeFirst(gap)
+			} else {
+				r.limit.observe(gap)
+			}
 		}
 	}
 }
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -345,3 +345,24 @@
 	must.Eq(t, 1, l.value())
 	must.Eq(t, 2, window(10*time.Millisecond))
 }
+
+// Guards against a limit far above the engine's batch: the tokens still come
+// fast then, but requests wait in the engine, where classes have no effect.
+func TestLimitFallsWhenTheEngineQueues(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := Defaults()
+	l := newLimiter(config, now)
+	const batch = 16
+	for range 200 {
+		for range minSamples {
+			l.observe(10 * time.Millisecond)
+		}
+		for range minFirsts {
+			l.observeFirst(20*time.Millisecond + 30*time.Duration(max(0, l.value()-batch))*time.Millisecond)
+		}
+		l.full = true
+		now = now.Add(config.AdjustInterval)
+		l.adjust(now)
+	}
+	must.Between(t, batch/2, l.value(), 2*batch)
+}
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -8,6 +8,15 @@
 	minSamples = 16
 	// decrease is the factor of the multiplicative decrease.
 	decrease = 0.8
+	// minFirsts is the number of first tokens that count as a measurement.
+	minFirsts = 3
+	// firstFactor is how many times longer than at light load the first token
+	// may take before the limit falls: engines queue what exceeds their batch,
+	// which shows in the first token only.
+	firstFactor = 4
+	// firstSlack is the wait for the first token, in tokens, that never counts
+	// as queueing. A step of the batch that just began accounts for two.
+	firstSlack = 4
 	// baselineDrift raises the light-load time per token in each window, so
 	// that it follows a change of model or prompt length within minutes.
 	baselineDrift = 1.0005
@@ -26,6 +35,10 @@
 	sum      time.Duration
 	samples  int
 	full     bool // the limit was reached in this window
+
+	firstBaseline time.Duration // time to the first token at light load
+	firstSum      time.Duration
+	firsts        int
 }
 
 func newLimiter(config Config, now time.Time) limiter {
@@ -39,6 +52,11 @@
 	l.samples++
 }
 
+func (l *limiter) observeFirst(gap time.Duration) {
+	l.firstSum += gap
+	l.firsts++
+}
+
 // adjust changes the limit at the end of a window. The limit only grows when
 // it was reached, because otherwise it was not what held work back.
 func (l *limiter) adjust(now time.Time) {
@@ -46,6 +64,7 @@
 		return
 	}
 	l.adjusted = now
+	queued := l.queued()
 	if l.samples < minSamples {
 		return
 	}
@@ -56,7 +75,7 @@
 		l.baseline = l.perToken
 	}
 	switch {
-	case float64(l.perToken) > l.config.SlowdownFactor*float64(l.baseline):
+	case queued || float64(l.perToken) > l.config.SlowdownFactor*float64(l.baseline):
 		l.limit = max(1, l.limit*decrease)
 		l.probing = false
 	case l.full:
@@ -68,3 +87,18 @@
 	}
 	l.full = false
 }
+
+// queued reports whether the first tokens of the window took so long that the
+// engine must have queued requests itself.
+func (l *limiter) queued() bool {
+	if l.firsts < minFirsts {
+		return false
+	}
+	mean := l.firstSum / time.Duration(l.firsts)
+	l.firstSum, l.firsts = 0, 0
+	l.firstBaseline = time.Duration(float64(l.firstBaseline) * baselineDrift)
+	if l.firstBaseline == 0 || mean < l.firstBaseline {
+		l.firstBaseline = mean
+	}
+	return mean > firstFactor*l.firstBaseline+firstSlack*l.perToken
+}
--- a/internal/core/flight/home.go
+++ b/internal/core/flight/home.go
@@ -133,6 +133,16 @@
 	h.touch(id, r, now)
 }
 
+// Reached reports whether an attempt under the request ID reached a backend
+// server, or still may. Unsure is as for Claim.
+func (h *Home) Reached(id string, unsure bool, now time.Time) bool {
+	h.Tick(now)
+	if r := h.records.Get(id); r != nil {
+		return r.running || r.reached
+	}
+	return unsure || !h.forgotten.IsZero() && now.Sub(h.forgotten) < h.config.Retention
+}
+
 // Tick forgets records whose retention is over. Running attempts stay.
 func (h *Home) Tick(now time.Time) {
 	for len(h.order) > 0 && now.Sub(h.order[0].at) >= h.config.Retention {
--- a/internal/core/flight/home_test.go
+++ b/internal/core/flight/home_test.go
@@ -108,4 +108,10 @@
 	}
 	must.True(t, h.Claim("id", "f", false, now).EarlierReached)
 	must.True(t, h.Claim("other", "f", true, now).EarlierReached)
+	must.True(t, h.Reached("unknown", true, now))
+	must.False(t, h.Reached("unknown", false, now))
+	grant := h.Claim("third", "f", false, now)
+	must.True(t, h.Reached("third", false, now)) // it still may
+	h.Release("third", grant.Attempt, false, now)
+	must.False(t, h.Reached("third", false, now))
 }
--- a/internal/core/route/filter.go
+++ b/internal/core/route/filter.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 )
@@ -58,3 +59,15 @@
 func full(c *Candidate) bool {
 	return c.Known && load(c) >= 1
 }
+
+// soloShare is the part of the replicas that requests which must run alone may
+// use. After a crash all requests of its batch are such; spread over all
+// replicas, they would drain each of them.
+const soloShare = 4
+
+// soloReplicas returns the quarter of the candidates, at least one, on which
+// all routers agree by their hashes.
+func soloReplicas(kept []*Candidate) []*Candidate {
+	slices.SortFunc(kept, func(a, b *Candidate) int { return cmp.Compare(a.Hash, b.Hash) })
+	return kept[:(len(kept)+soloShare-1)/soloShare]
+}
--- a/internal/core/route/filter_test.go
+++ b/internal/core/route/filter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -57,3 +58,19 @@
 		must.Len(t, tc.want, kept, must.Sprint(name))
 	}
 }
+
+// Guards against the requests of one crashed batch draining every replica.
+func TestSoloRequestsUseAQuarterOfTheReplicas(t *testing.T) {
+	for n, want := range map[int]int{1: 1, 4: 1, 12: 3} {
+		used := make(map[string]bool)
+		for seed := range uint64(200) {
+			request := Request{Model: "album", DataCentre: "plateau", Solo: true, Seed: seed}
+			candidates := fleet(n)
+			for i := range candidates {
+				candidates[i].Running = 0
+			}
+			used[Choose(request, candidates, NewPrefixes(), DefaultWeights(), time.Unix(1000, 0)).Chosen.Replica] = true
+		}
+		must.MapLen(t, want, used)
+	}
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -106,6 +106,9 @@
 // Choose picks a replica. It does not keep or change the candidates.
 func Choose(request Request, candidates []Candidate, prefixes *Prefixes, weights Weights, now time.Time) Choice {
 	kept, removed := filter(request, candidates)
+	if request.Solo {
+		kept = soloReplicas(kept)
+	}
 	choice := Choice{Removed: removed}
 	if len(kept) == 0 {
 		return choice
--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -139,20 +139,18 @@
 }
 
 // Withdraw takes back what a crash counted, when the replica turns out not to
-// have crashed. It returns the number of marks that changed.
+// have restarted. Content that was in more than one crash keeps its marks: a
+// front that survives its crashing worker restarts nothing either. It returns
+// the number of marks that changed.
 func (t *Table) Withdraw(crash string, now time.Time) int {
 	changed := 0
 	t.rows.Each(func(_ string, r *row) bool {
 		at := slices.Index(r.crashes, crash)
-		if at < 0 || r.Cleared {
+		if at < 0 || r.Cleared || r.Crashes > 1 {
 			return true
 		}
 		r.crashes = slices.Delete(r.crashes, at, at+1)
-		r.Crashes = max(0, r.Crashes-1)
-		r.SoloCrashes = min(r.SoloCrashes, r.Crashes)
-		if r.Crashes == 0 {
-			r.Cleared = true
-		}
+		r.Crashes, r.SoloCrashes, r.Cleared = 0, 0, true
 		r.changed, r.dirty = now, true
 		changed++
 		return true
--- /dev/null
+++ b/internal/engine/caches.go
@@ -0,0 +1,41 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxCacheBody bounds one answer with cache events.
+const maxCacheBody = 4 << 20
+
+// CacheEvents returns the cache events of an engine behind a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, addr string, after int64) ([]CacheEvent, error) {
+	url := "http://" + addr + "/cache/events?after=" + strconv.FormatInt(after, 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "create the request")
+	}
+	if c.config.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.config.Token)
+	}
+	response, err := c.transport(addr).RoundTrip(request)
+	if err != nil {
+		return nil, eris.Wrapf(err, "read cache events of engine %s", addr)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("engine %s answered %s to a read of cache events", addr, response.Status)
+	}
+	var body struct {
+		Events []CacheEvent `json:"events"`
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxCacheBody)).Decode(&body); err != nil {
+		return nil, eris.Wrapf(err, "decode cache events of engine %s", addr)
+	}
+	return body.Events, nil
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -85,11 +85,15 @@
 	replicas map[string]cluster.Replica // owned now
 	out      map[string]time.Time       // replicas that failed, until when
 	silent   map[string]int             // silent streams in a row
-	waiting  map[uint64]chan admit.Action
-	nextID   uint64
-	rows     rows
-	exchange exchangeState
-	versions cluster.Versions
+	crashes  map[string]crash           // last crash of an owned replica, unconfirmed
+	// remoteCrashes holds the last crash of replicas of other owners.
+	remoteCrashes map[string]crash
+	caches        map[string]cacheCursor
+	waiting       map[uint64]chan admit.Action
+	nextID        uint64
+	rows          rows
+	exchange      exchangeState
+	versions      cluster.Versions
 }
 
 var (
@@ -104,15 +108,18 @@
 	return &Controller{
 		config: config, members: members, ownership: ownership, states: states,
 		configs: configs, engines: engines, peers: peers, recorder: recorder,
-		admit:    admit.New(config.Admit),
-		suspects: suspect.New(config.Suspect),
-		prefixes: route.NewPrefixes(),
-		replicas: make(map[string]cluster.Replica),
-		out:      make(map[string]time.Time),
-		silent:   make(map[string]int),
-		waiting:  make(map[uint64]chan admit.Action),
-		rows:     newRows(),
-		exchange: newExchangeState(),
+		admit:         admit.New(config.Admit),
+		suspects:      suspect.New(config.Suspect),
+		prefixes:      route.NewPrefixes(),
+		replicas:      make(map[string]cluster.Replica),
+		out:           make(map[string]time.Time),
+		silent:        make(map[string]int),
+		crashes:       make(map[string]crash),
+		remoteCrashes: make(map[string]crash),
+		caches:        make(map[string]cacheCursor),
+		waiting:       make(map[uint64]chan admit.Action),
+		rows:          newRows(),
+		exchange:      newExchangeState(),
 	}
 }
 
@@ -157,6 +164,7 @@
 	c.dispatch(c.admit.Tick(now))
 	c.suspects.Tick(now)
 	c.rows.expire(now)
+	c.forgetCrashes(now)
 }
 
 // refresh reads the owned replicas and passes changes to the queues.
@@ -167,7 +175,7 @@
 	replicas := make(map[string]cluster.Replica, len(owned))
 	for _, r := range owned {
 		replicas[r.ID] = r
-		c.noteIncarnation(r, now)
+		c.noteState(r, now)
 		c.setReplica(r, now)
 	}
 	c.replicas = replicas
@@ -176,6 +184,8 @@
 			c.dispatch(c.admit.RemoveReplica(id, now))
 			delete(c.out, id)
 			delete(c.silent, id)
+			delete(c.crashes, id)
+			delete(c.caches, id)
 		}
 	}
 }
