--- a/internal/core/sample/deliver.go
+++ b/internal/core/sample/deliver.go
@@ -67,16 +67,21 @@
 // stops before an offered group that became too stale.
 func (h *Home) give(t *trainer, limit int) []Delivered {
 	limit = max(limit, 1)
+	room := h.config.MaxAnswer
+	full := func(out []Delivered, g *group) bool {
+		room -= g.cost
+		return len(out) == limit || (room < 0 && len(out) > 0)
+	}
 	var out []Delivered
 	for i, g := range t.offered {
-		if len(out) == limit || t.staleGroup(g) {
+		if full(out, g) || t.staleGroup(g) {
 			return out
 		}
 		out = append(out, t.delivered(g, t.acknowledged+int64(i)+1))
 		t.counts.Redelivered++
 	}
 	for _, g := range t.deliverable() {
-		if len(out) == limit {
+		if full(out, g) {
 			break
 		}
 		g.phase = offered
--- a/internal/core/sample/epoch.go
+++ b/internal/core/sample/epoch.go
@@ -25,21 +25,19 @@
 // enter checks the epoch of a call. It returns false when the trainer has to
 // move to the row's epoch first.
 //
-// The row's epoch may be told again only to calls that were sent before the
-// trainer could know it and only while nothing was offered under it. Any other
-// foreign epoch means that the trainer worked with another home since, and may
-// have taken groups there, so that only a new epoch, under which it submits
-// what it lacks, keeps delivery once.
+// The row's epoch may be told again only to calls under an epoch that is older
+// than it, and only while nothing was offered under it. Any other foreign epoch
+// means that the trainer worked with another home since, and may have taken
+// groups there, so that only a new epoch, under which it submits what it lacks,
+// keeps delivery once. The same holds for a trainer without an epoch that this
+// home has met before.
 func (h *Home) enter(t *trainer, epoch string, now time.Duration) bool {
 	switch {
 	case t.epoch == "":
 		h.newEpoch(t, epoch, now)
-		t.fresh = epoch == ""
-		return t.fresh
+		return epoch == ""
 	case epoch == t.epoch:
 		return true
-	case t.seq() == 0 && epoch == "" && t.fresh:
-		return true
 	case t.seq() == 0 && slices.Contains(t.predecessors, epoch):
 		return false
 	}
@@ -62,7 +60,6 @@
 		t.predecessors = slices.Delete(t.predecessors, 0, extra)
 	}
 	t.epoch = h.config.NewEpoch()
-	t.fresh = false
 	t.acknowledged = 0
 	t.offered = nil
 	t.done = make(map[string]bool)
--- a/internal/core/sample/home.go
+++ b/internal/core/sample/home.go
@@ -24,6 +24,9 @@
 	// ParkTime is how long a group is kept after an epoch change without being
 	// submitted again.
 	ParkTime time.Duration
+	// MaxAnswer bounds the tokens of one pull's answer in bytes. An answer holds
+	// at least one group.
+	MaxAnswer int64
 }
 
 // Defaults of Config.
@@ -33,6 +36,7 @@
 	DefaultMaxBytes   = 256 << 20
 	DefaultMaxDone    = 65536
 	DefaultParkTime   = 30 * time.Second
+	DefaultMaxAnswer  = 8 << 20
 )
 
 func (c *Config) applyDefaults() {
@@ -51,6 +55,9 @@
 	if c.ParkTime <= 0 {
 		c.ParkTime = DefaultParkTime
 	}
+	if c.MaxAnswer <= 0 {
+		c.MaxAnswer = DefaultMaxAnswer
+	}
 }
 
 // Params describes one trainer.
@@ -104,7 +111,6 @@
 
 	epoch        string
 	predecessors []string // epochs known when this one started
-	fresh        bool     // the epoch began with a call without an epoch
 	acknowledged int64    // sequence number that the trainer confirmed
 	offered      []*group // groups given and not confirmed, in sequence order
 	done         map[string]bool
--- /dev/null
+++ b/internal/core/sample/sample_test.go
@@ -0,0 +1,205 @@
+package sample
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// rig is one home with one trainer whose samples the test runs by hand.
+type rig struct {
+	t      *testing.T
+	home   *Home
+	epoch  string
+	starts []Start
+	cancel map[string]bool
+	now    time.Duration
+}
+
+func newRig(t *testing.T, p Params, c Config) *rig {
+	epochs := 0
+	c.NewEpoch = func() string { epochs++; return fmt.Sprintf("e%d", epochs) }
+	r := &rig{t: t, home: New(c), cancel: map[string]bool{}}
+	p.Name = "captions"
+	r.home.Declare([]Params{p})
+	return r
+}
+
+func (r *rig) run() {
+	for _, action := range r.home.Run(r.now) {
+		switch a := action.(type) {
+		case Start:
+			r.starts = append(r.starts, a)
+		case Cancel:
+			r.cancel[a.Sample] = true
+			r.home.Ended(r.now, a.Sample)
+		}
+	}
+}
+
+func (r *rig) submit(step int64, ids ...string) Verdict {
+	var groups []NewGroup
+	for _, id := range ids {
+		groups = append(groups, NewGroup{ID: id, Prompt: "p"})
+	}
+	var verdict Verdict
+	verdict, r.epoch = r.home.Submit(r.now, "captions", r.epoch, step, groups)
+	r.run()
+	return verdict
+}
+
+// finish ends the i-th started sample with n tokens of a version.
+func (r *rig) finish(i, n int, version int64) {
+	id := r.starts[i].Sample
+	for range n - 1 {
+		r.home.Chunk(r.now, id, "x", version, "")
+	}
+	r.home.Chunk(r.now, id, "x", version, "stop")
+	r.home.Ended(r.now, id)
+	r.run()
+}
+
+func (r *rig) groupsStarted() []string {
+	var ids []string
+	for _, s := range r.starts {
+		ids = append(ids, s.Group)
+	}
+	return ids
+}
+
+// Guards against surplus samples that are kept or go on running.
+func TestFirstCompleteSamplesCountAndTheRestIsCancelled(t *testing.T) {
+	r := newRig(t, Params{GroupSize: 2, Policy: Policy{Surplus: 1}}, Config{})
+	r.submit(1, "g1")
+	must.Len(t, 3, r.starts)
+	r.finish(2, 1, 0)
+	r.finish(0, 1, 0)
+	must.Eq(t, map[string]bool{r.starts[1].Sample: true}, r.cancel)
+	_, _, given := r.home.Pull(r.now, "captions", r.epoch, 0, 1)
+	must.Len(t, 1, given)
+	must.Eq(t, r.starts[0].Sample, given[0].Samples[0].ID)
+	must.Eq(t, r.starts[2].Sample, given[0].Samples[1].ID)
+}
+
+// Guards against hedges on the same replica, hedges of samples in time, and
+// more hedges than the share allows.
+func TestLateSampleIsHedgedElsewhereWithinTheShare(t *testing.T) {
+	r := newRig(t, Params{GroupSize: 2, Policy: Policy{HedgeAfter: 2, HedgeShare: 0.01}}, Config{})
+	r.submit(1, "g1", "g2", "g3", "g4", "g5", "g6", "g7", "g8")
+	r.now = time.Second
+	for i := 0; i < 16; i += 2 {
+		r.finish(i, 1, 0)
+		r.home.Placed(r.starts[i+1].Sample, fmt.Sprintf("r%d", i))
+	}
+	r.now = 2 * time.Second
+	r.run()
+	must.Len(t, 16, r.starts)
+	r.now += time.Millisecond
+	r.run()
+	must.Len(t, 16+hedgeReserve+1, r.starts)
+	must.Eq(t, []string{"r0"}, r.starts[16].Avoid)
+	must.True(t, r.starts[16].Hedge)
+	r.finish(16, 1, 0)
+	must.True(t, r.cancel[r.starts[1].Sample])
+}
+
+// Guards against work in another order than the trainer needs it, and against
+// more samples at once than allowed.
+func TestLowerStepsAndNearlyCompleteGroupsGoFirst(t *testing.T) {
+	r := newRig(t, Params{GroupSize: 2, Policy: Policy{StepsAhead: 1}}, Config{MaxRunning: 2})
+	r.submit(2, "b1")
+	r.submit(1, "a1", "a2")
+	r.submit(4, "c1")
+	must.Eq(t, []string{"b1", "b1"}, r.groupsStarted())
+	r.home.Ended(r.now, r.starts[0].Sample) // failed
+	r.run()
+	must.Eq(t, []string{"b1", "b1", "a1"}, r.groupsStarted())
+	r.finish(1, 1, 0)
+	r.finish(2, 1, 0)
+	must.Eq(t, []string{"b1", "b1", "a1", "a1", "a2"}, r.groupsStarted())
+}
+
+// Guards against starts on replicas whose version will be too old when the
+// sample is finished.
+func TestExpectedStalenessRaisesTheMinimumVersion(t *testing.T) {
+	r := newRig(t, Params{GroupSize: 1, Bound: 3}, Config{})
+	for v := int64(10); v <= 14; v++ {
+		r.now += 10 * time.Second
+		r.home.Newest(r.now, "captions", v)
+	}
+	r.submit(1, "g1")
+	must.Eq(t, 11, r.starts[0].MinVersion)
+	r.now += 20 * time.Second
+	r.finish(0, 1, 14)
+	r.submit(1, "g2")
+	must.Eq(t, 13, r.starts[1].MinVersion)
+}
+
+// Guards against a trainer that went back to an older state being given groups
+// in a sequence that it can't follow.
+func TestCursorOutsideTheSequenceStartsAnEpoch(t *testing.T) {
+	r := newRig(t, Params{GroupSize: 1}, Config{})
+	r.submit(1, "g1")
+	r.finish(0, 1, 0)
+	r.home.Pull(r.now, "captions", r.epoch, 0, 1)
+	verdict, epoch, _ := r.home.Pull(r.now, "captions", r.epoch, 1, 1)
+	must.Eq(t, Accepted, verdict)
+	for _, cursor := range []int64{0, 2} {
+		verdict, epoch, _ = r.home.Pull(r.now, "captions", epoch, cursor, 1)
+		must.Eq(t, EpochChanged, verdict)
+	}
+}
+
+// Guards against a trainer that fell back to an older epoch, which the protocol
+// does not foresee, being given the same sequence again from its start.
+func TestOlderEpochAfterAnOfferStartsAnEpoch(t *testing.T) {
+	r := newRig(t, Params{GroupSize: 1}, Config{})
+	_, first := r.home.Submit(r.now, "captions", "foreign", 1, nil)
+	_, again := r.home.Submit(r.now, "captions", "foreign", 1, nil)
+	must.Eq(t, first, again)
+	r.epoch = first
+	r.submit(1, "g1")
+	r.finish(0, 1, 0)
+	r.home.Pull(r.now, "captions", r.epoch, 0, 1)
+	verdict, epoch, _ := r.home.Pull(r.now, "captions", "foreign", 0, 1)
+	must.Eq(t, EpochChanged, verdict)
+	must.NotEq(t, first, epoch)
+}
+
+// Guards against a full home that neither refuses groups nor takes them again
+// later, and against a group ID that silently changes its prompt.
+func TestFullHomeRefusesWholeCalls(t *testing.T) {
+	r := newRig(t, Params{GroupSize: 1}, Config{MaxGroups: 2})
+	must.Eq(t, Accepted, r.submit(1, "g1"))
+	must.Eq(t, Full, r.submit(1, "g2", "g3"))
+	must.Eq(t, TooLarge, r.submit(1, "g2", "g3", "g4"))
+	must.Eq(t, Conflict, r.submit(2, "g1"))
+	r.finish(0, 1, 0)
+	r.home.Pull(r.now, "captions", r.epoch, 0, 1)
+	r.home.Pull(r.now, "captions", r.epoch, 1, 1)
+	must.Eq(t, Accepted, r.submit(1, "g2", "g3"))
+}
+
+// Guards against groups that hold all memory with samples of incomplete groups,
+// so that none can ever be completed.
+func TestKeptSamplesMakeRoomForTheFirstGroup(t *testing.T) {
+	r := newRig(t, Params{GroupSize: 4, MaxTokens: 1 << 20, Policy: Policy{StepsAhead: -1}}, Config{MaxBytes: 40000})
+	next := 0
+	for step, tokens := range []int{1, 250, 250} {
+		r.submit(int64(step), fmt.Sprintf("g%d", step))
+		for i := range 4 {
+			r.finish(next, tokens, int64(min(i, 1)))
+			next++
+		}
+	}
+	must.Eq(t, 12, len(r.starts))
+	r.home.Newest(r.now, "captions", 1) // the first sample of each group is too old
+	r.run()
+	must.Eq(t, []string{"g0"}, r.groupsStarted()[12:])
+	must.Eq(t, 3, r.home.Counts("captions").Evicted)
+	r.finish(12, 1, 1)
+	_, _, given := r.home.Pull(r.now, "captions", r.epoch, 0, 1)
+	must.Eq(t, "g0", given[0].ID)
+}
