--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -20,6 +20,7 @@
 // against a load tool that miscounts lost answers and epoch changes.
 func TestRunAgainstAFaultlessSystem(t *testing.T) {
 	system, entries := newSystem(t)
+	system.change = 10
 	report, err := load.Run(t.Context(), load.Config{
 		Entries: entries,
 		Declared: &declare.Set{Trainers: map[string]*declare.Trainer{
@@ -52,6 +53,27 @@
 	must.NoError(t, report.WriteJSON(&table))
 }
 
+// Guards against a trainer that waits for good when the system forgets a group
+// that it accepted, and against a loss that nobody reports.
+func TestForgottenGroupCountsAsLost(t *testing.T) {
+	system, entries := newSystem(t)
+	system.forget = "s1-g2"
+	report, err := load.Run(t.Context(), load.Config{
+		Entries: entries,
+		Declared: &declare.Set{Trainers: map[string]*declare.Trainer{
+			"captions": {Name: "captions", Model: "album", GroupSize: groupSize, StalenessBound: 1},
+		}},
+		Trainers: []load.TrainerPlan{{Name: "captions", GroupsPerStep: 3, FirstVersion: 7, LossAfter: 300 * time.Millisecond}},
+		Duration: 3 * time.Second,
+	})
+	must.NoError(t, err)
+	must.Positive(t, report.Trainers[0].Steps)
+	result := Check(Facts{Load: report.Records, Engines: []engined.Journal{system.engine.Journal()}})
+	must.Eq(t, 1, report.Trainers[0].Lost)
+	must.Eq(t, 1, result.Promise("P3").Broken)
+	must.Eq(t, 1, result.Broken())
+}
+
 var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func at(seconds float64) time.Time {
@@ -126,11 +148,21 @@
 			tokens := sampleOf(f).Tokens
 			sampleOf(f).Tokens = tokens[:len(tokens)-1]
 		}, nil},
+		{"part of another answer", "P4", func(f *Facts) {
+			f.Load.Attempts[2].Text = f.Load.Attempts[0].Text
+		}, nil},
+		{"answered twice", "P3", func(f *Facts) { f.Load.Attempts = append(f.Load.Attempts, f.Load.Attempts[0]) }, nil},
 		{"answer of another seed", "P4", func(f *Facts) { f.Load.Attempts[0].Seed++ }, nil},
 		{"receipt of another key", "P4", func(f *Facts) { f.Load.Attempts[1].Text = `{"key":"other"}` }, nil},
 		{"refused, but ran", "P5", func(f *Facts) {
 			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(1.5), AnswerTag: engined.AnswerTag("album", "refused", 0)})
 		}, nil},
+		{"refused after an earlier attempt ran", "P5", func(f *Facts) {
+			earlier := f.Load.Attempts[2]
+			earlier.Start, earlier.End, earlier.Result = at(0.1), at(0.9), load.ResultNoHost
+			f.Load.Attempts = append(f.Load.Attempts, earlier)
+			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(0.5), AnswerTag: engined.AnswerTag("album", "refused", 0)})
+		}, nil},
 		{"ran after the refusal", "P5", func(f *Facts) {
 			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(9), AnswerTag: engined.AnswerTag("album", "refused", 0)})
 		}, nil},
@@ -158,6 +190,17 @@
 
 func sampleOf(f *Facts) *load.Sample { return &f.Load.Deliveries[0].Samples[0] }
 
+// Guards against a run that an attempt under way at the same time caused and
+// that is held against the refused one.
+func TestRequestSentTwiceAtOnceMayRunOnce(t *testing.T) {
+	facts := wholeFacts()
+	other := facts.Load.Attempts[2]
+	other.Start, other.End, other.Outcome = at(1.5), at(4), "unknown"
+	facts.Load.Attempts = append(facts.Load.Attempts, other)
+	facts.Engines[0].Requests = append(facts.Engines[0].Requests, engined.RequestEntry{Time: at(3), AnswerTag: engined.AnswerTag("album", "refused", 0)})
+	must.Eq(t, 0, Check(facts).Broken())
+}
+
 // Guards against a repetition after a true refusal that is held against it.
 func TestRequestSentAgainAfterRefusalMayRun(t *testing.T) {
 	facts := wholeFacts()
--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -34,6 +34,7 @@
 // completionAnswer is a whole answer or one event of a stream, in the OpenAI
 // style, with the request ID, index and weight version of a part beside it.
 type completionAnswer struct {
+	ID             string   `json:"id"` // request ID
 	RequestID      string   `json:"request_id"`
 	Index          *int     `json:"index"`
 	Token          string   `json:"token"`
@@ -53,7 +54,9 @@
 	attempt Attempt // template
 	body    []byte
 	stream  bool
-	timeout time.Duration
+
+	timeout, attemptTimeout time.Duration
+	deadline                time.Time // as told to the system
 }
 
 // newCall builds a request; modelLimit is the longest answer of its model.
@@ -73,7 +76,7 @@
 			Mix: m.Name, Class: m.Class, RequestID: id.String(), Model: m.Model,
 			Prompt: prompt, Seed: body.Seed, MaxTokens: tighter(m.MaxTokens, modelLimit),
 		},
-		body: data, stream: body.Stream, timeout: m.Timeout,
+		body: data, stream: body.Stream, timeout: m.Timeout, attemptTimeout: m.AttemptTimeout,
 	}, err
 }
 
@@ -101,28 +104,26 @@
 }
 
 // run sends the call until it has an answer or a refusal, or its time is over.
-func (d *driver) run(ctx context.Context, c call, send func(context.Context, call, *Attempt)) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+func (d *driver) run(ctx context.Context, hosts *entries, c call, send func(context.Context, call, *Attempt)) {
+	c.deadline = time.Now().Add(c.timeout)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	defer cancel()
-	entry := d.entries.pick()
+	entry := hosts.pick()
 	for {
 		attempt := c.attempt
 		attempt.Entry, attempt.Start = entry, time.Now()
-		send(ctx, c, &attempt)
+		limit, stop := context.WithTimeout(ctx, c.attemptTimeout)
+		send(limit, c, &attempt)
+		stop()
 		attempt.End = time.Now()
 		again := attempt.Result == ResultBroken || attempt.Result == ResultNoHost
-		if again && ctx.Err() == nil {
-			select {
-			case <-time.After(repeatPause):
-			case <-ctx.Done():
-			}
-		}
-		attempt.Last = !again || ctx.Err() != nil
+		attempt.Last = !again || ctx.Err() != nil || time.Now().Add(repeatPause).After(c.deadline)
 		d.recorder.record(func(r *Records) { r.Attempts = append(r.Attempts, attempt) })
 		if attempt.Last {
 			return
 		}
-		entry = d.entries.after(entry)
+		time.Sleep(repeatPause)
+		entry = hosts.after(entry)
 	}
 }
 
@@ -133,6 +134,7 @@
 func (d *driver) complete(ctx context.Context, c call, attempt *Attempt) {
 	response, err := d.post(ctx, "http://"+attempt.Entry+"/v1/completions", c, func(h http.Header) {
 		h.Set("Request-Id", attempt.RequestID)
+		h.Set("Sesamestand-Class", className(attempt.Class))
 	})
 	if err != nil {
 		attempt.setFailure(err)
@@ -162,10 +164,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// With GetBody, the transport itself repeats a POST that has an
+	// Idempotency-Key when a pooled connection breaks, and no attempt shows it.
+	request.GetBody = nil
 	setHeaders(request, d.config.CallerToken)
-	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	}
+	request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
 	headers(request.Header)
 	return d.client.Do(request)
 }
@@ -178,6 +181,9 @@
 		return
 	}
 	a.Result, a.FirstToken = ResultAnswered, time.Now()
+	if a.foreign(answer.ID) || a.foreign(answer.RequestID) {
+		a.Foreign++
+	}
 	a.take(answer)
 	a.Versions = mergeVersions(a.Versions, answer.WeightVersions...)
 	if a.Finish == "" {
@@ -207,7 +213,7 @@
 			a.setRefusal(http.Header{}, []byte(data))
 			return
 		}
-		if event.Index != nil && *event.Index != next || event.RequestID != "" && event.RequestID != a.RequestID {
+		if event.Index != nil && *event.Index != next || a.foreign(event.ID) || a.foreign(event.RequestID) {
 			a.Foreign++
 		}
 		next++
@@ -224,6 +230,9 @@
 	}
 }
 
+// foreign reports whether a part names another request than this one.
+func (a *Attempt) foreign(id string) bool { return id != "" && id != a.RequestID }
+
 // take adds the text of an answer or event.
 func (a *Attempt) take(answer completionAnswer) {
 	a.Versions = mergeVersions(a.Versions, answer.WeightVersion)
