Parse only the changed files of a configuration

Each change validates the merged set, and every change parsed all files again. A follower now keeps the sections of each file and parses those whose content differs. References are still checked over the whole set, so the result is the same; the fuzz test compares both.

--- a/internal/core/config/follower.go
+++ b/internal/core/config/follower.go
@@ -44,7 +44,8 @@
 // concurrent use. A follower whose records expired before it read them keeps
 // its state and collects records until it finds a snapshot that closes the gap.
 type Follower struct {
-	state State
+	state  State
+	parser *declare.Parser
 	// whole says that state is the effect of all records below state.Offset.
 	whole bool
 	// began says that a page was applied; before that, the gap is not known.
@@ -62,8 +63,9 @@
 // NewFollower returns a follower at the beginning of the stream with the empty
 // configuration, version 0.
 func NewFollower() *Follower {
-	set, _ := declare.ParseFiles(nil)
-	return &Follower{state: State{Files: map[string]string{}, Set: set}, whole: true}
+	parser := declare.NewParser()
+	set, _ := parser.Parse(nil)
+	return &Follower{state: State{Files: map[string]string{}, Set: set}, parser: parser, whole: true}
 }
 
 // Next returns the offset to read next.
@@ -115,7 +117,7 @@
 			decoded.Read > record.Offset || decoded.Read < best.Offset {
 			continue
 		}
-		if set, findings := declare.ParseFiles(decoded.Files); findings.Err() == nil {
+		if set, findings := f.parser.Parse(decoded.Files); findings.Err() == nil {
 			best = State{Version: decoded.Base, Offset: decoded.Read, Files: decoded.Files, Set: set}
 		}
 	}
@@ -160,7 +162,7 @@
 		return event
 	}
 	files := decoded.merge(f.state.Files)
-	set, findings := declare.ParseFiles(files)
+	set, findings := f.parser.Parse(files)
 	if event.Err = findings.Err(); event.Err != nil {
 		return event
 	}
@@ -176,7 +178,7 @@
 	if older || offset < version {
 		return false
 	}
-	set, findings := declare.ParseFiles(files)
+	set, findings := f.parser.Parse(files)
 	if findings.Err() != nil {
 		return false
 	}
--- a/internal/declare/parse.go
+++ b/internal/declare/parse.go
@@ -64,6 +64,27 @@
 // The result depends on nothing but files. The set holds all sections that
 // could be read, and may only be used when there are no findings.
 func ParseFiles(files map[string]string) (*Set, *finding.List) {
+	return NewParser().Parse(files)
+}
+
+// Parser parses sets of files of which few differ from the set before, as one
+// change of the configuration does. It keeps the sections of each file. It is
+// not safe for concurrent use.
+type Parser struct {
+	files map[string]parsedFile
+}
+
+type parsedFile struct {
+	content  string
+	sections []*section
+	findings []finding.Finding
+}
+
+// NewParser returns a parser that has seen no file.
+func NewParser() *Parser { return &Parser{files: make(map[string]parsedFile)} }
+
+// Parse gives the same result as ParseFiles.
+func (p *Parser) Parse(files map[string]string) (*Set, *finding.List) {
 	findings := &finding.List{}
 	c := &collector{
 		set: &Set{
@@ -82,10 +103,17 @@
 			findings.Add(path, 0, "file", "is over %d bytes", maxFileBytes)
 			continue
 		}
-		for _, s := range scanFile(path, files[path], findings) {
+		parsed := p.scan(path, files[path])
+		findings.Append(parsed.findings)
+		for _, s := range parsed.sections {
 			c.add(s)
 		}
 	}
+	for path := range p.files {
+		if _, ok := files[path]; !ok {
+			delete(p.files, path)
+		}
+	}
 	if total > maxSetBytes {
 		findings.Add("", 0, "files", "all files together are over %d bytes", maxSetBytes)
 	}
@@ -93,6 +121,17 @@
 	return c.set, findings
 }
 
+func (p *Parser) scan(path, content string) parsedFile {
+	parsed, ok := p.files[path]
+	if !ok || parsed.content != content {
+		var findings finding.List
+		parsed = parsedFile{content: content, sections: scanFile(path, content, &findings)}
+		parsed.findings = findings.All()
+		p.files[path] = parsed
+	}
+	return parsed
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/internal/declare/parse_test.go
+++ b/internal/declare/parse_test.go
@@ -75,7 +75,8 @@
 	}, got)
 }
 
-// Guards against panics, and against results that depend on map order.
+// Guards against panics, and against results that depend on map order or on
+// files parsed before.
 func FuzzParseFiles(f *testing.F) {
 	f.Add("[model m]\nreplicas = a:1, b:2\n")
 	f.Add("[trainer t]\nmodel = m\nshare = 1e3 ; comment\n")
@@ -85,7 +86,9 @@
 	f.Fuzz(func(t *testing.T, content string) {
 		files := map[string]string{"a.ini": content, "b.ini": "[model m]\nreplicas = a:1\n"}
 		first, firstFindings := ParseFiles(files)
-		second, secondFindings := ParseFiles(files)
+		parser := NewParser() // meets the file after another content of it
+		parser.Parse(map[string]string{"a.ini": files["b.ini"], "b.ini": files["b.ini"], "c.ini": content})
+		second, secondFindings := parser.Parse(files)
 		must.Eq(t, firstFindings.All(), secondFindings.All())
 		if firstFindings.Err() == nil {
 			must.Eq(t, first, second)
