Slow down appends of intents when the log is at its limit

All users share the log's several hundred appends a second, and ten hosts that each append every 5 ms ask for 2000. A refused batch waited 300 ms and was then repeated at full speed. Queued records are found by content instead of by a scan.

--- a/internal/core/intent/attempt.go
+++ b/internal/core/intent/attempt.go
@@ -95,9 +95,21 @@
 		changed = append(changed, a.view())
 		return true
 	})
+	l.dropAbandons(now)
 	return changed
 }
 
+// dropAbandons drops the abandon records of keys that are refused for their age.
+func (l *Ledger) dropAbandons(now time.Time) {
+	limit := now.Add(-l.config.Retention - 4*l.config.Skew)
+	l.queue.Each(func(_ int64, row **entry) bool {
+		if e := *row; e.record.Kind == KindAbandon && e.key.Time().Before(limit) {
+			l.dequeue(e)
+		}
+		return true
+	})
+}
+
 // View returns what is known about an attempt.
 func (l *Ledger) View(id int64) View {
 	if a := l.attempt(id); a != nil {
@@ -149,7 +161,7 @@
 // the intent.
 func (l *Ledger) abandon(a *attempt, refusal *cluster.Refusal, now time.Time) {
 	inLog := a.entry.maybe
-	l.queue.Delete(a.entry.id)
+	l.dequeue(a.entry)
 	l.close(a, StageAbandoned, refusal, now)
 	if inLog {
 		l.enqueue(KindAbandon, a.key, a.nonce)
--- a/internal/core/intent/ledger.go
+++ b/internal/core/intent/ledger.go
@@ -124,8 +124,9 @@
 	results  []int64        // attempts with stored answers, oldest first
 	resBytes int
 
-	queue *table.Table[int64, *entry] // records that must get into the log
-	order int64                       // last used key of queue
+	queue  *table.Table[int64, *entry] // records that must get into the log
+	queued map[Record]int64            // keys of queue
+	order  int64                       // last used key of queue
 }
 
 type agingKey struct {
@@ -148,6 +149,7 @@
 		closed:  make(map[int64]*attempt),
 		byNonce: make(map[string]*attempt),
 		queue:   table.New[int64, *entry](),
+		queued:  make(map[Record]int64),
 	}
 }
 
--- a/internal/core/intent/ledger_test.go
+++ b/internal/core/intent/ledger_test.go
@@ -109,9 +109,26 @@
 		must.MapLen(t, 0, h.ledger.keys)
 		must.MapLen(t, 0, h.ledger.closed)
 		must.MapLen(t, 0, h.ledger.byNonce)
+		must.MapLen(t, 0, h.ledger.queued)
 	}
 }
 
+// Guards against hosts that hold a log at its limit by repeating at full speed,
+// and against a pace that stays long after an outage.
+func TestPaceFollowsTheLog(t *testing.T) {
+	p := NewPace(5 * time.Millisecond)
+	must.Eq(t, 5*time.Millisecond, p.Appended(AppendStored))
+	must.Eq(t, 10*time.Millisecond, p.Appended(AppendRefused))
+	for range 10 {
+		p.Appended(AppendUnknown)
+	}
+	must.Eq(t, maxPace, p.Appended(AppendRefused))
+	for range 50 {
+		p.Appended(AppendStored)
+	}
+	must.Eq(t, 5*time.Millisecond, p.Appended(AppendStored))
+}
+
 // Guards against panics on hostile records, and against records that change by
 // being written again.
 func FuzzDecode(f *testing.F) {
--- a/internal/core/intent/log.go
+++ b/internal/core/intent/log.go
@@ -26,9 +26,15 @@
 		Kind: kind, Key: key.String(), Host: l.config.Self.Host, Incarnation: l.config.Self.Incarnation, Nonce: nonce,
 	}}
 	l.queue.Put(e.id, e)
+	l.queued[e.record] = e.id
 	return e
 }
 
+func (l *Ledger) dequeue(e *entry) {
+	l.queue.Delete(e.id)
+	delete(l.queued, e.record)
+}
+
 // Batch is one append: the records and the entries that they come from.
 type Batch struct {
 	Records []Record
@@ -74,6 +80,7 @@
 			e.resend = now.Add(10 * l.config.Resend)
 		case AppendRefused:
 			e.maybe = e.before
+			e.resend = now // the writer's pace bounds the repeats
 		}
 	}
 }
@@ -125,16 +132,9 @@
 
 // settle removes the queued entry that was read back.
 func (l *Ledger) settle(record Record) {
-	if record.Author() != l.config.Self {
-		return
+	if id, ok := l.queued[record]; ok {
+		l.dequeue(*l.queue.Get(id))
 	}
-	l.queue.Each(func(id int64, row **entry) bool {
-		if e := *row; e.record == record {
-			l.queue.Delete(id)
-			return false
-		}
-		return true
-	})
 }
 
 // intent applies an intent and returns the own attempt that it changed.
@@ -191,12 +191,6 @@
 			}
 		}
 	}
-	l.queue.Each(func(id int64, row **entry) bool {
-		if e := *row; e.record.Kind == KindAbandon && e.key.Time().Before(limit) {
-			l.queue.Delete(id)
-		}
-		return true
-	})
 	for len(l.closing) > 0 && l.closing[0].time.Before(limit) {
 		l.forget(l.closing[0].id)
 		l.closing = l.closing[1:]
--- a/internal/services/stream.go
+++ b/internal/services/stream.go
@@ -69,34 +69,39 @@
 
 // write appends queued records, one append at a time.
 func (c *Controller) write(ctx context.Context) error {
+	pace := intent.NewPace(c.config.AppendInterval)
 	for {
 		select {
 		case <-c.appending:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		for c.appendBatch(ctx) {
-			sleep(ctx, c.config.AppendInterval)
+		for {
+			outcome, found := c.appendBatch(ctx)
+			if !found {
+				break
+			}
+			sleep(ctx, pace.Appended(outcome))
 		}
 	}
 }
 
 // appendBatch appends what is queued and says whether there was anything.
-func (c *Controller) appendBatch(ctx context.Context) bool {
+func (c *Controller) appendBatch(ctx context.Context) (outcome intent.AppendOutcome, found bool) {
 	if ctx.Err() != nil {
-		return false
+		return outcome, false
 	}
 	c.mu.Lock()
 	batch := c.ledger.NextBatch(maxBatch, time.Now())
 	c.mu.Unlock()
 	if len(batch.Records) == 0 {
-		return false
+		return outcome, false
 	}
-	outcome := c.appendRecords(ctx, batch.Records)
+	outcome = c.appendRecords(ctx, batch.Records)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ledger.Appended(batch, outcome, time.Now())
-	return true
+	return outcome, true
 }
 
 func (c *Controller) appendRecords(ctx context.Context, records []intent.Record) intent.AppendOutcome {
