Let operators reset a configuration that the log has lost

It is refused while the log still tells which version is in force, so that it does not replace the check for races.

publish also names the cause when the log cannot be reached in time.

--- a/cmd/sesamestand/publish.go
+++ b/cmd/sesamestand/publish.go
@@ -18,6 +18,7 @@
 	Dir      string        `arg:"positional,required" help:"directory with all declaration files (*.ini)" placeholder:"DIR"`
 	Log      string        `arg:"--log" help:"address of the log service" placeholder:"IP:PORT"`
 	Settings string        `arg:"--settings" help:"settings file to take the log's address and token from" placeholder:"FILE.ini"`
+	Reset    bool          `arg:"--reset" help:"put the files in force although the log has lost the version before them"`
 	Timeout  time.Duration `arg:"--timeout" default:"30s" help:"longest time to wait for the verdict" placeholder:"DURATION"`
 }
 
@@ -32,7 +33,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	published, err := configs.Publish(ctx, log, files)
+	publish := configs.Publish
+	if c.Reset {
+		publish = configs.Reset
+	}
+	published, err := publish(ctx, log, files)
 	switch {
 	case err != nil:
 		return err
--- a/internal/configs/controller_test.go
+++ b/internal/configs/controller_test.go
@@ -165,6 +165,29 @@
 	must.Eq(t, 1, winners)
 }
 
+// Guards against an operator who is locked out after all records have expired,
+// and against a reset while the version in force is known.
+func TestResetAfterAllRecordsExpired(t *testing.T) {
+	log := testlog.New()
+	first, err := Publish(limited(t), log, files(1))
+	must.NoError(t, err)
+	_, err = Reset(limited(t), log, files(2))
+	must.ErrorContains(t, err, "version 1 is in force")
+	log.Expire(platform.StreamConfig, first.Version)
+	_, err = Publish(limited(t), log, files(2))
+	must.ErrorIs(t, err, errNoVersion)
+	a := start(t, "a", log, nil)
+	log.Fail(testlog.LoseAnswer)
+	second, err := Reset(limited(t), log, files(2))
+	must.NoError(t, err)
+	version, err := a.Wait(limited(t), 0)
+	must.NoError(t, err)
+	must.Eq(t, second.Version, version)
+	third, err := Publish(limited(t), log, files(3))
+	must.NoError(t, err)
+	must.Greater(t, second.Version, third.Version)
+}
+
 // barrierLog holds the first appends until all publishers have one.
 type barrierLog struct {
 	*testlog.Log
--- a/internal/configs/publish.go
+++ b/internal/configs/publish.go
@@ -1,6 +1,7 @@
 package configs
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -50,6 +51,17 @@
 // It appends one change that builds on the version in force, and learns the
 // verdict by reading the log, whether or not the append was answered.
 func Publish(ctx context.Context, log platform.Log, files map[string]string) (Published, error) {
+	return publish(ctx, log, files, false)
+}
+
+// Reset makes files the configuration in force when the log no longer tells
+// which version is: all hosts were gone until the records expired. It changes
+// nothing as long as the log tells.
+func Reset(ctx context.Context, log platform.Log, files map[string]string) (Published, error) {
+	return publish(ctx, log, files, true)
+}
+
+func publish(ctx context.Context, log platform.Log, files map[string]string, reset bool) (Published, error) {
 	if _, findings := declare.ParseFiles(files); findings.Err() != nil {
 		return Published{}, findings.Err()
 	}
@@ -57,8 +69,11 @@
 	if err := p.readToEnd(ctx); err != nil {
 		return Published{}, err
 	}
-	if !p.follower.Whole() {
-		return Published{}, eris.New("the log no longer holds the version in force: no snapshot covers its expired records")
+	switch {
+	case reset && p.follower.Whole():
+		return Published{}, eris.Errorf("not reset: the log tells that version %d is in force", p.follower.State().Version)
+	case !reset && !p.follower.Whole():
+		return Published{}, errNoVersion
 	}
 	base := p.follower.State()
 	changed, removed := config.Diff(base.Files, files)
@@ -68,6 +83,9 @@
 	slices.Sort(removed)
 	p.before = base
 	p.record = config.Record{ID: uuid.NewString(), Kind: config.KindChange, Base: base.Version, Files: changed, Removed: removed}
+	if reset {
+		p.record.Kind, p.record.Files, p.record.Removed = config.KindReset, files, nil
+	}
 	version, err := p.settle(ctx)
 	if err != nil {
 		return Published{}, err
@@ -75,7 +93,11 @@
 	return Published{Version: version, Changed: len(changed), Removed: len(removed)}, nil
 }
 
-var errNotAppended = errors.New("not appended yet")
+var (
+	errNotAppended = errors.New("not appended yet")
+	errNoVersion   = errors.New("the log no longer tells which version is in force: no snapshot covers its expired records; " +
+		"start an entry host that still has it, or publish with --reset")
+)
 
 // publication is the work on one record.
 type publication struct {
@@ -153,12 +175,14 @@
 
 // readToEnd reads until no record is left.
 func (p *publication) readToEnd(ctx context.Context) error {
+	var last error // before the time was over
 	for {
 		end, err := p.page(ctx, 0)
 		switch {
 		case err != nil && ctx.Err() != nil:
-			return eris.Wrapf(err, "not accepted: stream %s cannot be read", platform.StreamConfig)
+			return eris.Wrapf(cmp.Or(last, err), "not accepted: stream %s cannot be read", platform.StreamConfig)
 		case err != nil:
+			last = err
 			pause(ctx)
 		case p.follower.Next() >= end:
 			return nil
--- a/internal/core/config/follower.go
+++ b/internal/core/config/follower.go
@@ -21,7 +21,7 @@
 	Offset int64
 	ID     string
 	Kind   Kind
-	// Accepted says that the record is a change that came into force.
+	// Accepted says that the record came into force.
 	Accepted bool
 	// Version is the version in force after the record.
 	Version int64
@@ -112,13 +112,13 @@
 func (f *Follower) closeGap(added []platform.Record) []Event {
 	var best State
 	for _, record := range added {
-		decoded, err := Decode(record.Data)
-		if err != nil || decoded.Kind != KindSnapshot || decoded.Read < f.gapEnd ||
-			decoded.Read > record.Offset || decoded.Read < best.Offset {
+		state, ok := f.wholeState(record)
+		if !ok || state.Offset < f.gapEnd || state.Offset < best.Offset {
 			continue
 		}
-		if set, findings := f.parser.Parse(decoded.Files); findings.Err() == nil {
-			best = State{Version: decoded.Base, Offset: decoded.Read, Files: decoded.Files, Set: set}
+		if set, findings := f.parser.Parse(state.Files); findings.Err() == nil {
+			state.Set = set
+			best = state
 		}
 	}
 	if best.Set == nil || best.Version < f.state.Version {
@@ -127,6 +127,21 @@
 	return f.resume(best)
 }
 
+// wholeState returns the state that a snapshot or a reset holds, without its
+// set. That of a reset ends before the record, which is then applied.
+func (f *Follower) wholeState(record platform.Record) (State, bool) {
+	decoded, err := Decode(record.Data)
+	switch {
+	case err != nil:
+		return State{}, false
+	case decoded.Kind == KindReset:
+		return State{Version: f.state.Version, Offset: record.Offset, Files: decoded.Files}, true
+	case decoded.Kind == KindSnapshot && decoded.Read <= record.Offset:
+		return State{Version: decoded.Base, Offset: decoded.Read, Files: decoded.Files}, true
+	}
+	return State{}, false
+}
+
 // resume installs a state that covers the gap and applies the records after it.
 func (f *Follower) resume(state State) []Event {
 	waiting := f.waiting
@@ -158,7 +173,7 @@
 		return event
 	}
 	f.changes++
-	if decoded.Base != f.state.Version {
+	if decoded.Kind == KindChange && decoded.Base != f.state.Version {
 		return event
 	}
 	files := decoded.merge(f.state.Files)
--- a/internal/core/config/record.go
+++ b/internal/core/config/record.go
@@ -6,8 +6,9 @@
 // the merged set is valid; the version of the new set is the record's offset
 // plus one. A snapshot record holds the whole set as of an offset. It never
 // changes the version in force of a reader that has read up to that offset; it
-// lets a reader begin after older records have expired. The version in force
-// never decreases.
+// lets a reader begin after older records have expired. A reset record holds a
+// whole set that comes into force whatever was before; operators write one when
+// no snapshot covers the expired records. The version in force never decreases.
 package config
 
 import (
@@ -17,13 +18,14 @@
 	"github.com/rotisserie/eris"
 )
 
-// Kind tells change records from snapshots.
+// Kind tells the records of the stream apart.
 type Kind string
 
 // Kinds of records.
 const (
 	KindChange   Kind = "change"
 	KindSnapshot Kind = "snapshot"
+	KindReset    Kind = "reset"
 )
 
 // maxIDBytes bounds the ID of a record.
@@ -39,7 +41,7 @@
 	// Read is the offset up to which a snapshot's author had read the stream:
 	// the snapshot holds the effect of all records below it.
 	Read int64 `json:"read,omitempty"`
-	// Files holds added and replaced files of a change, or all files of a snapshot.
+	// Files holds added and replaced files of a change, or all files otherwise.
 	Files map[string]string `json:"files"`
 	// Removed lists the files that a change removes.
 	Removed []string `json:"removed,omitempty"`
@@ -60,7 +62,7 @@
 	switch {
 	case r.ID == "" || len(r.ID) > maxIDBytes:
 		return Record{}, eris.Errorf("config record has an ID of %d bytes, want 1 to %d", len(r.ID), maxIDBytes)
-	case r.Kind != KindChange && r.Kind != KindSnapshot:
+	case r.Kind != KindChange && r.Kind != KindSnapshot && r.Kind != KindReset:
 		return Record{}, eris.Errorf("config record %s has the unknown kind %q", r.ID, r.Kind)
 	case r.Base < 0 || r.Read < 0:
 		return Record{}, eris.Errorf("config record %s has a negative base or read offset", r.ID)
@@ -85,8 +87,12 @@
 	return files, removed
 }
 
-// merge returns from with the change applied; from stays as it is.
+// merge returns from with the change applied, or the files of a reset; from
+// stays as it is.
 func (r Record) merge(from map[string]string) map[string]string {
+	if r.Kind == KindReset {
+		return r.Files
+	}
 	merged := make(map[string]string, len(from)+len(r.Files))
 	maps.Copy(merged, from)
 	for _, path := range r.Removed {
