Wait a moment when no replica can serve

Cause: requests were refused 'no-replica' while a host started or a model's last replica swapped weights; the refusal came within 1 ms although the caller's deadline was 30 s. Ruled out: failing readiness without replicas, which would take plain services out as well. Change: a flight chooses again every 50 ms for up to 3 s (not in the baseline policy); refused owners may be asked again after a wait. Test beds use a loopback IP of their own, since parallel ones took each other's ports.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -24,6 +24,9 @@
 // fixed number of times without a budget. It exists for comparisons.
 const PolicyBaseline = owner.PolicyBaseline
 
+// defaultReplicaPatience covers the start of a host and one weight swap.
+const defaultReplicaPatience = 3 * time.Second
+
 // Config holds the parameters of a Controller. Zero values mean defaults.
 type Config struct {
 	Policy string
@@ -32,11 +35,14 @@
 	ProgressTimeout time.Duration
 	// RequestTimeout applies to callers that name none.
 	RequestTimeout time.Duration
-	BodyBytes      int64
-	RetryShare     float64
-	RetryReserve   int
-	Home           flight.HomeConfig
-	Weights        route.Weights
+	// ReplicaPatience is how long a request waits while no replica can serve;
+	// the baseline policy does not wait.
+	ReplicaPatience time.Duration
+	BodyBytes       int64
+	RetryShare      float64
+	RetryReserve    int
+	Home            flight.HomeConfig
+	Weights         route.Weights
 }
 
 func (c Config) withDefaults() Config {
@@ -46,6 +52,9 @@
 	if c.RequestTimeout <= 0 {
 		c.RequestTimeout = time.Minute
 	}
+	if c.ReplicaPatience <= 0 && c.Policy != PolicyBaseline {
+		c.ReplicaPatience = defaultReplicaPatience
+	}
 	if c.BodyBytes <= 0 {
 		c.BodyBytes = 1 << 20
 	}
--- a/internal/callers/generate.go
+++ b/internal/callers/generate.go
@@ -51,7 +51,7 @@
 		gen.RequestID = newRequestID()
 	}
 	r := &run{
-		c: c, gen: gen, sink: sink, flight: flight.New(c.budget, reached),
+		c: c, gen: gen, sink: sink, flight: flight.New(c.budget, reached, c.config.ReplicaPatience),
 		fingerprint: suspect.Fingerprint(gen.Model, gen.Adapter, gen.Prompt, gen.MaxTokens, gen.Temperature),
 		blocks:      routeHashes(gen.Model, gen.Prompt),
 	}
@@ -88,6 +88,9 @@
 
 // attempt chooses a replica, runs one attempt there and returns what follows.
 func (r *run) attempt(ctx context.Context, action flight.Action) []flight.Action {
+	if !pause(ctx, action.Delay) {
+		return r.stop(flight.Ending{Reason: string(cluster.ReasonNoReplica), Message: "the caller left while no replica could serve"})
+	}
 	verdict := r.c.owner.Judge(r.fingerprint)
 	if verdict == suspect.Refuse {
 		return r.ended(action.Attempt, flight.Ending{
@@ -99,7 +102,7 @@
 	chosen := r.choose(solo)
 	if chosen == nil {
 		return r.ended(action.Attempt, flight.Ending{
-			Final: true, Reason: string(cluster.ReasonNoReplica),
+			Final: true, NoReplica: true, Reason: string(cluster.ReasonNoReplica),
 			Message: fmt.Sprintf("no replica of model %q can take the request", r.gen.Model),
 		})
 	}
@@ -123,6 +126,19 @@
 	return r.ended(action.Attempt, r.ending(action.Attempt, chosen, err))
 }
 
+// pause waits and reports whether ctx still holds.
+func pause(ctx context.Context, delay time.Duration) bool {
+	if delay == 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(delay):
+		return true
+	}
+}
+
 // noteSuspicion records at once on this host what the owner on another host
 // shares with the next exchange.
 func (r *run) noteSuspicion(chosen *route.Candidate, solo, finished bool, err error) {
--- a/internal/core/flight/flight.go
+++ b/internal/core/flight/flight.go
@@ -9,7 +9,10 @@
 // The package has no I/O and no clock. Its types are not safe for concurrent use.
 package flight
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxAttempts bounds the attempts of one request that reached a backend server.
@@ -17,6 +20,8 @@
 	// maxPicks bounds the choices of a replica for one request. Choices that
 	// no backend server saw are not retries, but each costs a call to an owner.
 	maxPicks = 12
+	// waitDelay is the pause before choosing again when no replica can serve.
+	waitDelay = 50 * time.Millisecond
 )
 
 // Outcome says what the end of a flight means for the request.
@@ -37,8 +42,10 @@
 	// Crashed says that the connection to the backend server broke.
 	Crashed bool
 	// Final says that no other replica can do better.
-	Final   bool
-	Replica string
+	Final bool
+	// NoReplica says that there was no replica to choose.
+	NoReplica bool
+	Replica   string
 	// Reason and Message describe the failure to the caller.
 	Reason  string
 	Message string
@@ -65,6 +72,8 @@
 	Kind    Kind
 	Attempt int
 	Resume  int
+	// Delay is the pause before an Attempt.
+	Delay time.Duration
 	// Outcome and Ending describe a Finish.
 	Outcome Outcome
 	Ending  Ending
@@ -73,25 +82,33 @@
 // Flight is the life of one request. It counts positions only; the shell keeps
 // the tokens.
 type Flight struct {
-	budget  *Budget
-	attempt int // current attempt; 0 before the first
-	picks   int
-	runs    int // attempts that reached a backend server
-	next    int // index of the next chunk to deliver
-	reached bool
-	ended   bool
-	avoid   []string
+	budget *Budget
+	// patience is how long the flight waits for a replica to appear. Replicas
+	// are missing for moments only: while a host starts, or while all of a
+	// model's replicas swap weights.
+	patience time.Duration
+	began    time.Time
+	attempt  int // current attempt; 0 before the first
+	picks    int
+	runs     int // attempts that reached a backend server
+	next     int // index of the next chunk to deliver
+	reached  bool
+	ended    bool
+	avoid    []string // replicas where attempts ended in a backend server
+	refused  []string // replicas whose owners refused since the last wait
 }
 
 // New returns the flight of a request. Reached says that an earlier attempt
-// under the same request ID reached a backend server, or may have.
-func New(budget *Budget, reached bool) *Flight {
-	return &Flight{budget: budget, reached: reached}
+// under the same request ID reached a backend server, or may have. Patience is
+// how long the flight waits while no replica can serve.
+func New(budget *Budget, reached bool, patience time.Duration) *Flight {
+	return &Flight{budget: budget, reached: reached, patience: patience}
 }
 
 // Begin starts the first attempt.
 func (f *Flight) Begin(now time.Time) []Action {
 	f.budget.Request(now)
+	f.began = now
 	return f.newAttempt()
 }
 
@@ -129,8 +146,15 @@
 	if ending.Reached {
 		f.runs++
 	}
-	if ending.Replica != "" {
+	switch {
+	case ending.Replica == "":
+	case ending.Reached:
 		f.avoid = append(f.avoid, ending.Replica)
+	default:
+		f.refused = append(f.refused, ending.Replica)
+	}
+	if ending.NoReplica && now.Sub(f.began) < f.patience {
+		return f.waitForReplica()
 	}
 	again := !ending.Final && f.picks < maxPicks && f.runs < maxAttempts
 	if again && ending.Reached {
@@ -156,8 +180,17 @@
 	return append(actions, f.finish(ending)...)
 }
 
-// Avoid returns the replicas where attempts ended, oldest first.
-func (f *Flight) Avoid() []string { return f.avoid }
+// waitForReplica starts to choose afresh after a pause: replicas that failed
+// and owners that refused may have become able to serve meanwhile.
+func (f *Flight) waitForReplica() []Action {
+	f.picks, f.avoid, f.refused = 0, nil, nil
+	actions := f.newAttempt()
+	actions[0].Delay = waitDelay
+	return actions
+}
+
+// Avoid returns the replicas that are not to be chosen now.
+func (f *Flight) Avoid() []string { return append(slices.Clone(f.avoid), f.refused...) }
 
 // Delivered returns the number of chunks delivered.
 func (f *Flight) Delivered() int { return f.next }
--- a/internal/core/flight/flight_test.go
+++ b/internal/core/flight/flight_test.go
@@ -42,7 +42,7 @@
 		now := time.Unix(1000, 0)
 		earlier := rapid.Bool().Draw(t, "earlier attempt reached")
 		w := &world{
-			flight:   New(NewBudget(0.1, rapid.IntRange(0, 4).Draw(t, "reserve")), earlier),
+			flight:   New(NewBudget(0.1, rapid.IntRange(0, 4).Draw(t, "reserve")), earlier, 0),
 			attempts: make(map[int]int), reached: earlier,
 			length: rapid.IntRange(1, 6).Draw(t, "length"),
 		}
@@ -150,7 +150,7 @@
 // its index happens to be the next one.
 func TestLateChunkOfEarlierAttemptIsDropped(t *testing.T) {
 	now := time.Unix(1000, 0)
-	f := New(NewBudget(0, 3), false)
+	f := New(NewBudget(0, 3), false, 0)
 	f.Begin(now)
 	must.Len(t, 1, f.Chunk(1, 0, false, now))
 	next := f.Ended(1, Ending{Reached: true, Crashed: true, Replica: "r"}, now)
@@ -158,3 +158,19 @@
 	must.SliceEmpty(t, f.Chunk(1, 1, true, now))
 	must.Len(t, 2, f.Chunk(2, 1, true, now))
 }
+
+// Guards against refusing a request in the moment in which all replicas of its
+// model swap weights, and against waiting without end.
+func TestWaitsForAReplicaWithinItsPatience(t *testing.T) {
+	start := time.Unix(0, 0)
+	f := New(NewBudget(0, 0), false, time.Second)
+	attempt := f.Begin(start)[0].Attempt
+	missing := Ending{Final: true, NoReplica: true, Reason: "no-replica"}
+	again := f.Ended(attempt, missing, start.Add(500*time.Millisecond))[0]
+	must.Eq(t, Attempt, again.Kind)
+	must.Positive(t, again.Delay)
+	must.SliceEmpty(t, f.Avoid())
+	end := f.Ended(again.Attempt, missing, start.Add(2*time.Second))[0]
+	must.Eq(t, Finish, end.Kind)
+	must.Eq(t, NotRun, end.Outcome)
+}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -331,11 +333,18 @@
 // handlerProvider is a stand-in that is served over HTTP.
 type handlerProvider interface{ Handler() http.Handler }
 
-// freeAddrs reserves n loopback addresses whose port is free for TCP and UDP.
+// beds counts the testbeds of this process.
+var beds atomic.Uint32
+
+// freeAddrs returns n addresses for entry hosts. Each testbed has a loopback IP
+// of its own, since a port that was free a moment ago on a shared one may be
+// taken by another testbed or by an outgoing connection.
 func freeAddrs(n int) ([]string, error) {
+	bed := beds.Add(1)
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+bed/250%250, 1+bed%250)
 	var addrs []string
 	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, eris.Wrap(err, "find a free port")
 		}
