Count samples that fail together as one failure of their group

Cause: in the first second of a run ten samples of a group failed at once, the group's retry delay doubled ten times, and its trainer waited 3.5 s for one group. Flights also ended after 12 owners had refused within 0.2 s. Ruled out: hedging and surplus, which ran as intended. Change: the delay grows once per round; a flight refused by all owners waits like one without replicas. The memory per token goes back to 32 bytes: the stand-in's tokens were the ones that were too long, and 128 bytes made the memory bound of the property test refuse work for good.

--- a/internal/core/flight/flight.go
+++ b/internal/core/flight/flight.go
@@ -153,7 +153,8 @@
 	default:
 		f.refused = append(f.refused, ending.Replica)
 	}
-	if ending.NoReplica && now.Sub(f.began) < f.patience {
+	refusedByAll := !ending.Reached && !ending.Final && f.picks >= maxPicks
+	if (ending.NoReplica || refusedByAll) && now.Sub(f.began) < f.patience {
 		return f.waitForReplica()
 	}
 	again := !ending.Final && f.picks < maxPicks && f.runs < maxAttempts
--- a/internal/core/sample/home.go
+++ b/internal/core/sample/home.go
@@ -81,9 +81,10 @@
 // tokenHeaderBytes is the memory of a token beside its text.
 const tokenHeaderBytes = 16
 
-// tokenBytes is the memory reserved per token. With 32 bytes, answers of
-// tokens longer than 16 bytes were stopped before their length limit.
-const tokenBytes = tokenHeaderBytes + 112
+// tokenBytes is the memory reserved per token: its header and 16 bytes. Tokens
+// of language models are about 4 bytes long; an answer of tokens that are
+// longer than 16 bytes on average stops before its length limit.
+const tokenBytes = tokenHeaderBytes + 16
 
 // groupBytes is the memory counted for a group's own row.
 const groupBytes = 256
--- a/internal/core/sample/stream.go
+++ b/internal/core/sample/stream.go
@@ -123,9 +123,12 @@
 	t, g := s.trainer, s.group
 	t.counts.Failed++
 	g.samples = slices.DeleteFunc(g.samples, func(o *sample) bool { return o == s })
-	delay := min(minRetryDelay<<min(g.failures, 10), maxRetryDelay)
-	g.failures++
-	g.retryAt = now + delay
+	// Samples that fail together count as one failure: counted one by one, a
+	// moment without replicas held a group of ten back for seconds.
+	if now >= g.retryAt {
+		g.retryAt = now + min(minRetryDelay<<min(g.failures, 10), maxRetryDelay)
+		g.failures++
+	}
 	t.recount(g)
 }
 
