Load plain services with GET requests too

Calls to plain services were always confirmations with a key. Pages of a gallery are GET requests, which may run more than once and whose answers must reach the right caller. Their path ends with the request ID, so the checker can compare the path in the receipt with the path that the caller asked for, and it finds their runs by the request ID.

go test -race passes on internal/load and internal/checker.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -128,7 +128,7 @@
 	Facts
 	requests []engined.RequestEntry            // of all engines
 	answers  map[string][]engined.RequestEntry // by answer tag, those that ran
-	calls    map[string][]serviced.Call        // by key, those that ran
+	calls    map[string][]serviced.Call        // by key, or else request ID, those that ran
 	attempts map[string][]load.Attempt         // by request ID or key
 	ids      []string                          // keys of attempts in order of first appearance
 }
@@ -149,8 +149,12 @@
 		}
 	}
 	for _, call := range facts.Services {
-		if call.Ran && call.Key != "" {
-			c.calls[call.Key] = append(c.calls[call.Key], call)
+		id := call.Key
+		if id == "" {
+			id = call.RequestID
+		}
+		if call.Ran && id != "" {
+			c.calls[id] = append(c.calls[id], call)
 		}
 	}
 	for _, attempt := range facts.Load.Attempts {
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -26,8 +27,11 @@
 		Declared: &declare.Set{Trainers: map[string]*declare.Trainer{
 			"captions": {Name: "captions", Model: "album", GroupSize: groupSize, StalenessBound: 1},
 		}},
-		Callers:       []load.CallerMix{{Name: "pages", Model: "album", RatePerSecond: 30, StreamShare: 0.5, SharedPrefixes: 2, PrefixBytes: 100}},
-		Services:      []load.ServiceMix{{Name: "desk", Path: "/trays", RatePerSecond: 20}},
+		Callers: []load.CallerMix{{Name: "pages", Model: "album", RatePerSecond: 30, StreamShare: 0.5, SharedPrefixes: 2, PrefixBytes: 100}},
+		Services: []load.ServiceMix{
+			{Name: "desk", Path: "/trays", RatePerSecond: 20},
+			{Name: "desk", Path: "/pages", Method: http.MethodGet, RatePerSecond: 20},
+		},
 		Trainers:      []load.TrainerPlan{{Name: "captions", GroupsPerStep: 3, TrainTime: 10 * time.Millisecond, Ahead: 1, FirstVersion: 7}},
 		ProbeServices: []string{"desk"},
 		ProbeInterval: 50 * time.Millisecond,
@@ -95,7 +99,7 @@
 		Load: load.Records{
 			Attempts: []load.Attempt{
 				{RequestID: "page", Entry: "h1", Model: "album", Prompt: "page", Seed: 6, Start: at(1), End: at(3), Result: load.ResultAnswered, Last: true, Text: strings.Join(page, ""), Finish: pageFinish, Versions: []int64{7, 8}},
-				{Key: "tray", Entry: "h1", Start: at(1), End: at(2), Result: load.ResultAnswered, Last: true, Text: `{"key":"tray"}`},
+				{Key: "tray", Service: "desk", Path: "/trays", Entry: "h1", Start: at(1), End: at(2), Result: load.ResultAnswered, Last: true, Text: `{"key":"tray","path":"/trays"}`},
 				{RequestID: "refused", Entry: "h1", Model: "album", Prompt: "refused", Start: at(1), End: at(2), Result: load.ResultRefused, Last: true, Outcome: "not-run", Reason: "overload"},
 			},
 			Deliveries: []load.Delivery{{
@@ -153,7 +157,8 @@
 		}, nil},
 		{"answered twice", "P3", func(f *Facts) { f.Load.Attempts = append(f.Load.Attempts, f.Load.Attempts[0]) }, nil},
 		{"answer of another seed", "P4", func(f *Facts) { f.Load.Attempts[0].Seed++ }, nil},
-		{"receipt of another key", "P4", func(f *Facts) { f.Load.Attempts[1].Text = `{"key":"other"}` }, nil},
+		{"receipt of another key", "P4", func(f *Facts) { f.Load.Attempts[1].Text = `{"key":"other","path":"/trays"}` }, nil},
+		{"page of another path", "P4", func(f *Facts) { f.Load.Attempts[1].Path = "/pages/1" }, nil},
 		{"refused, but ran", "P5", func(f *Facts) {
 			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(1.5), AnswerTag: engined.AnswerTag("album", "refused", 0)})
 		}, nil},
--- a/internal/checker/requests.go
+++ b/internal/checker/requests.go
@@ -23,15 +23,15 @@
 	}
 	for _, a := range c.Load.Attempts {
 		if a.Result != load.ResultAnswered {
-			if a.RequestID != "" && a.Text != "" {
+			if a.Service == "" && a.Text != "" {
 				err := engined.VerifyPart(a.Model, a.Prompt, a.Seed, engined.SplitTokens(a.Text))
 				p.fact(err == nil, "request %s, cut answer: %v", a.RequestID, err)
 			}
 			continue
 		}
-		if a.Key != "" {
+		if a.Service != "" {
 			err := c.verifyReceipt(a)
-			p.fact(err == nil, "key %s: %v", a.Key, err)
+			p.fact(err == nil, "request %s to service %s: %v", a.RequestID+a.Key, a.Service, err)
 			continue
 		}
 		err := verifyCompletion(a)
@@ -56,15 +56,16 @@
 // verifyReceipt compares a service's answer with the call that it answers.
 func (c *check) verifyReceipt(a load.Attempt) error {
 	var receipt struct {
-		Key string `json:"key"`
+		Key  string `json:"key"`
+		Path string `json:"path"`
 	}
 	if err := json.Unmarshal([]byte(a.Text), &receipt); err != nil {
 		return fmt.Errorf("decode receipt: %w", err)
 	}
-	if receipt.Key != a.Key {
-		return fmt.Errorf("receipt is for key %q", receipt.Key)
+	if receipt.Key != a.Key || receipt.Path != a.Path {
+		return fmt.Errorf("receipt is for key %q and path %q instead of %q", receipt.Key, receipt.Path, a.Path)
 	}
-	if len(c.calls[a.Key]) == 0 {
+	if len(c.calls[a.Key+a.RequestID]) == 0 {
 		return errors.New("answered, but no service ran it")
 	}
 	return nil
@@ -97,8 +98,8 @@
 		}
 		return false
 	}
-	if a.Key != "" {
-		for _, call := range c.calls[a.Key] {
+	if a.Service != "" {
+		for _, call := range c.calls[a.Key+a.RequestID] {
 			if !causedByOther(call.Time) {
 				return call.Server, true
 			}
--- a/internal/checker/samples.go
+++ b/internal/checker/samples.go
@@ -19,7 +19,7 @@
 		}
 	}
 	for _, a := range c.Load.Attempts {
-		if a.Result == load.ResultAnswered && a.RequestID != "" && len(a.Versions) > 0 {
+		if a.Result == load.ResultAnswered && a.Service == "" && len(a.Versions) > 0 {
 			err := c.verifyVersions(engined.SplitTokens(a.Text), a.Versions)
 			p.fact(err == nil, "request %s: %v", a.RequestID, err)
 		}
--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -51,6 +51,7 @@
 
 // call is one request of a caller with all its attempts.
 type call struct {
+	method  string
 	attempt Attempt // template
 	body    []byte
 	stream  bool
@@ -72,6 +73,7 @@
 	}
 	data, err := json.Marshal(body)
 	return call{
+		method: http.MethodPost,
 		attempt: Attempt{
 			Mix: m.Name, Class: m.Class, RequestID: id.String(), Model: m.Model,
 			Prompt: prompt, Seed: body.Seed, MaxTokens: tighter(m.MaxTokens, modelLimit),
@@ -132,7 +134,7 @@
 
 // complete sends one attempt of a completion.
 func (d *driver) complete(ctx context.Context, c call, attempt *Attempt) {
-	response, err := d.post(ctx, "http://"+attempt.Entry+"/v1/completions", c, func(h http.Header) {
+	response, err := d.send(ctx, "http://"+attempt.Entry+"/v1/completions", c, func(h http.Header) {
 		h.Set("Request-Id", attempt.RequestID)
 		h.Set("Sesamestand-Class", className(attempt.Class))
 	})
@@ -158,9 +160,9 @@
 	}
 }
 
-// post sends a call with the headers that all calls share.
-func (d *driver) post(ctx context.Context, url string, c call, headers func(http.Header)) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(c.body))
+// send sends a call with the headers that all calls share.
+func (d *driver) send(ctx context.Context, url string, c call, headers func(http.Header)) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, c.method, url, bytes.NewReader(c.body))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -4,6 +4,7 @@
 package load
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,11 +64,14 @@
 	PoisonShare float64
 }
 
-// ServiceMix is one population of callers of a plain service. Each request is
-// a POST with its own UUIDv7 key, for example the confirmation of a tray.
+// ServiceMix is one population of callers of a plain service. With the method
+// POST, each request has its own UUIDv7 key, for example the confirmation of a
+// tray. With GET, each request has its own request ID at the end of its path,
+// for example a proof page.
 type ServiceMix struct {
 	Name           string   // service
 	Entries        []string // entry hosts of these callers; empty means all
+	Method         string   // http.MethodPost or http.MethodGet; empty means POST
 	Path           string   // below /v1/services/{name}
 	Class          declare.Class
 	RatePerSecond  float64
@@ -128,6 +132,9 @@
 	}
 	c.Services = append([]ServiceMix(nil), c.Services...)
 	for i := range c.Services {
+		if c.Services[i].Method == "" {
+			c.Services[i].Method = http.MethodPost
+		}
 		setDefault(&c.Services[i].Timeout, defaultTimeout)
 		setDefault(&c.Services[i].AttemptTimeout, c.Services[i].Timeout+answerGrace)
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -61,7 +61,7 @@
 	for i, mix := range d.config.Services {
 		random := rand.New(rand.NewPCG(d.config.Seed, uint64(1000+i)))
 		source := arrival{
-			hosts: newEntries(mix.Entries, d.config.Entries), perSecond: mix.RatePerSecond, double: mix.DoubleShare, random: random, send: d.confirm,
+			hosts: newEntries(mix.Entries, d.config.Entries), perSecond: mix.RatePerSecond, double: mix.DoubleShare, random: random, send: d.callService,
 			next: mix.newCall,
 		}
 		wg.Go(func() { d.arrive(arrivals, requests, source) })
--- a/internal/load/services.go
+++ b/internal/load/services.go
@@ -11,19 +11,33 @@
 )
 
 func (m ServiceMix) newCall() (call, error) {
-	key, err := uuid.NewV7()
-	return call{
-		attempt: Attempt{Mix: m.Name, Class: m.Class, Key: key.String(), Service: m.Name, Path: m.Path},
-		body:    []byte(`{"confirmation":"` + key.String() + `"}`),
+	id, err := uuid.NewV7()
+	c := call{
+		method:  m.Method,
+		attempt: Attempt{Mix: m.Name, Class: m.Class, Service: m.Name, Path: "/" + strings.Trim(m.Path, "/")},
 		timeout: m.Timeout, attemptTimeout: m.AttemptTimeout,
-	}, err
+	}
+	if m.Method == http.MethodGet {
+		c.attempt.RequestID = id.String()
+		c.attempt.Path += "/" + id.String()
+		return c, err
+	}
+	c.attempt.Key = id.String()
+	c.body = []byte(`{"confirmation":"` + id.String() + `"}`)
+	return c, err
 }
 
-// confirm sends one attempt of a call to a plain service. The key stays the
-// same for all attempts, so that the call runs at most once.
-func (d *driver) confirm(ctx context.Context, c call, attempt *Attempt) {
-	url := "http://" + attempt.Entry + "/v1/services/" + attempt.Service + "/" + strings.TrimPrefix(attempt.Path, "/")
-	response, err := d.post(ctx, url, c, func(h http.Header) { h.Set("Idempotency-Key", attempt.Key) })
+// callService sends one attempt of a call to a plain service. The key of a
+// POST stays the same for all attempts, so that the call runs at most once.
+func (d *driver) callService(ctx context.Context, c call, attempt *Attempt) {
+	url := "http://" + attempt.Entry + "/v1/services/" + attempt.Service + attempt.Path
+	response, err := d.send(ctx, url, c, func(h http.Header) {
+		if attempt.Key != "" {
+			h.Set("Idempotency-Key", attempt.Key)
+		} else {
+			h.Set("Request-Id", attempt.RequestID)
+		}
+	})
 	if err != nil {
 		attempt.setFailure(err)
 		return
