--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -8,6 +8,7 @@
 package callers
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 // fixed number of times without a budget. It exists for comparisons.
 const PolicyBaseline = owner.PolicyBaseline
 
+// defaultReplicaPatience covers the start of a host and one weight swap.
+const defaultReplicaPatience = 3 * time.Second
+
 // Config holds the parameters of a Controller. Zero values mean defaults.
 type Config struct {
 	Policy string
@@ -31,11 +35,14 @@
 	ProgressTimeout time.Duration
 	// RequestTimeout applies to callers that name none.
 	RequestTimeout time.Duration
-	BodyBytes      int64
-	RetryShare     float64
-	RetryReserve   int
-	Home           flight.HomeConfig
-	Weights        route.Weights
+	// ReplicaPatience is how long a request waits while no replica can serve;
+	// the baseline policy does not wait.
+	ReplicaPatience time.Duration
+	BodyBytes       int64
+	RetryShare      float64
+	RetryReserve    int
+	Home            flight.HomeConfig
+	Weights         route.Weights
 }
 
 func (c Config) withDefaults() Config {
@@ -45,9 +52,15 @@
 	if c.RequestTimeout <= 0 {
 		c.RequestTimeout = time.Minute
 	}
+	if c.ReplicaPatience <= 0 && c.Policy != PolicyBaseline {
+		c.ReplicaPatience = defaultReplicaPatience
+	}
 	if c.BodyBytes <= 0 {
 		c.BodyBytes = 1 << 20
 	}
+	if c.Policy == PolicyBaseline {
+		c.RetryShare, c.RetryReserve = 0, math.MaxInt32
+	}
 	if c.RetryShare == 0 && c.RetryReserve == 0 {
 		c.RetryShare, c.RetryReserve = 0.10, 3
 	}
@@ -81,6 +94,8 @@
 	home    *flight.Home
 	claims  map[string]claimant
 	started time.Time
+	// memberSets holds the live members of the data centre over the retention.
+	memberSets []memberSet
 }
 
 var (
