Notice silent connections to the platform within 4 s

A connection to the platform that goes silent is noticed only by the limit of a call. That was 10 s, as long as the time in which configuration has to be in force everywhere. It is now 4 s beyond the wait of a long poll. A shorter limit was ruled out, because the log can be slow, and an append that times out has an unknown outcome.

A new test silences the open connections to the log with the fault proxy; the append that meets it is of unknown outcome, the next one succeeds.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -18,8 +18,9 @@
 )
 
 // callTimeout bounds each call to the platform, in addition to the wait of a
-// long poll.
-const callTimeout = 10 * time.Second
+// long poll. A connection that went silent is only noticed by it, and
+// configuration has to be in force within 10 s all the same.
+const callTimeout = 4 * time.Second
 
 // idleTimeout closes pooled connections early, because an open connection can
 // go silent while new ones work.
--- a/internal/platform/http_test.go
+++ b/internal/platform/http_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/platform"
 	"github.com/sesamestand/sesamestand/internal/standin"
+	"github.com/sesamestand/sesamestand/internal/standin/faultproxy"
 	"github.com/sesamestand/sesamestand/internal/standin/hostsd"
 	"github.com/sesamestand/sesamestand/internal/standin/logd"
 	"github.com/sesamestand/sesamestand/internal/standin/weightsd"
@@ -71,6 +72,25 @@
 	must.ErrorIs(t, err, platform.ErrUnknownOutcome)
 }
 
+// Guards against a client that goes on using connections which went silent.
+func TestLogIsReachedAgainAfterConnectionsWentSilent(t *testing.T) {
+	server := logd.New(logd.Config{})
+	endpoint, err := standin.Listen("127.0.0.1:0", server.Handler())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = endpoint.Close() })
+	proxy, err := faultproxy.Listen(endpoint.Addr())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = proxy.Close() })
+	log := platform.NewHTTPLog(proxy.Addr(), "")
+	_, err = log.Append(t.Context(), "intent", [][]byte{[]byte("opens the connection")})
+	must.NoError(t, err)
+	proxy.Silence()
+	_, err = log.Append(t.Context(), "intent", [][]byte{[]byte("silent")})
+	must.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	_, err = log.Append(t.Context(), "intent", [][]byte{[]byte("new connection")})
+	must.NoError(t, err)
+}
+
 // Guards against refusals that are treated as unknown, which would block keys
 // without need, and against records that a refused append left in the log.
 func TestRefusedAppendLeavesNoRecord(t *testing.T) {
