Keep goodput under overload with shorter queues and safer estimates

Queues filled until each request started at the last moment by an estimate of the mean length, so that half of them ended too late; answers that were cut off never entered the estimate. Ruled out: last come, first served under overload, which starves callers that waited longest. Change: deadlines are checked with a length that one answer in ten exceeds and with the time to the first token; a new request is refused when it would wait more than half of the time to its deadline; after a decrease the limit is left alone for one window. The test of the limit expects that window. The baseline's fixed limit is the largest limit instead of the initial one, so that it is not held to a quarter of an engine's batch.

--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -131,6 +131,7 @@
 	replicas []cluster.Replica
 	hosts    []*testHost
 	set      *declare.Set
+	progress time.Duration // progress timeout of the engine clients
 }
 
 // testHost is one entry host with its gRPC and HTTP servers.
@@ -208,7 +209,7 @@
 
 // newFixture returns n entry hosts of one data centre in front of engines.
 func newFixture(t *testing.T, n int, policy string, engines ...*testEngine) *fixture {
-	f := &fixture{set: &declare.Set{}}
+	f := &fixture{set: &declare.Set{}, progress: 300 * time.Millisecond}
 	for i, e := range engines {
 		f.replicas = append(f.replicas, cluster.Replica{
 			BackendServer: platform.BackendServer{
@@ -224,7 +225,7 @@
 	return f
 }
 
-func (f *fixture) addHost(t *testing.T, dataCentre, policy string) *testHost {
+func (f *fixture) addHost(t testing.TB, dataCentre, policy string) *testHost {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	id := fmt.Sprintf("host-%d", len(f.All()))
@@ -236,7 +237,7 @@
 	f.mu.Lock()
 	f.hosts = append(f.hosts, h)
 	f.mu.Unlock()
-	client := engine.NewClient(engine.Config{ProgressTimeout: 300 * time.Millisecond})
+	client := engine.NewClient(engine.Config{ProgressTimeout: f.progress})
 	h.owner = owner.New(owner.Config{Policy: policy, ExchangeInterval: 20 * time.Millisecond}, h, h, h, h, client, h, recorder)
 	h.controller = New(Config{Policy: policy}, h, h, h, h, h, h.owner, h, recorder)
 	h.controller.started = time.Now().Add(-time.Hour) // sure about earlier attempts
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -20,7 +20,7 @@
 
 // Policies of a System.
 const (
-	// PolicyBaseline admits first come, first served up to a fixed limit.
+	// PolicyBaseline admits first come, first served up to the fixed MaxLimit.
 	PolicyBaseline = "baseline"
 )
 
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -343,6 +343,8 @@
 		window(40 * time.Millisecond)
 	}
 	must.Eq(t, 1, l.value())
+	// The window after a decrease still shows what was started before it.
+	must.Eq(t, 1, window(10*time.Millisecond))
 	must.Eq(t, 2, window(10*time.Millisecond))
 }
 
--- a/internal/core/admit/estimate.go
+++ b/internal/core/admit/estimate.go
@@ -11,6 +11,14 @@
 	defaultTokens = 64
 	// sizeWeight is the weight of a new answer in the average length.
 	sizeWeight = 0.1
+	// highShare is the share of answers that may be longer than the length
+	// with which deadlines are checked.
+	highShare = 0.1
+	// maxWaitShare is the part of the time to the deadline that a new request
+	// may be expected to wait. A longer queue does not give more answers in
+	// time; it only makes each request start at the last moment, so that every
+	// error of an estimate costs a whole answer.
+	maxWaitShare = 0.5
 	// maxSizes bounds the averages kept per replica.
 	maxSizes = 256
 )
@@ -22,28 +30,53 @@
 	return [...]string{"interactive", "batch"}[max(request.Class, 0)]
 }
 
+// size is what is known about the length of one kind of answer, in tokens.
+type size struct {
+	mean float64
+	// high is a length that one answer in ten exceeds.
+	high float64
+}
+
 // expectedTokens estimates the length of an answer.
 func (r *replica) expectedTokens(request Request) float64 {
-	size, known := r.sizes[sizeKey(request)]
+	return r.size(request).mean
+}
+
+func (r *replica) size(request Request) size {
+	s, known := r.sizes[sizeKey(request)]
 	if !known {
-		size = defaultTokens
+		s = size{defaultTokens, defaultTokens}
 	}
 	if request.MaxTokens > 0 {
-		size = min(size, float64(request.MaxTokens))
+		s.mean, s.high = min(s.mean, float64(request.MaxTokens)), min(s.high, float64(request.MaxTokens))
 	}
-	return max(1, size)
+	return size{max(1, s.mean), max(1, s.high)}
 }
 
-func (r *replica) learn(it *item) {
-	key := sizeKey(it.Request)
-	size, known := r.sizes[key]
+// learn takes the length of an answer into account. One that was cut off
+// counts when it was longer than expected even so: otherwise the estimates
+// would only know the answers that were short enough.
+func (r *replica) learn(it *item, whole bool) {
+	key, tokens := sizeKey(it.Request), float64(it.tokens)
+	s, known := r.sizes[key]
+	if tokens == 0 || !whole && (!known || tokens < s.mean) {
+		return
+	}
 	if !known {
 		if len(r.sizes) >= maxSizes {
 			clear(r.sizes)
 		}
-		size = float64(it.tokens)
+		s = size{tokens, tokens}
+	}
+	s.mean += sizeWeight * (tokens - s.mean)
+	step := sizeWeight * s.mean
+	if tokens > s.high {
+		s.high += (1 - highShare) * step
+	} else {
+		s.high -= highShare * step
 	}
-	r.sizes[key] = size + sizeWeight*(float64(it.tokens)-size)
+	s.high = max(s.high, s.mean)
+	r.sizes[key] = s
 }
 
 // perToken returns the time per token of one request; 0 means not known yet.
@@ -80,8 +113,9 @@
 	return time.Duration(ahead * float64(r.perToken()) / float64(r.limit.value()))
 }
 
-func (r *replica) serviceTime(tokens float64) time.Duration {
-	return time.Duration(tokens * float64(r.perToken()))
+// serviceTime is the time that all but few answers take.
+func (r *replica) serviceTime(request Request) time.Duration {
+	return r.limit.firstToken + time.Duration(r.size(request).high*float64(r.perToken()))
 }
 
 // misses reports whether a new request cannot meet its deadline after the
@@ -90,9 +124,8 @@
 	if request.Deadline.IsZero() {
 		return false
 	}
-	wait := r.expectedWait(request.Class)
-	return !now.Before(request.Deadline) ||
-		wait > 0 && now.Add(wait+r.serviceTime(r.expectedTokens(request))).After(request.Deadline)
+	left, wait := request.Deadline.Sub(now), r.expectedWait(request.Class)
+	return left <= 0 || wait > 0 && (wait+r.serviceTime(request) > left || float64(wait) > maxWaitShare*float64(left))
 }
 
 // late reports whether a request that waited would end after its deadline.
@@ -100,5 +133,5 @@
 	if it.Deadline.IsZero() || now.Equal(it.arrived) {
 		return false
 	}
-	return now.Add(r.serviceTime(it.cost)).After(it.Deadline)
+	return now.Add(r.serviceTime(it.Request)).After(it.Deadline)
 }
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -37,12 +37,18 @@
 	full     bool // the limit was reached in this window
 
 	firstBaseline time.Duration // time to the first token at light load
+	firstToken    time.Duration // time to the first token in the last window
 	firstSum      time.Duration
 	firsts        int
+	settling      bool // the last window began before a decrease took effect
 }
 
 func newLimiter(config Config, now time.Time) limiter {
-	return limiter{config: config, limit: float64(config.InitialLimit), probing: true, adjusted: now}
+	limit := config.InitialLimit
+	if config.Policy == PolicyBaseline {
+		limit = config.MaxLimit
+	}
+	return limiter{config: config, limit: float64(limit), probing: true, adjusted: now}
 }
 
 func (l *limiter) value() int { return max(1, min(int(l.limit), l.config.MaxLimit)) }
@@ -74,10 +80,14 @@
 	if l.baseline == 0 || l.perToken < l.baseline {
 		l.baseline = l.perToken
 	}
+	if l.settling {
+		l.settling = false
+		return
+	}
 	switch {
 	case queued || float64(l.perToken) > l.config.SlowdownFactor*float64(l.baseline):
 		l.limit = max(1, l.limit*decrease)
-		l.probing = false
+		l.probing, l.settling = false, true
 	case l.full:
 		step := 1.0
 		if l.probing {
@@ -95,6 +105,7 @@
 		return false
 	}
 	mean := l.firstSum / time.Duration(l.firsts)
+	l.firstToken = mean
 	l.firstSum, l.firsts = 0, 0
 	l.firstBaseline = time.Duration(float64(l.firstBaseline) * baselineDrift)
 	if l.firstBaseline == 0 || mean < l.firstBaseline {
--- a/internal/core/admit/replica.go
+++ b/internal/core/admit/replica.go
@@ -31,7 +31,7 @@
 	flows   *table.Table[string, flow]   // training, by trainer
 	floor   float64                      // lowest virtual time that counts; never falls
 	credit  float64                      // tokens that training may take before callers
-	sizes   map[string]float64           // average answer length by trainer or class
+	sizes   map[string]size              // answer lengths by trainer or class
 }
 
 func newReplica(config Config, now time.Time) replica {
@@ -40,7 +40,7 @@
 		limit:   newLimiter(config, now),
 		running: make(map[uint64]*item),
 		flows:   table.New[string, flow](),
-		sizes:   make(map[string]float64),
+		sizes:   make(map[string]size),
 	}
 }
 
@@ -153,9 +153,7 @@
 	if it.Solo {
 		r.soloRunning = false
 	}
-	if whole {
-		r.learn(it)
-	}
+	r.learn(it, whole)
 	if it.Class >= declare.ClassTraining {
 		r.charge(it.Trainer, float64(it.tokens)-it.cost, it.Share, -1)
 	}
