Let a data centre's first owner order without waiting out a lease

Cause: in the Lin family's example, whose engines ignore fencing numbers, no weights were loaded in the first 11 s: the first view needs 4 s and every owner then waited a lease term and a second, though nobody owned before. Ruled out: a shorter lease term, which protects against paused holders. Change: the wait applies only when another host may have owned the replica since the data centre's first view.

--- a/internal/core/lease/owner.go
+++ b/internal/core/lease/owner.go
@@ -106,20 +106,24 @@
 	if p.ReadStart.IsZero() || elapsed(p.ReadStart, now) >= p.Term {
 		return Permission{}, StaleRead
 	}
-	if now.Sub(c.ownedSince(replica, p.Self)) < p.Term+handoverMargin {
+	since, formerOwner := c.ownedSince(replica, p.Self)
+	if formerOwner && now.Sub(since) < p.Term+handoverMargin {
 		return Permission{}, Handover
 	}
 	permission.Deadline = p.ReadStart.Add(p.Term)
 	return permission, ""
 }
 
-// ownedSince returns when this host read the view that made it owner.
-func (c *chain) ownedSince(replica, self string) time.Time {
-	since := c.newest().ReadAt
+// ownedSince returns when this host read the view that made it owner, and
+// whether another host may have owned the replica before. There was none when
+// this host owns it since the data centre's first view.
+func (c *chain) ownedSince(replica, self string) (since time.Time, formerOwner bool) {
+	since, formerOwner = c.newest().ReadAt, true
 	for i := len(c.history) - 1; i >= 0 && Owner(replica, c.history[i].Hosts) == self; i-- {
 		since = c.history[i].ReadAt
+		formerOwner = c.history[i].BaseEpoch != NoEpoch
 	}
-	return since
+	return since, formerOwner
 }
 
 // elapsed is the longer of the times by the monotonic and by the wall clock,
