Check orders to engines and report steady idle time

The engines record every order, so the checker can also judge two rules of section 4.4 from outside: no order loads an older version than the engine runs, and no engine carries out an order of an earlier holder after one of a later holder. They are reported as O1 and O2 beside the promises and count as broken facts like them.

The idle share of a short run is dominated by the wait for the first step, which no system can avoid. The report gives the share without it as well.

go test -race passes on internal/load and internal/checker.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -1,4 +1,5 @@
-// Package checker verifies the promises P1 to P9 of the design page from what
+// Package checker verifies the promises P1 to P9 of the design page, and its
+// rules on orders to engines, from what
 // callers, trainers and the stand-ins of outside systems recorded. It reads
 // nothing from the entry hosts, so that a fault there cannot hide itself.
 package checker
@@ -6,6 +7,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -25,8 +27,10 @@
 	Drains   []Drain
 	// Publications are changes of the configuration that the log accepted.
 	Publications []Publication
-	LeaveGrace   time.Duration // 0 means 5 s after the row became visible
-	ConfigGrace  time.Duration // 0 means 10 s after the publication
+	// Pinned lists models that a configuration pinned to a version in the run.
+	Pinned      []string
+	LeaveGrace  time.Duration // 0 means 5 s after the row became visible
+	ConfigGrace time.Duration // 0 means 10 s after the publication
 }
 
 // Drain is a graceful shutdown of one entry host.
@@ -59,9 +63,11 @@
 	Examples []string `json:"examples,omitempty"` // descriptions of the first broken facts
 }
 
-// Result holds the verdicts in order of the promises.
+// Result holds the verdicts in order of the promises. Orders holds those on
+// rules O1 and O2, which the design sets for orders to engines.
 type Result struct {
 	Promises []Promise `json:"promises"`
+	Orders   []Promise `json:"orders"`
 }
 
 // Check verifies all promises.
@@ -76,21 +82,23 @@
 	return Result{Promises: []Promise{
 		c.versions(), c.staleness(), c.once(), c.whole(), c.notRun(),
 		c.atMostOnce(), c.leaving(), c.drains(), c.configuration(),
-	}}
+	}, Orders: []Promise{c.rollback(), c.oneHolder()}}
 }
 
-// Broken returns the number of broken facts of all promises.
+// Broken returns the number of broken facts of all promises and rules.
 func (r Result) Broken() int {
 	broken := 0
-	for _, p := range r.Promises {
+	for _, p := range r.all() {
 		broken += p.Broken
 	}
 	return broken
 }
 
-// Promise returns the verdict on the promise with the given ID, "P1" to "P9".
+func (r Result) all() []Promise { return append(slices.Clone(r.Promises), r.Orders...) }
+
+// Promise returns the verdict on the promise "P1" to "P9" or rule "O1" or "O2".
 func (r Result) Promise(id string) Promise {
-	for _, p := range r.Promises {
+	for _, p := range r.all() {
 		if p.ID == id {
 			return p
 		}
@@ -102,7 +110,7 @@
 func (r Result) WriteTable(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "promise\tchecked\tbroken\t")
-	for _, p := range r.Promises {
+	for _, p := range r.all() {
 		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%s\n", p.ID, p.Checked, p.Broken, p.Text)
 		for _, example := range p.Examples {
 			_, _ = fmt.Fprintf(table, "\t\t\t- %s\n", example)
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/load"
 	"github.com/sesamestand/sesamestand/internal/platform"
 	"github.com/sesamestand/sesamestand/internal/standin/engined"
@@ -109,7 +110,14 @@
 			Announcements: []load.Announcement{{Model: "album", Version: 8, At: at(2)}},
 			Probes:        []load.Probe{{Entry: "h1", Service: "desk", At: at(3)}, {Entry: "h1", Service: "desk", At: at(5), Known: true}, {Entry: "h1", Service: "desk", At: at(20), Known: true}},
 		},
-		Engines:      []engined.Journal{{Requests: []engined.RequestEntry{entry("s1", "group", 5, len(sample)), entry("page", "page", 6, len(page))}}},
+		Engines: []engined.Journal{{
+			Requests: []engined.RequestEntry{entry("s1", "group", 5, len(sample)), entry("page", "page", 6, len(page))},
+			Orders: []engined.OrderEntry{
+				{Engine: "e1", Accepted: true, Before: 7, Order: engine.Order{Fence: 4, Kind: engine.OrderLoadVersion, Model: "album", Version: 8}},
+				{Engine: "e1", Accepted: true, Before: 8, Order: engine.Order{Fence: 4, Kind: engine.OrderLoadVersion, Model: "album", Version: 9}},
+				{Engine: "e1", Before: 8, Order: engine.Order{Fence: 2, Kind: engine.OrderLoadVersion, Model: "album", Version: 7}},
+			},
+		}},
 		Services:     []serviced.Call{{Time: at(1), Server: "desk1", Key: "tray", Ran: true}},
 		Hosts:        []hostsd.Change{{Time: at(0), Visible: at(1), Row: platform.BackendServer{ID: "e1", Leaving: true}}},
 		Drains:       []Drain{{Entry: "h1", Start: at(2), End: at(4)}},
@@ -176,6 +184,8 @@
 			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(7), Engine: "e1"})
 		}, nil},
 		{"cut off by a shutdown", "P8", func(f *Facts) { f.Load.Attempts[0].Result = load.ResultBroken }, []string{"P3"}},
+		{"weights rolled back", "O1", func(f *Facts) { f.Engines[0].Orders[1].Order.Version = 7 }, nil},
+		{"order of an earlier holder", "O2", func(f *Facts) { f.Engines[0].Orders[1].Order.Fence = 3 }, nil},
 		{"configuration that came late", "P9", func(f *Facts) { f.Load.Probes = []load.Probe{{Entry: "h2", Service: "desk", At: at(13)}} }, nil},
 		{"configuration that reverted", "P9", func(f *Facts) {
 			f.Load.Probes = append(f.Load.Probes[:2], load.Probe{Entry: "h1", Service: "desk", At: at(6)})
@@ -185,7 +195,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			facts := wholeFacts()
 			c.damage(&facts)
-			for _, p := range Check(facts).Promises {
+			for _, p := range Check(facts).all() {
 				expected := p.ID == c.promise || slices.Contains(c.also, p.ID)
 				must.Eq(t, expected, p.Broken > 0, must.Sprint(p))
 			}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -47,7 +47,8 @@
 }
 
 // Guards against latencies that start anew with each repetition, against
-// replayed answers that count as further requests, and against samples over the bound that are not counted.
+// replayed answers that count as further requests, and against samples over
+// the bound that are not counted.
 func TestReport(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	broken := Attempt{Mix: "pages", RequestID: "r1", Start: start, End: start.Add(time.Second), Result: ResultBroken}
@@ -58,13 +59,14 @@
 	report := newReport(time.Minute, Records{
 		Attempts:   []Attempt{broken, again, answered},
 		Deliveries: []Delivery{delivery},
-		Trainers:   []TrainerTime{{Trainer: "captions", Idle: time.Second, Total: 4 * time.Second}},
+		Trainers:   []TrainerTime{{Trainer: "captions", Idle: 2 * time.Second, FirstWait: time.Second, Total: 5 * time.Second}},
 	})
 	must.Eq(t, 1, report.Callers[0].Requests)
 	must.Eq(t, 1, report.Callers[0].Answered)
 	must.Eq(t, 3000.0, report.Callers[0].Latency.P50)
 	trainer := report.Trainers[0]
-	must.Eq(t, 0.25, trainer.IdleShare)
+	must.Eq(t, 0.4, trainer.IdleShare)
+	must.Eq(t, 0.25, trainer.SteadyIdleShare)
 	must.Eq(t, 1.5, trainer.StalenessMean)
 	must.Eq(t, 2, trainer.StalenessP99)
 	must.Eq(t, 1, trainer.OverBound)
--- a/internal/load/records.go
+++ b/internal/load/records.go
@@ -108,6 +108,7 @@
 	Trainer     string
 	Steps       int
 	Idle        time.Duration // waiting for samples
+	FirstWait   time.Duration // part of Idle before the first step was whole
 	Total       time.Duration
 	EpochChange int // answers "409 epoch changed"
 	Redelivered int // groups given again, which the trainer dropped
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -35,19 +35,22 @@
 
 // TrainerReport is what one trainer saw.
 type TrainerReport struct {
-	Trainer       string  `json:"trainer"`
-	Steps         int     `json:"steps"`
-	Groups        int     `json:"groups"`
-	Samples       int     `json:"samples"`
-	IdleShare     float64 `json:"idle_share"`
-	StalenessMean float64 `json:"staleness_mean"`
-	StalenessP99  int64   `json:"staleness_p99"`
-	OverBound     int     `json:"over_bound"`
-	Duplicates    int     `json:"duplicates"` // samples or groups delivered again as new
-	Lost          int     `json:"lost"`
-	Outstanding   int     `json:"outstanding"`
-	EpochChanges  int     `json:"epoch_changes"`
-	Redelivered   int     `json:"redelivered"` // given again and dropped by the cursor
+	Trainer   string  `json:"trainer"`
+	Steps     int     `json:"steps"`
+	Groups    int     `json:"groups"`
+	Samples   int     `json:"samples"`
+	IdleShare float64 `json:"idle_share"`
+	// SteadyIdleShare leaves out the wait for the first step, which no system
+	// can avoid.
+	SteadyIdleShare float64 `json:"steady_idle_share"`
+	StalenessMean   float64 `json:"staleness_mean"`
+	StalenessP99    int64   `json:"staleness_p99"`
+	OverBound       int     `json:"over_bound"`
+	Duplicates      int     `json:"duplicates"` // samples or groups delivered again as new
+	Lost            int     `json:"lost"`
+	Outstanding     int     `json:"outstanding"`
+	EpochChanges    int     `json:"epoch_changes"`
+	Redelivered     int     `json:"redelivered"` // given again and dropped by the cursor
 }
 
 // Percentiles of a set of times in milliseconds.
@@ -133,6 +136,9 @@
 	if spent.Total > 0 {
 		report.IdleShare = spent.Idle.Seconds() / spent.Total.Seconds()
 	}
+	if steady := spent.Total - spent.FirstWait; steady > 0 {
+		report.SteadyIdleShare = (spent.Idle - spent.FirstWait).Seconds() / steady.Seconds()
+	}
 	seen := make(map[string]bool)
 	var staleness []int64
 	var sum int64
@@ -199,9 +205,9 @@
 			c.Attempts, c.Latency.P50, c.Latency.P95, c.Latency.P99, c.FirstToken.P50, c.FirstToken.P99, refusalText(c.Refusals))
 	}
 	row("")
-	row("trainer\tsteps\tgroups\tsamples\tidle %%\tstaleness mean\tp99\tover bound\tduplicates\tlost\toutstanding\tepoch changes\tredelivered")
+	row("trainer\tsteps\tgroups\tsamples\tidle %%\tsteady idle %%\tstaleness mean\tp99\tover bound\tduplicates\tlost\toutstanding\tepoch changes\tredelivered")
 	for _, t := range r.Trainers {
-		row("%s\t%d\t%d\t%d\t%.1f\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d", t.Trainer, t.Steps, t.Groups, t.Samples, 100*t.IdleShare,
+		row("%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d", t.Trainer, t.Steps, t.Groups, t.Samples, 100*t.IdleShare, 100*t.SteadyIdleShare,
 			t.StalenessMean, t.StalenessP99, t.OverBound, t.Duplicates, t.Lost, t.Outstanding, t.EpochChanges, t.Redelivered)
 	}
 	return table.Flush()
--- a/internal/load/trainers.go
+++ b/internal/load/trainers.go
@@ -87,6 +87,9 @@
 		waiting := time.Now()
 		whole := t.collect(ctx, step)
 		t.time.Idle += time.Since(waiting)
+		if step == 1 {
+			t.time.FirstWait = t.time.Idle
+		}
 		if !whole {
 			break
 		}
