--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/load"
 	"github.com/sesamestand/sesamestand/internal/platform"
 	"github.com/sesamestand/sesamestand/internal/standin/engined"
@@ -26,8 +28,11 @@
 		Declared: &declare.Set{Trainers: map[string]*declare.Trainer{
 			"captions": {Name: "captions", Model: "album", GroupSize: groupSize, StalenessBound: 1},
 		}},
-		Callers:       []load.CallerMix{{Name: "pages", Model: "album", RatePerSecond: 30, StreamShare: 0.5, SharedPrefixes: 2, PrefixBytes: 100}},
-		Services:      []load.ServiceMix{{Name: "desk", Path: "/trays", RatePerSecond: 20}},
+		Callers: []load.CallerMix{{Name: "pages", Model: "album", RatePerSecond: 30, StreamShare: 0.5, SharedPrefixes: 2, PrefixBytes: 100}},
+		Services: []load.ServiceMix{
+			{Name: "desk", Path: "/trays", RatePerSecond: 20},
+			{Name: "desk", Path: "/pages", Method: http.MethodGet, RatePerSecond: 20},
+		},
 		Trainers:      []load.TrainerPlan{{Name: "captions", GroupsPerStep: 3, TrainTime: 10 * time.Millisecond, Ahead: 1, FirstVersion: 7}},
 		ProbeServices: []string{"desk"},
 		ProbeInterval: 50 * time.Millisecond,
@@ -95,7 +100,7 @@
 		Load: load.Records{
 			Attempts: []load.Attempt{
 				{RequestID: "page", Entry: "h1", Model: "album", Prompt: "page", Seed: 6, Start: at(1), End: at(3), Result: load.ResultAnswered, Last: true, Text: strings.Join(page, ""), Finish: pageFinish, Versions: []int64{7, 8}},
-				{Key: "tray", Entry: "h1", Start: at(1), End: at(2), Result: load.ResultAnswered, Last: true, Text: `{"key":"tray"}`},
+				{Key: "tray", Service: "desk", Path: "/trays", Entry: "h1", Start: at(1), End: at(2), Result: load.ResultAnswered, Last: true, Text: `{"key":"tray","path":"/trays"}`},
 				{RequestID: "refused", Entry: "h1", Model: "album", Prompt: "refused", Start: at(1), End: at(2), Result: load.ResultRefused, Last: true, Outcome: "not-run", Reason: "overload"},
 			},
 			Deliveries: []load.Delivery{{
@@ -105,7 +110,14 @@
 			Announcements: []load.Announcement{{Model: "album", Version: 8, At: at(2)}},
 			Probes:        []load.Probe{{Entry: "h1", Service: "desk", At: at(3)}, {Entry: "h1", Service: "desk", At: at(5), Known: true}, {Entry: "h1", Service: "desk", At: at(20), Known: true}},
 		},
-		Engines:      []engined.Journal{{Requests: []engined.RequestEntry{entry("s1", "group", 5, len(sample)), entry("page", "page", 6, len(page))}}},
+		Engines: []engined.Journal{{
+			Requests: []engined.RequestEntry{entry("s1", "group", 5, len(sample)), entry("page", "page", 6, len(page))},
+			Orders: []engined.OrderEntry{
+				{Engine: "e1", Accepted: true, Before: 7, Order: engine.Order{Fence: 4, Kind: engine.OrderLoadVersion, Model: "album", Version: 8}},
+				{Engine: "e1", Accepted: true, Before: 8, Order: engine.Order{Fence: 4, Kind: engine.OrderLoadVersion, Model: "album", Version: 9}},
+				{Engine: "e1", Before: 8, Order: engine.Order{Fence: 2, Kind: engine.OrderLoadVersion, Model: "album", Version: 7}},
+			},
+		}},
 		Services:     []serviced.Call{{Time: at(1), Server: "desk1", Key: "tray", Ran: true}},
 		Hosts:        []hostsd.Change{{Time: at(0), Visible: at(1), Row: platform.BackendServer{ID: "e1", Leaving: true}}},
 		Drains:       []Drain{{Entry: "h1", Start: at(2), End: at(4)}},
@@ -153,7 +165,8 @@
 		}, nil},
 		{"answered twice", "P3", func(f *Facts) { f.Load.Attempts = append(f.Load.Attempts, f.Load.Attempts[0]) }, nil},
 		{"answer of another seed", "P4", func(f *Facts) { f.Load.Attempts[0].Seed++ }, nil},
-		{"receipt of another key", "P4", func(f *Facts) { f.Load.Attempts[1].Text = `{"key":"other"}` }, nil},
+		{"receipt of another key", "P4", func(f *Facts) { f.Load.Attempts[1].Text = `{"key":"other","path":"/trays"}` }, nil},
+		{"page of another path", "P4", func(f *Facts) { f.Load.Attempts[1].Path = "/pages/1" }, nil},
 		{"refused, but ran", "P5", func(f *Facts) {
 			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(1.5), AnswerTag: engined.AnswerTag("album", "refused", 0)})
 		}, nil},
@@ -171,6 +184,8 @@
 			f.Engines[0].Requests = append(f.Engines[0].Requests, engined.RequestEntry{Time: at(7), Engine: "e1"})
 		}, nil},
 		{"cut off by a shutdown", "P8", func(f *Facts) { f.Load.Attempts[0].Result = load.ResultBroken }, []string{"P3"}},
+		{"weights rolled back", "O1", func(f *Facts) { f.Engines[0].Orders[1].Order.Version = 7 }, nil},
+		{"order of an earlier holder", "O2", func(f *Facts) { f.Engines[0].Orders[1].Order.Fence = 3 }, nil},
 		{"configuration that came late", "P9", func(f *Facts) { f.Load.Probes = []load.Probe{{Entry: "h2", Service: "desk", At: at(13)}} }, nil},
 		{"configuration that reverted", "P9", func(f *Facts) {
 			f.Load.Probes = append(f.Load.Probes[:2], load.Probe{Entry: "h1", Service: "desk", At: at(6)})
@@ -180,7 +195,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			facts := wholeFacts()
 			c.damage(&facts)
-			for _, p := range Check(facts).Promises {
+			for _, p := range Check(facts).all() {
 				expected := p.ID == c.promise || slices.Contains(c.also, p.ID)
 				must.Eq(t, expected, p.Broken > 0, must.Sprint(p))
 			}
