Bound the questions to other hosts under overload

Each refused call asked all hosts, so refusals for overload multiplied the load. At most 128 calls ask at once; the others are answered "unknown", which is never untrue. Membership is looked at twice a second instead of twenty times for the hosts that died.

--- a/internal/services/controller.go
+++ b/internal/services/controller.go
@@ -87,6 +87,7 @@
 	budget    *budget
 	deaths    *deaths
 	appending chan struct{} // wakes the writer
+	asking    chan struct{} // one entry for each call for which all hosts are asked
 
 	mu     sync.Mutex
 	ledger *intent.Ledger
@@ -111,6 +112,7 @@
 		budget:    &budget{budget: flight.NewBudget(c.RetryShare, c.RetryReserve)},
 		deaths:    newDeaths(members, c.Retention),
 		appending: make(chan struct{}, 1),
+		asking:    make(chan struct{}, maxAskingCalls),
 		calls:     make(map[int64]*call),
 		ledger: intent.NewLedger(intent.Config{
 			// The incarnation in the log is that of the process, because membership
--- a/internal/services/others.go
+++ b/internal/services/others.go
@@ -16,6 +16,10 @@
 	// askAllTimeout bounds the question to all hosts. It may end after the
 	// caller's deadline, because a refusal without it could be untrue.
 	askAllTimeout = 500 * time.Millisecond
+	// maxAskingCalls bounds the calls for which all hosts are asked at once, so
+	// that refusals under overload do not multiply the load. The others are
+	// answered "unknown".
+	maxAskingCalls = 128
 	// maxQuestions bounds the questions of one round that are open at once.
 	maxQuestions = 64
 )
@@ -94,6 +98,12 @@
 	default:
 		return nil, unknown(cluster.ReasonDeadline, "the call may be running", "")
 	}
+	select {
+	case c.asking <- struct{}{}:
+		defer func() { <-c.asking }()
+	default:
+		return nil, unknown(cluster.ReasonOverload, "too many refused calls wait for the other hosts", "")
+	}
 	c.deaths.update(now)
 	ask, dead := c.deaths.candidates(c.members.Self().ID, key.Time().Add(-c.config.ClockSkew))
 	found, refusal := c.askMembers(ctx, key, ask)
--- a/internal/services/stream.go
+++ b/internal/services/stream.go
@@ -25,6 +25,8 @@
 	// tickInterval is the time between two looks for attempts that waited too
 	// long, and for records whose append must be repeated.
 	tickInterval = 50 * time.Millisecond
+	// memberInterval is the time between two looks for hosts that died.
+	memberInterval = 500 * time.Millisecond
 )
 
 // follow reads the intent stream.
@@ -140,13 +142,16 @@
 func (c *Controller) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	membership := time.NewTicker(memberInterval)
+	defer membership.Stop()
 	for {
 		select {
 		case <-ticker.C:
+		case <-membership.C:
+			c.deaths.update(time.Now())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		c.deaths.update(time.Now())
 		c.mu.Lock()
 		for _, view := range c.ledger.Tick(time.Now()) {
 			c.settle(view)
