Keep a quarter of the memory per idempotency key

A key took 236 bytes, most of it in texts, a list for expiry and a pointer per row.

Nonces are now UUIDs, authors are shared, and keys are held in generations by the time of their newest record, which are dropped as a whole. A list of keys by age and a pointer per row are no longer needed.

--- a/internal/core/intent/attempt.go
+++ b/internal/core/intent/attempt.go
@@ -103,7 +103,7 @@
 func (l *Ledger) dropAbandons(now time.Time) {
 	limit := now.Add(-l.config.Retention - 4*l.config.Skew)
 	l.queue.Each(func(_ int64, row **entry) bool {
-		if e := *row; e.record.Kind == KindAbandon && e.key.Time().Before(limit) {
+		if e := *row; e.record.Kind == KindAbandon && e.record.Key.Time().Before(limit) {
 			l.dequeue(e)
 		}
 		return true
@@ -120,7 +120,7 @@
 
 // ByNonce returns what is known about an intent of this host's. An intent of
 // the host's earlier life is unknown.
-func (l *Ledger) ByNonce(key Key, nonce string) View {
+func (l *Ledger) ByNonce(key Key, nonce Nonce) View {
 	a := l.byNonce[nonce]
 	if a == nil || a.key != key {
 		return l.View(0)
@@ -137,16 +137,14 @@
 // this life nor in an earlier one, and that it knows of no other host that may
 // have sent it.
 func (l *Ledger) ByKey(key Key, now time.Time) View {
-	row := l.keys[key]
-	if row != nil && row.attempt != 0 {
-		if a := l.attempt(row.attempt); a != nil && a.stage != StageAbandoned && a.stage != StageLost {
-			return a.view()
-		}
+	own := l.attempt(l.mine[key])
+	if own != nil && own.stage != StageAbandoned && own.stage != StageLost {
+		return own.view()
 	}
-	abandoned := row != nil && row.attempt != 0 && row.holder.author == l.config.Self
+	row, _, _ := l.rows.get(key)
 	switch {
-	case row != nil && row.holder.nonce != "" && !abandoned:
-		return View{Stage: StageUnknown, Refusal: unknown(cluster.ReasonOtherAuthor, "the call may have run at host "+row.holder.author.Host)}
+	case row.author != nil && (own == nil || *row.author != l.config.Self):
+		return View{Stage: StageUnknown, Refusal: unknown(cluster.ReasonOtherAuthor, "the call may have run at host "+row.author.Host)}
 	case !l.caughtUp && key.Time().Before(l.config.Started.Add(l.config.Skew)):
 		return View{Stage: StageUnknown, Refusal: unknown(cluster.ReasonLogUnavailable, "the call may have run before this host started")}
 	}
--- a/internal/core/intent/compare_test.go
+++ b/internal/core/intent/compare_test.go
@@ -197,7 +197,7 @@
 func (w *intentWay) try(c *modelCaller, now int) string {
 	w.nonces++
 	deadline := w.fault.at(c.issued + modelGivesUp + 1)
-	return w.result(c, w.hosts[c.host].Begin(c.key, fmt.Sprint(w.nonces), deadline, w.fault.at(now)), now)
+	return w.result(c, w.hosts[c.host].Begin(c.key, testNonce(w.nonces), deadline, w.fault.at(now)), now)
 }
 
 func (w *intentWay) poll(c *modelCaller, now int) string {
--- a/internal/core/intent/ledger.go
+++ b/internal/core/intent/ledger.go
@@ -72,14 +72,14 @@
 	Refusal *cluster.Refusal
 	// Author and Nonce name the intent in force for StageLost.
 	Author Author
-	Nonce  string
+	Nonce  Nonce
 }
 
 // attempt is one try of this host to run a call.
 type attempt struct {
 	id       int64
 	key      Key
-	nonce    string
+	nonce    Nonce
 	deadline time.Time // of the caller
 	patience time.Time // to come into force
 	stage    Stage
@@ -87,29 +87,15 @@
 	entry    *entry // record of the intent, until it is settled
 	result   Result
 	refusal  *cluster.Refusal
-	holder   holder // of the key when the attempt lost
-}
-
-// holder is an intent in force.
-type holder struct {
-	author Author
-	nonce  string
-}
-
-// keyRow is what the log says about a key.
-type keyRow struct {
-	holder  holder // zero when none is in force
-	dead    []string
-	offset  int64 // of the newest record
-	attempt int64 // newest attempt of this host, 0 for none
+	winner   keyRow // the intent in force when the attempt lost
 }
 
 // Ledger holds what a host knows of all intents, and its own attempts. It is
 // not safe for concurrent use.
 type Ledger struct {
 	config Config
-	keys   map[Key]*keyRow
-	aging  []agingKey // keys in the order of their records, for expiry
+	rows   *rows
+	mine   map[Key]int64 // newest attempt of this host by key
 
 	next     int64     // offset to read next
 	caughtUp bool      // the stream was read up to its end once
@@ -119,7 +105,7 @@
 
 	open     *table.Table[int64, *attempt] // attempts that are not final
 	closed   map[int64]*attempt            // final attempts, for repeated calls
-	byNonce  map[string]*attempt
+	byNonce  map[Nonce]*attempt
 	lastID   int64
 	closing  []agingAttempt // closed attempts in order, for expiry
 	results  []int64        // attempts with stored answers, oldest first
@@ -130,12 +116,6 @@
 	order  int64                       // last used key of queue
 }
 
-type agingKey struct {
-	key    Key
-	offset int64
-	time   time.Time
-}
-
 type agingAttempt struct {
 	id   int64
 	time time.Time
@@ -145,10 +125,11 @@
 func NewLedger(config Config) *Ledger {
 	return &Ledger{
 		config:  config,
-		keys:    make(map[Key]*keyRow),
+		rows:    newRows(config.Retention),
+		mine:    make(map[Key]int64),
 		open:    table.New[int64, *attempt](),
 		closed:  make(map[int64]*attempt),
-		byNonce: make(map[string]*attempt),
+		byNonce: make(map[Nonce]*attempt),
 		queue:   table.New[int64, *entry](),
 		queued:  make(map[Record]int64),
 	}
@@ -169,18 +150,15 @@
 // Begin takes a call. Nonce must never have been used before. The returned
 // view is final, or names an attempt to wait for, which may be an earlier one
 // of the same key.
-func (l *Ledger) Begin(key Key, nonce string, deadline, now time.Time) View {
-	row := l.keys[key]
-	if row != nil && row.attempt != 0 {
-		if a := l.attempt(row.attempt); a != nil && a.stage != StageAbandoned && a.stage != StageLost {
-			return a.view()
-		}
+func (l *Ledger) Begin(key Key, nonce Nonce, deadline, now time.Time) View {
+	if a := l.attempt(l.mine[key]); a != nil && a.stage != StageAbandoned && a.stage != StageLost {
+		return a.view()
 	}
 	if refusal := l.checkAge(key, now); refusal != nil {
 		return View{Stage: StageUnknown, Refusal: refusal}
 	}
-	if row != nil && row.holder.nonce != "" && row.holder.author != l.config.Self {
-		return View{Stage: StageLost, Author: row.holder.author, Nonce: row.holder.nonce}
+	if row, _, _ := l.rows.get(key); row.author != nil && *row.author != l.config.Self {
+		return View{Stage: StageLost, Author: *row.author, Nonce: row.nonce}
 	}
 	if refusal := l.checkLog(now); refusal != nil {
 		return View{Stage: StageAbandoned, Refusal: refusal}
@@ -191,13 +169,13 @@
 	return l.start(key, nonce, deadline, now).view()
 }
 
-func (l *Ledger) start(key Key, nonce string, deadline, now time.Time) *attempt {
+func (l *Ledger) start(key Key, nonce Nonce, deadline, now time.Time) *attempt {
 	l.lastID++
 	a := &attempt{id: l.lastID, key: key, nonce: nonce, deadline: deadline, patience: now.Add(l.config.Patience)}
 	a.entry = l.enqueue(KindIntent, key, nonce)
 	l.open.Put(a.id, a)
 	l.byNonce[nonce] = a
-	l.row(key).attempt = a.id
+	l.mine[key] = a.id
 	return a
 }
 
@@ -235,17 +213,12 @@
 	return l.closed[id]
 }
 
-func (l *Ledger) row(key Key) *keyRow {
-	row := l.keys[key]
-	if row == nil {
-		row = &keyRow{}
-		l.keys[key] = row
-	}
-	return row
-}
-
 func (a *attempt) view() View {
-	return View{ID: a.id, Stage: a.stage, Result: a.result, InForce: a.inForce, Refusal: a.refusal, Author: a.holder.author, Nonce: a.holder.nonce}
+	view := View{ID: a.id, Stage: a.stage, Result: a.result, InForce: a.inForce, Refusal: a.refusal}
+	if a.stage == StageLost {
+		view.Author, view.Nonce = *a.winner.author, a.winner.nonce
+	}
+	return view
 }
 
 func notRun(reason cluster.Reason, message string) *cluster.Refusal {
--- a/internal/core/intent/ledger_test.go
+++ b/internal/core/intent/ledger_test.go
@@ -45,18 +45,18 @@
 	now := time.UnixMilli(1_700_000_000_000)
 	s := &simulation{now: now, random: newSimulation(1).random}
 	key := s.newKey()
-	intent := func(host, nonce string) Record {
-		return Record{Kind: KindIntent, Key: key.String(), Host: host, Incarnation: 1, Nonce: nonce}
+	intent := func(host string, nonce int) Record {
+		return Record{KindIntent, key, Author{host, 1}, testNonce(nonce)}
 	}
-	abandon := intent("a", "n1")
+	abandon := intent("a", 1)
 	abandon.Kind = KindAbandon
 	l := NewLedger(Config{Self: Author{"c", 1}, Retention: time.Hour, Skew: time.Second, Patience: time.Second, Contact: time.Second, MaxAttempts: 9})
 	var records []platform.Record
-	for i, r := range []Record{intent("a", "n1"), intent("b", "n2"), abandon, intent("b", "n2"), intent("a", "n1")} {
+	for i, r := range []Record{intent("a", 1), intent("b", 2), abandon, intent("b", 2), intent("a", 1)} {
 		records = append(records, decided(r, now, int64(i)))
 	}
 	l.Apply(platform.Page{Records: records, Next: 5, End: 5}, now)
-	view := l.Begin(key, "n3", now.Add(time.Second), now)
+	view := l.Begin(key, testNonce(3), now.Add(time.Second), now)
 	must.Eq(t, StageWaiting, view.Stage)
 	batch := l.NextBatch(9, now)
 	must.Len(t, 1, batch.Records)
@@ -74,11 +74,11 @@
 	s.now = now
 	young := s.newKey()
 	l := NewLedger(Config{Self: Author{"c", 1}, Retention: time.Hour, Skew: time.Second, Patience: time.Second, Contact: time.Second, MaxAttempts: 9})
-	must.Eq(t, StageAbandoned, l.Begin(young, "n1", now.Add(time.Second), now).Stage) // nothing read yet
+	must.Eq(t, StageAbandoned, l.Begin(young, testNonce(1), now.Add(time.Second), now).Stage) // nothing read yet
 	first := platform.Record{Offset: 7, Time: now.Add(-4 * time.Second), Data: []byte("x")}
 	l.Apply(platform.Page{Records: []platform.Record{first}, Earliest: 7, Next: 8, End: 8}, now)
-	must.Eq(t, StageUnknown, l.Begin(old, "n2", now.Add(time.Second), now).Stage)
-	must.Eq(t, StageWaiting, l.Begin(young, "n3", now.Add(time.Second), now).Stage)
+	must.Eq(t, StageUnknown, l.Begin(old, testNonce(2), now.Add(time.Second), now).Stage)
+	must.Eq(t, StageWaiting, l.Begin(young, testNonce(3), now.Add(time.Second), now).Stage)
 }
 
 // Guards against memory that grows with every call and is never freed.
@@ -106,7 +106,8 @@
 			s.read(h)
 		}
 		must.Eq(t, 0, h.ledger.Waiting())
-		must.MapLen(t, 0, h.ledger.keys)
+		must.Eq(t, 0, h.ledger.rows.len())
+		must.MapLen(t, 0, h.ledger.mine)
 		must.MapLen(t, 0, h.ledger.closed)
 		must.MapLen(t, 0, h.ledger.byNonce)
 		must.MapLen(t, 0, h.ledger.queued)
@@ -132,19 +133,18 @@
 // Guards against panics on hostile records, and against records that change by
 // being written again.
 func FuzzDecode(f *testing.F) {
-	f.Add([]byte(`{"kind":"intent","key":"018bcfe5-6800-7000-8000-000000000001","host":"h1","incarnation":3,"nonce":"n"}`))
-	f.Add([]byte(`{"kind":"abandon","key":"018BCFE5-6800-7000-8000-000000000001","host":"h1","incarnation":-3,"nonce":"n"}`))
+	f.Add([]byte(`{"kind":"intent","key":"018bcfe5-6800-7000-8000-000000000001","host":"h1","incarnation":3,"nonce":"00000000-0000-0000-0000-000000000001"}`))
+	f.Add([]byte(`{"kind":"abandon","key":"018BCFE5-6800-7000-8000-000000000001","host":"h1","incarnation":-3,"nonce":"A0000000-0000-0000-0000-000000000001"}`))
 	f.Add([]byte(`{"kind":"intent","key":"{18bcfe5-6800-7000-8000-000000000001}","host":"h1","nonce":"n"}`))
 	f.Add([]byte(`[]`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		record, key, err := Decode(data)
+		record, err := Decode(data)
 		if err == nil {
 			again, err := record.Encode()
 			must.NoError(t, err)
-			second, secondKey, err := Decode(again)
+			second, err := Decode(again)
 			must.NoError(t, err)
 			must.Eq(t, record, second)
-			must.Eq(t, key, secondKey)
 		}
 		l := NewLedger(Config{Self: Author{"h1", 3}, Retention: time.Hour})
 		l.Apply(platform.Page{Records: []platform.Record{{Data: data}}, Next: 1, End: 1}, time.UnixMilli(1_700_000_000_000))
--- a/internal/core/intent/log.go
+++ b/internal/core/intent/log.go
@@ -13,18 +13,15 @@
 type entry struct {
 	id      int64
 	record  Record
-	key     Key
 	maybe   bool      // the log may hold it
 	resend  time.Time // earliest time of the next append
 	waiting bool      // it is in the append in flight
 	before  bool      // value of maybe before the append in flight
 }
 
-func (l *Ledger) enqueue(kind Kind, key Key, nonce string) *entry {
+func (l *Ledger) enqueue(kind Kind, key Key, nonce Nonce) *entry {
 	l.order++
-	e := &entry{id: l.order, key: key, record: Record{
-		Kind: kind, Key: key.String(), Host: l.config.Self.Host, Incarnation: l.config.Self.Incarnation, Nonce: nonce,
-	}}
+	e := &entry{id: l.order, record: Record{Kind: kind, Key: key, Author: l.config.Self, Nonce: nonce}}
 	l.queue.Put(e.id, e)
 	l.queued[e.record] = e.id
 	return e
@@ -97,20 +94,13 @@
 			continue
 		}
 		l.next = record.Offset + 1
-		decoded, key, err := Decode(record.Data)
+		decoded, err := Decode(record.Data)
 		if err != nil {
 			l.skipped++
 			continue
 		}
-		row := l.row(key)
-		row.offset = record.Offset
-		l.aging = append(l.aging, agingKey{key, record.Offset, record.Time})
 		l.settle(decoded)
-		if decoded.Kind == KindAbandon {
-			row.abandon(decoded.Nonce)
-			continue
-		}
-		if a := l.intent(row, decoded, now); a != nil {
+		if a := l.record(decoded, record.Time, now); a != nil {
 			changed = append(changed, a.view())
 		}
 	}
@@ -138,60 +128,69 @@
 	}
 }
 
-// intent applies an intent and returns the own attempt that it changed.
-func (l *Ledger) intent(row *keyRow, record Record, now time.Time) *attempt {
-	if slices.Contains(row.dead, record.Nonce) || row.holder.nonce == record.Nonce {
-		return nil
-	}
-	own := l.byNonce[record.Nonce]
-	if record.Author() != l.config.Self {
-		own = nil
-	}
-	if row.holder.nonce == "" {
-		row.holder = holder{record.Author(), record.Nonce}
-		if own == nil || own.stage != StageWaiting {
-			return nil
+// record applies a record to its key and returns the own attempt that changed.
+func (l *Ledger) record(record Record, at, now time.Time) *attempt {
+	row, dead, _ := l.rows.get(record.Key)
+	killed := slices.Contains(dead, record.Nonce)
+	holds := row.author != nil && row.nonce == record.Nonce
+	var changed *attempt
+	switch {
+	case record.Kind == KindAbandon:
+		if holds {
+			row = keyRow{}
 		}
-		own.stage, own.inForce = StageGranted, true
-		return own
-	}
-	row.dead = append(row.dead, record.Nonce)
-	if own == nil || own.stage != StageWaiting {
+		if !killed {
+			dead = append(dead, record.Nonce)
+		}
+	case killed || holds: // a repeated record
+	case row.author == nil:
+		row = keyRow{l.rows.author(record.Author), record.Nonce}
+		changed = l.win(record)
+	default:
+		dead = append(dead, record.Nonce)
+		changed = l.lose(record, row, now)
+	}
+	l.rows.put(record.Key, row, dead, at)
+	return changed
+}
+
+// waitingFor returns the own attempt of an intent, if it waits for the log.
+func (l *Ledger) waitingFor(record Record) *attempt {
+	a := l.byNonce[record.Nonce]
+	if a == nil || a.stage != StageWaiting || record.Author != l.config.Self {
 		return nil
 	}
-	if row.holder.author == l.config.Self {
-		// The holder is an attempt of this host that was abandoned while its
-		// abandon record is not yet in the log: no other one could be open.
-		own.inForce = true // as the holder was
-		l.close(own, StageAbandoned, notRun(cluster.ReasonLogUnavailable, "an abandoned attempt of the key is not yet cleared in the log"), now)
-		return own
-	}
-	own.holder = row.holder
-	l.close(own, StageLost, nil, now)
-	return own
+	return a
 }
 
-func (row *keyRow) abandon(nonce string) {
-	if row.holder.nonce == nonce {
-		row.holder = holder{}
+func (l *Ledger) win(record Record) *attempt {
+	a := l.waitingFor(record)
+	if a != nil {
+		a.stage, a.inForce = StageGranted, true
 	}
-	if !slices.Contains(row.dead, nonce) {
-		row.dead = append(row.dead, nonce)
+	return a
+}
+
+func (l *Ledger) lose(record Record, winner keyRow, now time.Time) *attempt {
+	a := l.waitingFor(record)
+	switch {
+	case a == nil:
+	case *winner.author == l.config.Self:
+		// The winner is an attempt of this host that was abandoned while its
+		// abandon record is not yet in the log: no other one could be open.
+		a.inForce = true // as the winner was
+		l.close(a, StageAbandoned, notRun(cluster.ReasonLogUnavailable, "an abandoned attempt of the key is not yet cleared in the log"), now)
+	default:
+		a.winner = winner
+		l.close(a, StageLost, nil, now)
 	}
+	return a
 }
 
 // expire forgets keys and attempts that the age limit of keys refuses anyway.
 func (l *Ledger) expire(now time.Time) {
 	limit := now.Add(-l.config.Retention - 4*l.config.Skew)
-	for len(l.aging) > 0 && l.aging[0].time.Before(limit) {
-		old := l.aging[0]
-		l.aging = l.aging[1:]
-		if row := l.keys[old.key]; row != nil && row.offset == old.offset {
-			if a := l.attempt(row.attempt); a == nil || a.stage.Final() {
-				delete(l.keys, old.key)
-			}
-		}
-	}
+	l.rows.drop(limit)
 	for len(l.closing) > 0 && l.closing[0].time.Before(limit) {
 		l.forget(l.closing[0].id)
 		l.closing = l.closing[1:]
@@ -205,7 +204,7 @@
 	}
 	delete(l.closed, id)
 	delete(l.byNonce, a.nonce)
-	if row := l.keys[a.key]; row != nil && row.attempt == id {
-		delete(l.keys, a.key)
+	if l.mine[a.key] == id {
+		delete(l.mine, a.key)
 	}
 }
--- a/internal/core/intent/record.go
+++ b/internal/core/intent/record.go
@@ -28,11 +28,8 @@
 	KindAbandon Kind = "abandon"
 )
 
-// Bounds of a record's texts in bytes.
-const (
-	maxHostBytes  = 256
-	maxNonceBytes = 64
-)
+// maxHostBytes bounds the name of a host in a record.
+const maxHostBytes = 256
 
 // Key identifies a call. It is a UUIDv7.
 type Key [16]byte
@@ -61,6 +58,21 @@
 	return time.UnixMilli(ms)
 }
 
+// Nonce tells the intents of a key apart. It is a UUID of any version.
+type Nonce [16]byte
+
+// ParseNonce reads the canonical text form.
+func ParseNonce(text string) (Nonce, error) {
+	id, err := uuid.Parse(text)
+	if err != nil || len(text) != len(uuid.Nil.String()) {
+		return Nonce{}, eris.New("nonce is not a UUID")
+	}
+	return Nonce(id), nil
+}
+
+// String returns the canonical text form.
+func (n Nonce) String() string { return uuid.UUID(n).String() }
+
 // Author is one life of an entry host. A host that starts again is another
 // author, because it has lost its memory.
 type Author struct {
@@ -70,6 +82,14 @@
 
 // Record is one record of the intent stream.
 type Record struct {
+	Kind   Kind
+	Key    Key
+	Author Author
+	Nonce  Nonce
+}
+
+// wireRecord is the form of a record in the log.
+type wireRecord struct {
 	Kind        Kind   `json:"kind"`
 	Key         string `json:"key"`
 	Host        string `json:"host"`
@@ -77,31 +97,31 @@
 	Nonce       string `json:"nonce"`
 }
 
-// Author returns the author of the record.
-func (r Record) Author() Author { return Author{r.Host, r.Incarnation} }
-
 // Encode returns the record's form in the log.
 func (r Record) Encode() ([]byte, error) {
-	data, err := json.Marshal(r)
+	data, err := json.Marshal(wireRecord{
+		Kind: r.Kind, Key: r.Key.String(), Host: r.Author.Host, Incarnation: r.Author.Incarnation, Nonce: r.Nonce.String(),
+	})
 	return data, eris.Wrap(err, "encode intent record")
 }
 
-// Decode reads a record and its key from its form in the log.
-func Decode(data []byte) (Record, Key, error) {
-	var r Record
-	if err := json.Unmarshal(data, &r); err != nil {
-		return Record{}, Key{}, eris.Wrap(err, "decode intent record")
+// Decode reads a record from its form in the log.
+func Decode(data []byte) (Record, error) {
+	var wire wireRecord
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return Record{}, eris.Wrap(err, "decode intent record")
 	}
-	key, err := ParseKey(r.Key)
+	key, keyErr := ParseKey(wire.Key)
+	nonce, nonceErr := ParseNonce(wire.Nonce)
 	switch {
-	case err != nil:
-		return Record{}, Key{}, eris.Wrap(err, "decode intent record")
-	case r.Kind != KindIntent && r.Kind != KindAbandon:
-		return Record{}, Key{}, eris.Errorf("intent record has the unknown kind %q", r.Kind)
-	case r.Host == "" || len(r.Host) > maxHostBytes:
-		return Record{}, Key{}, eris.Errorf("intent record names a host of %d bytes, want 1 to %d", len(r.Host), maxHostBytes)
-	case r.Nonce == "" || len(r.Nonce) > maxNonceBytes:
-		return Record{}, Key{}, eris.Errorf("intent record has a nonce of %d bytes, want 1 to %d", len(r.Nonce), maxNonceBytes)
+	case keyErr != nil:
+		return Record{}, eris.Wrap(keyErr, "decode intent record")
+	case nonceErr != nil:
+		return Record{}, eris.Wrap(nonceErr, "decode intent record")
+	case wire.Kind != KindIntent && wire.Kind != KindAbandon:
+		return Record{}, eris.Errorf("intent record has the unknown kind %q", wire.Kind)
+	case wire.Host == "" || len(wire.Host) > maxHostBytes:
+		return Record{}, eris.Errorf("intent record names a host of %d bytes, want 1 to %d", len(wire.Host), maxHostBytes)
 	}
-	return r, key, nil
+	return Record{wire.Kind, key, Author{wire.Host, wire.Incarnation}, nonce}, nil
 }
--- a/internal/core/intent/simulation_test.go
+++ b/internal/core/intent/simulation_test.go
@@ -50,7 +50,7 @@
 	host    *simHost
 	life    int
 	attempt int64
-	nonce   string
+	nonce   Nonce
 	joined  bool // waits for an attempt that another request began
 	ran     bool // this request's attempt reached the backend server
 	done    bool
@@ -150,7 +150,7 @@
 	} else {
 		key = s.newKey()
 	}
-	nonce := fmt.Sprintf("n%d", len(s.calls))
+	nonce := testNonce(len(s.calls))
 	deadline := s.now.Add(time.Duration(100+s.random.IntN(8000)) * time.Millisecond)
 	view := h.ledger.Begin(key, nonce, deadline, s.now)
 	c := &simCall{key: key, host: h, life: h.life, attempt: view.ID, nonce: nonce}
@@ -343,6 +343,8 @@
 	return false
 }
 
+func testNonce(i int) Nonce { return Nonce{0: byte(i), 1: byte(i >> 8), 2: byte(i >> 16), 15: 1} }
+
 func (s *simulation) fail(format string, args ...any) {
 	s.failures = append(s.failures, fmt.Sprintf(format, args...))
 }
--- a/internal/services/author.go
+++ b/internal/services/author.go
@@ -62,7 +62,7 @@
 			return nil, err
 		}
 		return client.IntentResult(ctx, &peerpb.IntentResultRequest{
-			Key: key.String(), Nonce: view.Nonce, WaitMs: authorWait.Milliseconds(),
+			Key: key.String(), Nonce: view.Nonce.String(), WaitMs: authorWait.Milliseconds(),
 		})
 	}
 	return nil, status.Error(codes.NotFound, "the author is not a member")
@@ -76,12 +76,16 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	nonce, err := intent.ParseNonce(r.GetNonce())
+	if err != nil && r.GetNonce() != "" {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
 	c.mu.Lock()
 	var view intent.View
 	if r.GetNonce() == "" {
 		view = c.ledger.ByKey(key, time.Now())
 	} else {
-		view = c.ledger.ByNonce(key, r.GetNonce())
+		view = c.ledger.ByNonce(key, nonce)
 	}
 	waiting := c.calls[view.ID]
 	c.mu.Unlock()
--- a/internal/services/once.go
+++ b/internal/services/once.go
@@ -49,7 +49,7 @@
 func (c *Controller) begin(key intent.Key, r *request) (view intent.View, waiting *call, own bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	view = c.ledger.Begin(key, uuid.NewString(), r.deadline, time.Now())
+	view = c.ledger.Begin(key, intent.Nonce(uuid.New()), r.deadline, time.Now())
 	if view.Stage.Final() {
 		return view, nil, false
 	}
--- a/internal/services/stream.go
+++ b/internal/services/stream.go
@@ -116,7 +116,7 @@
 	for _, record := range records {
 		encoded, err := record.Encode()
 		if err != nil {
-			klog.ErrorS(err, "intent record was not encoded", "key", record.Key)
+			klog.ErrorS(err, "intent record was not encoded", "key", record.Key.String())
 			continue
 		}
 		data = append(data, encoded)
