--- a/internal/configs/controller.go
+++ b/internal/configs/controller.go
@@ -142,6 +142,8 @@
 
 // Run follows the stream until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
+	// A peer's configuration saves reading the whole stream.
+	c.askPeers(ctx, false)
 	delay := c.config.RetryDelay
 	for ctx.Err() == nil {
 		caughtUp, err := c.readPage(ctx)
@@ -160,7 +162,7 @@
 			klog.V(1).InfoS("config stream cannot be read", "err", err)
 		}
 		if !c.Ready() || !c.whole() {
-			c.askPeers(ctx)
+			c.askPeers(ctx, true)
 		}
 		sleep(ctx, delay)
 		delay = min(2*delay, maxRetryDelay)
--- a/internal/configs/peers.go
+++ b/internal/configs/peers.go
@@ -16,8 +16,9 @@
 // maxPeersAsked bounds the hosts that one round asks for their configuration.
 const maxPeersAsked = 8
 
-// askPeers takes the newest configuration that the other hosts have.
-func (c *Controller) askPeers(ctx context.Context) {
+// askPeers takes the newest configuration that the other hosts have. A host
+// that can read the log itself does not use it before it has read the rest.
+func (c *Controller) askPeers(ctx context.Context, use bool) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.PeerTimeout)
 	defer cancel()
 	peers := c.askable()
@@ -45,7 +46,7 @@
 		if c.follower.Install(reply.GetVersion(), reply.GetOffset(), reply.GetFiles(), time.Now()) {
 			c.recorder.Count("config_snapshots_installed_total")
 		}
-		if reply.GetVersion() <= c.follower.State().Version {
+		if use && reply.GetVersion() <= c.follower.State().Version {
 			c.publish(true)
 		}
 	}
--- a/internal/configs/publish.go
+++ b/internal/configs/publish.go
@@ -106,6 +106,7 @@
 	record   config.Record
 	before   config.State
 	verdict  *config.Event // of the own record, once read
+	missed   bool          // records expired before they were read, maybe the own one
 }
 
 // settle appends the record until the log shows what became of it. Appending
@@ -154,6 +155,8 @@
 		return p.verdict.Version, true, nil
 	case p.verdict != nil && p.verdict.Err != nil:
 		return 0, true, eris.Wrap(p.verdict.Err, "not accepted: the log's readers found the change invalid")
+	case p.missed:
+		return 0, true, p.unsettled(nil)
 	case state.Version != p.before.Version:
 		changed, removed := config.Diff(p.before.Files, state.Files)
 		for path := range changed {
@@ -202,6 +205,7 @@
 	if err != nil {
 		return 0, err
 	}
+	p.missed = p.missed || p.record.ID != "" && page.Earliest > p.follower.Next()
 	for _, event := range p.follower.Apply(page) {
 		if p.verdict == nil && p.record.ID != "" && event.ID == p.record.ID {
 			p.verdict = &event
--- a/internal/core/config/follower.go
+++ b/internal/core/config/follower.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/declare"
@@ -42,7 +43,9 @@
 
 // Follower applies the pages of the config stream. It is not safe for
 // concurrent use. A follower whose records expired before it read them keeps
-// its state and collects records until it finds a snapshot that closes the gap.
+// its state, collects records up to the end of the stream, and goes on from the
+// newest snapshot among them that covers the gap. One that begins to read does
+// the same.
 type Follower struct {
 	state  State
 	parser *declare.Parser
@@ -53,7 +56,8 @@
 	// next is the offset to read next; with a gap it is ahead of state.Offset.
 	next    int64
 	gapEnd  int64             // first offset that was read after the gap
-	waiting []platform.Record // records after the gap, in offset order
+	best    State             // newest state found after the gap; without a set there is none
+	waiting []platform.Record // records from best on, in offset order
 
 	positions  []position // of the newest records, in offset order
 	checkpoint position   // a reader that begins at this offset can get the whole state
@@ -65,7 +69,7 @@
 func NewFollower() *Follower {
 	parser := declare.NewParser()
 	set, _ := parser.Parse(nil)
-	return &Follower{state: State{Files: map[string]string{}, Set: set}, parser: parser, whole: true}
+	return &Follower{state: State{Files: map[string]string{}, Set: set}, parser: parser}
 }
 
 // Next returns the offset to read next.
@@ -76,17 +80,19 @@
 
 // Whole says that no record was missed: the state is what the log says up to
 // the state's offset. A follower that has read nothing is not whole.
-func (f *Follower) Whole() bool { return f.whole && (f.began || f.state.Offset > 0) }
+func (f *Follower) Whole() bool { return f.whole }
 
 // Apply takes the next page of the stream and returns what its records did.
 // Pages must be applied in the order in which they were read.
 func (f *Follower) Apply(page platform.Page) []Event {
+	if !f.began && !f.whole {
+		f.best = f.state // the empty state, unless the first records are gone
+	}
 	f.began = true
 	if page.Earliest > f.next {
-		f.whole, f.gapEnd, f.waiting = false, page.Earliest, nil
+		f.whole, f.gapEnd, f.best, f.waiting = false, page.Earliest, State{}, nil
 		f.next, f.positions = page.Earliest, nil
 	}
-	searched := len(f.waiting)
 	var events []Event
 	for _, record := range page.Records {
 		if record.Offset < f.next {
@@ -97,34 +103,34 @@
 			events = append(events, f.record(record))
 			continue
 		}
-		f.waiting = append(f.waiting, record)
+		f.collect(record)
 	}
 	f.next = max(f.next, page.Next)
 	if f.whole {
 		f.state.Offset = f.next
 		return events
 	}
-	return f.closeGap(f.waiting[searched:])
+	if f.next < page.End || f.best.Set == nil || f.best.Version < f.state.Version {
+		return nil
+	}
+	return f.resume(f.best)
 }
 
-// closeGap looks among new records for the newest snapshot that covers the
-// gap, and applies the collected records that it does not yet hold.
-func (f *Follower) closeGap(added []platform.Record) []Event {
-	var best State
-	for _, record := range added {
-		state, ok := f.wholeState(record)
-		if !ok || state.Offset < f.gapEnd || state.Offset < best.Offset {
-			continue
-		}
-		if set, findings := f.parser.Parse(state.Files); findings.Err() == nil {
-			state.Set = set
-			best = state
-		}
+// collect keeps a record for the time when the gap is closed. It drops those
+// that a newer snapshot covers, so that a host that begins to read applies few.
+func (f *Follower) collect(record platform.Record) {
+	f.waiting = append(f.waiting, record)
+	state, ok := f.wholeState(record)
+	if !ok || state.Offset < f.gapEnd || state.Offset < f.best.Offset {
+		return
 	}
-	if best.Set == nil || best.Version < f.state.Version {
-		return nil
+	set, findings := f.parser.Parse(state.Files)
+	if findings.Err() != nil {
+		return
 	}
-	return f.resume(best)
+	state.Set = set
+	f.best = state
+	f.waiting = slices.DeleteFunc(f.waiting, func(r platform.Record) bool { return r.Offset < state.Offset })
 }
 
 // wholeState returns the state that a snapshot or a reset holds, without its
@@ -145,7 +151,7 @@
 // resume installs a state that covers the gap and applies the records after it.
 func (f *Follower) resume(state State) []Event {
 	waiting := f.waiting
-	f.state, f.whole, f.waiting = state, true, nil
+	f.state, f.whole, f.waiting, f.best = state, true, nil, State{}
 	f.checkpoint, f.changes = position{offset: state.Offset}, 0
 	var events []Event
 	for _, record := range waiting {
@@ -198,8 +204,8 @@
 		return false
 	}
 	state := State{Version: version, Offset: offset, Files: files, Set: set}
-	if !f.whole && offset < f.gapEnd {
-		f.state = state // records between the state and the gap's end are still missing
+	if !f.whole && (offset < f.gapEnd || offset < f.best.Offset) {
+		f.state = state // records between the state and the collected ones are missing
 		return true
 	}
 	f.resume(state)
