--- a/internal/core/config/follower_test.go
+++ b/internal/core/config/follower_test.go
@@ -115,6 +115,22 @@
 	must.Eq(t, model("m", 2), fresh.State().Files)
 }
 
+// Guards against a peer's older state that is joined to records of which those
+// covered by a snapshot were dropped.
+func TestOlderStateOfAPeerDoesNotLoseAChange(t *testing.T) {
+	l := &memoryLog{now: time.Unix(1000, 0)}
+	l.add(t, Record{ID: "one", Kind: KindChange, Files: model("m", 1)})
+	l.add(t, Record{ID: "two", Kind: KindChange, Base: 1, Files: model("m", 2)})
+	l.add(t, Record{ID: "s", Kind: KindSnapshot, Base: 2, Read: 2, Files: model("m", 2)})
+	l.addRaw([]byte("x"))
+	f := NewFollower()
+	f.Apply(l.page(0, 3))
+	f.Install(1, 1, model("m", 1), l.now)
+	must.False(t, f.Whole())
+	readAll(f, l)
+	must.Eq(t, 2, f.State().Version)
+}
+
 // Guards against readers that disagree on the version or content in force, and
 // against versions that decrease: publishers race, snapshots come late, records
 // expire, hosts start at any time and take states from each other.
