Tell new versions to the homes of a model's other trainers at once

Ruled out: judging by a trainer's own announcements only, which would narrow the check; gossip at a higher rate, which leaves the race.

--- a/internal/trainers/declared.go
+++ b/internal/trainers/declared.go
@@ -1,8 +1,6 @@
 package trainers
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/sample"
 	"github.com/sesamestand/sesamestand/internal/declare"
@@ -58,17 +56,12 @@
 // member of the data centre can be it.
 func (c *Controller) homeOf(name string) (cluster.Member, bool) {
 	self := c.members.Self()
-	var best cluster.Member
-	var highest uint64
-	found := false
+	var hosts []cluster.Member
 	for _, m := range c.members.All() {
 		live := m.State == cluster.MemberAlive || m.State == cluster.MemberSuspect
-		if !live || m.DataCentre != self.DataCentre || (m.ID == self.ID && c.drained) {
-			continue
-		}
-		if hash := xxhash.Sum64String(name + "\x00" + m.ID); !found || hash > highest {
-			best, highest, found = m, hash, true
+		if live && m.DataCentre == self.DataCentre && (m.ID != self.ID || !c.drained) {
+			hosts = append(hosts, m)
 		}
 	}
-	return best, found
+	return homeAmong(name, hosts)
 }
--- a/internal/trainers/local.go
+++ b/internal/trainers/local.go
@@ -40,7 +40,7 @@
 		}
 		return c.pull(ctx, name, request)
 	case operationWeights:
-		return c.weights(name, body)
+		return c.weights(ctx, name, body)
 	}
 	return 0, nil, notRun(cluster.ReasonUnknownName, "no such operation: "+operation)
 }
@@ -83,11 +83,12 @@
 	return 0, nil, notRun(cluster.ReasonUnknownName, "the trainer is not declared")
 }
 
-func (c *Controller) weights(name string, body []byte) (int, []byte, *cluster.Refusal) {
+func (c *Controller) weights(ctx context.Context, name string, body []byte) (int, []byte, *cluster.Refusal) {
 	model, refusal := c.announceHere(name, body)
 	if refusal != nil {
 		return 0, nil, refusal
 	}
+	c.spread(ctx, model, c.versions.Newest(model))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.drained {
