Measure steady idle time and keep trainers in their data centre

Cause: short runs counted the unavoidable wait for the first step, and trainers that failed over to another data centre met another home. Change: experiments report steady idle; each trainer uses one data centre.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -68,7 +68,7 @@
 	Fault         string         `json:"fault"`
 	Run           int            `json:"run"`
 	Seed          uint64         `json:"seed"`
-	IdleShare     float64        `json:"idle_share"`     // mean of the trainers
+	IdleShare     float64        `json:"idle_share"`     // mean of the trainers, without the wait for the first step
 	StalenessMean float64        `json:"staleness_mean"` // versions
 	StalenessP99  int64          `json:"staleness_p99"`  // versions, worst trainer
 	OverBound     int            `json:"over_bound"`
@@ -243,7 +243,7 @@
 
 func (r *Row) add(report load.Report, result checker.Result) {
 	for _, t := range report.Trainers {
-		r.IdleShare += t.IdleShare / float64(len(report.Trainers))
+		r.IdleShare += t.SteadyIdleShare / float64(len(report.Trainers))
 		r.StalenessMean += t.StalenessMean / float64(len(report.Trainers))
 		r.StalenessP99 = max(r.StalenessP99, t.StalenessP99)
 		r.OverBound += t.OverBound
--- a/internal/testbed/mix.go
+++ b/internal/testbed/mix.go
@@ -38,9 +38,11 @@
 			})
 		}
 	}
-	for _, name := range sortedNames(t.Set.Trainers) {
+	for i, name := range sortedNames(t.Set.Trainers) {
 		config.TrainerTokens[name] = TrainerToken
-		config.Trainers = append(config.Trainers, t.plan(t.Set.Trainers[name], o))
+		plan := t.plan(t.Set.Trainers[name], o)
+		plan.Entries = t.entriesIn(t.DataCentres[i%len(t.DataCentres)])
+		config.Trainers = append(config.Trainers, plan)
 	}
 	return config
 }
@@ -51,3 +53,15 @@
 		Ahead: o.Ahead, FirstVersion: 1, PromptBytes: 256,
 	}
 }
+
+// entriesIn returns the HTTP addresses of a data centre's entry hosts. A
+// trainer stays in its data centre, because each one has its own home for it.
+func (t *Testbed) entriesIn(dc string) []string {
+	var addrs []string
+	for _, e := range t.Entries {
+		if e.Settings.Host.DataCentre == dc {
+			addrs = append(addrs, e.Settings.Host.HTTPAddr)
+		}
+	}
+	return addrs
+}
