Count hosts that were first met dead

A host that membership first reported as dead was not remembered, although it may have died after a key was made and may have run the call. It now counts as dead from the moment it was met.

--- a/internal/services/others.go
+++ b/internal/services/others.go
@@ -39,18 +39,23 @@
 	return &deaths{members: members, keep: keep, since: make(map[string]time.Time), alive: make(map[string]cluster.Member)}
 }
 
-// update reads the membership. A host that left the list counts as dead.
+// update reads the membership. A host that left the list counts as dead, and
+// one that is first met dead may have died just now.
 func (d *deaths) update(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make(map[string]bool)
 	for _, member := range d.members.All() {
-		if member.State == cluster.MemberDead {
+		listed[member.ID] = true
+		if member.State != cluster.MemberDead {
+			d.alive[member.ID] = member
+			delete(d.since, member.ID)
 			continue
 		}
-		listed[member.ID] = true
-		d.alive[member.ID] = member
-		delete(d.since, member.ID)
+		delete(d.alive, member.ID)
+		if _, known := d.since[member.ID]; !known {
+			d.since[member.ID] = now
+		}
 	}
 	for id := range d.alive {
 		if !listed[id] {
@@ -59,7 +64,7 @@
 		}
 	}
 	for id, since := range d.since {
-		if now.Sub(since) > d.keep {
+		if now.Sub(since) > d.keep && !listed[id] {
 			delete(d.since, id)
 		}
 	}
