Refuse confirmations within about a second of a log outage

Calls waited up to 5 s before they were refused, because the log counted as out only by the age of the last read. Two failed reads in a row and a second without a successful one now mean an outage, and a log that neither answers nor fails counts as out 1.5 s after a read should have ended. Waiting calls are given up at once then. A single failed read has no effect.

--- a/internal/core/intent/attempt.go
+++ b/internal/core/intent/attempt.go
@@ -76,9 +76,11 @@
 	return l.View(id)
 }
 
-// Tick abandons the attempts that waited too long and returns them.
+// Tick abandons the attempts that waited too long, or that wait for a log that
+// is out, and returns them.
 func (l *Ledger) Tick(now time.Time) []View {
 	var changed []View
+	out := l.logOut(now)
 	l.open.Each(func(_ int64, row **attempt) bool {
 		a := *row
 		if a.stage >= StageSent {
@@ -87,7 +89,7 @@
 		switch {
 		case !now.Before(a.deadline):
 			l.abandon(a, notRun(cluster.ReasonDeadline, "the deadline passed before the call was sent"), now)
-		case a.stage == StageWaiting && !now.Before(a.patience):
+		case a.stage == StageWaiting && (out || !now.Before(a.patience)):
 			l.abandon(a, notRun(cluster.ReasonLogUnavailable, "the log did not confirm the intent in time"), now)
 		default:
 			return true
--- a/internal/core/intent/compare_test.go
+++ b/internal/core/intent/compare_test.go
@@ -142,7 +142,7 @@
 	for i := range w.hosts {
 		w.hosts[i] = NewLedger(Config{
 			Self: Author{fmt.Sprint(i), 1}, Started: f.at(-60_000), Retention: 24 * time.Hour, Skew: time.Millisecond,
-			Patience: 5 * time.Second, Resend: 300 * time.Millisecond, Contact: 5 * time.Second, MaxAttempts: 4096, MaxResultBytes: 1 << 20,
+			Patience: 5 * time.Second, Resend: 300 * time.Millisecond, Contact: 2500 * time.Millisecond, MaxAttempts: 4096, MaxResultBytes: 1 << 20,
 		})
 	}
 	return w
@@ -162,6 +162,9 @@
 				}
 			}
 		}
+		if w.fault.out(now) && now%500 == 0 {
+			l.ReadFailed()
+		}
 		if now%50 == 0 {
 			l.Tick(at)
 		}
--- a/internal/core/intent/ledger.go
+++ b/internal/core/intent/ledger.go
@@ -100,6 +100,7 @@
 	next     int64     // offset to read next
 	caughtUp bool      // the stream was read up to its end once
 	lastRead time.Time // of the newest successful read
+	failures int       // reads that failed since then
 	skipped  int64     // undecodable records
 	floor    time.Time // the log's records before this time may be unread
 
@@ -198,7 +199,7 @@
 	switch {
 	case !l.caughtUp:
 		return notRun(cluster.ReasonLogUnavailable, "this host has not read all intents yet")
-	case now.Sub(l.lastRead) > l.config.Contact:
+	case l.logOut(now):
 		return notRun(cluster.ReasonLogUnavailable, "the log has not answered since "+now.Sub(l.lastRead).Round(time.Millisecond).String())
 	case l.open.Len() >= l.config.MaxAttempts || l.queue.Len() >= 2*l.config.MaxAttempts:
 		return notRun(cluster.ReasonOverload, "too many calls wait for the log")
@@ -206,6 +207,22 @@
 	return nil
 }
 
+// Two failed reads in a row and a second without a successful one mean that the
+// log is out. A single failure is common, and the next read follows at once.
+const (
+	outageFailures = 2
+	outageAge      = time.Second
+)
+
+// logOut says that callers should not wait for the log.
+func (l *Ledger) logOut(now time.Time) bool {
+	age := now.Sub(l.lastRead)
+	return age > l.config.Contact || l.failures >= outageFailures && age > outageAge
+}
+
+// ReadFailed notes that the stream could not be read.
+func (l *Ledger) ReadFailed() { l.failures++ }
+
 func (l *Ledger) attempt(id int64) *attempt {
 	if row := l.open.Get(id); row != nil {
 		return *row
--- a/internal/core/intent/log.go
+++ b/internal/core/intent/log.go
@@ -105,7 +105,7 @@
 		}
 	}
 	l.next = max(l.next, page.Next)
-	l.lastRead = now
+	l.lastRead, l.failures = now, 0
 	l.caughtUp = l.caughtUp || l.next >= page.End
 	l.expire(now)
 	return changed
--- a/internal/core/intent/simulation_test.go
+++ b/internal/core/intent/simulation_test.go
@@ -164,7 +164,8 @@
 
 // read applies the next page of the log, cut at a random place.
 func (s *simulation) read(h *simHost) {
-	if s.outage {
+	if s.outage || s.chance(3) {
+		h.ledger.ReadFailed()
 		return
 	}
 	end := int64(len(s.records))
--- a/internal/services/controller.go
+++ b/internal/services/controller.go
@@ -66,8 +66,9 @@
 	maxRequestTimeout = 10 * time.Minute
 	// resendDelay is the time after which an unanswered append is repeated.
 	resendDelay = 300 * time.Millisecond
-	// contactTimeout is the age of the last read at which the log counts as out.
-	contactTimeout = 4 * time.Second
+	// contactTimeout is added to PollWait for the age of the last read at which the
+	// log counts as out although no read has failed yet.
+	contactTimeout = 1500 * time.Millisecond
 	// maxWaitingCalls bounds the calls that wait for the log.
 	maxWaitingCalls = 4096
 	// maxStoredAnswers bounds the memory for answers of calls that ran.
--- a/internal/services/stream.go
+++ b/internal/services/stream.go
@@ -38,6 +38,7 @@
 			delay = retryDelay
 			continue
 		}
+		c.locked(func(l *intent.Ledger) bool { l.ReadFailed(); return true })
 		c.recorder.Count("intent_read_errors_total")
 		klog.V(1).InfoS("intent stream cannot be read", "err", err)
 		sleep(ctx, delay)
@@ -55,8 +56,6 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
 	defer cancel()
-	// The time before the read: the page tells nothing about later intents.
-	now := time.Now()
 	page, err := c.log.Read(ctx, platform.StreamIntent, next, wait)
 	if err != nil {
 		return err
@@ -64,7 +63,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	skipped := c.ledger.Skipped()
-	for _, view := range c.ledger.Apply(page, now) {
+	for _, view := range c.ledger.Apply(page, time.Now()) {
 		c.settle(view)
 	}
 	if skipped = c.ledger.Skipped() - skipped; skipped > 0 {
