Measure membership under loss and repair what it showed

Cause: a property test over a simulated network found members that never met again (a host did not learn of a sender it did not know; digests always went to members of the own data centre), and the measurement found false deaths under loss and a bandwidth budget used up by probes. Ruled out: a longer suspicion for everybody, which delays the detection of every real failure. Change: an unknown sender is asked for its row; digests go to random members; pings are repeated, and times stretch with the share of probes that needed it; a suspicion names its accuser, so that only independent accusers shorten it; a death that is news is first a suspicion; rows of a sync are not spread again; probes are not charged to the budget.

--- a/internal/core/member/core.go
+++ b/internal/core/member/core.go
@@ -20,25 +20,29 @@
 
 // Core is the membership state of one host. It is not safe for concurrent use.
 type Core struct {
-	cfg      Config
-	times    times
-	random   *rand.Rand
-	self     Row
-	left     bool
-	members  *table.Table[string, entry] // without this host
-	versions *table.Table[string, int64]
-	queue    *table.Table[string, update]
-	probes   *table.Table[uint64, probe]
-	relays   *table.Table[uint64, relay]
-	digests  map[string]uint64
+	cfg       Config
+	times     times
+	random    *rand.Rand
+	self      Row
+	left      bool
+	members   *table.Table[string, entry]    // without this host
+	troubled  *table.Table[string, struct{}] // suspect and dead members
+	live      []*entry                       // members that are not dead
+	liveStale bool
+	versions  *table.Table[string, int64]
+	queue     *table.Table[string, update]
+	probes    *table.Table[uint64, probe]
+	relays    *table.Table[uint64, relay]
+	digests   map[string]uint64
 
 	local, remote []string // members still to probe in this round
 	targetsStale  bool     // the set of remote members to probe must be rebuilt
 	remoteTargets []string
 
-	lastTick, nextLocal, nextRemote, nextDead, nextSeed, nextDigest time.Time
-	budget                                                          float64 // bytes that may be sent
-	syncedAt                                                        map[string]time.Time
+	lastTick, lastChange, nextLocal, nextRemote, nextDead, nextSeed, nextDigest time.Time
+	budget                                                                      float64 // bytes that may be sent
+	repeated                                                                    float64 // share of probes that needed repeated pings
+	syncedAt                                                                    map[string]time.Time
 }
 
 // New returns the membership of a host that knows only itself.
@@ -55,6 +59,7 @@
 		random:   rand.New(rand.NewPCG(cfg.RandomSeed, xxhash.Sum64String(cfg.Self.ID))),
 		self:     cfg.Self,
 		members:  table.New[string, entry](),
+		troubled: table.New[string, struct{}](),
 		versions: table.New[string, int64](),
 		queue:    table.New[string, update](),
 		probes:   table.New[uint64, probe](),
@@ -100,10 +105,9 @@
 	for _, seq := range c.probes.Keys() {
 		c.probes.Delete(seq)
 	}
-	c.members.Each(func(_ string, e *entry) bool {
-		if e.State == Suspect {
-			e.deadline = e.deadline.Add(gap)
-		}
+	c.troubled.Each(func(id string, _ *struct{}) bool {
+		e := c.members.Get(id)
+		e.deadline = e.deadline.Add(gap)
 		return true
 	})
 }
--- a/internal/core/member/digest.go
+++ b/internal/core/member/digest.go
@@ -51,11 +51,19 @@
 	return 0
 }
 
+// sendDigests compares tables with a random member of any data centre. Digests
+// must not follow the probes, most of which stay in the own data centre: two
+// data centres could then differ for good.
+func (c *Core) sendDigests(out *Output) {
+	for _, target := range c.randomLive(1, "") {
+		c.send(target.Addr, Message{Kind: Gossip, From: c.self.ID, To: target.ID, Digests: c.digestList()}, out)
+	}
+}
+
 // compareDigests sends the rows of each data centre whose digest differs and
 // asks for the other's rows. Lost updates are repaired this way.
-// While updates are still being spread, differences are expected to pass.
 func (c *Core) compareDigests(now time.Time, m Message, out *Output) {
-	if len(m.Digests) == 0 || c.queue.Len() > 0 && c.members.Len() > 1 {
+	if len(m.Digests) == 0 {
 		return
 	}
 	theirs := make(map[string]uint64, len(m.Digests))
@@ -75,6 +83,14 @@
 	}
 }
 
+// digestDue says whether to send digests now. Soon after a change differences
+// are expected to pass by themselves, so digests wait, but not for long while
+// changes go on.
+func (c *Core) digestDue(now time.Time) bool {
+	overdue := now.Sub(c.nextDigest)
+	return overdue >= 2*c.times.digestEvery || overdue >= 0 && now.Sub(c.lastChange) > c.times.settle
+}
+
 func (c *Core) startSync(now time.Time, to, dc string, out *Output) {
 	if c.budget <= 0 || now.Sub(c.syncedAt[to+"/"+dc]) < syncEvery {
 		return
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -10,9 +10,9 @@
 
 // probe is a ping that waits for its answer.
 type probe struct {
-	target   string
-	sent     time.Time
-	indirect bool // helpers were asked
+	target string
+	sent   time.Time
+	tries  int // repeats after the first ping
 }
 
 // relay is a ping sent for another member.
@@ -36,6 +36,10 @@
 		c.nextDead = now.Add(c.times.deadEvery)
 		c.probeRandom(now, Dead, out)
 	}
+	if c.digestDue(now) {
+		c.nextDigest = now.Add(c.times.digestEvery)
+		c.sendDigests(out)
+	}
 }
 
 // probeNext pings the next member of a round; a round visits each member once
@@ -63,12 +67,7 @@
 func (c *Core) ping(now time.Time, e *entry, out *Output) {
 	seq := c.random.Uint64()
 	c.probes.Put(seq, probe{target: e.ID, sent: now})
-	message := Message{Kind: Ping, Seq: seq, From: c.self.ID, To: e.ID}
-	if !now.Before(c.nextDigest) && c.queue.Len() == 0 {
-		c.nextDigest = now.Add(c.times.digestEvery)
-		message.Digests = c.digestList()
-	}
-	c.send(e.Addr, message, out)
+	c.send(e.Addr, Message{Kind: Ping, Seq: seq, From: c.self.ID, To: e.ID}, out)
 }
 
 // probeRandom pings one member in a state. The ping names the state that is
@@ -76,8 +75,8 @@
 // and a death after both sides of a partition can reach each other again.
 func (c *Core) probeRandom(now time.Time, state State, out *Output) {
 	var found []*entry
-	c.members.Each(func(_ string, e *entry) bool {
-		if e.State == state {
+	c.troubled.Each(func(id string, _ *struct{}) bool {
+		if e := c.members.Get(id); e.State == state {
 			found = append(found, e)
 		}
 		return true
@@ -93,6 +92,9 @@
 	if now.Before(c.nextSeed) {
 		return
 	}
+	if len(c.cfg.Seeds) == 0 {
+		return
+	}
 	live := make(map[string]bool)
 	c.members.Each(func(_ string, e *entry) bool {
 		if e.State != Dead {
@@ -120,59 +122,86 @@
 	}
 }
 
-// expireProbes asks helpers after the direct timeout and suspects the target
-// when no answer came by any way.
+// expireProbes repeats pings, directly and through helpers, and suspects the
+// target when no answer came by any way.
 func (c *Core) expireProbes(now time.Time, out *Output) {
+	timeout := c.stretch(c.times.probeTimeout)
 	c.probes.Each(func(seq uint64, p *probe) bool {
 		e := c.members.Get(p.target)
 		age := now.Sub(p.sent)
 		switch {
-		case e == nil:
+		case e == nil || e.State == Dead && age >= c.times.directTimeout:
 			c.probes.Delete(seq)
-		case age >= c.times.probeTimeout:
+		case age >= timeout:
 			c.probes.Delete(seq)
-			if e.State == Alive {
-				row := e.Row
-				row.State = Suspect
-				c.merge(now, row, c.self.ID, "probe failed", out)
-			}
-		case age >= c.times.directTimeout && !p.indirect && e.State != Dead:
-			p.indirect = true
-			c.askHelpers(seq, e, out)
+			row := e.Row
+			row.State, row.Accuser = Suspect, c.self.ID
+			c.merge(now, row, "probe failed", out)
+		case age >= time.Duration(p.tries+1)*c.times.directTimeout:
+			c.repeat(seq, p, e, out)
 		}
 		return true
 	})
 	c.relays.Each(func(seq uint64, r *relay) bool {
-		if now.Sub(r.sent) >= c.times.probeTimeout {
+		if now.Sub(r.sent) >= timeout {
 			c.relays.Delete(seq)
 		}
 		return true
 	})
 }
 
-func (c *Core) askHelpers(seq uint64, e *entry, out *Output) {
+// repeat pings again, and each second time also through helpers.
+func (c *Core) repeat(seq uint64, p *probe, e *entry, out *Output) {
+	p.tries++
 	c.send(e.Addr, Message{Kind: Ping, Seq: seq, From: c.self.ID, To: e.ID}, out)
+	if p.tries%2 == 0 {
+		return
+	}
 	for _, helper := range c.randomLive(indirectHelpers, e.ID) {
 		c.send(helper.Addr, Message{Kind: PingRequest, Seq: seq, From: c.self.ID, To: helper.ID,
 			Subject: e.ID, SubjectAddr: e.Addr}, out)
 	}
 }
 
+// answered ends a probe and learns from it how lossy the network is: a member
+// that answered only a repeated ping shows loss, not failure.
+func (c *Core) answered(seq uint64, p *probe) {
+	sample := 0.0
+	if p.tries > 0 {
+		sample = 1
+	}
+	c.repeated += (sample - c.repeated) * repeatedWeight
+	c.probes.Delete(seq)
+}
+
+// stretch lengthens a time while many pings need repeating. With 20% loss 36%
+// of the pings do, and without longer times running members would be taken for
+// failed.
+func (c *Core) stretch(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * min(maxStretch, 1+4*c.repeated))
+}
+
 // randomLive returns up to n random members that are not dead.
 func (c *Core) randomLive(n int, except string) []*entry {
-	var live []*entry
-	c.members.Each(func(id string, e *entry) bool {
-		if e.State != Dead && id != except {
-			live = append(live, e)
+	if c.liveStale {
+		c.liveStale = false
+		c.live = c.live[:0]
+		c.members.Each(func(_ string, e *entry) bool {
+			if e.State != Dead {
+				c.live = append(c.live, e)
+			}
+			return true
+		})
+	}
+	var chosen []*entry
+	for i := 0; i < len(c.live) && len(chosen) < n; i++ {
+		j := i + c.random.IntN(len(c.live)-i)
+		c.live[i], c.live[j] = c.live[j], c.live[i]
+		if c.live[i].ID != except {
+			chosen = append(chosen, c.live[i])
 		}
-		return true
-	})
-	n = min(n, len(live))
-	for i := range n {
-		j := i + c.random.IntN(len(live)-i)
-		live[i], live[j] = live[j], live[i]
 	}
-	return live[:n]
+	return chosen
 }
 
 func (c *Core) localTargets() []string {
--- a/internal/core/member/spread.go
+++ b/internal/core/member/spread.go
@@ -18,7 +18,7 @@
 // encoding it for each candidate.
 const (
 	packetOverhead  = 110 // signature, kind, sequence number, field headers
-	rowOverhead     = 26
+	rowOverhead     = 28
 	versionOverhead = 18
 	digestOverhead  = 14
 	// packetHeader is what IP and UDP add to a packet.
@@ -34,17 +34,22 @@
 
 // retransmits is the number of times that an update is sent by this host; it
 // grows with the logarithm of the number of members so that all hear of it
-// with high probability.
+// with high probability, and has a base so that lost packets matter little
+// among few members.
 func (c *Core) retransmits() int {
-	return 3 * int(math.Ceil(math.Log10(float64(c.members.Len()+2))))
+	return 4 + 4*int(math.Ceil(math.Log10(float64(c.members.Len()+2))))
 }
 
 // send completes a message with updates and appends it to the output.
 func (c *Core) send(addr string, m Message, out *Output) {
 	c.accuse(&m)
+	free := 0 // probes and their answers are not charged
+	if m.Kind != Gossip && m.Kind != Sync {
+		free = Size(m) + packetHeader
+	}
 	c.piggyback(&m)
 	floor := -float64(c.cfg.BytesPerSecond)
-	c.budget = max(floor, c.budget-float64(Size(m)+packetHeader))
+	c.budget = max(floor, c.budget-float64(Size(m)+packetHeader-free))
 	out.Sends = append(out.Sends, Send{Addr: addr, Message: m})
 }
 
@@ -121,7 +126,7 @@
 }
 
 func rowSize(row Row) int {
-	return rowOverhead + len(row.ID) + len(row.DataCentre) + len(row.Addr)
+	return rowOverhead + len(row.ID) + len(row.DataCentre) + len(row.Addr) + len(row.Accuser)
 }
 
 func versionSize(v ModelVersion) int { return versionOverhead + len(v.Model) }
--- a/internal/core/member/types.go
+++ b/internal/core/member/types.go
@@ -26,6 +26,8 @@
 	State       State
 	// Leaving is set by the member itself, under a new incarnation.
 	Leaving bool
+	// Accuser is the host whose probe failed, in the row of a suspect.
+	Accuser string
 }
 
 // ModelVersion is the newest weight version of a model.
@@ -71,7 +73,8 @@
 	Updates     []Row
 	Versions    []ModelVersion
 	Digests     []Digest
-	// WantRows asks the receiver of a Sync to send its own rows of SyncOf.
+	// WantRows asks the receiver of a Sync to send its own rows of SyncOf, and
+	// the receiver of an Ack for its own row.
 	WantRows bool
 	SyncOf   string
 }
@@ -125,6 +128,11 @@
 	// maxConfirmations is the number of further hosts whose suspicion
 	// shortens the suspicion time to its minimum.
 	maxConfirmations = 3
+	// repeatedWeight is the weight of the newest probe in the share of probes
+	// that needed repeated pings.
+	repeatedWeight = 1.0 / 16
+	// maxStretch bounds how much that share lengthens times.
+	maxStretch = 3
 	// forgetAfter is how long a dead member is kept. It is longer than the
 	// hour for which regions are cut off from each other now and then.
 	forgetAfter = 6 * time.Hour
@@ -141,6 +149,7 @@
 	deadEvery     time.Duration
 	seedEvery     time.Duration
 	digestEvery   time.Duration
+	settle        time.Duration // for an update to reach all members
 	pause         time.Duration // a gap between ticks that counts as a pause
 }
 
@@ -155,6 +164,7 @@
 		deadEvery:     10 * interval,
 		seedEvery:     2 * interval,
 		digestEvery:   4 * interval,
+		settle:        2 * interval,
 		pause:         2 * interval,
 	}
 }
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -39,7 +39,7 @@
 			return nil, eris.Wrapf(err, "encode the address of member %q", row.ID)
 		}
 		packet.Updates = append(packet.Updates, &gossippb.Row{Id: row.ID, DataCentre: row.DataCentre, Addr: addr,
-			Incarnation: row.Incarnation, State: int32(row.State), Leaving: row.Leaving})
+			Incarnation: row.Incarnation, State: int32(row.State), Leaving: row.Leaving, Accuser: row.Accuser})
 	}
 	for _, v := range m.Versions {
 		packet.Versions = append(packet.Versions, &gossippb.ModelVersion{Model: v.Model, Version: v.Version})
@@ -93,7 +93,8 @@
 			return m, eris.Errorf("member %q has the unknown state %d", row.Id, row.State)
 		}
 		m.Updates = append(m.Updates, member.Row{ID: row.Id, DataCentre: row.DataCentre, Addr: addr,
-			Incarnation: row.Incarnation, State: member.State(row.State), Leaving: row.Leaving})
+			Incarnation: row.Incarnation, State: member.State(row.State), Leaving: row.Leaving,
+			Accuser: row.Accuser})
 	}
 	for _, v := range packet.Versions {
 		m.Versions = append(m.Versions, member.ModelVersion{Model: v.Model, Version: v.Version})
