--- a/internal/services/others.go
+++ b/internal/services/others.go
@@ -16,6 +16,10 @@
 	// askAllTimeout bounds the question to all hosts. It may end after the
 	// caller's deadline, because a refusal without it could be untrue.
 	askAllTimeout = 500 * time.Millisecond
+	// maxAskingCalls bounds the calls for which all hosts are asked at once, so
+	// that refusals under overload do not multiply the load. The others are
+	// answered "unknown".
+	maxAskingCalls = 128
 	// maxQuestions bounds the questions of one round that are open at once.
 	maxQuestions = 64
 )
@@ -35,18 +39,23 @@
 	return &deaths{members: members, keep: keep, since: make(map[string]time.Time), alive: make(map[string]cluster.Member)}
 }
 
-// update reads the membership. A host that left the list counts as dead.
+// update reads the membership. A host that left the list counts as dead, and
+// one that is first met dead may have died just now.
 func (d *deaths) update(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make(map[string]bool)
 	for _, member := range d.members.All() {
-		if member.State == cluster.MemberDead {
+		listed[member.ID] = true
+		if member.State != cluster.MemberDead {
+			d.alive[member.ID] = member
+			delete(d.since, member.ID)
 			continue
 		}
-		listed[member.ID] = true
-		d.alive[member.ID] = member
-		delete(d.since, member.ID)
+		delete(d.alive, member.ID)
+		if _, known := d.since[member.ID]; !known {
+			d.since[member.ID] = now
+		}
 	}
 	for id := range d.alive {
 		if !listed[id] {
@@ -55,7 +64,7 @@
 		}
 	}
 	for id, since := range d.since {
-		if now.Sub(since) > d.keep {
+		if now.Sub(since) > d.keep && !listed[id] {
 			delete(d.since, id)
 		}
 	}
@@ -94,6 +103,12 @@
 	default:
 		return nil, unknown(cluster.ReasonDeadline, "the call may be running", "")
 	}
+	select {
+	case c.asking <- struct{}{}:
+		defer func() { <-c.asking }()
+	default:
+		return nil, unknown(cluster.ReasonOverload, "too many refused calls wait for the other hosts", "")
+	}
 	c.deaths.update(now)
 	ask, dead := c.deaths.candidates(c.members.Self().ID, key.Time().Add(-c.config.ClockSkew))
 	found, refusal := c.askMembers(ctx, key, ask)
