Test the owner role, the engine client and the certainty of homes

Cause: leaving replicas, solo runs, the exchange, typed failures of the client and the certainty of a request's home had no tests of their own. Change: tests with in-test engines and recording peers; a request whose caller left while it waited at this host's queue now counts as not run, because the engine was never contacted.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -227,3 +227,72 @@
 	}
 	must.LessEq(t, 3, crashes)
 }
+
+// Guards against a host's death taking with it the requests of other hosts: a
+// request whose home or whose replica's owner dies is still answered whole.
+func TestDeathOfHomeAndOwnerIsSurvived(t *testing.T) {
+	slow := func(engine.GenerateRequest, int) behaviour { return slowChunk }
+	engines := []*testEngine{newTestEngine(t, 1, slow), newTestEngine(t, 1, slow), newTestEngine(t, 1, slow)}
+	f := newFixture(t, 3, "", engines...)
+	for _, h := range f.hosts {
+		eventually(t, "all rows are known", func() bool { return rows(h) == 3 })
+	}
+	const requests = 12
+	replies := make(chan reply, requests)
+	for i := range requests {
+		go func() {
+			got, _ := f.hosts[i%2].post(context.Background(), fmt.Sprint("id-", i), "proof", 40, true)
+			replies <- got
+		}()
+	}
+	eventually(t, "all requests run", func() bool {
+		ran := 0
+		for _, e := range engines {
+			for i := range requests {
+				ran += e.count(e.ran, fmt.Sprint("id-", i))
+			}
+		}
+		return ran >= requests
+	})
+	f.mu.Lock()
+	f.hosts[2].member.State = cluster.MemberDead
+	f.mu.Unlock()
+	f.hosts[2].stop()
+	broken := 0
+	for range requests {
+		got := <-replies
+		if !got.whole {
+			// The retry budget covers three of the streams that broke per host.
+			must.Eq(t, "backend-server-failed", got.failure)
+			must.Eq(t, "partial", got.outcome)
+			broken++
+			continue
+		}
+		must.Eq(t, whole("proof", 40), got.text)
+	}
+	must.Less(t, requests/2, broken)
+}
+
+// Guards against an engine working on for a caller whose replica another host owns.
+func TestCallerGoneCancelsThroughAnotherOwner(t *testing.T) {
+	e := newTestEngine(t, 1, func(engine.GenerateRequest, int) behaviour { return slowChunk })
+	f := newFixture(t, 2, "", e) // host-0 owns replica-0
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = f.hosts[1].post(ctx, "", "proof", 100000, true)
+	}()
+	ended := func(m map[string]int) (n int) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, count := range m {
+			n += count
+		}
+		return n
+	}
+	eventually(t, "the engine runs the request", func() bool { return ended(e.ran) == 1 })
+	cancel()
+	<-done
+	eventually(t, "the engine sees the end", func() bool { return ended(e.ended) == 1 })
+}
--- a/internal/callers/generate.go
+++ b/internal/callers/generate.go
@@ -119,13 +119,18 @@
 	case finished:
 		return []flight.Action{{Kind: flight.Finish, Outcome: flight.Whole}}
 	case r.sinkErr != nil || ctx.Err() != nil:
-		return r.stop(flight.Ending{Reached: true})
+		return r.stop(flight.Ending{Reached: !isNotRun(err)})
 	case err == nil:
 		err = errors.New("the owner ended the stream without a finish reason")
 	}
 	return r.ended(action.Attempt, r.ending(action.Attempt, chosen, err))
 }
 
+func isNotRun(err error) bool {
+	var refusal *cluster.Refusal
+	return errors.As(err, &refusal) && refusal.Outcome == cluster.OutcomeNotRun
+}
+
 // pause waits and reports whether ctx still holds.
 func pause(ctx context.Context, delay time.Duration) bool {
 	if delay == 0 {
--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -146,7 +146,11 @@
 	stop func()
 }
 
-func (h *testHost) Self() cluster.Member           { return h.member }
+func (h *testHost) Self() cluster.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.member
+}
 func (h *testHost) MayOrder(string) (int64, bool)  { return 0, false }
 func (h *testHost) Current() (*declare.Set, int64) { return h.set, 0 }
 func (h *testHost) Newest(string) int64            { return 0 }
@@ -239,7 +243,7 @@
 	f.mu.Unlock()
 	client := engine.NewClient(engine.Config{ProgressTimeout: f.progress})
 	h.owner = owner.New(owner.Config{Policy: policy, ExchangeInterval: 20 * time.Millisecond}, h, h, h, h, client, h, recorder)
-	h.controller = New(Config{Policy: policy}, h, h, h, h, h, h.owner, h, recorder)
+	h.controller = New(Config{Policy: policy, ReplicaPatience: 100 * time.Millisecond}, h, h, h, h, h, h.owner, h, recorder)
 	h.controller.started = time.Now().Add(-time.Hour) // sure about earlier attempts
 	server := grpc.NewServer(peer.ServerOptions("token", nil)...)
 	peerpb.RegisterPeerServer(server, &peer.Server{RunHandler: h.owner, ExchangeHandler: h.owner, ClaimHandler: h.controller})
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -36,7 +36,8 @@
 
 // RunLocal admits a generation and calls sink for each chunk. It returns nil
 // after the chunk with the finish reason, a *cluster.Refusal, the error of
-// sink, or the error of ctx.
+// sink, or the error of ctx. When ctx ends before the engine was contacted, it
+// returns a refusal that says so.
 func (c *Controller) RunLocal(ctx context.Context, req *peerpb.RunRequest, sink func(engine.Chunk) error) error {
 	replica, refusal := c.accept(req)
 	if refusal != nil {
@@ -116,7 +117,7 @@
 		return request.ID, c.admitted(req, action)
 	case <-ctx.Done():
 		c.abandon(request.ID)
-		return 0, ctx.Err()
+		return 0, notRun(cluster.ReasonDeadline, req.Replica, "the request ended while it waited")
 	}
 }
 
