--- a/internal/core/intent/ledger.go
+++ b/internal/core/intent/ledger.go
@@ -65,8 +65,8 @@
 	Stage  Stage
 	Result Result
 	// InForce says that the log has shown this host's intent in force, so that no
-	// other host has run the call. Otherwise StageAbandoned speaks for this host
-	// alone.
+	// other host had run the call. Otherwise StageAbandoned speaks for its author
+	// alone: another host's later intent may be unread.
 	InForce bool
 	// Refusal is set for StageUnknown and StageAbandoned.
 	Refusal *cluster.Refusal
@@ -124,8 +124,9 @@
 	results  []int64        // attempts with stored answers, oldest first
 	resBytes int
 
-	queue *table.Table[int64, *entry] // records that must get into the log
-	order int64                       // last used key of queue
+	queue  *table.Table[int64, *entry] // records that must get into the log
+	queued map[Record]int64            // keys of queue
+	order  int64                       // last used key of queue
 }
 
 type agingKey struct {
@@ -148,6 +149,7 @@
 		closed:  make(map[int64]*attempt),
 		byNonce: make(map[string]*attempt),
 		queue:   table.New[int64, *entry](),
+		queued:  make(map[Record]int64),
 	}
 }
 
