Bound the bytes of the exchange and forget caches of restarted engines

Cause: a summary of 20 replicas to 36 members would have taken about 15 KB/s in a data centre of two years from now, over the 9 KB/s for all control traffic, and the rows of 15 other data centres would have come on top. After a restart of an engine its old cache events still counted. Ruled out: passing rows on along a tree, since every host still has to receive each row. Change: rows carry a hash in place of the replica's ID (new field replica_hash in peer.proto) and no expected wait, which no router used; a host spends at most 4 KB/s on summaries and takes the members in turn, except for suspicions, which do not wait. Another data centre is told of the four replicas with most room; eight foreign rows go into one summary.

--- a/internal/core/route/prefix.go
+++ b/internal/core/route/prefix.go
@@ -18,32 +18,35 @@
 type holder struct {
 	replica string
 	until   time.Time // zero means until an eviction
-	gaps    int       // gaps of the replica's events when it was recorded
+	epoch   epoch     // of the replica when it was recorded
 }
 
+// epoch counts what makes older knowledge about a replica doubtful or void.
+type epoch struct{ restarts, gaps int }
+
 // Prefixes remembers which replicas probably hold which prefix blocks.
 type Prefixes struct {
 	blocks map[uint64][]holder
 	order  []uint64 // blocks by first use, oldest first
-	gaps   map[string]int
+	epochs map[string]epoch
 }
 
 // NewPrefixes returns an empty memory.
 func NewPrefixes() *Prefixes {
-	return &Prefixes{blocks: make(map[uint64][]holder), gaps: make(map[string]int)}
+	return &Prefixes{blocks: make(map[uint64][]holder), epochs: make(map[string]epoch)}
 }
 
 // Sent records that a prompt with these blocks was sent to a replica.
 func (p *Prefixes) Sent(replica string, blocks []uint64, now time.Time) {
 	for _, b := range blocks {
-		p.put(b, holder{replica: replica, until: now.Add(sentLifetime), gaps: p.gaps[replica]})
+		p.put(b, holder{replica: replica, until: now.Add(sentLifetime), epoch: p.epochs[replica]})
 	}
 }
 
 // Stored records a cache event. Events come late, so an eviction may have
 // overtaken a later prompt; the next event corrects it.
 func (p *Prefixes) Stored(replica string, block uint64) {
-	p.put(block, holder{replica: replica, gaps: p.gaps[replica]})
+	p.put(block, holder{replica: replica, epoch: p.epochs[replica]})
 }
 
 // Evicted records the eviction of a block.
@@ -59,7 +62,16 @@
 
 // Gap records that events of a replica were lost. What was known about it
 // counts less from then on.
-func (p *Prefixes) Gap(replica string) { p.gaps[replica]++ }
+func (p *Prefixes) Gap(replica string) {
+	e := p.epochs[replica]
+	e.gaps++
+	p.epochs[replica] = e
+}
+
+// Restarted records that a replica started again with an empty cache.
+func (p *Prefixes) Restarted(replica string) {
+	p.epochs[replica] = epoch{restarts: p.epochs[replica].restarts + 1}
+}
 
 // match is how many leading blocks a replica holds, and their weight.
 type match struct {
@@ -75,14 +87,15 @@
 		for _, h := range p.blocks[b] {
 			m := matches[h.replica]
 			// A block is of use only when all blocks before it are cached.
-			if m.blocks < i || !h.until.IsZero() && now.After(h.until) {
+			current := p.epochs[h.replica]
+			if m.blocks < i || !h.until.IsZero() && now.After(h.until) || h.epoch.restarts != current.restarts {
 				continue
 			}
 			if matches == nil {
 				matches = make(map[string]match)
 			}
 			weight := 1.0
-			if h.gaps != p.gaps[h.replica] {
+			if h.epoch != current {
 				weight = doubt
 			}
 			matches[h.replica] = match{blocks: i + 1, weight: m.weight + weight}
--- a/internal/core/route/prefix_test.go
+++ b/internal/core/route/prefix_test.go
@@ -27,6 +27,8 @@
 	p.Sent("b", []uint64{1, 2}, now)
 	must.Eq(t, map[string]float64{"a": 1, "b": 2}, match(now))
 	must.Eq(t, map[string]float64{"a": 1}, match(now.Add(sentLifetime+time.Second)))
+	p.Restarted("a")
+	must.Eq(t, map[string]float64{"b": 2}, match(now))
 }
 
 // Guards against a memory that grows with the number of prompts.
--- a/internal/owner/caches.go
+++ b/internal/owner/caches.go
@@ -45,7 +45,7 @@
 	if cursor.incarnation != replica.State.Incarnation {
 		// The engine started again with an empty cache.
 		cursor = cacheCursor{incarnation: replica.State.Incarnation}
-		c.prefixes.Gap(replica.ID)
+		c.prefixes.Restarted(replica.ID)
 	}
 	c.mu.Unlock()
 	events, err := c.engines.CacheEvents(ctx, replica.Addr, cursor.seq)
--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -1,7 +1,10 @@
 package owner
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,13 +19,22 @@
 )
 
 const (
-	// membersPerInterval is the number of members that get a summary each
-	// interval. More members get summaries in proportion less often, because
-	// the bytes that a host sends grow with their number.
-	membersPerInterval = 12
+	// exchangeBytesPerSecond bounds what a host sends in summaries, by sending
+	// them less often when there are many members. A host may use 9 KB/s for
+	// all control traffic.
+	exchangeBytesPerSecond = 4096
+	// messageOverhead is what HTTP/2 and gRPC add to a small message and its
+	// answer, in bytes, with compressed headers.
+	messageOverhead = 60
 	// remoteEvery is the number of intervals between summaries to another data
 	// centre, whose replicas are only used when the own ones are full.
 	remoteEvery = 4
+	// maxRemote is the number of replicas with room that another data centre
+	// is told of at a time, and maxForeign the number of rows of other data
+	// centres in one summary. Without a bound, the rows of 15 other data
+	// centres would crowd out those of the own one.
+	maxRemote  = 4
+	maxForeign = 8
 	// exchangeTimeout bounds one call.
 	exchangeTimeout = 2 * time.Second
 	// loadStep is the change of a load, as a share of the limit, that is worth
@@ -33,24 +45,27 @@
 // exchangeState is what was sent to whom.
 type exchangeState struct {
 	turn    int
+	next    int     // local member to begin with
+	allowed float64 // bytes that may be sent now
+	at      time.Time
 	targets map[string]*target
 	// foreign holds rows received from other data centres that were not yet
 	// passed on in the own one.
-	foreign map[string]*peerpb.LoadRow
+	foreign map[uint64]*peerpb.LoadRow
 }
 
 // target is one member that gets summaries.
 type target struct {
-	sent     map[string]*peerpb.LoadRow
+	sent     map[uint64]*peerpb.LoadRow
 	fullAt   time.Time
 	busy     bool
 	marks    map[string]suspect.Mark // changes not yet sent
-	foreign  map[string]*peerpb.LoadRow
+	foreign  map[uint64]*peerpb.LoadRow
 	versions map[string]int64
 }
 
 func newExchangeState() exchangeState {
-	return exchangeState{targets: make(map[string]*target), foreign: make(map[string]*peerpb.LoadRow)}
+	return exchangeState{targets: make(map[string]*target), foreign: make(map[uint64]*peerpb.LoadRow)}
 }
 
 // Exchange merges another host's rows, suspicions and versions.
@@ -65,9 +80,9 @@
 	}
 	c.mu.Lock()
 	for _, row := range in.Loads {
-		c.rows.received[row.Replica] = receivedRow{row: row, from: in.Host, at: now}
+		c.rows.put(row, now)
 		if remote {
-			c.exchange.foreign[row.Replica] = row
+			c.exchange.foreign[row.ReplicaHash] = row
 		}
 	}
 	for _, mark := range in.Suspicions {
@@ -85,21 +100,52 @@
 	return &peerpb.ExchangeMessage{Host: self.ID}, nil
 }
 
+// send is one message to one member.
+type send struct {
+	member  cluster.Member
+	message *peerpb.ExchangeMessage
+	target  *target
+}
+
 // sendExchange sends summaries to the members whose turn it is.
 func (c *Controller) sendExchange(ctx context.Context, now time.Time) {
-	self := c.members.Self()
-	local, remote := destinations(self, c.members.All())
-	own := c.ownRows()
-	versions := c.newestVersions()
+	local, remote := destinations(c.members.Self(), c.members.All())
+	own, versions := c.ownRows(), c.newestVersions()
 
 	c.mu.Lock()
+	c.updateTargets(local, remote)
 	c.exchange.turn++
-	turn := c.exchange.turn
+	c.exchange.earn(now)
+	sends := c.plan(local, own, versions, true, now)
+	if c.exchange.turn%remoteEvery == 0 {
+		sends = append(sends, c.plan(remote, own, versions, false, now)...)
+	}
+	c.mu.Unlock()
+
+	var calls sync.WaitGroup
+	for _, s := range sends {
+		calls.Go(func() {
+			err := c.sendTo(ctx, s.member, s.message)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			s.target.busy = false
+			if err != nil {
+				s.target.fullAt = time.Time{} // send everything next time
+				klog.V(2).InfoS("exchange failed", "member", s.member.ID, "err", err)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// updateTargets keeps one target per destination and gives them what is to be
+// passed on. The caller holds the lock.
+func (c *Controller) updateTargets(local, remote []cluster.Member) {
 	live := make(map[string]bool)
-	for _, m := range append(local, remote...) {
+	for _, m := range append(slices.Clone(local), remote...) {
 		live[m.ID] = true
 		if c.exchange.targets[m.ID] == nil {
-			c.exchange.targets[m.ID] = &target{marks: make(map[string]suspect.Mark), foreign: make(map[string]*peerpb.LoadRow)}
+			c.exchange.targets[m.ID] = &target{marks: make(map[string]suspect.Mark), foreign: make(map[uint64]*peerpb.LoadRow)}
 		}
 	}
 	for id := range c.exchange.targets {
@@ -110,51 +156,52 @@
 	changes := c.suspects.Changes()
 	for _, m := range local {
 		t := c.exchange.targets[m.ID]
-		for id, row := range c.exchange.foreign {
-			t.foreign[id] = row
-		}
+		maps.Copy(t.foreign, c.exchange.foreign)
 		for _, mark := range changes {
 			t.marks[mark.Fingerprint] = mark
 		}
 	}
 	clear(c.exchange.foreign)
-	type send struct {
-		member  cluster.Member
-		message *peerpb.ExchangeMessage
-		target  *target
-	}
+}
+
+// plan builds the messages that may be sent now, beginning with another member
+// each time. Suspicions do not wait for the allowance: a host that does not
+// know them may crash another engine. The caller holds the lock.
+func (c *Controller) plan(members []cluster.Member, own []*peerpb.LoadRow, versions map[string]int64, withMarks bool,
+	now time.Time) []send {
 	var sends []send
-	plan := func(members []cluster.Member, stride int, withMarks bool) {
-		for i, m := range members {
-			t := c.exchange.targets[m.ID]
-			if t.busy || (i+turn)%stride != 0 {
-				continue
-			}
-			if message := c.summary(t, own, versions, withMarks, now); message != nil {
-				message.Host = self.ID
-				t.busy = true
-				sends = append(sends, send{m, message, t})
-			}
+	self, first := c.members.Self().ID, c.exchange.next
+	for i := range members {
+		m := members[(first+i)%len(members)]
+		t := c.exchange.targets[m.ID]
+		if t.busy || c.exchange.allowed <= 0 && len(t.marks) == 0 {
+			continue
 		}
+		if withMarks {
+			c.exchange.next = (first + i + 1) % len(members)
+		}
+		message := c.summary(t, own, versions, withMarks, now)
+		if message == nil {
+			continue
+		}
+		message.Host = self
+		t.busy = true
+		c.exchange.allowed -= float64(proto.Size(message) + messageOverhead)
+		sends = append(sends, send{m, message, t})
 	}
-	plan(local, 1+len(local)/membersPerInterval, true)
-	plan(remote, remoteEvery, false)
-	c.mu.Unlock()
+	return sends
+}
 
-	var calls sync.WaitGroup
-	for _, s := range sends {
-		calls.Go(func() {
-			err := c.sendTo(ctx, s.member, s.message)
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			s.target.busy = false
-			if err != nil {
-				s.target.fullAt = time.Time{} // send everything next time
-				klog.V(2).InfoS("exchange failed", "member", s.member.ID, "err", err)
-			}
-		})
+// earn adds the allowance for the time since the last call, up to that of two
+// seconds.
+func (e *exchangeState) earn(now time.Time) {
+	if e.at.IsZero() {
+		e.allowed = 2 * exchangeBytesPerSecond
+	} else {
+		e.allowed += now.Sub(e.at).Seconds() * exchangeBytesPerSecond
 	}
-	calls.Wait()
+	e.allowed = min(e.allowed, 2*exchangeBytesPerSecond)
+	e.at = now
 }
 
 // newestVersions returns the newest weight version of each declared model.
@@ -194,18 +241,25 @@
 		t.fullAt, t.sent, t.versions = now, nil, nil
 	}
 	if t.sent == nil {
-		t.sent = make(map[string]*peerpb.LoadRow)
+		t.sent = make(map[uint64]*peerpb.LoadRow)
+	}
+	if !withMarks {
+		own = spare(own, t.sent)
 	}
 	for _, row := range own {
-		if last := t.sent[row.Replica]; last == nil || differs(last, row) {
+		if last := t.sent[row.ReplicaHash]; last == nil || differs(last, row) {
 			message.Loads = append(message.Loads, row)
-			t.sent[row.Replica] = row
+			t.sent[row.ReplicaHash] = row
 		}
 	}
-	for _, row := range t.foreign {
+	passed := 0
+	for hash, row := range t.foreign {
+		if passed++; passed > maxForeign {
+			break
+		}
 		message.Loads = append(message.Loads, row)
+		delete(t.foreign, hash)
 	}
-	clear(t.foreign)
 	if withMarks {
 		if full {
 			for _, mark := range c.suspects.All() {
@@ -235,6 +289,22 @@
 	return message
 }
 
+// spare returns the rows for another data centre: the replicas with the most
+// room, and those sent before, which may have none any more. Others are of no
+// use there.
+func spare(own []*peerpb.LoadRow, sent map[uint64]*peerpb.LoadRow) []*peerpb.LoadRow {
+	room := func(row *peerpb.LoadRow) int32 { return row.Limit - row.Running - row.Queued }
+	sorted := slices.Clone(own)
+	slices.SortStableFunc(sorted, func(a, b *peerpb.LoadRow) int { return cmp.Compare(room(b), room(a)) })
+	var rows []*peerpb.LoadRow
+	for i, row := range sorted {
+		if sent[row.ReplicaHash] != nil || i < maxRemote && row.Healthy && room(row) > 0 {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // differs reports whether a row changed enough to be sent again.
 func differs(last, row *peerpb.LoadRow) bool {
 	if last.Healthy != row.Healthy || last.Version != row.Version || last.Limit != row.Limit {
@@ -257,8 +327,8 @@
 		}
 		load, _ := c.admit.Load(id)
 		rows = append(rows, &peerpb.LoadRow{
-			Replica: id, Running: int32(load.Running), Queued: int32(load.Queued), Limit: int32(load.Limit),
-			WaitMs: float64(load.Wait) / float64(time.Millisecond), Version: replica.State.Version,
+			ReplicaHash: c.rows.hash(id), Running: int32(load.Running), Queued: int32(load.Queued),
+			Limit: int32(load.Limit), Version: replica.State.Version,
 			Healthy: replica.Healthy && !replica.Leaving && !now.Before(c.out[id]),
 		})
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -120,7 +120,9 @@
 	must.SliceEmpty(t, step())
 	f.replicas[1].State.Version = 2
 	c.refresh(now)
-	must.Eq(t, "r1", step()[0].Loads[0].Replica)
+	changed := step()[0].Loads
+	must.Len(t, 1, changed)
+	must.Eq(t, route.HashReplica("r1"), changed[0].ReplicaHash)
 	c.NoteCrash("content", "a", "r9", true)
 	f.fail["near"] = true
 	must.SliceEmpty(t, step())
@@ -147,13 +149,13 @@
 	must.Eq(t, 1, min(1, len(f.take("far-1")))+min(1, len(f.take("far-2"))))
 	f.take("near")
 	_, err := c.Exchange(context.Background(), &peerpb.ExchangeMessage{
-		Host: "far-1", Loads: []*peerpb.LoadRow{{Replica: "y0", Running: 3, Limit: 8, Healthy: true, Version: 1}},
+		Host: "far-1", Loads: []*peerpb.LoadRow{{ReplicaHash: route.HashReplica("y0"), Running: 3, Limit: 8, Healthy: true, Version: 1}},
 	})
 	must.NoError(t, err)
 	c.sendExchange(context.Background(), now)
-	must.Eq(t, "y0", f.take("near")[0].Loads[0].Replica)
+	must.Eq(t, route.HashReplica("y0"), f.take("near")[0].Loads[0].ReplicaHash)
 	_, err = c.Exchange(context.Background(), &peerpb.ExchangeMessage{
-		Host: "near", Loads: []*peerpb.LoadRow{{Replica: "y1", Limit: 8, Healthy: true}},
+		Host: "near", Loads: []*peerpb.LoadRow{{ReplicaHash: route.HashReplica("y1"), Limit: 8, Healthy: true}},
 	})
 	must.NoError(t, err)
 	c.sendExchange(context.Background(), now)
@@ -186,5 +188,47 @@
 	must.Eq(t, 0.5, depth())
 	f.replicas[0].State.Incarnation, f.events = 2, nil
 	c.refresh(time.Now())
-	must.Eq(t, 0.5, depth())
+	must.Eq(t, 0.0, depth())
+}
+
+// Guards against control traffic that grows with the square of the hosts, and
+// against members that never get their turn because of the bound. The size is
+// that of a data centre in two years.
+func TestExchangeStaysWithinItsBytes(t *testing.T) {
+	f, c := newFixture(t)
+	f.members = f.members[:1]
+	for i := range 36 {
+		id := fmt.Sprintf("host-%02d", i)
+		f.members = append(f.members, cluster.Member{ID: id, DataCentre: "plateau", PeerAddr: id})
+	}
+	for i := range 20 {
+		r := f.replicas[0]
+		r.ID = fmt.Sprintf("replica-%02d", i)
+		f.replicas = append(f.replicas, r)
+	}
+	now := time.Now()
+	const seconds = 60
+	for i := range 2 * seconds {
+		now = now.Add(500 * time.Millisecond)
+		for j := range f.replicas {
+			f.replicas[j].State.Version = int64(i) // every row changes all the time
+		}
+		c.refresh(now)
+		c.sendExchange(context.Background(), now)
+	}
+	bytes := int64(0)
+	for _, total := range c.recorder.Totals() {
+		if total.Name == "exchange_sent_bytes_total" {
+			bytes = total.Value
+		}
+	}
+	must.Less(t, int64((seconds+3)*exchangeBytesPerSecond), bytes)
+	fewest, most := seconds, 0
+	for _, m := range f.members[1:] {
+		n := len(f.take(m.PeerAddr))
+		fewest, most = min(fewest, n), max(most, n)
+	}
+	t.Logf("%d bytes/s; a member got between %d and %d summaries in %d s", bytes/seconds, fewest, most, seconds)
+	must.GreaterEq(t, 10, fewest)
+	must.LessEq(t, fewest+1, most)
 }
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -17,27 +17,34 @@
 )
 
 type receivedRow struct {
-	row  *peerpb.LoadRow
-	from string
-	at   time.Time
+	row *peerpb.LoadRow
+	at  time.Time
 }
 
-// rows holds the load rows received from other owners.
+// rows holds the load rows received from other owners, by the hash of the
+// replica's ID.
 type rows struct {
-	received map[string]receivedRow
+	received map[uint64]receivedRow
 	built    []route.Candidate
 	builtAt  time.Time
 	hashes   map[string]uint64
 }
 
 func newRows() rows {
-	return rows{received: make(map[string]receivedRow), hashes: make(map[string]uint64)}
+	return rows{received: make(map[uint64]receivedRow), hashes: make(map[string]uint64)}
+}
+
+func (r *rows) put(row *peerpb.LoadRow, now time.Time) {
+	if row.ReplicaHash == 0 {
+		row.ReplicaHash = route.HashReplica(row.Replica)
+	}
+	r.received[row.ReplicaHash] = receivedRow{row: row, at: now}
 }
 
 func (r *rows) expire(now time.Time) {
-	for id, row := range r.received {
+	for hash, row := range r.received {
 		if now.Sub(row.at) > rowLifetime {
-			delete(r.received, id)
+			delete(r.received, hash)
 		}
 	}
 }
@@ -103,11 +110,10 @@
 		candidate.Wait = load.Wait
 		return candidate
 	}
-	if received, ok := c.rows.received[server.ID]; ok {
+	if received, ok := c.rows.received[candidate.Hash]; ok {
 		row := received.row
 		candidate.Known, candidate.Healthy, candidate.Version = true, row.Healthy, row.Version
 		candidate.Running, candidate.Queued, candidate.Limit = int(row.Running), int(row.Queued), int(row.Limit)
-		candidate.Wait = time.Duration(row.WaitMs * float64(time.Millisecond))
 		candidate.At = received.at
 	}
 	return candidate
