Do not take a caller that reads slowly for a silent engine

Cause: the progress timeout of an engine stream ran on while the chunk was given to the caller. A caller that read slowly for 5 s had its stream cancelled and resumed from the retry budget, and two such streams took the replica out for everybody. Requests for an adapter that a replica has not loaded went to the engine and were refused there as "unknown". Ruled out: a buffer between engine and caller, which only moves the limit.

--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -212,7 +212,7 @@
 }
 
 // newFixture returns n entry hosts of one data centre in front of engines.
-func newFixture(t *testing.T, n int, policy string, engines ...*testEngine) *fixture {
+func newFixture(t testing.TB, n int, policy string, engines ...*testEngine) *fixture {
 	f := &fixture{set: &declare.Set{}, progress: 300 * time.Millisecond}
 	for i, e := range engines {
 		f.replicas = append(f.replicas, cluster.Replica{
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -70,6 +70,7 @@
 		cancel()
 	})
 	defer watchdog.Stop()
+	run.pause = func() { watchdog.Stop() }
 	run.progress = func() { watchdog.Reset(c.config.ProgressTimeout) }
 	err = run.do(streamCtx, body)
 	if err == nil || ctx.Err() != nil && !run.silent.Load() {
@@ -96,8 +97,9 @@
 	addr       string
 	request    GenerateRequest
 	sink       func(Chunk) error
-	progress   func()
-	next       int // index of the next chunk to accept
+	pause      func() // stops the progress timeout
+	progress   func() // starts it again
+	next       int    // index of the next chunk to accept
 	connected  atomic.Bool
 	silent     atomic.Bool
 	sinkFailed bool
@@ -130,15 +132,15 @@
 	if chunk.Index > r.next {
 		return false, eris.Errorf("chunk %d is missing; got chunk %d", r.next, chunk.Index)
 	}
-	r.progress()
+	// A caller that reads slowly does not make the engine silent.
+	r.pause()
+	defer r.progress()
 	r.next++
 	r.received++
 	if err := r.sink(chunk); err != nil {
 		r.sinkFailed = true
 		return false, err
 	}
-	// A slow sink is not a silent engine.
-	r.progress()
 	return chunk.FinishReason != "", nil
 }
 
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -117,3 +117,16 @@
 	must.NoError(t, err)
 	must.Eq(t, []int{2, 3, 4}, indexes)
 }
+
+// Guards against a caller that reads slowly being taken for a silent engine.
+func TestSlowSinkIsNotSilence(t *testing.T) {
+	addr, _ := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		write(w, `{"request_id":"r","index":0,"token":"a"}`,
+			`{"request_id":"r","index":1,"token":"a","finish_reason":"stop"}`, "[DONE]")
+	})
+	client := NewClient(Config{ProgressTimeout: 100 * time.Millisecond})
+	must.NoError(t, client.Stream(context.Background(), addr, GenerateRequest{RequestID: "r"}, func(Chunk) error {
+		time.Sleep(250 * time.Millisecond)
+		return nil
+	}))
+}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -96,10 +96,16 @@
 // models or with weights that are too old.
 func TestWrongReplicaIsRefusedAsNotRun(t *testing.T) {
 	_, c := newFixture(t)
-	for reason, req := range map[cluster.Reason]*peerpb.RunRequest{
-		cluster.ReasonNotOwner:  {Replica: "other", Model: "album"},
-		cluster.ReasonNoReplica: {Replica: "r0", Model: "album", MinVersion: 2},
+	for _, tc := range []struct {
+		reason cluster.Reason
+		req    *peerpb.RunRequest
+	}{
+		{cluster.ReasonNotOwner, &peerpb.RunRequest{Replica: "other", Model: "album"}},
+		{cluster.ReasonNoReplica, &peerpb.RunRequest{Replica: "r0", Model: "gallery"}},
+		{cluster.ReasonNoReplica, &peerpb.RunRequest{Replica: "r0", Model: "album", Adapter: "studio"}},
+		{cluster.ReasonNoReplica, &peerpb.RunRequest{Replica: "r0", Model: "album", MinVersion: 2}},
 	} {
+		reason, req := tc.reason, tc.req
 		err := c.RunLocal(context.Background(), req, func(engine.Chunk) error { return nil })
 		must.Eq(t, reason, refusal(t, err).Reason)
 		must.Eq(t, cluster.OutcomeNotRun, refusal(t, err).Outcome)
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
@@ -79,6 +80,8 @@
 		return replica, notRun(cluster.ReasonDraining, req.Replica, "the replica is leaving")
 	case req.Model != "" && replica.State.Model != "" && replica.State.Model != req.Model:
 		return replica, notRun(cluster.ReasonNoReplica, req.Replica, "the replica runs another model")
+	case req.Adapter != "" && !slices.Contains(replica.State.Adapters, req.Adapter):
+		return replica, notRun(cluster.ReasonNoReplica, req.Replica, "the adapter is not loaded")
 	case replica.State.Version < req.MinVersion:
 		return replica, notRun(cluster.ReasonNoReplica, req.Replica, fmt.Sprintf(
 			"the replica runs weight version %d; %d is needed", replica.State.Version, req.MinVersion))
