--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -204,6 +204,11 @@
 		}
 		return normal
 	}
+	crashed := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return crashes
+	}
 	var engines []*testEngine
 	for range 6 {
 		engines = append(engines, newTestEngine(t, 1, poison))
@@ -214,7 +219,7 @@
 		must.NoError(t, err)
 		must.NotEq(t, http.StatusOK, got.status)
 	}
-	must.LessEq(t, 3, crashes)
+	must.LessEq(t, 3, crashed())
 	for i, h := range f.hosts {
 		eventually(t, "every host refuses the content", func() bool {
 			got, err := h.post(context.Background(), fmt.Sprint("later-", i), "poison", 6, false)
@@ -225,7 +230,7 @@
 		must.NoError(t, err)
 		must.Eq(t, whole("proof", 6), got.text)
 	}
-	must.LessEq(t, 3, crashes)
+	must.LessEq(t, 3, crashed())
 }
 
 // Guards against a host's death taking with it the requests of other hosts: a
