Keep the limit over swap pauses and changes of owner

Cause: a swap of weights pauses a whole engine; its one long gap per stream raised the mean time per token enough to lower the limit by a fifth at each new version. A change of owner threw the limit back to 4, which then took about 6 s to reach 16 again, and hosts are replaced all the time. Records of requests at replicas that are gone were kept for good. Ruled out: the median gap, which a steady slow-down of half of the streams does not move. Change: a single gap counts at most eight times the time per token at light load; a new owner adopts the limit from the last load row; ended requests are swept.

--- a/internal/callers/pending.go
+++ b/internal/callers/pending.go
@@ -16,10 +16,15 @@
 	ended   time.Time // zero while it runs
 }
 
+// sweepEvery is the number of starts between two removals of ended requests of
+// replicas that are no longer candidates.
+const sweepEvery = 256
+
 // pending holds what this host sent to each replica lately, to correct load
 // rows that are older than it.
 type pending struct {
 	byReplica map[string]map[*sent]struct{}
+	starts    int
 }
 
 func newPending() pending {
@@ -27,6 +32,11 @@
 }
 
 func (p *pending) start(replica string, now time.Time) *sent {
+	if p.starts++; p.starts%sweepEvery == 0 {
+		for old := range p.byReplica {
+			p.correction(&route.Candidate{Replica: old}, now)
+		}
+	}
 	s := &sent{started: now}
 	if p.byReplica[replica] == nil {
 		p.byReplica[replica] = make(map[*sent]struct{})
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -142,6 +142,18 @@
 	return s.take()
 }
 
+// AdoptLimit makes a replica without running work go on from the limit that
+// another owner had found for it.
+func (s *System) AdoptLimit(id string, limit int, now time.Time) []Action {
+	r := s.replicas.Get(id)
+	if r == nil || len(r.running) > 0 || s.config.Policy == PolicyBaseline {
+		return nil
+	}
+	r.limit.limit = float64(max(s.config.InitialLimit, min(limit, s.config.MaxLimit)))
+	s.pump(r, now)
+	return s.take()
+}
+
 // RemoveReplica forgets a replica and refuses the work that waits there.
 // Running requests end on their own.
 func (s *System) RemoveReplica(id string, now time.Time) []Action {
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -348,6 +348,39 @@
 	must.Eq(t, 2, window(10*time.Millisecond))
 }
 
+// Guards against a pause of the whole engine lowering the limit, as each swap
+// of weights would.
+func TestPauseDoesNotLowerTheLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newLimiter(Defaults(), now)
+	for range 10 {
+		before := l.value()
+		for range 16 {
+			for range 20 {
+				l.observe(10 * time.Millisecond)
+			}
+			l.observe(time.Second)
+		}
+		now = now.Add(time.Second)
+		l.adjust(now)
+		must.GreaterEq(t, before, l.value())
+	}
+}
+
+// Guards against a change of owner throwing the limit back to its start.
+func TestNewOwnerGoesOnFromTheLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Defaults())
+	s.SetReplica("a", true, false, now)
+	s.AdoptLimit("a", 20, now)
+	for id := range uint64(30) {
+		s.Enqueue(Request{ID: id + 1, Replica: "a"}, now)
+	}
+	s.AdoptLimit("a", 200, now)
+	load, _ := s.Load("a")
+	must.Eq(t, Load{Running: 20, Queued: 10, Limit: 20, Wait: load.Wait}, load)
+}
+
 // Guards against a limit far above the engine's batch: the tokens still come
 // fast then, but requests wait in the engine, where classes have no effect.
 func TestLimitFallsWhenTheEngineQueues(t *testing.T) {
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -17,6 +17,10 @@
 	// firstSlack is the wait for the first token, in tokens, that never counts
 	// as queueing. A step of the batch that just began accounts for two.
 	firstSlack = 4
+	// maxGapFactor caps a single gap, in multiples of the time per token at
+	// light load. A pause of the whole engine, as for a swap of weights, is one
+	// long gap per stream and says nothing about the batch.
+	maxGapFactor = 8
 	// baselineDrift raises the light-load time per token in each window, so
 	// that it follows a change of model or prompt length within minutes.
 	baselineDrift = 1.0005
@@ -54,6 +58,9 @@
 func (l *limiter) value() int { return max(1, min(int(l.limit), l.config.MaxLimit)) }
 
 func (l *limiter) observe(gap time.Duration) {
+	if l.baseline > 0 {
+		gap = min(gap, maxGapFactor*l.baseline)
+	}
 	l.sum += gap
 	l.samples++
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -176,7 +176,11 @@
 	for _, r := range owned {
 		replicas[r.ID] = r
 		c.noteState(r, now)
+		_, known := c.admit.Load(r.ID)
 		c.setReplica(r, now)
+		if row, ok := c.rows.received[c.rows.hash(r.ID)]; ok && !known {
+			c.dispatch(c.admit.AdoptLimit(r.ID, int(row.row.Limit), now))
+		}
 	}
 	c.replicas = replicas
 	for _, id := range c.admit.Replicas() {
