Run suspects by class and let training wait for its deadline

Cause: after a crash, interactive requests of the crashed batch waited for their solo run behind all training samples of it. Training samples were refused when they would wait half of the time to their deadline, a rule that is for callers who wait. Ruled out: several suspects at a time on one replica, because an innocent one could then collect the marks of another.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -348,6 +348,27 @@
 	must.Eq(t, 2, window(10*time.Millisecond))
 }
 
+// Guards against interactive requests of a crashed batch waiting behind all
+// training requests of it.
+func TestSoloRequestsGoByClass(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Defaults())
+	s.SetReplica("a", true, false, now)
+	var order []uint64
+	take := func(actions []Action) {
+		for _, a := range actions {
+			order = append(order, a.ID)
+		}
+	}
+	for id, class := range []declare.Class{declare.ClassTraining, declare.ClassTraining, declare.ClassBatch, declare.ClassInteractive} {
+		take(s.Enqueue(Request{ID: uint64(id), Replica: "a", Class: class, Solo: true}, now))
+	}
+	for i := range 4 {
+		take(s.Done(order[i], true, now))
+	}
+	must.Eq(t, []uint64{0, 3, 2, 1}, order)
+}
+
 // Guards against a pause of the whole engine lowering the limit, as each swap
 // of weights would.
 func TestPauseDoesNotLowerTheLimit(t *testing.T) {
--- a/internal/core/admit/estimate.go
+++ b/internal/core/admit/estimate.go
@@ -14,8 +14,8 @@
 	// highShare is the share of answers that may be longer than the length
 	// with which deadlines are checked.
 	highShare = 0.1
-	// maxWaitShare is the part of the time to the deadline that a new request
-	// may be expected to wait. A longer queue does not give more answers in
+	// maxWaitShare is the part of the time to the deadline that a caller's new
+	// request may be expected to wait. A longer queue does not give more answers in
 	// time; it only makes each request start at the last moment, so that every
 	// error of an estimate costs a whole answer.
 	maxWaitShare = 0.5
@@ -125,7 +125,10 @@
 		return false
 	}
 	left, wait := request.Deadline.Sub(now), r.expectedWait(request.Class)
-	return left <= 0 || wait > 0 && (wait+r.serviceTime(request) > left || float64(wait) > maxWaitShare*float64(left))
+	if request.Class < declare.ClassTraining && float64(wait) > maxWaitShare*float64(left) {
+		return true
+	}
+	return left <= 0 || wait > 0 && wait+r.serviceTime(request) > left
 }
 
 // late reports whether a request that waited would end after its deadline.
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -5,12 +5,12 @@
 	"slices"
 )
 
-// queue holds waiting requests by priority, then by arrival.
+// queue holds waiting requests by class, then by priority, then by arrival.
 type queue []*item
 
 func (q *queue) push(it *item) {
 	at, _ := slices.BinarySearchFunc(*q, it, func(a, b *item) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.seq, b.seq))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.seq, b.seq))
 	})
 	*q = slices.Insert(*q, at, it)
 }
--- a/internal/core/admit/replica.go
+++ b/internal/core/admit/replica.go
@@ -11,6 +11,7 @@
 type item struct {
 	Request
 	seq     uint64
+	rank    declare.Class // class that orders a queue of several classes
 	arrived time.Time
 	cost    float64 // expected tokens
 	tokens  int     // tokens produced so far
@@ -64,6 +65,7 @@
 func (r *replica) push(it *item) {
 	switch {
 	case it.Solo && r.config.Policy != PolicyBaseline:
+		it.rank = it.Class
 		r.solo.push(it)
 	case r.config.Policy == PolicyBaseline:
 		it.Priority = 0
