Test whole answers under random faults of streams

Cause: each fault of a stream had a test, their combination had none. Change: 300 requests through three hosts to five in-test engines that cut, hang, lose, repeat and cross chunks at random. Each reply is the whole answer, or a prefix of it and an error; "not run" is never said of a request that an engine saw.

--- /dev/null
+++ b/internal/callers/faults_test.go
@@ -0,0 +1,77 @@
+package callers
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/engine"
+)
+
+// Guards against answers that lose, repeat or mix tokens, and against "not
+// run" for a request that an engine saw, under all faults of streams at once
+// and on all paths between hosts. A caller gets the whole answer or an error.
+func TestAnswersAreWholeOrRefusedUnderRandomFaults(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	var mu sync.Mutex
+	faulty := func(engine.GenerateRequest, int) behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		switch p := random.Float64(); {
+		case p < 0.010:
+			return cut
+		case p < 0.015:
+			return skip
+		case p < 0.016:
+			return hang
+		case p < 0.05:
+			return twice
+		case p < 0.10:
+			return crossed
+		}
+		return normal
+	}
+	var engines []*testEngine
+	for range 5 {
+		engines = append(engines, newTestEngine(t, 1, faulty))
+	}
+	f := newFixture(t, 3, "", engines...)
+	const requests, tokens = 300, 12
+	var calls sync.WaitGroup
+	slots := make(chan struct{}, 24)
+	answered := 0
+	for i := range requests {
+		slots <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			id, prompt := fmt.Sprint("id-", i), fmt.Sprint("proof ", i)
+			got, err := f.hosts[i%3].post(context.Background(), id, prompt, tokens, i%2 == 0)
+			test.NoError(t, err)
+			expected := whole(prompt, tokens)
+			if got.whole {
+				test.Eq(t, expected, got.text)
+				mu.Lock()
+				defer mu.Unlock()
+				answered++
+				return
+			}
+			test.NotEq(t, "", got.failure)
+			test.StrHasPrefix(t, got.text, expected)
+			test.True(t, slices.IsSorted(got.indexes))
+			if got.outcome == "not-run" {
+				for _, e := range engines {
+					test.Eq(t, 0, e.count(e.ran, id))
+				}
+			}
+		})
+	}
+	calls.Wait()
+	t.Logf("%d of %d answered", answered, requests)
+	must.Greater(t, requests/2, answered)
+}
