Choose the straggler policy by simulation; end two memory deadlocks

Cause: surplus, hedges and the steps that may run ahead followed from the idle weight by a formula that was never measured. The property test found groups that wait for good: a group that held its memory and lost its samples stood in line behind an earlier group that waited for that memory, or was kept from going on because its step was too far ahead. The demo's 128 bytes per token had shown the first one too. Ruled out: extra work in proportion to the idle weight. The formula keeps three quarters of the extra work at weight 0 and moves the steps ahead from 1 to bound - 1. The oldest version worth starting on also counts the steps before a sample's own. Groups that hold memory go on.

--- a/internal/core/sample/policy.go
+++ b/internal/core/sample/policy.go
@@ -21,22 +21,31 @@
 }
 
 const (
-	maxHedgeShare   = 0.25 // of all samples started
+	hedgeShare      = 0.25 // of all samples started, when only idle time counts
 	minHedgeAfter   = 1.5  // multiple of the median when only idle time counts
-	hedgeAfterRange = 2.5  // added when only staleness counts
+	hedgeAfterRange = 0.5  // added when only staleness counts
+	minExtra        = 0.75 // share of the extra work when only staleness counts
 )
 
 // PolicyFor derives the policy from the idle weight w in [0, 1]. Extra work
-// and the time that results may wait grow with w: surplus and hedges grow in
-// proportion to it, the wait before a hedge shrinks, and results may wait for
-// the share w of the staleness bound.
+// and the time that results may wait grow with w: surplus and hedges go from
+// three quarters of their full extent at w = 0 to all of it at w = 1, and
+// results may wait for one step at w = 0 and for all steps that the bound
+// leaves room for at w = 1.
+//
+// In the simulation of BenchmarkStragglerPolicies, working no step ahead left
+// the trainer idle for at least a third of the time whatever the extra work,
+// and one step ahead with surplus and hedges nearly removed idle time, while
+// each further step mostly added staleness. Extra work therefore depends
+// little on w, and the steps ahead depend on it most.
 func PolicyFor(idleWeight float64, surplus int, bound int64) Policy {
 	w := min(max(idleWeight, 0), 1)
+	extra := minExtra + (1-minExtra)*w
 	return Policy{
-		Surplus:    int(math.Round(w * float64(surplus))),
+		Surplus:    int(math.Ceil(extra * float64(surplus))),
 		HedgeAfter: minHedgeAfter + (1-w)*hedgeAfterRange,
-		HedgeShare: w * maxHedgeShare,
-		StepsAhead: int64(math.Round(w * float64(bound))),
+		HedgeShare: extra * hedgeShare,
+		StepsAhead: min(bound, 1+int64(math.Round(w*float64(max(bound-2, 0))))),
 	}
 }
 
--- a/internal/core/sample/property_test.go
+++ b/internal/core/sample/property_test.go
@@ -120,7 +120,7 @@
 	w.homes[i].trainers.Get(w.params.Name).groups.Each(func(_ string, g *group) bool {
 		held += int64(len(g.prompt))
 		for _, s := range g.samples {
-			held += int64(len(s.tokens)) * (tokenBytes / 2)
+			held += int64(len(s.tokens)) * tokenHeaderBytes
 		}
 		return true
 	})
@@ -386,5 +386,17 @@
 		w.arrive(message{home: w.preferred, epoch: w.epoch, cursor: w.cursor})
 		w.receive(w.answers[len(w.answers)-1])
 	}
-	must.SliceEmpty(w.t, w.wanted)
+	must.SliceEmpty(w.t, w.wanted, must.Sprint(w.describe()))
+}
+
+// describe lists the groups of the trainer's home.
+func (w *world) describe() string {
+	t := w.homes[w.preferred].trainers.Get(w.params.Name)
+	text := fmt.Sprintf("%+v newest %d bytes %d running %d epoch %s", t.params, t.newest, t.bytes, t.running, t.epoch)
+	t.groups.Each(func(id string, g *group) bool {
+		text += fmt.Sprintf("\n%s step %d phase %d parked %v active %v samples %d complete %d retry in %v cost %d",
+			id, g.step, g.phase, g.parked, g.active, len(g.samples), g.complete(), g.retryAt-w.time, g.cost)
+		return true
+	})
+	return text
 }
--- a/internal/core/sample/schedule.go
+++ b/internal/core/sample/schedule.go
@@ -15,9 +15,13 @@
 	if t.running >= h.config.MaxRunning {
 		return
 	}
+	full := false
 	for _, g := range t.startable(now) {
-		if !g.active && !h.activate(t, g) {
-			return
+		// Groups that hold their memory already go on behind one that has to
+		// wait for memory, because it may be theirs that it waits for.
+		if !g.active && (full || !h.activate(t, g)) {
+			full = true
+			continue
 		}
 		for len(g.samples) < g.slots {
 			if t.running >= h.config.MaxRunning {
@@ -34,7 +38,9 @@
 	last := t.lastStep()
 	var found []*group
 	t.groups.Each(func(_ string, g *group) bool {
-		if g.phase != collecting || g.parked || now < g.retryAt || g.step > last {
+		// A group that holds memory is completed even when an earlier step was
+		// submitted since, because its memory becomes free only then.
+		if g.phase != collecting || g.parked || now < g.retryAt || (g.step > last && !g.active) {
 			return true
 		}
 		if !g.active || len(g.samples) < g.slots {
@@ -55,23 +61,27 @@
 	return found
 }
 
+// noStep is beyond every step of a trainer.
+const noStep = int64(1)<<62 - 1
+
 // lastStep is the latest step that may run now.
 func (t *trainer) lastStep() int64 {
-	const unlimited = int64(1)<<62 - 1
 	if t.params.Policy.StepsAhead < 0 {
-		return unlimited
+		return noStep
 	}
-	oldest := unlimited
+	return min(t.oldestStep(), noStep-t.params.Policy.StepsAhead) + t.params.Policy.StepsAhead
+}
+
+// oldestStep is the step that the trainer needs next.
+func (t *trainer) oldestStep() int64 {
+	oldest := noStep
 	t.groups.Each(func(_ string, g *group) bool {
 		if !g.parked {
 			oldest = min(oldest, g.step)
 		}
 		return true
 	})
-	if oldest == unlimited {
-		return unlimited
-	}
-	return oldest + t.params.Policy.StepsAhead
+	return oldest
 }
 
 // activate reserves the memory of a whole group. When nothing else holds
@@ -131,7 +141,7 @@
 	}
 	a := Start{
 		Trainer: t.params.Name, Group: g.id, Sample: s.id, Prompt: g.prompt,
-		MaxTokens: t.params.MaxTokens, MinVersion: t.minVersion(),
+		MaxTokens: t.params.MaxTokens, MinVersion: t.minVersion(g),
 		Priority: g.step<<16 + int64(g.need-g.complete()), Hedge: s.hedge,
 	}
 	if late != nil {
@@ -147,15 +157,17 @@
 	h.act(a)
 }
 
-// minVersion is the oldest version on which a sample is expected to finish
-// within the bound, given the time that samples take and the time between
-// versions. It is never above the newest version.
-func (t *trainer) minVersion() int64 {
+// minVersion is the oldest version on which a sample is expected to be within
+// the bound when it is delivered. Until then as many versions appear as the
+// sample is expected to run through, or as there are steps before its own,
+// because each step of the trainer makes a version. It is never above the
+// newest version.
+func (t *trainer) minVersion(g *group) int64 {
 	if t.params.Policy.FirstCome {
 		return 0
 	}
-	during := t.pace.during(t.durations.median())
-	return max(0, min(t.newest, t.newest+during-t.params.Bound))
+	ahead := max(t.pace.during(t.durations.median()), g.step-t.oldestStep())
+	return max(0, min(t.newest, t.newest+ahead-t.params.Bound))
 }
 
 // hedge starts another sample for each late one as long as its group would
