Tell waiting pulls of a leaving home to move and let hedges avoid a replica

Cause: a pull that waited when its home left was refused as draining in a race between its wake-up and the drain, and a hedge could not name the replica to avoid, because nothing told the trainer's home where a sample runs. Ruled out: learning the replica from chunks; engines do not name themselves. The router does not call Placed yet, so that hedges avoid only by chance.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -98,6 +98,9 @@
 	Avoid []string
 	// Priority orders work of one trainer at the owner; lower goes first.
 	Priority int64
+	// Placed, when set, is called with the replica of each attempt before it
+	// starts, so that a hedge can avoid that replica.
+	Placed func(replicaID string)
 }
 
 // Generator runs generations on the replicas of the system. It retries,
--- a/internal/trainers/local.go
+++ b/internal/trainers/local.go
@@ -113,7 +113,9 @@
 }
 
 // pull answers as soon as a group is ready, and empty when none is in time or
-// when a newer pull of the same trainer arrived.
+// when a newer pull of the same trainer arrived. When the host leaves, a pull
+// that waits is told an epoch that no home knows, so that its trainer moves to
+// the next home.
 func (c *Controller) pull(ctx context.Context, name string, request PullRequest) (int, []byte, *cluster.Refusal) {
 	began := time.Now()
 	timer := time.NewTimer(c.boundedWait(request.WaitMs))
@@ -124,8 +126,11 @@
 	c.wake(name)
 	c.mu.Unlock()
 	over := false
-	for {
+	for tries := 0; ; tries++ {
 		verdict, epoch, groups, wake, refusal := c.tryPull(name, request, mine)
+		if refusal != nil && refusal.Reason == cluster.ReasonDraining && tries > 0 {
+			return answer(sample.EpochChanged, newEpoch(), nil)
+		}
 		if refusal != nil {
 			return 0, nil, refusal
 		}
--- a/internal/trainers/work.go
+++ b/internal/trainers/work.go
@@ -67,6 +67,11 @@
 		MinVersion: a.MinVersion,
 		Avoid:      a.Avoid,
 		Priority:   a.Priority,
+		Placed: func(replica string) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.home.Placed(a.Sample, replica)
+		},
 	}
 	return c.generator.Generate(ctx, generation, func(chunk engine.Chunk) error {
 		c.mu.Lock()
