Hedge late hedges too and hedge after at most 1.75 medians

Cause: with hedges alone the simulated trainer still idled 9% of the time, because a hedge that itself took ten times as long was never replaced, and the formula at idle weight 0.2 missed a third of the baseline's idle share. Change: a hedge counts as late like any other sample; the multiple goes from 1.5 at weight 1 to 1.75 at weight 0, within the same share of extra work.

--- a/internal/core/sample/policy.go
+++ b/internal/core/sample/policy.go
@@ -23,7 +23,7 @@
 const (
 	hedgeShare      = 0.25 // of all samples started, when only idle time counts
 	minHedgeAfter   = 1.5  // multiple of the median when only idle time counts
-	hedgeAfterRange = 0.5  // added when only staleness counts
+	hedgeAfterRange = 0.25 // added when only staleness counts
 	minExtra        = 0.75 // share of the extra work when only staleness counts
 )
 
--- a/internal/core/sample/schedule.go
+++ b/internal/core/sample/schedule.go
@@ -198,7 +198,7 @@
 			float64(t.counts.Hedged) >= t.params.Policy.HedgeShare*float64(t.started)+hedgeReserve {
 			return
 		}
-		if s.finish == "" && !s.hedge && !s.hedged && now-s.started > late {
+		if s.finish == "" && !s.hedged && now-s.started > late {
 			h.startSample(t, g, now, s)
 			inTime++
 		}
--- a/internal/core/sample/sim_test.go
+++ b/internal/core/sample/sim_test.go
@@ -259,6 +259,7 @@
 		{"surplus1+hedge1.5x25%", both(1, 1.5, 0.25), 1200}, {"surplus2+hedge1.5x25%", both(2, 1.5, 0.25), 1200},
 		{"ahead1+surplus2", Policy{StepsAhead: 1, Surplus: 2}, 1200},
 		{"ahead1+hedge1.5x25%", Policy{StepsAhead: 1, HedgeAfter: 1.5, HedgeShare: 0.25}, 1200},
+		{"ahead0+surplus2+hedge1.5x25%", Policy{Surplus: 2, HedgeAfter: 1.5, HedgeShare: 0.25}, 1200},
 		{"ahead1+surplus2+hedge1.5x25%", Policy{StepsAhead: 1, Surplus: 2, HedgeAfter: 1.5, HedgeShare: 0.25}, 1200},
 		{"length300", none, 300}, {"length300+hedge1.5x25%", with(none, hedge(1.5, 0.25)), 300},
 	}
