--- a/internal/core/sample/actions.go
+++ b/internal/core/sample/actions.go
@@ -43,6 +43,6 @@
 
 // Counts are totals since the start of the home.
 type Counts struct {
-	Started, Hedged, Cancelled, Failed, Stale, Evicted int64
-	Delivered, Redelivered, Epochs                     int64
+	Started, Hedged, Cancelled, Failed, Stale, Evicted, Refused int64
+	Delivered, Redelivered, Epochs                              int64
 }
--- a/internal/core/sample/deliver.go
+++ b/internal/core/sample/deliver.go
@@ -13,7 +13,9 @@
 	ID       string
 	Step     int64
 	Unscored bool // scoring failed and the declaration allows that
-	Samples  []DeliveredSample
+	// Refused is the reason why the group can't be run; it has no samples then.
+	Refused string
+	Samples []DeliveredSample
 }
 
 // DeliveredSample is one sample of a delivered group.
@@ -110,7 +112,7 @@
 }
 
 func (t *trainer) delivered(g *group, seq int64) Delivered {
-	d := Delivered{Seq: seq, ID: g.id, Step: g.step, Unscored: g.unscored}
+	d := Delivered{Seq: seq, ID: g.id, Step: g.step, Unscored: g.unscored, Refused: g.refused}
 	for i, s := range g.samples {
 		out := DeliveredSample{ID: s.id, Tokens: s.tokens, Versions: s.versions, Finish: s.finish}
 		if i < len(g.scores) {
--- a/internal/core/sample/home.go
+++ b/internal/core/sample/home.go
@@ -163,6 +163,8 @@
 	scoreBusy  bool
 	retryAt    time.Duration
 	failures   int
+	refusals   int    // rounds of samples that were refused for good
+	refused    string // reason for which the group is given up
 	cost       int64
 }
 
--- a/internal/core/sample/property_test.go
+++ b/internal/core/sample/property_test.go
@@ -161,6 +161,10 @@
 			must.Eq(w.t, before, content)
 		}
 		w.given[key] = content
+		if g.Refused != "" {
+			must.SliceEmpty(w.t, g.Samples)
+			continue
+		}
 		must.Len(w.t, w.params.GroupSize, g.Samples)
 		must.True(w.t, !w.params.Scored || g.Unscored != g.Samples[0].HasScore)
 		must.False(w.t, g.Unscored && w.params.ScoreRequired)
@@ -218,6 +222,9 @@
 			return
 		}
 	}
+	if fail && w.random.IntN(8) == 0 {
+		h.Refused(w.time, id, "crashes-backend-servers")
+	}
 	w.running = slices.DeleteFunc(w.running, func(o string) bool { return o == id })
 	h.Ended(w.time, id)
 	w.run(f.home)
--- a/internal/core/sample/sample_test.go
+++ b/internal/core/sample/sample_test.go
@@ -168,6 +168,28 @@
 	must.NotEq(t, first, epoch)
 }
 
+// Guards against a step that waits for good for a group whose prompt crashes
+// every backend server, and against a group given up after a single refusal.
+func TestGroupRefusedAgainAndAgainIsGivenWithoutSamples(t *testing.T) {
+	r := newRig(t, Params{GroupSize: 2}, Config{})
+	r.submit(1, "g1")
+	next := 0
+	for range maxRefusals {
+		_, _, given := r.home.Pull(r.now, "captions", r.epoch, 0, 1)
+		must.SliceEmpty(t, given)
+		r.now += time.Second
+		r.run()
+		must.Len(t, next+2, r.starts)
+		for range 2 {
+			r.home.Refused(r.now, r.starts[next].Sample, "crashes-backend-servers")
+			r.home.Ended(r.now, r.starts[next].Sample)
+			next++
+		}
+	}
+	_, _, given := r.home.Pull(r.now, "captions", r.epoch, 0, 1)
+	must.Eq(t, []Delivered{{Seq: 1, ID: "g1", Step: 1, Refused: "crashes-backend-servers"}}, given)
+}
+
 // Guards against a full home that neither refuses groups nor takes them again
 // later, and against a group ID that silently changes its prompt.
 func TestFullHomeRefusesWholeCalls(t *testing.T) {
--- a/internal/core/sample/stream.go
+++ b/internal/core/sample/stream.go
@@ -61,7 +61,7 @@
 func (h *Home) finished(now time.Duration, s *sample) {
 	t, g := s.trainer, s.group
 	t.durations.add(now - s.started)
-	g.failures = 0
+	g.failures, g.refusals = 0, 0
 	if g.complete() < g.need {
 		return
 	}
@@ -98,6 +98,38 @@
 	return n
 }
 
+// maxRefusals is the number of rounds of refused samples after which a group
+// is given up. A refusal may come from a suspicion that a whole answer clears.
+const maxRefusals = 3
+
+// Refused reports that a sample was refused for a reason that lies in its
+// prompt, such as crashes of the backend servers that run it. It comes before
+// the sample's Ended. A group that is refused again and again is given to the
+// trainer without samples, because its step would wait for it for good.
+func (h *Home) Refused(now time.Duration, id, reason string) {
+	s := h.samples[id]
+	if s == nil || s.finish != "" {
+		return
+	}
+	t, g := s.trainer, s.group
+	if now >= g.retryAt {
+		g.refusals++
+	}
+	if g.refusals < maxRefusals {
+		return
+	}
+	for _, other := range g.samples {
+		if other.finish == "" {
+			h.cancel(other)
+		}
+	}
+	g.samples, g.active, g.refused = nil, false, reason
+	t.counts.Refused++
+	t.makeReady(g)
+	t.recount(g)
+	h.act(Wake{Trainer: t.params.Name})
+}
+
 // Ended reports that nothing more comes of a sample. A sample without a
 // finish reason failed and is replaced after a pause.
 func (h *Home) Ended(now time.Duration, id string) {
--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -244,6 +244,7 @@
 	add("trainer_samples_failed_total", now.Failed-before.Failed)
 	add("trainer_samples_stale_total", now.Stale-before.Stale)
 	add("trainer_samples_evicted_total", now.Evicted-before.Evicted)
+	add("trainer_groups_refused_total", now.Refused-before.Refused)
 	add("trainer_groups_delivered_total", now.Delivered-before.Delivered)
 	add("trainer_groups_redelivered_total", now.Redelivered-before.Redelivered)
 	add("trainer_epochs_total", now.Epochs-before.Epochs)
--- a/internal/trainers/work.go
+++ b/internal/trainers/work.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,11 +51,20 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.cancels, a.Sample)
+		if refusal := (*cluster.Refusal)(nil); errors.As(err, &refusal) && forGood(refusal.Reason) {
+			c.home.Refused(c.now(), a.Sample, string(refusal.Reason))
+		}
 		c.home.Ended(c.now(), a.Sample)
 		c.runSystems()
 	})
 }
 
+// forGood tells whether a refusal lies in the prompt, so that running the
+// sample again is refused again.
+func forGood(reason cluster.Reason) bool {
+	return reason == cluster.ReasonCrashes || reason == cluster.ReasonBadRequest || reason == cluster.ReasonTooLarge
+}
+
 func (c *Controller) generate(ctx context.Context, model string, a sample.Start) error {
 	generation := cluster.Generation{
 		RequestID:  a.Sample,
