--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
@@ -36,7 +37,8 @@
 
 // RunLocal admits a generation and calls sink for each chunk. It returns nil
 // after the chunk with the finish reason, a *cluster.Refusal, the error of
-// sink, or the error of ctx.
+// sink, or the error of ctx. When ctx ends before the engine was contacted, it
+// returns a refusal that says so.
 func (c *Controller) RunLocal(ctx context.Context, req *peerpb.RunRequest, sink func(engine.Chunk) error) error {
 	replica, refusal := c.accept(req)
 	if refusal != nil {
@@ -78,6 +80,8 @@
 		return replica, notRun(cluster.ReasonDraining, req.Replica, "the replica is leaving")
 	case req.Model != "" && replica.State.Model != "" && replica.State.Model != req.Model:
 		return replica, notRun(cluster.ReasonNoReplica, req.Replica, "the replica runs another model")
+	case req.Adapter != "" && !slices.Contains(replica.State.Adapters, req.Adapter):
+		return replica, notRun(cluster.ReasonNoReplica, req.Replica, "the adapter is not loaded")
 	case replica.State.Version < req.MinVersion:
 		return replica, notRun(cluster.ReasonNoReplica, req.Replica, fmt.Sprintf(
 			"the replica runs weight version %d; %d is needed", replica.State.Version, req.MinVersion))
@@ -116,7 +120,7 @@
 		return request.ID, c.admitted(req, action)
 	case <-ctx.Done():
 		c.abandon(request.ID)
-		return 0, ctx.Err()
+		return 0, notRun(cluster.ReasonDeadline, req.Replica, "the request ended while it waited")
 	}
 }
 
