--- a/internal/services/http_test.go
+++ b/internal/services/http_test.go
@@ -105,6 +105,7 @@
 		must.Eq(t, c.status, got.Code, must.Sprint(c.path))
 		must.Eq(t, c.outcome, outcome(got))
 	}
+	must.Eq(t, "not-run bad-request", outcome(a.do(http.MethodGet, "/trays", "Request-Id", strings.Repeat("x", 129))))
 	must.Eq(t, 0, desk.total)
 }
 
--- a/internal/services/request.go
+++ b/internal/services/request.go
@@ -20,6 +20,9 @@
 // pathPrefix precedes the name of the service in request paths.
 const pathPrefix = "/v1/services/"
 
+// maxRequestIDBytes bounds request IDs, which are kept in tables and logs.
+const maxRequestIDBytes = 128
+
 // request is a caller's request to a plain service, read completely.
 type request struct {
 	id       string
@@ -39,6 +42,9 @@
 }
 
 func (c *Controller) parse(w http.ResponseWriter, r *http.Request, requestID string) (*request, *cluster.Refusal) {
+	if len(requestID) > maxRequestIDBytes {
+		return nil, notRun(cluster.ReasonBadRequest, "the request ID is over "+strconv.Itoa(maxRequestIDBytes)+" bytes")
+	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
 	rest = "/" + rest
 	if clean := path.Clean(rest); clean != rest && clean+"/" != rest {
