Leave slow reads of the log to the platform client's limit

Both followers ended a read 2 s after its wait and the writer an append after 3 s, while the platform client allows 4 s. With a log that takes 2 to 4 s, no read would have succeeded, so configurations would have stayed frozen, and stored appends would have been repeated. The bounds are now 5 s.

--- a/internal/configs/controller.go
+++ b/internal/configs/controller.go
@@ -46,7 +46,9 @@
 	defaultPeerTimeout = time.Second
 	maxRetryDelay      = 2 * time.Second
 	// readGrace is added to the wait of a read before the read counts as failed.
-	readGrace = 2 * time.Second
+	// It is longer than the platform client's own limit: with a shorter one a slow
+	// log would never be read.
+	readGrace = 5 * time.Second
 	// appendTimeout bounds the append of a snapshot.
 	appendTimeout = 5 * time.Second
 )
--- a/internal/services/stream.go
+++ b/internal/services/stream.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// readGrace is added to the wait of a read before the read counts as failed.
-	readGrace = 2 * time.Second
-	// appendTimeout bounds one append. A shorter one would turn slow appends into
-	// repeated ones.
-	appendTimeout = 3 * time.Second
+	// readGrace is added to the wait of a read before the read counts as failed,
+	// and appendTimeout bounds one append. Both are longer than the platform
+	// client's own limit: with shorter ones a slow log would never be read, and
+	// slow appends would be repeated.
+	readGrace     = 5 * time.Second
+	appendTimeout = 5 * time.Second
 	// maxBatch bounds the records of one append.
 	maxBatch = 500
 	// retryDelay is the first pause after a failed read; it doubles up to maxRetryDelay.
