Tell routers which model a replica runs

Cause: an order can load another model on a replica. Routers of other hosts went by the model in the host list: they sent work there that the owner refused, and never found the replica under its new model. Ruled out: the model in every row; it is sent only when the list differs.

--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -307,7 +307,7 @@
 
 // differs reports whether a row changed enough to be sent again.
 func differs(last, row *peerpb.LoadRow) bool {
-	if last.Healthy != row.Healthy || last.Version != row.Version || last.Limit != row.Limit {
+	if last.Healthy != row.Healthy || last.Model != row.Model || last.Version != row.Version || last.Limit != row.Limit {
 		return true
 	}
 	change := float64(last.Running + last.Queued - row.Running - row.Queued)
@@ -326,11 +326,15 @@
 			continue
 		}
 		load, _ := c.admit.Load(id)
-		rows = append(rows, &peerpb.LoadRow{
+		row := &peerpb.LoadRow{
 			ReplicaHash: c.rows.hash(id), Running: int32(load.Running), Queued: int32(load.Queued),
 			Limit: int32(load.Limit), Version: replica.State.Version,
 			Healthy: replica.Healthy && !replica.Leaving && !now.Before(c.out[id]),
-		})
+		}
+		if replica.State.Model != replica.Model {
+			row.Model = replica.State.Model
+		}
+		rows = append(rows, row)
 	}
 	return rows
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -124,10 +124,11 @@
 	}
 	must.Len(t, 2, step()[0].Loads) // first contact: all rows
 	must.SliceEmpty(t, step())
-	f.replicas[1].State.Version = 2
+	f.replicas[1].State.Version, f.replicas[1].State.Model = 2, "gallery"
 	c.refresh(now)
 	changed := step()[0].Loads
 	must.Len(t, 1, changed)
+	must.Eq(t, "gallery", changed[0].Model)
 	must.Eq(t, route.HashReplica("r1"), changed[0].ReplicaHash)
 	c.NoteCrash("content", "a", "r9", true)
 	f.fail["near"] = true
@@ -155,7 +156,7 @@
 	must.Eq(t, 1, min(1, len(f.take("far-1")))+min(1, len(f.take("far-2"))))
 	f.take("near")
 	_, err := c.Exchange(context.Background(), &peerpb.ExchangeMessage{
-		Host: "far-1", Loads: []*peerpb.LoadRow{{ReplicaHash: route.HashReplica("y0"), Running: 3, Limit: 8, Healthy: true, Version: 1}},
+		Host: "far-1", Loads: []*peerpb.LoadRow{{ReplicaHash: route.HashReplica("y0"), Model: "gallery", Running: 3, Limit: 8, Healthy: true, Version: 1}},
 	})
 	must.NoError(t, err)
 	c.sendExchange(context.Background(), now)
@@ -170,6 +171,7 @@
 		return []platform.BackendServer{{ID: "y0", Kind: platform.KindEngine, DataCentre: "yoff", Model: "album"}}
 	})
 	must.Len(t, 1, rows)
+	must.Eq(t, "gallery", rows[0].Model) // what it runs, not what it was started for
 	must.True(t, rows[0].Known)
 	must.Eq(t, 3, rows[0].Running)
 }
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -115,6 +115,9 @@
 		candidate.Known, candidate.Healthy, candidate.Version = true, row.Healthy, row.Version
 		candidate.Running, candidate.Queued, candidate.Limit = int(row.Running), int(row.Queued), int(row.Limit)
 		candidate.At = received.at
+		if row.Model != "" {
+			candidate.Model = row.Model
+		}
 	}
 	return candidate
 }
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -78,7 +78,7 @@
 		return replica, notRun(cluster.ReasonNotOwner, req.Replica, "this host does not own the replica")
 	case replica.Leaving:
 		return replica, notRun(cluster.ReasonDraining, req.Replica, "the replica is leaving")
-	case req.Model != "" && replica.State.Model != "" && replica.State.Model != req.Model:
+	case replica.Healthy && replica.State.Model != req.Model:
 		return replica, notRun(cluster.ReasonNoReplica, req.Replica, "the replica runs another model")
 	case req.Adapter != "" && !slices.Contains(replica.State.Adapters, req.Adapter):
 		return replica, notRun(cluster.ReasonNoReplica, req.Replica, "the adapter is not loaded")
