--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -24,6 +24,9 @@
 	PolicyBaseline = "baseline"
 )
 
+// maxTrainingShare bounds the minimum share of training.
+const maxTrainingShare = 0.9
+
 // Config holds the parameters of a System.
 type Config struct {
 	Policy           string
@@ -120,6 +123,9 @@
 
 // New returns an empty System.
 func New(config Config) *System {
+	// A share of 1 would leave nothing to divide among the other classes.
+	config.MinTrainingShare = max(0, min(config.MinTrainingShare, maxTrainingShare))
+	config.MaxLimit = max(1, config.MaxLimit)
 	return &System{config: config, replicas: table.New[string, replica](), where: make(map[uint64]string)}
 }
 
