Share suspicions with other data centres

Ruled out: repeating all marks there with each full set; only changes go. Change: summaries to other data centres carry changed marks at once; the host that gets one passes it on in its own data centre. A report that changes nothing is not passed on, so that marks do not circle. Result: tests for both directions and for the end of the circle pass.

--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -172,7 +172,10 @@
 
 // Merge takes over what another host reports. Counts merge by maximum, because
 // a crash is counted by the one host that owned the replica and then shared.
-func (t *Table) Merge(mark Mark, now time.Time) {
+// PassOn makes a change one of those that Changes returns; it is set for
+// reports from other data centres, which only one host here gets. Reports that
+// change nothing are not passed on, so that they do not circle.
+func (t *Table) Merge(mark Mark, passOn bool, now time.Time) {
 	r := t.rows.Get(mark.Fingerprint)
 	if mark.Cleared {
 		if r == nil {
@@ -180,7 +183,7 @@
 			r = t.rows.Put(mark.Fingerprint, row{})
 		}
 		if !r.Cleared {
-			r.Mark, r.changed = mark, now
+			r.Mark, r.changed, r.dirty = mark, now, r.dirty || passOn
 			r.Crashes, r.SoloCrashes = 0, 0
 		}
 		return
@@ -198,7 +201,7 @@
 	if mark.Crashes > r.Crashes || mark.SoloCrashes > r.SoloCrashes {
 		r.Crashes = max(r.Crashes, mark.Crashes)
 		r.SoloCrashes = max(r.SoloCrashes, mark.SoloCrashes)
-		r.changed = now
+		r.changed, r.dirty = now, r.dirty || passOn
 	}
 }
 
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -86,7 +86,7 @@
 	a, b, now := New(Defaults()), New(Defaults()), time.Unix(1000, 0)
 	share := func(from, to *Table, marks []Mark) {
 		for _, mark := range marks {
-			to.Merge(mark, now)
+			to.Merge(mark, false, now)
 		}
 	}
 	a.Crashed("f", "replica/1", false, now)
@@ -103,6 +103,24 @@
 	must.Eq(t, Run, a.Judge("f"))
 }
 
+// Guards against marks that do not get past the one host that another data
+// centre tells, and against marks that circle between data centres.
+func TestMarksOfOtherDataCentresArePassedOnOnce(t *testing.T) {
+	here, there, now := New(Defaults()), New(Defaults()), time.Unix(1000, 0)
+	there.Crashed("f", "replica/1", true, now)
+	for _, cleared := range []bool{false, true} {
+		if cleared {
+			there.Clear("f", now)
+		}
+		marks := there.Changes()
+		must.Len(t, 1, marks)
+		here.Merge(marks[0], true, now)
+		must.Eq(t, marks, here.Changes())
+		there.Merge(marks[0], true, now)
+		must.SliceEmpty(t, there.Changes())
+	}
+}
+
 // Guards against a table that grows without end, and marks that never go.
 func TestTableIsBoundedAndMarksExpire(t *testing.T) {
 	config := Defaults()
--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -89,7 +89,7 @@
 		c.suspects.Merge(suspect.Mark{
 			Fingerprint: mark.Fingerprint, Crashes: int(mark.Crashes),
 			SoloCrashes: int(mark.SoloCrashes), Cleared: mark.Cleared,
-		}, now)
+		}, remote, now)
 	}
 	c.mu.Unlock()
 	if c.versions != nil {
@@ -117,9 +117,7 @@
 	c.exchange.turn++
 	c.exchange.earn(now)
 	sends := c.plan(local, own, versions, true, now)
-	if c.exchange.turn%remoteEvery == 0 {
-		sends = append(sends, c.plan(remote, own, versions, false, now)...)
-	}
+	sends = append(sends, c.plan(c.remoteTurn(remote), own, versions, false, now)...)
 	c.mu.Unlock()
 
 	var calls sync.WaitGroup
@@ -155,19 +153,32 @@
 	}
 	changes := c.suspects.Changes()
 	for _, m := range local {
-		t := c.exchange.targets[m.ID]
-		maps.Copy(t.foreign, c.exchange.foreign)
+		maps.Copy(c.exchange.targets[m.ID].foreign, c.exchange.foreign)
+	}
+	for id := range live {
 		for _, mark := range changes {
-			t.marks[mark.Fingerprint] = mark
+			c.exchange.targets[id].marks[mark.Fingerprint] = mark
 		}
 	}
 	clear(c.exchange.foreign)
 }
 
+// remoteTurn returns the members of other data centres that get a summary now:
+// all of them now and then, and otherwise those that miss suspicions. The
+// caller holds the lock.
+func (c *Controller) remoteTurn(remote []cluster.Member) []cluster.Member {
+	if c.exchange.turn%remoteEvery == 0 {
+		return remote
+	}
+	return slices.DeleteFunc(remote, func(m cluster.Member) bool {
+		return len(c.exchange.targets[m.ID].marks) == 0
+	})
+}
+
 // plan builds the messages that may be sent now, beginning with another member
 // each time. Suspicions do not wait for the allowance: a host that does not
 // know them may crash another engine. The caller holds the lock.
-func (c *Controller) plan(members []cluster.Member, own []*peerpb.LoadRow, versions map[string]int64, withMarks bool,
+func (c *Controller) plan(members []cluster.Member, own []*peerpb.LoadRow, versions map[string]int64, near bool,
 	now time.Time) []send {
 	var sends []send
 	self, first := c.members.Self().ID, c.exchange.next
@@ -177,10 +188,10 @@
 		if t.busy || c.exchange.allowed <= 0 && len(t.marks) == 0 {
 			continue
 		}
-		if withMarks {
+		if near {
 			c.exchange.next = (first + i + 1) % len(members)
 		}
-		message := c.summary(t, own, versions, withMarks, now)
+		message := c.summary(t, own, versions, near, now)
 		if message == nil {
 			continue
 		}
@@ -233,7 +244,7 @@
 
 // summary builds what a target does not have yet, or returns nil. The caller
 // holds the lock.
-func (c *Controller) summary(t *target, own []*peerpb.LoadRow, versions map[string]int64, withMarks bool,
+func (c *Controller) summary(t *target, own []*peerpb.LoadRow, versions map[string]int64, near bool,
 	now time.Time) *peerpb.ExchangeMessage {
 	message := &peerpb.ExchangeMessage{}
 	full := now.Sub(t.fullAt) >= c.config.FullInterval
@@ -243,7 +254,7 @@
 	if t.sent == nil {
 		t.sent = make(map[uint64]*peerpb.LoadRow)
 	}
-	if !withMarks {
+	if !near {
 		own = spare(own, t.sent)
 	}
 	for _, row := range own {
@@ -260,20 +271,18 @@
 		message.Loads = append(message.Loads, row)
 		delete(t.foreign, hash)
 	}
-	if withMarks {
-		if full {
-			for _, mark := range c.suspects.All() {
-				t.marks[mark.Fingerprint] = mark
-			}
-		}
-		for _, mark := range t.marks {
-			message.Suspicions = append(message.Suspicions, &peerpb.Suspicion{
-				Fingerprint: mark.Fingerprint, Crashes: int32(mark.Crashes),
-				SoloCrashes: int32(mark.SoloCrashes), Cleared: mark.Cleared,
-			})
+	if near && full {
+		for _, mark := range c.suspects.All() {
+			t.marks[mark.Fingerprint] = mark
 		}
-		clear(t.marks)
 	}
+	for _, mark := range t.marks {
+		message.Suspicions = append(message.Suspicions, &peerpb.Suspicion{
+			Fingerprint: mark.Fingerprint, Crashes: int32(mark.Crashes),
+			SoloCrashes: int32(mark.SoloCrashes), Cleared: mark.Cleared,
+		})
+	}
+	clear(t.marks)
 	for model, version := range versions {
 		if t.versions[model] < version {
 			if message.Versions == nil {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -240,3 +241,32 @@
 	must.GreaterEq(t, 10, fewest)
 	must.LessEq(t, fewest+1, most)
 }
+
+// Guards against content that crashed engines here being unknown in other data
+// centres, to which its caller may turn next, and the other way round.
+func TestSuspicionsReachOtherDataCentres(t *testing.T) {
+	f, c := newFixture(t)
+	now := time.Now()
+	suspects := func(messages []*peerpb.ExchangeMessage) (found []string) {
+		for _, message := range messages {
+			for _, mark := range message.Suspicions {
+				found = append(found, mark.Fingerprint)
+			}
+		}
+		return found
+	}
+	c.NoteCrash("own", "a", "r9", false)
+	_, err := c.Exchange(context.Background(), &peerpb.ExchangeMessage{
+		Host: "far-1", Suspicions: []*peerpb.Suspicion{{Fingerprint: "theirs", Crashes: 1}},
+	})
+	must.NoError(t, err)
+	must.Eq(t, suspect.RunAlone, c.Judge("theirs"))
+	c.sendExchange(context.Background(), now)
+	must.Eq(t, []string{"own", "theirs"}, sorted(suspects(f.take("near"))))
+	must.SliceContains(t, suspects(append(f.take("far-1"), f.take("far-2")...)), "own")
+}
+
+func sorted(texts []string) []string {
+	slices.Sort(texts)
+	return texts
+}
