--- a/internal/services/stream.go
+++ b/internal/services/stream.go
@@ -25,6 +25,8 @@
 	// tickInterval is the time between two looks for attempts that waited too
 	// long, and for records whose append must be repeated.
 	tickInterval = 50 * time.Millisecond
+	// memberInterval is the time between two looks for hosts that died.
+	memberInterval = 500 * time.Millisecond
 )
 
 // follow reads the intent stream.
@@ -61,9 +63,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	skipped := c.ledger.Skipped()
 	for _, view := range c.ledger.Apply(page, now) {
 		c.settle(view)
 	}
+	if skipped = c.ledger.Skipped() - skipped; skipped > 0 {
+		c.recorder.Add("intent_records_skipped_total", skipped)
+		klog.InfoS("intent records were skipped", "records", skipped, "from_offset", next)
+	}
 	return nil
 }
 
@@ -109,7 +116,7 @@
 	for _, record := range records {
 		encoded, err := record.Encode()
 		if err != nil {
-			klog.ErrorS(err, "intent record was not encoded", "key", record.Key)
+			klog.ErrorS(err, "intent record was not encoded", "key", record.Key.String())
 			continue
 		}
 		data = append(data, encoded)
@@ -135,13 +142,16 @@
 func (c *Controller) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	membership := time.NewTicker(memberInterval)
+	defer membership.Stop()
 	for {
 		select {
 		case <-ticker.C:
+		case <-membership.C:
+			c.deaths.update(time.Now())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		c.deaths.update(time.Now())
 		c.mu.Lock()
 		for _, view := range c.ledger.Tick(time.Now()) {
 			c.settle(view)
