Read new ownership before routers choose a host's own replicas

Cause: a host that had just become owner of a replica did not know it for up to 100 ms; its own router took the replica for one without a load row, sent work there and was refused as not owner. Ruled out: a shorter tick, which costs time on every host all the time. Change: building the candidates reads the owned replicas again when one is missing, and one whose state was not read back yet is not a candidate. The fixture of the owner's tests names owners by data centre. Result: tests pass with -race.

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -36,11 +36,20 @@
 	events   []engine.CacheEvent
 }
 
-func (f *fixture) Self() cluster.Member                        { return f.members[0] }
-func (f *fixture) All() []cluster.Member                       { return f.members }
-func (f *fixture) Owner(string, string) (cluster.Member, bool) { return f.members[0], true }
-func (f *fixture) MayOrder(string) (int64, bool)               { return 0, false }
-func (f *fixture) Current() (*declare.Set, int64)              { return &declare.Set{}, 1 }
+func (f *fixture) Self() cluster.Member           { return f.members[0] }
+func (f *fixture) All() []cluster.Member          { return f.members }
+func (f *fixture) MayOrder(string) (int64, bool)  { return 0, false }
+func (f *fixture) Current() (*declare.Set, int64) { return &declare.Set{}, 1 }
+
+// Owner gives the first host of the replica's data centre.
+func (f *fixture) Owner(_, dataCentre string) (cluster.Member, bool) {
+	for _, m := range f.members {
+		if m.DataCentre == dataCentre {
+			return m, true
+		}
+	}
+	return cluster.Member{}, false
+}
 
 func (f *fixture) OwnedReplicas() []cluster.Replica {
 	f.mu.Lock()
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -72,13 +72,20 @@
 	}
 	c.mu.Unlock()
 
-	listed := servers()
+	listed, self := servers(), c.members.Self().ID
 	owners := make([]string, len(listed))
+	missing := false
 	for i, server := range listed {
 		if owner, ok := c.ownership.Owner(server.ID, server.DataCentre); ok {
 			owners[i] = owner.ID
+			if _, known := c.replica(server.ID); owner.ID == self && !known {
+				missing = true
+			}
 		}
 	}
+	if missing {
+		c.refresh(now)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	built := make([]route.Candidate, 0, len(listed))
@@ -97,7 +104,13 @@
 		Replica: server.ID, DataCentre: server.DataCentre, Model: server.Model,
 		Owner: owner, Hash: c.rows.hash(server.ID), Leaving: server.Leaving,
 	}
-	if owned, ok := c.replicas[server.ID]; ok && owner == c.members.Self().ID {
+	if owner == c.members.Self().ID {
+		owned, ok := c.replicas[server.ID]
+		if !ok {
+			// This host became the owner and has not read the state back yet.
+			candidate.Known = true
+			return candidate
+		}
 		if owned.State.Model != "" {
 			candidate.Model = owned.State.Model
 		}
