Leave a replica alone for a moment after its owner refused

Cause: in the first second of a system no host knows any load row, and each waiting request tried each replica in turn every 50 ms. Ruled out: a longer wait between choices, which every request would pay when a replica comes back. Change: a replica without a load row whose owner answered "not owner" or "no replica" is not a candidate for 200 ms, or until its row comes. A test for the rule.

--- a/internal/callers/generate.go
+++ b/internal/callers/generate.go
@@ -200,6 +200,8 @@
 	case cluster.ReasonOverload, cluster.ReasonDeadline:
 		r.shed++
 		ending.Final = r.shed >= maxShed
+	case cluster.ReasonNotOwner, cluster.ReasonNoReplica:
+		r.c.owner.NoteRefusal(chosen.Replica)
 	case cluster.ReasonCrashes:
 		ending.Final = true
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -270,3 +270,22 @@
 	slices.Sort(texts)
 	return texts
 }
+
+// Guards against every waiting request trying a replica whose owner still
+// starts, and against the replica staying out once its row says otherwise.
+func TestRefusedReplicaIsLeftAloneUntilItsRowComes(t *testing.T) {
+	_, c := newFixture(t)
+	servers := func() []platform.BackendServer {
+		return []platform.BackendServer{{ID: "y0", Kind: platform.KindEngine, DataCentre: "yoff", Model: "album"}}
+	}
+	must.False(t, c.Rows(servers)[0].Known)
+	c.NoteRefusal("y0")
+	out := c.Rows(servers)[0]
+	must.True(t, out.Known)
+	must.False(t, out.Healthy)
+	_, err := c.Exchange(context.Background(), &peerpb.ExchangeMessage{
+		Host: "far-1", Loads: []*peerpb.LoadRow{{ReplicaHash: route.HashReplica("y0"), Limit: 8, Healthy: true}},
+	})
+	must.NoError(t, err)
+	eventually(t, "the row counts", func() bool { return c.Rows(servers)[0].Healthy })
+}
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -14,6 +14,9 @@
 	// rowsRefresh is the age at which the candidates are built again. Building
 	// them asks for the owner of each replica, which costs more than a choice.
 	rowsRefresh = 50 * time.Millisecond
+	// refusedLifetime keeps a replica without a load row from being tried by
+	// every waiting request in turn, while its owner still starts.
+	refusedLifetime = 200 * time.Millisecond
 )
 
 type receivedRow struct {
@@ -25,13 +28,14 @@
 // replica's ID.
 type rows struct {
 	received map[uint64]receivedRow
+	refused  map[uint64]time.Time // replicas whose owner cannot use them yet
 	built    []route.Candidate
 	builtAt  time.Time
 	hashes   map[string]uint64
 }
 
 func newRows() rows {
-	return rows{received: make(map[uint64]receivedRow), hashes: make(map[string]uint64)}
+	return rows{received: make(map[uint64]receivedRow), refused: make(map[uint64]time.Time), hashes: make(map[string]uint64)}
 }
 
 func (r *rows) put(row *peerpb.LoadRow, now time.Time) {
@@ -42,6 +46,11 @@
 }
 
 func (r *rows) expire(now time.Time) {
+	for hash, at := range r.refused {
+		if now.Sub(at) > refusedLifetime {
+			delete(r.refused, hash)
+		}
+	}
 	for hash, row := range r.received {
 		if now.Sub(row.at) > rowLifetime {
 			delete(r.received, hash)
@@ -98,6 +107,15 @@
 	return built
 }
 
+// NoteRefusal records that the owner of a replica cannot use it now. It counts
+// for a moment, and only while no load row says otherwise.
+func (c *Controller) NoteRefusal(replica string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rows.refused[c.rows.hash(replica)] = time.Now()
+	c.rows.builtAt = time.Time{}
+}
+
 // candidate describes one engine. The caller holds the lock.
 func (c *Controller) candidate(server platform.BackendServer, owner string) route.Candidate {
 	candidate := route.Candidate{
@@ -131,6 +149,8 @@
 		if row.Model != "" {
 			candidate.Model = row.Model
 		}
+	} else if at, ok := c.rows.refused[candidate.Hash]; ok && time.Since(at) < refusedLifetime {
+		candidate.Known = true // and not healthy
 	}
 	return candidate
 }
