Expect as many versions per step as really appear

Cause: with several trainers on one model a step lasts several versions, and samples of later steps were started on versions that could not last until their delivery. Ruled out: larger bounds in the declarations; the bound is the operator's. Change: the home measures the time between steps next to the time between versions. A group of a later step is started only when the versions until the trainer gets there stay within the bound, on a replica recent enough for it.

--- a/internal/core/sample/home.go
+++ b/internal/core/sample/home.go
@@ -130,7 +130,8 @@
 
 	newest    int64
 	durations durations
-	pace      pace
+	pace      pace // of weight versions
+	steps     stepPace
 	counts    Counts
 }
 
--- a/internal/core/sample/schedule.go
+++ b/internal/core/sample/schedule.go
@@ -12,6 +12,7 @@
 
 // start starts missing samples in the order in which the trainer needs them.
 func (h *Home) start(t *trainer, now time.Duration) {
+	t.steps.advance(now, t.oldestStep())
 	if t.running >= h.config.MaxRunning {
 		return
 	}
@@ -40,7 +41,7 @@
 	t.groups.Each(func(_ string, g *group) bool {
 		// A group that holds memory is completed even when an earlier step was
 		// submitted since, because its memory becomes free only then.
-		if g.phase != collecting || g.parked || now < g.retryAt || (g.step > last && !g.active) {
+		if g.phase != collecting || g.parked || now < g.retryAt || (!g.active && (g.step > last || t.tooEarly(g, now))) {
 			return true
 		}
 		if !g.active || len(g.samples) < g.slots {
@@ -61,15 +62,12 @@
 	return found
 }
 
-// noStep is beyond every step of a trainer.
-const noStep = int64(1)<<62 - 1
-
 // lastStep is the latest step that may run now.
 func (t *trainer) lastStep() int64 {
 	if t.params.Policy.StepsAhead < 0 {
 		return noStep
 	}
-	return min(t.oldestStep(), noStep-t.params.Policy.StepsAhead) + t.params.Policy.StepsAhead
+	return t.steps.step + t.params.Policy.StepsAhead
 }
 
 // oldestStep is the step that the trainer needs next.
@@ -141,7 +139,7 @@
 	}
 	a := Start{
 		Trainer: t.params.Name, Group: g.id, Sample: s.id, Prompt: g.prompt,
-		MaxTokens: t.params.MaxTokens, MinVersion: t.minVersion(g),
+		MaxTokens: t.params.MaxTokens, MinVersion: t.minVersion(g, now),
 		Priority: g.step<<16 + int64(g.need-g.complete()), Hedge: s.hedge,
 	}
 	if late != nil {
@@ -157,17 +155,39 @@
 	h.act(a)
 }
 
+// expected is the number of versions that appear until a sample of the step
+// that is started now is delivered: those that it runs through, or those until
+// the trainer gets to the step.
+func (t *trainer) expected(step int64, now time.Duration) int64 {
+	return max(t.pace.during(t.durations.median()), t.waiting(step, now))
+}
+
+// waiting is the number of versions that appear until the trainer gets to a
+// step. Before the pace of versions and steps is known, each step counts as one.
+func (t *trainer) waiting(step int64, now time.Duration) int64 {
+	ahead := step - t.steps.step
+	if ahead <= 0 || !t.paced() {
+		return max(ahead, 0)
+	}
+	return t.pace.during(time.Duration(ahead)*t.steps.interval - (now - t.steps.since))
+}
+
+// paced tells whether the pace of versions and of steps is known.
+func (t *trainer) paced() bool { return t.steps.interval > 0 && t.pace.interval > 0 }
+
 // minVersion is the oldest version on which a sample is expected to be within
-// the bound when it is delivered. Until then as many versions appear as the
-// sample is expected to run through, or as there are steps before its own,
-// because each step of the trainer makes a version. It is never above the
-// newest version.
-func (t *trainer) minVersion(g *group) int64 {
+// the bound when it is delivered. It is never above the newest version.
+func (t *trainer) minVersion(g *group, now time.Duration) int64 {
 	if t.params.Policy.FirstCome {
 		return 0
 	}
-	ahead := max(t.pace.during(t.durations.median()), g.step-t.oldestStep())
-	return max(0, min(t.newest, t.newest+ahead-t.params.Bound))
+	return max(0, min(t.newest, t.newest+t.expected(g.step, now)-t.params.Bound))
+}
+
+// tooEarly tells whether a group's samples would be too stale when the trainer
+// gets to its step even on the newest version.
+func (t *trainer) tooEarly(g *group, now time.Duration) bool {
+	return !t.params.Policy.FirstCome && t.paced() && t.waiting(g.step, now) > t.params.Bound
 }
 
 // hedge starts another sample for each late one as long as its group would
--- a/internal/core/sample/sim_test.go
+++ b/internal/core/sample/sim_test.go
@@ -76,6 +76,7 @@
 	idle      time.Duration
 	stale     []int64
 	finished  bool
+	others    int // versions of other trainers of the model per step
 }
 
 func newSimulation(seed uint64, p Params, replicas int) *simulation {
@@ -199,6 +200,9 @@
 		s.idle += s.now - s.idleSince
 	}
 	s.training = true
+	for i := range s.others {
+		s.after(simTrain*time.Duration(i+1)/time.Duration(s.others+1), s.release)
+	}
 	s.after(simTrain, s.trained)
 }
 
@@ -207,13 +211,18 @@
 	s.step++
 	s.idleSince = s.now
 	s.finished = s.step > simSteps
+	s.release()
+	s.submitUpTo(s.step + simAhead)
+}
+
+// release announces a version and swaps the replicas one after the other.
+func (s *simulation) release() {
 	s.version++
 	version := s.version
 	for i, r := range s.replicas {
 		s.after(simRollout*time.Duration(i+1)/time.Duration(len(s.replicas)), func() { s.swap(r, version) })
 	}
 	s.home.Newest(s.now, s.params.Name, version)
-	s.submitUpTo(s.step + simAhead)
 }
 
 // swap loads a version; samples that run go on under it.
@@ -271,19 +280,38 @@
 			b.Run(fmt.Sprintf("replicas%d/%s", replicas, c.name), func(b *testing.B) {
 				for b.Loop() {
 					p := Params{Name: "captions", GroupSize: simGroupSize, MaxTokens: c.tokens, Bound: simBound, Policy: c.policy}
-					reportSimulation(b, p, replicas)
+					reportSimulation(b, p, replicas, 0)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSharedModel reports the same for a trainer whose model gets two
+// versions of other trainers for each of its own.
+func BenchmarkSharedModel(b *testing.B) {
+	for _, bound := range []int64{3, 6} {
+		for _, w := range []float64{-1, 0.1, 0.2, 0.8} {
+			b.Run(fmt.Sprintf("bound%d/formula%g", bound, w), func(b *testing.B) {
+				for b.Loop() {
+					p := Params{Name: "restock", GroupSize: simGroupSize, MaxTokens: 1200, Bound: bound, Policy: PolicyFor(w, 2, bound)}
+					if w < 0 {
+						p.Policy = Baseline()
+					}
+					reportSimulation(b, p, 24, 2)
 				}
 			})
 		}
 	}
 }
 
-func reportSimulation(b *testing.B, p Params, replicas int) {
+func reportSimulation(b *testing.B, p Params, replicas, others int) {
 	var idle, total time.Duration
 	var started, dropped int64
 	var stale []int64
 	for seed := range uint64(simSeeds) {
 		s := newSimulation(seed, p, replicas)
+		s.others = others
 		s.run()
 		idle, total = idle+s.idle, total+s.now
 		stale = append(stale, s.stale...)
--- a/internal/core/sample/stats.go
+++ b/internal/core/sample/stats.go
@@ -69,3 +69,29 @@
 	}
 	return int64(d / p.interval)
 }
+
+// noStep is beyond every step of a trainer.
+const noStep = int64(1)<<62 - 1
+
+// stepPace keeps the step that the trainer needs and the average time between
+// steps.
+type stepPace struct {
+	step     int64
+	since    time.Duration // when the trainer got to the step
+	interval time.Duration
+}
+
+// advance notes the oldest step that has groups.
+func (p *stepPace) advance(now time.Duration, oldest int64) {
+	if oldest == p.step || oldest == noStep {
+		return
+	}
+	if p.step > 0 && oldest > p.step {
+		interval := (now - p.since) / time.Duration(oldest-p.step)
+		if p.interval == 0 {
+			p.interval = interval
+		}
+		p.interval += time.Duration(paceWeight * float64(interval-p.interval))
+	}
+	p.step, p.since = oldest, now
+}
