Hand complete samples to the next home when a host leaves

Ruled out: moving the epoch and the cursor with them. Two homes would then work under one epoch, and an answer that is under way could come twice. Result: the shell test delivers three whole groups with no sample run again and fails without the handover.

--- a/internal/core/sample/doc.go
+++ b/internal/core/sample/doc.go
@@ -41,7 +41,7 @@
 //     back and forth between two of them.
 //   - Groups and samples of the previous epoch are parked and used again when
 //     the trainer submits them, so that a new epoch costs a round trip and no
-//     samples.
+//     samples. Groups that a leaving home hands over are parked in the same way.
 //
 // # Staleness
 //
--- a/internal/core/sample/property_test.go
+++ b/internal/core/sample/property_test.go
@@ -347,7 +347,12 @@
 		i := w.random.IntN(2)
 		w.homes[i].Forget("captions")
 		w.run(i)
-	case n < 97: // the trainer restarts
+	case n < 97: // a home leaves and hands its groups over
+		i := w.random.IntN(2)
+		w.homes[1-i].Import(w.time, "captions", w.homes[i].Export("captions"))
+		w.run(1 - i)
+		w.replaceHome(i)
+	case n < 98: // the trainer restarts
 		w.epoch, w.cursor, w.answers = "", 0, nil
 	default: // the trainer wants more
 		for range w.random.IntN(4) {
--- a/internal/core/sample/stream.go
+++ b/internal/core/sample/stream.go
@@ -74,13 +74,18 @@
 		}
 	}
 	g.samples, g.active = kept, false
+	h.completed(t, g)
+	t.recount(g)
+}
+
+// completed moves a whole group on to scoring or delivery.
+func (h *Home) completed(t *trainer, g *group) {
 	if t.params.Scored {
 		g.phase = scoring
-	} else {
-		t.makeReady(g)
-		h.act(Wake{Trainer: t.params.Name})
+		return
 	}
-	t.recount(g)
+	t.makeReady(g)
+	h.act(Wake{Trainer: t.params.Name})
 }
 
 func (t *trainer) makeReady(g *group) {
--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -174,15 +174,21 @@
 	}
 }
 
-// Drain gives up being home: waiting pulls are told that the epoch changed,
-// samples are cancelled, and later calls are forwarded to other members.
+// Drain gives up being home: complete samples are handed to the next homes,
+// waiting pulls are told that the epoch changed, samples that run are
+// cancelled, and later calls are forwarded to other members.
 func (c *Controller) Drain() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.drained {
+		c.mu.Unlock()
 		return
 	}
 	c.drained = true
+	handovers := c.handovers()
+	c.mu.Unlock()
+	c.handOver(handovers)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for name := range c.declared {
 		c.home.Forget(name)
 	}
--- a/internal/trainers/faults_test.go
+++ b/internal/trainers/faults_test.go
@@ -111,6 +111,34 @@
 	must.Eq(t, []string{"g1"}, c.ids())
 }
 
+// Guards against complete samples that are run again when their home leaves,
+// and against a group that comes twice because both homes had it.
+func TestLeavingHomeHandsCompleteSamplesOver(t *testing.T) {
+	n := newNet(t, "a", "b")
+	c := &client{net: n, name: "captions", wanted: []GroupPrompt{{"g1", "p"}, {"g2", "q"}, {"g3", "r"}}}
+	c.submit(n.host("a"))
+	home, _ := n.host("a").homeOf("captions")
+	eventually(t, func() bool { // all groups are whole
+		h := n.host(home.ID)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		running, _, _ := h.home.Load("captions")
+		return running == 0 && len(h.home.Export("captions")) == 3
+	})
+	c.pull(n.host("a"), 1)
+	n.mu.Lock()
+	n.generate = func(ctx context.Context, _ cluster.Generation, _ func(engine.Chunk) error) error {
+		<-ctx.Done() // nothing may have to run again
+		return ctx.Err()
+	}
+	n.mu.Unlock()
+	n.setState(home.ID, cluster.MemberLeaving)
+	n.host(home.ID).Drain()
+	c.pullAll(n.host("a"))
+	must.Len(t, 3, c.took)
+	must.SliceContainsAll(t, []string{"g1", "g2", "g3"}, c.ids())
+}
+
 // Guards against an announcement that does not reach the home, and against a
 // sample over the bound that is given after it.
 func TestAnnouncedVersionMakesOldSamplesStale(t *testing.T) {
--- a/internal/trainers/http.go
+++ b/internal/trainers/http.go
@@ -23,6 +23,9 @@
 	operationGroups  = "groups"
 	operationPull    = "pull"
 	operationWeights = "weights"
+	// operationKeep hands complete samples to the next home. Only entry hosts
+	// call it.
+	operationKeep = "keep"
 )
 
 const (
--- a/internal/trainers/local.go
+++ b/internal/trainers/local.go
@@ -41,6 +41,8 @@
 		return c.pull(ctx, name, request)
 	case operationWeights:
 		return c.weights(ctx, name, body)
+	case operationKeep:
+		return c.keep(name, body)
 	}
 	return 0, nil, notRun(cluster.ReasonUnknownName, "no such operation: "+operation)
 }
