Spill work to other data centres earlier and tolerate slow state reads

Change: other data centres are considered once every own replica is half full; a replica counts as healthy for at least 1 s after a good reading. Experiments use a state interval of 50 ms and small weights, which scales a two-minute weight cycle down to seconds.

--- a/cmd/sesamestand/experiment.go
+++ b/cmd/sesamestand/experiment.go
@@ -21,12 +21,12 @@
 	Faults      []string      `arg:"--fault,separate" help:"fault to inject; may be repeated [default: all]"`
 	Runs        int           `arg:"--runs" default:"5" help:"runs of each combination"`
 	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the first run"`
-	Duration    time.Duration `arg:"--duration" default:"20s" help:"time of load in each run"`
+	Duration    time.Duration `arg:"--duration" default:"30s" help:"time of load in each run"`
 	Hosts       int           `arg:"--hosts" default:"2" help:"entry hosts in each data centre"`
 	CallerRate  float64       `arg:"--caller-rate" default:"8" help:"requests a second of each serving need"`
 	ServiceRate float64       `arg:"--service-rate" default:"4" help:"calls a second of each non-idempotent service"`
-	Groups      int           `arg:"--groups" default:"12" help:"groups in each step of a trainer"`
-	TrainTime   time.Duration `arg:"--train-time" default:"3s" help:"time that a trainer trains on a step"`
+	Groups      int           `arg:"--groups" default:"60" help:"groups in each step of a trainer"`
+	TrainTime   time.Duration `arg:"--train-time" default:"4s" help:"time that a trainer trains on a step"`
 	Ahead       int           `arg:"--ahead" default:"1" help:"steps that trainers submit early"`
 	MaxBatch    int           `arg:"--max-batch" default:"16" help:"requests that an engine runs together"`
 	Parallel    int           `arg:"--parallel" default:"1" help:"runs at the same time"`
--- a/internal/core/route/filter.go
+++ b/internal/core/route/filter.go
@@ -41,11 +41,17 @@
 	return reach(request, kept, &removed)
 }
 
+// spillLoad is the load from which on a replica of the own data centre no
+// longer keeps work from going to another one. At 1, a trainer filled the four
+// replicas of its data centre, whose tokens then came at a third of the pace,
+// while eight others a millisecond away were idle.
+const spillLoad = 0.5
+
 // reach removes the replicas of other data centres while one of the own data
 // centre has room.
 func reach(request Request, kept []*Candidate, removed *Removed) ([]*Candidate, Removed) {
 	room := slices.ContainsFunc(kept, func(c *Candidate) bool {
-		return c.DataCentre == request.DataCentre && !full(c)
+		return c.DataCentre == request.DataCentre && !busy(c)
 	})
 	if !room {
 		return kept, *removed
@@ -55,9 +61,10 @@
 	return near, *removed
 }
 
-// full reports whether a new request would wait at the replica.
-func full(c *Candidate) bool {
-	return c.Known && load(c) >= 1
+// busy reports whether the replica has less room than work should have that is
+// kept from other data centres.
+func busy(c *Candidate) bool {
+	return c.Known && load(c) >= spillLoad
 }
 
 // soloShare is the part of the replicas that requests which must run alone may
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -26,7 +26,7 @@
 	readyTimeout = 20 * time.Second
 	// stateInterval replaces the setting's 1 s, because a step takes seconds
 	// here and minutes in production.
-	stateInterval = 250 * time.Millisecond
+	stateInterval = 50 * time.Millisecond
 	// warmUpTime lets membership, views and load rows settle before the load,
 	// so that a run measures a system that is up.
 	warmUpTime = 5 * time.Second
@@ -203,7 +203,7 @@
 			CacheEventDelay: 300 * time.Millisecond, CacheEventGaps: 0.1, LoadLag: 500 * time.Millisecond,
 			SwapPause: 50 * time.Millisecond, PeerBytesPerSecond: 4 << 20,
 		},
-		WeightBytes: 1 << 20, WeightRate: 4 << 20,
+		WeightBytes: 128 << 10, WeightRate: 4 << 20,
 		Adjust: func(s *settings.Settings) {
 			s.Limits.DecisionLogPerSec = 0
 			s.Timing.StateInterval = stateInterval
--- a/internal/orders/control.go
+++ b/internal/orders/control.go
@@ -26,6 +26,9 @@
 	// healthyIntervals is the age, in state intervals, up to which a replica
 	// counts as healthy.
 	healthyIntervals = 3
+	// minHealthyTime keeps short state intervals from taking a replica out of
+	// service because of one slow answer on a busy machine.
+	minHealthyTime = time.Second
 	// configKey carries the newest configuration version in the table of
 	// weight versions; no model can have this name.
 	configKey = "@config"
--- a/internal/orders/ownership.go
+++ b/internal/orders/ownership.go
@@ -62,7 +62,7 @@
 	r := cluster.Replica{BackendServer: server}
 	if p := c.polls[server.ID]; p != nil && p.addr == server.Addr {
 		r.State = p.state
-		r.Healthy = !p.okAt.IsZero() && time.Since(p.okAt) < healthyIntervals*c.cfg.StateInterval
+		r.Healthy = !p.okAt.IsZero() && time.Since(p.okAt) < max(minHealthyTime, healthyIntervals*c.cfg.StateInterval)
 	}
 	return r
 }
