Keep the provider set beside the injector

Cause: staticcheck reports the provider set as unused, since only the file with the wireinject tag uses it. Change: the set moves into wire.go.

--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -5,8 +5,6 @@
 import (
 	"time"
 
-	"github.com/google/wire"
-
 	"github.com/sesamestand/sesamestand/internal/callers"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/configs"
@@ -31,29 +29,6 @@
 // configPollWait is how long one read of the config stream waits for a record.
 const configPollWait = 2 * time.Second
 
-// roles lists the constructors of an entry host.
-var roles = wire.NewSet(
-	newRecorder, newTLS, newPool,
-	newLog, newHostList, newWeightStore,
-	newMembers, newEngineClient, versions.NewWatcher,
-	inventory.New,
-	newConfigsConfig, configs.New,
-	newOrdersConfig, orders.New,
-	newOwnerConfig, owner.New,
-	newCallersConfig, callers.New,
-	newServicesConfig, services.New,
-	newTrainersConfig, trainers.New,
-	newHost,
-	wire.Bind(new(cluster.Members), new(*members.Controller)),
-	wire.Bind(new(cluster.Versions), new(*members.Controller)),
-	wire.Bind(new(cluster.Inventory), new(*inventory.Controller)),
-	wire.Bind(new(cluster.Configs), new(*configs.Controller)),
-	wire.Bind(new(cluster.Ownership), new(*orders.Controller)),
-	wire.Bind(new(cluster.ReplicaStates), new(*orders.Controller)),
-	wire.Bind(new(cluster.Generator), new(*callers.Controller)),
-	wire.Bind(new(peer.Clients), new(*peer.Pool)),
-)
-
 func newRecorder(s settings.Settings) (*telemetry.Recorder, error) {
 	return telemetry.NewRecorder(s.Host.ID, s.Limits.DecisionLogPerSec)
 }
--- a/internal/entry/wire_gen.go
+++ b/internal/entry/wire_gen.go
@@ -7,11 +7,15 @@
 package entry
 
 import (
+	"github.com/google/wire"
 	"github.com/sesamestand/sesamestand/internal/callers"
+	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/configs"
 	"github.com/sesamestand/sesamestand/internal/inventory"
+	"github.com/sesamestand/sesamestand/internal/members"
 	"github.com/sesamestand/sesamestand/internal/orders"
 	"github.com/sesamestand/sesamestand/internal/owner"
+	"github.com/sesamestand/sesamestand/internal/peer"
 	"github.com/sesamestand/sesamestand/internal/services"
 	"github.com/sesamestand/sesamestand/internal/settings"
 	"github.com/sesamestand/sesamestand/internal/trainers"
@@ -53,3 +57,12 @@
 	host := newHost(s, recorder, source, pool, controller, ordersController, inventoryController, configsController, ownerController, callersController, servicesController, trainersController, watcher)
 	return host, nil
 }
+
+// wire.go:
+
+// roles lists the constructors of an entry host.
+var roles = wire.NewSet(
+	newRecorder, newTLS, newPool,
+	newLog, newHostList, newWeightStore,
+	newMembers, newEngineClient, versions.NewWatcher, inventory.New, newConfigsConfig, configs.New, newOrdersConfig, orders.New, newOwnerConfig, owner.New, newCallersConfig, callers.New, newServicesConfig, services.New, newTrainersConfig, trainers.New, newHost, wire.Bind(new(cluster.Members), new(*members.Controller)), wire.Bind(new(cluster.Versions), new(*members.Controller)), wire.Bind(new(cluster.Inventory), new(*inventory.Controller)), wire.Bind(new(cluster.Configs), new(*configs.Controller)), wire.Bind(new(cluster.Ownership), new(*orders.Controller)), wire.Bind(new(cluster.ReplicaStates), new(*orders.Controller)), wire.Bind(new(cluster.Generator), new(*callers.Controller)), wire.Bind(new(peer.Clients), new(*peer.Pool)),
+)
