--- /dev/null
+++ b/internal/settings/generate.go
@@ -0,0 +1,3 @@
+package settings
+
+//go:generate sh -c "go run ../../cmd/sesamestand settings > ../../docs/settings.md"
