Roll out weights in chains and by turns

Cause: a simulation of owners and engines showed more replicas of a model in a swap than allowed: owners counted on states read before the last order, mixed chains and counting, and repeated a failed swap that others had stepped over. Ruled out: time slices per replica, which let one owner order twice on the same reading, and messages between owners for each replica. Change: chains end at a time that all owners know; then owners take turns of a second, count only states read in their turn and their own planned orders, and wait 2 s after a change of version, view or host list. An action stays reserved until it is sent or released. A host that was paused follows no chain. A load that hangs for 30 s is ordered again. Three replicas load from the store instead of two.

--- a/internal/core/place/planner.go
+++ b/internal/core/place/planner.go
@@ -18,6 +18,8 @@
 	rollouts     *table.Table[string, rollout]
 	wanted       map[string]int
 	shifts       shifts
+	updated      time.Time
+	gap          bool // between the last two updates: this host was paused
 }
 
 // NewPlanner returns a planner that knows no engine.
@@ -33,6 +35,8 @@
 
 // Update takes the newest declarations, host list, versions and demand.
 func (p *Planner) Update(now time.Time, d Declarations, servers []Server, newest func(string) int64, demand map[string]float64) {
+	p.gap = now.Sub(p.updated) > settleTime
+	p.updated = now
 	p.declarations = d
 	p.replaceServers(servers)
 	wanted := make(map[string]int)
@@ -91,13 +95,19 @@
 	if r.reachable && !reachable || !r.seen && !reachable {
 		r.lostSince = now
 	}
+	if !r.reachable && r.seen && reachable && now.Sub(r.lostSince) >= unreachableGrace/2 {
+		r.returned = now
+	}
 	r.seen, r.reachable, r.at = true, reachable, now
 	if !reachable {
 		return
 	}
+	if state.Loading != r.state.Loading {
+		r.loadingSince = now
+	}
 	r.state = state
 	if !r.baseKnown {
-		r.baseKnown, r.baseError = true, state.LastError
+		r.baseKnown, r.baseError, r.baseAt = true, state.LastError, now
 	}
 	r.sawLoading = r.sawLoading || state.Loading != 0
 	p.settleOrder(now, r)
@@ -105,18 +115,15 @@
 
 // settleOrder compares the state with the order that this host sent last.
 func (p *Planner) settleOrder(now time.Time, r *replica) {
-	if r.order == nil {
+	if r.order == nil || r.reserved {
 		return
 	}
 	if effective(r.state, *r.order) {
-		if ro := p.rollouts.Get(r.wanted); ro != nil && r.loadingSeen {
-			ro.swapTime = (ro.swapTime + now.Sub(r.orderedAt)) / 2
-		}
 		r.order, r.failures, r.isolated = nil, 0, false
 		r.retryAt = time.Time{}
 		return
 	}
-	if r.state.Loading != 0 {
+	if r.state.Loading != 0 && !stuck(now, r) {
 		r.loadingSeen = true
 		return
 	}
@@ -152,24 +159,46 @@
 // as sent: the next states show whether it took effect.
 func (p *Planner) Sent(now time.Time, id string, order engine.Order) {
 	if r := p.replicas.Get(id); r != nil {
-		r.order, r.orderedAt, r.loadingSeen = &order, now, false
+		r.order, r.reserved, r.orderedAt, r.loadingSeen = &order, false, now, false
 		r.baseError = r.state.LastError
 	}
 }
 
+// Release takes an action back that was not sent.
+func (p *Planner) Release(id string) {
+	if r := p.replicas.Get(id); r != nil && r.reserved {
+		r.order, r.reserved = nil, false
+	}
+}
+
 // Refused records that an order did not take effect, for example because the
 // engine has seen a higher fencing number.
 func (p *Planner) Refused(now time.Time, id string) {
 	if r := p.replicas.Get(id); r != nil {
-		r.order = nil
+		r.order, r.reserved = nil, false
 		r.retryAt = now.Add(backoffFirst)
 	}
 }
 
-// Plan returns the orders that the owned replicas need now.
-func (p *Planner) Plan(now time.Time, owned func(id string) bool) Plan {
+// session is one call of Plan.
+type session struct {
+	*Planner
+	now       time.Time
+	owned     func(id string) bool
+	turn      bool // this host may start swaps by counting
+	turnStart time.Time
+	watch     map[string]bool
+}
+
+// Plan returns the orders that the owned replicas need now and that may be
+// given. Each action must be followed by Sent, Refused or Release.
+func (p *Planner) Plan(now time.Time, turn Turn, owned, may func(id string) bool) Plan {
 	var plan Plan
-	watch := make(map[string]bool)
+	s := &session{Planner: p, now: now, owned: owned, watch: make(map[string]bool)}
+	s.turnStart = now.Truncate(turnTime)
+	current := now.Unix() / int64(turnTime.Seconds()) % int64(max(1, turn.Count))
+	s.turn = current == int64(turn.Index) && now.Sub(s.turnStart) < turnUse &&
+		!s.turnStart.Before(turn.Since.Add(settleTime))
 	p.replicas.Each(func(id string, r *replica) bool {
 		if r.Leaving || !owned(id) {
 			return true
@@ -178,12 +207,16 @@
 			r.isolated = true
 			plan.Isolated = append(plan.Isolated, id)
 		}
-		if action, ok := p.next(now, r, watch); ok {
+		if !may(id) {
+			return true
+		}
+		if action, ok := s.next(r); ok {
 			plan.Actions = append(plan.Actions, action)
+			r.order, r.reserved = &action.Order, true
 		}
 		return true
 	})
-	for id := range watch {
+	for id := range s.watch {
 		if !owned(id) {
 			plan.Watch = append(plan.Watch, id)
 		}
@@ -193,27 +226,29 @@
 }
 
 // next returns the one order that a replica needs most.
-func (p *Planner) next(now time.Time, r *replica, watch map[string]bool) (Action, bool) {
-	model := p.declarations.Models[r.wanted]
-	ro := p.rollouts.Get(r.wanted)
-	if model == nil || ro == nil || !r.reachable || now.Sub(r.at) > freshTime || !r.at.After(r.orderedAt) {
+func (s *session) next(r *replica) (Action, bool) {
+	model := s.declarations.Models[r.wanted]
+	ro := s.rollouts.Get(r.wanted)
+	if model == nil || ro == nil || !r.reachable || s.now.Sub(r.at) > freshTime || !r.at.After(r.orderedAt) {
 		return Action{}, false
 	}
-	if r.order != nil || r.state.Loading != 0 || now.Before(r.retryAt) {
+	if r.order != nil || r.state.Loading != 0 && !stuck(s.now, r) || s.now.Before(r.retryAt) {
 		return Action{}, false
 	}
 	action := Action{Replica: r.ID, Addr: r.Addr}
 	switch {
+	case r.state.Model != r.wanted && ro.target.Version == 0:
+		return action, false // no version is known that it could load
 	case r.state.Model != r.wanted:
 		action.Reason = ReasonModel
 		action.Order = engine.Order{Kind: engine.OrderLoadModel, Model: r.wanted, Version: ro.target.Version}
-	case p.versionDiffers(r, ro.target):
+	case s.versionDiffers(r, ro.target):
 		action.Reason = ReasonVersion
 		action.Order = engine.Order{Kind: engine.OrderLoadVersion, Model: r.wanted, Version: ro.target.Version}
 	default:
-		return p.refine(r, model.Adapters, action)
+		return s.refine(r, model.Adapters, action)
 	}
-	source, ready := p.ready(now, r, ro, watch)
+	source, ready := s.ready(r, ro)
 	action.Order.Source = source
 	return action, ready
 }
--- a/internal/core/place/rollout.go
+++ b/internal/core/place/rollout.go
@@ -24,23 +24,25 @@
 	})
 	old := p.rollouts.Get(model)
 	if old == nil {
-		p.rollouts.Put(model, rollout{target: target, since: now, members: members, swapTime: defaultSwapTime})
+		p.rollouts.Put(model, rollout{target: target, since: now, members: members, blind: p.gap})
 		return
 	}
 	if old.target != target {
-		next := rollout{target: target, since: now, members: members, swapTime: old.swapTime}
-		next.disturbed = old.target.Version != 0 && now.Sub(old.since) < supersedeTime
+		next := rollout{target: target, since: now, members: members, blind: p.gap}
+		if old.target.Version != 0 && now.Before(old.chainsEnd(p.allowance(model, len(old.members))).Add(supersedeTime)) {
+			next.disturbed = now // the earlier rollout may still go on
+		}
 		p.rollouts.Put(model, next)
 		for _, id := range members {
 			r := p.replicas.Get(id)
-			r.sawLoading, r.baseKnown, r.passedSince = false, false, time.Time{}
+			r.sawLoading, r.baseKnown = false, false
 			r.failures, r.isolated, r.retryAt = 0, false, time.Time{}
 		}
 		return
 	}
 	if !slices.Equal(old.members, members) {
 		old.members = members
-		old.disturbed = true
+		old.disturbed = now
 	}
 }
 
@@ -71,67 +73,134 @@
 
 // ready says whether the replica may start its swap now and where it copies
 // the weights from. It adds the replicas whose state it needs to watch.
-func (p *Planner) ready(now time.Time, r *replica, ro *rollout, watch map[string]bool) (string, bool) {
+func (s *session) ready(r *replica, ro *rollout) (string, bool) {
 	position := slices.Index(ro.members, r.ID)
 	if position < 0 {
 		return "", false
 	}
-	allowance := p.allowance(r.wanted, len(ro.members))
-	before, wave, waits := predecessor(position, allowance)
-	due := ro.since.Add(time.Duration(wave)*ro.swapTime + stallTime)
-	if !ro.disturbed && r.failures == 0 && now.Before(due.Add(time.Duration(wave)*time.Second)) {
-		if !waits {
-			return "", true
-		}
-		first := p.replicas.Get(ro.members[before])
-		watch[first.ID] = true
-		return sourceOf(first, ro.target), p.finished(first, ro.target)
+	if !serves(r, r.wanted) { // it takes nothing away
+		return s.census(r, ro).source, true
+	}
+	allowance := s.allowance(r.wanted, len(ro.members))
+	end := ro.chainsEnd(allowance)
+	if s.now.Before(end) {
+		return s.readyInChain(r, ro, position, allowance)
 	}
 	for _, id := range ro.members {
-		if other := p.replicas.Get(id); !p.finished(other, ro.target) || now.Sub(other.at) > unreachableGrace {
-			watch[id] = true
+		if other := s.replicas.Get(id); !s.finished(other, ro.target) || s.now.Sub(other.at) > unreachableGrace {
+			s.watch[id] = true
 		}
 	}
-	return p.readyByCount(now, r, ro, position, allowance)
+	if !s.turn || s.turnStart.Before(end.Add(settleTime)) {
+		return "", false
+	}
+	return s.readyByCount(r, ro, position, allowance)
 }
 
-// readyByCount lets a replica swap when enough others serve.
-func (p *Planner) readyByCount(now time.Time, r *replica, ro *rollout, position, allowance int) (string, bool) {
-	missing, loading, failed, unknown := 0, 0, 0, false
-	source := ""
+// chainsEnd is when owners stop to follow chains and begin to count. All
+// owners must change over together, because chains leave no room for replicas
+// that are started by counting. It therefore follows from what all know.
+func (ro *rollout) chainsEnd(allowance int) time.Time {
+	if !ro.disturbed.IsZero() && !ro.blind {
+		return ro.disturbed
+	}
+	_, waves, _ := predecessor(len(ro.members), allowance)
+	return ro.since.Add(max(chainTime, time.Duration(waves+1)*waveTime))
+}
+
+// readyInChain lets a replica swap when its predecessor is done. It steps over
+// predecessors that are given up; their owners retry them only by counting.
+func (s *session) readyInChain(r *replica, ro *rollout, position, allowance int) (string, bool) {
+	// Others may have stepped over a replica that failed, that was gone for a
+	// while, or whose former owner did nothing; it waits for the counting.
+	unwatched := r.baseAt.After(ro.since.Add(settleTime))
+	if ro.blind || r.failures > 0 || r.triedInVain() || unwatched || r.returned.After(ro.since) {
+		return "", false
+	}
+	for {
+		before, _, ok := predecessor(position, allowance)
+		if !ok {
+			return "", true
+		}
+		first := s.replicas.Get(ro.members[before])
+		s.watch[first.ID] = true
+		switch {
+		case s.finished(first, ro.target):
+			return sourceOf(first, ro.target), true
+		case first.reachable && !first.triedInVain():
+			return "", false
+		case !first.reachable && (!first.seen || s.now.Sub(first.lostSince) < unreachableGrace):
+			return "", false
+		case first.reachable && before < min(storeLoads, allowance):
+			// The version failed where it was loaded from the store; it may be
+			// bad, and then it must not reach further replicas.
+			return "", false
+		}
+		position = before
+	}
+}
+
+// census is the state of the other replicas of a model.
+type census struct {
+	missing int // do not serve
+	failed  int // tried the target and do not run it
+	unknown bool
+	source  string
+}
+
+func (s *session) census(r *replica, ro *rollout) census {
+	var c census
 	for _, id := range ro.members {
-		other := p.replicas.Get(id)
+		other := s.replicas.Get(id)
 		switch {
 		case id == r.ID:
-		case p.finished(other, ro.target) && now.Sub(other.at) <= 2*unreachableGrace:
-			source = cmp.Or(sourceOf(other, ro.target), source)
-		case !other.seen || now.Sub(other.at) > freshTime:
-			unknown = true
-		case !other.reachable:
-			if now.Sub(other.lostSince) < unreachableGrace {
-				missing++
-			}
-		case other.state.Loading != 0:
-			missing++
-			loading++
-		case !serves(other, r.wanted):
-			missing++
-		case other.sawLoading || other.state.LastError != other.baseError:
-			failed++
+		case s.finished(other, ro.target) && s.now.Sub(other.at) <= 2*unreachableGrace:
+			c.source = cmp.Or(sourceOf(other, ro.target), c.source)
+		case !s.current(other):
+			c.unknown = true
+		case !other.reachable && s.now.Sub(other.lostSince) > unreachableGrace, stuck(s.now, other):
+			// Waiting for it could hold the rollout up for good.
+		case !serves(other, r.wanted) || other.order != nil:
+			c.missing++
+		case other.triedInVain():
+			c.failed++
 		}
 	}
-	if !serves(r, r.wanted) { // it takes nothing away
-		return source, true
+	return c
+}
+
+// current says whether the state of a replica can be counted with. The state
+// of another owner's replica must have been read in this host's turn, because
+// its owner may have given an order in its own turn before.
+func (s *session) current(r *replica) bool {
+	if s.owned(r.ID) {
+		return r.seen && s.now.Sub(r.at) <= freshTime
 	}
-	if unknown || now.UnixMilli()/lateSlice.Milliseconds()%lateSlices != int64(position%lateSlices) {
+	return r.seen && !r.at.Before(s.turnStart)
+}
+
+// readyByCount lets a replica swap when enough others serve.
+func (s *session) readyByCount(r *replica, ro *rollout, position, allowance int) (string, bool) {
+	c := s.census(r, ro)
+	if c.unknown {
 		return "", false
 	}
 	// A version that failed on others and runs nowhere is likely bad; only the
 	// replicas that load from the store go on trying it.
-	if source == "" && failed > 0 && position >= storeLoads {
+	if c.source == "" && c.failed > 0 && position >= storeLoads {
 		return "", false
 	}
-	return source, missing < allowance || missing > 0 && loading == 0 && allowance == 1 && missing < len(ro.members)-1
+	return c.source, c.missing < allowance
+}
+
+// triedInVain says whether a replica that does not run the target tried it.
+func (r *replica) triedInVain() bool {
+	return r.seen && r.state.Loading == 0 && (r.sawLoading || r.state.LastError != r.baseError)
+}
+
+// stuck says whether a load takes so long that it will hardly end.
+func stuck(now time.Time, r *replica) bool {
+	return r.state.Loading != 0 && now.Sub(r.loadingSince) > stuckTime
 }
 
 // sourceOf returns the address to copy the target from, or an empty string
--- a/internal/core/place/types.go
+++ b/internal/core/place/types.go
@@ -9,32 +9,40 @@
 
 const (
 	// storeLoads is the number of replicas of a model and data centre that
-	// load a version from the rate-limited weight store.
-	storeLoads = 2
-	// defaultSwapTime is assumed until a swap of the model was seen.
-	defaultSwapTime = 3 * time.Second
-	// stallTime is added to the expected start before a replica stops to wait
-	// for its predecessor.
-	stallTime = 3 * time.Second
+	// load a version from the rate-limited weight store. With 2, a rollout on 27
+	// replicas with a share of 0.75 needs one wave more.
+	storeLoads = 3
+	// chainTime and waveTime bound the time in which a rollout follows chains:
+	// at least chainTime, and waveTime for each wave.
+	chainTime = 15 * time.Second
+	waveTime  = 5 * time.Second
+	// settleTime covers the differences in when owners learn of a version, a
+	// view or a changed host list, and orders that were on their way then.
+	settleTime = 2 * time.Second
 	// freshTime is the age up to which a state counts as current.
 	freshTime = 1500 * time.Millisecond
 	// unreachableGrace is how long unreachable replicas hold a rollout back.
-	unreachableGrace = 5 * time.Second
+	unreachableGrace = 3 * time.Second
 	// orderGrace is how long an engine may take to show an order's effect.
 	orderGrace = 2500 * time.Millisecond
-	// lateSlice and lateSlices share out the time among replicas that are
-	// rolled out by counting, so that two owners do not order in the same
-	// moment on the same count.
-	lateSlice  = 400 * time.Millisecond
-	lateSlices = 8
+	// turnTime is the time in which one owner may start swaps by counting, and
+	// turnUse the part of it in which it does; the rest lets its last order
+	// show in the state that the next owner reads.
+	turnTime = time.Second
+	turnUse  = 700 * time.Millisecond
 	// backoffFirst and backoffMost bound the wait after a failed swap.
 	backoffFirst = time.Second
 	backoffMost  = 30 * time.Second
 	// isolateAfter failures in a row stop the orders for isolateTime.
 	isolateAfter = 5
 	isolateTime  = 2 * time.Minute
-	// supersedeTime is how long after an announcement a rollout may still run.
-	supersedeTime = 30 * time.Second
+	// stuckTime is the time after which a load is ordered again and no longer
+	// holds up others. It exceeds the 26 s in which a version should be
+	// everywhere.
+	stuckTime = 30 * time.Second
+	// supersedeTime is how long after the end of the chains a rollout may still
+	// go on by counting.
+	supersedeTime = 15 * time.Second
 )
 
 // Server is an engine of this data centre from the host list.
@@ -81,6 +89,14 @@
 	Reason  Reason
 }
 
+// Turn is the place of this host among the owners of the data centre, by which
+// they take turns.
+type Turn struct {
+	Index, Count int
+	// Since is when this host read the view that the turns follow.
+	Since time.Time
+}
+
 // Plan is the result of one step.
 type Plan struct {
 	Actions []Action
@@ -99,15 +115,19 @@
 	state     engine.State
 	at        time.Time // of the newest observation
 	lostSince time.Time // since when it is unreachable
+	returned  time.Time // when it became reachable again after a longer time
+
+	loadingSince time.Time
 
 	// Towards the current target of its model:
-	sawLoading  bool
-	baseError   string // LastError at the first observation
-	passedSince time.Time
-	baseKnown   bool
+	sawLoading bool
+	baseError  string // LastError at the first observation
+	baseKnown  bool
+	baseAt     time.Time
 
 	// Orders of this host:
-	order       *engine.Order // sent, effect not seen yet
+	order       *engine.Order // planned or sent, effect not seen yet
+	reserved    bool          // planned and not sent yet
 	orderedAt   time.Time
 	loadingSeen bool
 	failures    int
@@ -119,7 +139,9 @@
 type rollout struct {
 	target    Target
 	since     time.Time
-	disturbed bool
-	members   []string // replica IDs in rollout order
-	swapTime  time.Duration
+	disturbed time.Time // when the chains became unreliable, if they did
+	members   []string  // replica IDs in rollout order
+	// blind says that this host was paused or has just started, so that it
+	// does not know when the others learned of the target.
+	blind bool
 }
--- a/internal/orders/control.go
+++ b/internal/orders/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -47,7 +48,7 @@
 		servers := c.engines()
 		c.updatePlanner(servers)
 		c.readStates(ctx, servers, watch)
-		plan := c.plan()
+		plan := c.plan(servers)
 		watch = plan.Watch
 		for _, id := range plan.Isolated {
 			c.count("replicas_isolated_total")
@@ -160,26 +161,33 @@
 	return state, err
 }
 
-func (c *Controller) plan() place.Plan {
+func (c *Controller) plan(servers map[string]platform.BackendServer) place.Plan {
+	set, _ := c.configs.Current()
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.planner.Plan(time.Now(), func(id string) bool { return c.ownsByViewLocked(id) && !c.ordering[id] })
+	checked := make(map[string]bool, len(servers))
+	for id, server := range servers {
+		checked[id] = c.checkedLocked(set, server)
+	}
+	view, _, _ := c.permit.Book.View(c.self.DataCentre)
+	turn := place.Turn{Index: slices.Index(view.Hosts, c.self.ID), Count: len(view.Hosts), Since: view.ReadAt}
+	return c.planner.Plan(now, turn, c.ownsByViewLocked, func(id string) bool {
+		_, refusal := c.permit.MayOrder(now, id, c.self.DataCentre, checked[id])
+		if refusal != "" && refusal != lease.NotOwner {
+			c.count("orders_held_total", "reason", string(refusal))
+		}
+		return refusal == ""
+	})
 }
 
-// startOrder carries out one order in the background; a replica has at most
-// one on its way.
+// startOrder carries out one order in the background; the planner gives a
+// replica no other one meanwhile.
 func (c *Controller) startOrder(ctx context.Context, action place.Action) {
-	if _, refusal := c.mayOrder(action.Replica); refusal != "" {
-		c.count("orders_held_total", "reason", string(refusal))
-		return
-	}
-	c.mu.Lock()
-	c.ordering[action.Replica] = true
-	c.mu.Unlock()
 	go func() {
 		c.order(ctx, action)
 		c.mu.Lock()
-		delete(c.ordering, action.Replica)
+		c.planner.Release(action.Replica)
 		c.mu.Unlock()
 	}()
 }
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -64,7 +64,6 @@
 	planner   *place.Planner
 	polls     map[string]*poll
 	appending bool
-	ordering  map[string]bool // replicas with an order on its way
 
 	snapshot atomic.Pointer[snapshot]
 }
@@ -98,7 +97,6 @@
 		proposer: lease.NewProposer(self.ID, self.DataCentre, cfg.ViewRetention),
 		planner:  place.NewPlanner(self.DataCentre),
 		polls:    make(map[string]*poll),
-		ordering: make(map[string]bool),
 	}
 	c.refresh()
 	return c
--- a/internal/orders/ownership.go
+++ b/internal/orders/ownership.go
@@ -5,6 +5,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/lease"
+	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/platform"
 )
@@ -82,33 +83,37 @@
 }
 
 func (c *Controller) mayOrder(replicaID string) (lease.Permission, lease.Refusal) {
-	checked := c.fencingChecked(replicaID)
+	set, _ := c.configs.Current()
+	var found platform.BackendServer
+	for _, server := range c.inventory.BackendServers() {
+		if server.ID == replicaID {
+			found = server
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	checked := found.ID != "" && c.checkedLocked(set, found)
 	return c.permit.MayOrder(time.Now(), replicaID, c.self.DataCentre, checked)
 }
 
-// fencingChecked says whether the replica's engine refuses old fencing
-// numbers. It must be declared for both the model that the engine was started
-// for and the one that it runs, because either declaration may be wrong for
-// an engine that was moved.
-func (c *Controller) fencingChecked(replicaID string) bool {
-	set, _ := c.configs.Current()
+// checkedLocked says whether the engine refuses old fencing numbers. It must be
+// declared for both the model that the engine was started for and the one
+// that it runs, because either declaration may be wrong for an engine that
+// was moved.
+func (c *Controller) checkedLocked(set *declare.Set, server platform.BackendServer) bool {
 	if set == nil {
 		return false
 	}
-	for _, server := range c.inventory.BackendServers() {
-		if server.ID != replicaID {
-			continue
-		}
-		model := set.Models[server.Model]
-		if model == nil || !model.FencingChecked {
-			return false
-		}
-		running := set.Models[c.stateOf(replicaID).Model]
-		return running == nil || running.FencingChecked
+	model := set.Models[server.Model]
+	if model == nil || !model.FencingChecked {
+		return false
+	}
+	p := c.polls[server.ID]
+	if p == nil {
+		return true
 	}
-	return false
+	running := set.Models[p.state.Model]
+	return running == nil || running.FencingChecked
 }
 
 func (c *Controller) stateOf(replicaID string) engine.State {
