Try scoring again within a group's deadline

Cause: one refused connection of a scorer that restarts delivered a group without scores at once, long before its deadline, and a silent server used up the whole deadline of the groups that it got. Ruled out: retries in the core; the deadline is the shell's. Change: a failed call goes on at the service's next backend server until the group's deadline, and one call takes at most a third of it.

--- a/internal/trainers/work.go
+++ b/internal/trainers/work.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -124,11 +125,37 @@
 	case <-ctx.Done():
 		return nil, eris.Wrap(ctx.Err(), "wait for a scoring slot")
 	}
+	body := marshal(ScoreRequest{Group: a.Group, Samples: a.Samples})
+	for attempt := 0; ; attempt++ {
+		scores, err := c.scoreOnce(ctx, scorer, turn+attempt, body)
+		if err == nil && len(scores) == len(a.Samples) {
+			return scores, nil
+		}
+		if err == nil {
+			err = eris.Errorf("%d scores for %d samples", len(scores), len(a.Samples))
+		}
+		select {
+		case <-time.After(scoreRetryPause):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+const (
+	scoreRetryPause = 100 * time.Millisecond
+	// scoreAttempts is how many silent servers fit into the deadline of a group.
+	scoreAttempts = 3
+)
+
+// scoreOnce calls one backend server of the scoring service.
+func (c *Controller) scoreOnce(ctx context.Context, scorer string, turn int, body []byte) ([]float64, error) {
 	addr, ok := c.scorerAddr(scorer, turn)
 	if !ok {
 		return nil, eris.Errorf("no backend server of scoring service %q is known", scorer)
 	}
-	body := marshal(ScoreRequest{Group: a.Group, Samples: a.Samples})
+	ctx, cancel := context.WithTimeout(ctx, c.config.ScoreTimeout/scoreAttempts)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/score", bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrap(err, "make the scoring request")
