--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -124,10 +125,11 @@
 	}
 	must.Len(t, 2, step()[0].Loads) // first contact: all rows
 	must.SliceEmpty(t, step())
-	f.replicas[1].State.Version = 2
+	f.replicas[1].State.Version, f.replicas[1].State.Model = 2, "gallery"
 	c.refresh(now)
 	changed := step()[0].Loads
 	must.Len(t, 1, changed)
+	must.Eq(t, "gallery", changed[0].Model)
 	must.Eq(t, route.HashReplica("r1"), changed[0].ReplicaHash)
 	c.NoteCrash("content", "a", "r9", true)
 	f.fail["near"] = true
@@ -155,7 +157,7 @@
 	must.Eq(t, 1, min(1, len(f.take("far-1")))+min(1, len(f.take("far-2"))))
 	f.take("near")
 	_, err := c.Exchange(context.Background(), &peerpb.ExchangeMessage{
-		Host: "far-1", Loads: []*peerpb.LoadRow{{ReplicaHash: route.HashReplica("y0"), Running: 3, Limit: 8, Healthy: true, Version: 1}},
+		Host: "far-1", Loads: []*peerpb.LoadRow{{ReplicaHash: route.HashReplica("y0"), Model: "gallery", Running: 3, Limit: 8, Healthy: true, Version: 1}},
 	})
 	must.NoError(t, err)
 	c.sendExchange(context.Background(), now)
@@ -170,6 +172,7 @@
 		return []platform.BackendServer{{ID: "y0", Kind: platform.KindEngine, DataCentre: "yoff", Model: "album"}}
 	})
 	must.Len(t, 1, rows)
+	must.Eq(t, "gallery", rows[0].Model) // what it runs, not what it was started for
 	must.True(t, rows[0].Known)
 	must.Eq(t, 3, rows[0].Running)
 }
@@ -238,3 +241,52 @@
 	must.GreaterEq(t, 10, fewest)
 	must.LessEq(t, fewest+1, most)
 }
+
+// Guards against content that crashed engines here being unknown in other data
+// centres, to which its caller may turn next, and the other way round.
+func TestSuspicionsReachOtherDataCentres(t *testing.T) {
+	f, c := newFixture(t)
+	now := time.Now()
+	suspects := func(messages []*peerpb.ExchangeMessage) (found []string) {
+		for _, message := range messages {
+			for _, mark := range message.Suspicions {
+				found = append(found, mark.Fingerprint)
+			}
+		}
+		return found
+	}
+	c.NoteCrash("own", "a", "r9", false)
+	_, err := c.Exchange(context.Background(), &peerpb.ExchangeMessage{
+		Host: "far-1", Suspicions: []*peerpb.Suspicion{{Fingerprint: "theirs", Crashes: 1}},
+	})
+	must.NoError(t, err)
+	must.Eq(t, suspect.RunAlone, c.Judge("theirs"))
+	c.sendExchange(context.Background(), now)
+	must.Eq(t, []string{"own", "theirs"}, sorted(suspects(f.take("near"))))
+	must.SliceContains(t, suspects(append(f.take("far-1"), f.take("far-2")...)), "own")
+}
+
+func sorted(texts []string) []string {
+	slices.Sort(texts)
+	return texts
+}
+
+// Guards against every waiting request trying a replica whose owner still
+// starts, and against the replica staying out once its row says otherwise.
+func TestRefusedReplicaIsLeftAloneUntilItsRowComes(t *testing.T) {
+	_, c := newFixture(t)
+	servers := func() []platform.BackendServer {
+		return []platform.BackendServer{{ID: "y0", Kind: platform.KindEngine, DataCentre: "yoff", Model: "album"}}
+	}
+	must.False(t, c.Rows(servers)[0].Known)
+	eventually(t, "the refusal counts", func() bool {
+		c.NoteRefusal("y0")
+		out := c.Rows(servers)[0]
+		return out.Known && !out.Healthy
+	})
+	_, err := c.Exchange(context.Background(), &peerpb.ExchangeMessage{
+		Host: "far-1", Loads: []*peerpb.LoadRow{{ReplicaHash: route.HashReplica("y0"), Limit: 8, Healthy: true}},
+	})
+	must.NoError(t, err)
+	eventually(t, "the row counts", func() bool { return c.Rows(servers)[0].Healthy })
+}
--- a/internal/services/stream.go
+++ b/internal/services/stream.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// readGrace is added to the wait of a read before the read counts as failed.
-	readGrace = 2 * time.Second
-	// appendTimeout bounds one append. A shorter one would turn slow appends into
-	// repeated ones.
-	appendTimeout = 3 * time.Second
+	// readGrace is added to the wait of a read before the read counts as failed,
+	// and appendTimeout bounds one append. Both are longer than the platform
+	// client's own limit: with shorter ones a slow log would never be read, and
+	// slow appends would be repeated.
+	readGrace     = 5 * time.Second
+	appendTimeout = 5 * time.Second
 	// maxBatch bounds the records of one append.
 	maxBatch = 500
 	// retryDelay is the first pause after a failed read; it doubles up to maxRetryDelay.
@@ -38,6 +39,7 @@
 			delay = retryDelay
 			continue
 		}
+		c.locked(func(l *intent.Ledger) bool { l.ReadFailed(); return true })
 		c.recorder.Count("intent_read_errors_total")
 		klog.V(1).InfoS("intent stream cannot be read", "err", err)
 		sleep(ctx, delay)
@@ -55,8 +57,6 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
 	defer cancel()
-	// The time before the read: the page tells nothing about later intents.
-	now := time.Now()
 	page, err := c.log.Read(ctx, platform.StreamIntent, next, wait)
 	if err != nil {
 		return err
@@ -64,7 +64,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	skipped := c.ledger.Skipped()
-	for _, view := range c.ledger.Apply(page, now) {
+	for _, view := range c.ledger.Apply(page, time.Now()) {
 		c.settle(view)
 	}
 	if skipped = c.ledger.Skipped() - skipped; skipped > 0 {
