Hand samples over when another member becomes a trainer's home

Cause: a host that comes back after a restart is home again, and the home in between kept its complete samples for ten seconds and then dropped them. Ruled out: waiting for the trainer's next call; it goes to the new home, which would have run the samples again by then. Change: the tick that sees another home hands the complete samples over. Result: the shell test delivers three whole groups with no sample run again; it passes three times under the race detector.

--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -213,7 +213,8 @@
 	c.runSystems()
 }
 
-// checkAway drops the groups of a trainer whose home is another member.
+// checkAway hands over and later drops the groups of a trainer whose home is
+// another member, for example one that came back after a restart.
 func (c *Controller) checkAway(name string) {
 	home, ok := c.homeOf(name)
 	if !ok || home.ID == c.members.Self().ID || !c.home.Holding(name) {
@@ -223,6 +224,9 @@
 	since, known := c.awaySince[name]
 	if !known {
 		c.awaySince[name] = c.now()
+		if groups := c.home.Export(name); len(groups) > 0 {
+			c.work.Go(func() { c.handOver([]handover{{trainer: name, home: home, groups: groups}}) })
+		}
 		return
 	}
 	if c.now()-since >= forgetAfter {
--- a/internal/trainers/faults_test.go
+++ b/internal/trainers/faults_test.go
@@ -121,6 +121,28 @@
 // Guards against complete samples that are run again when their home leaves,
 // and against a group that comes twice because both homes had it.
 func TestLeavingHomeHandsCompleteSamplesOver(t *testing.T) {
+	testHandover(t, func(n *testNet, home string) {
+		n.setState(home, cluster.MemberLeaving)
+		n.host(home).Drain()
+	})
+}
+
+// The same for a home that another member takes over from, for example after
+// the member's restart.
+func TestFormerHomeHandsCompleteSamplesOver(t *testing.T) {
+	testHandover(t, func(n *testNet, home string) {
+		other := map[string]string{"a": "b", "b": "a"}[home]
+		n.setState(home, cluster.MemberLeaving) // without a drain, so that only the tick hands over
+		eventually(n.t, func() bool {
+			h := n.host(other)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return len(h.home.Export("captions")) >= 2
+		})
+	})
+}
+
+func testHandover(t *testing.T, move func(n *testNet, home string)) {
 	n := newNet(t, "a", "b")
 	c := &client{net: n, name: "captions", wanted: []GroupPrompt{{"g1", "p"}, {"g2", "q"}, {"g3", "r"}}}
 	c.submit(n.host("a"))
@@ -139,8 +161,7 @@
 		return ctx.Err()
 	}
 	n.mu.Unlock()
-	n.setState(home.ID, cluster.MemberLeaving)
-	n.host(home.ID).Drain()
+	move(n, home.ID)
 	c.pullAll(n.host("a"))
 	must.Len(t, 3, c.took)
 	must.SliceContainsAll(t, []string{"g1", "g2", "g3"}, c.ids())
