Read settings and declarations with the same INI reader

Cause: two readers located lines in INI files, and the one for settings took repeated keys of some forms for values over several lines. Change: the stricter reader of the declarations moves to internal/inifile and serves both; its message names headers of one word too. Experiments can keep the entry hosts' logs.

--- a/cmd/sesamestand/experiment.go
+++ b/cmd/sesamestand/experiment.go
@@ -31,6 +31,7 @@
 	MaxBatch    int           `arg:"--max-batch" default:"16" help:"requests that an engine runs together"`
 	Parallel    int           `arg:"--parallel" default:"1" help:"runs at the same time"`
 	InProcess   bool          `arg:"--in-process" help:"run entry hosts in this process"`
+	KeepLogs    string        `arg:"--keep-logs" help:"keep the entry hosts' settings and logs in this directory" placeholder:"DIR"`
 	JSON        string        `arg:"--json" help:"append one JSON row per run to this file" placeholder:"FILE"`
 }
 
@@ -38,7 +39,7 @@
 	silenceLogs()
 	options := experiment.Options{
 		Examples: c.Examples, Policies: c.Policies, Faults: c.Faults, Runs: c.Runs, Seed: c.Seed,
-		Duration: c.Duration, Parallel: c.Parallel, Progress: printRow,
+		Duration: c.Duration, Parallel: c.Parallel, KeepLogs: c.KeepLogs, Progress: printRow,
 		Load: experiment.LoadOptions{
 			HostsPerDataCentre: c.Hosts, CallerRate: c.CallerRate, ServiceRate: c.ServiceRate,
 			GroupsPerStep: c.Groups, TrainTime: c.TrainTime, Ahead: c.Ahead, MaxBatch: c.MaxBatch,
--- a/internal/declare/fields.go
+++ b/internal/declare/fields.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/finding"
+	"github.com/sesamestand/sesamestand/internal/inifile"
 )
 
 // namePattern is the form of all declared names and names of data centres.
@@ -15,33 +16,33 @@
 // fields reads the keys of one section and reports wrong values. Keys that no
 // call asked for are unknown; unknown reports them.
 type fields struct {
-	section  *section
+	section  *inifile.Section
 	findings *finding.List
 	asked    map[string]bool
 }
 
-func newFields(s *section, findings *finding.List) *fields {
+func newFields(s *inifile.Section, findings *finding.List) *fields {
 	return &fields{section: s, findings: findings, asked: make(map[string]bool)}
 }
 
-func (f *fields) lookup(key string) (value, bool) {
+func (f *fields) lookup(key string) (inifile.Value, bool) {
 	f.asked[key] = true
-	v, ok := f.section.values[key]
+	v, ok := f.section.Values[key]
 	return v, ok
 }
 
 func (f *fields) report(key, format string, args ...any) {
-	line := f.section.line
-	if v, ok := f.section.values[key]; ok {
-		line = v.line
+	line := f.section.Line
+	if v, ok := f.section.Values[key]; ok {
+		line = v.Line
 	}
-	f.findings.Add(f.section.file, line, key, format, args...)
+	f.findings.Add(f.section.File, line, key, format, args...)
 }
 
 func (f *fields) unknown() {
-	for _, key := range sortedKeys(f.section.values) {
+	for _, key := range sortedKeys(f.section.Values) {
 		if !f.asked[key] {
-			f.report(key, "is not a key of a %s", f.section.kind)
+			f.report(key, "is not a key of a %s", kindOf(f.section))
 		}
 	}
 }
@@ -52,9 +53,9 @@
 	if !ok {
 		return def
 	}
-	n, err := strconv.ParseInt(v.text, 10, 64)
+	n, err := strconv.ParseInt(v.Text, 10, 64)
 	if err != nil || n < low || n > high {
-		f.report(key, "must be a whole number from %d to %d, not %q", low, high, v.text)
+		f.report(key, "must be a whole number from %d to %d, not %q", low, high, v.Text)
 		return def
 	}
 	return n
@@ -66,9 +67,9 @@
 	if !ok {
 		return def
 	}
-	n, err := strconv.ParseFloat(v.text, 64)
+	n, err := strconv.ParseFloat(v.Text, 64)
 	if err != nil || !(n >= low && n <= high) { // also refuses NaN
-		f.report(key, "must be a number from %g to %g, not %q", low, high, v.text)
+		f.report(key, "must be a number from %g to %g, not %q", low, high, v.Text)
 		return def
 	}
 	return n
@@ -79,13 +80,13 @@
 	if !ok {
 		return def
 	}
-	switch v.text {
+	switch v.Text {
 	case "true":
 		return true
 	case "false":
 		return false
 	}
-	f.report(key, "must be true or false, not %q", v.text)
+	f.report(key, "must be true or false, not %q", v.Text)
 	return def
 }
 
@@ -94,9 +95,9 @@
 	if !ok {
 		return def
 	}
-	d, err := time.ParseDuration(v.text)
+	d, err := time.ParseDuration(v.Text)
 	if err != nil || d < low || d > high {
-		f.report(key, "must be a duration from %s to %s, not %q", low, high, v.text)
+		f.report(key, "must be a duration from %s to %s, not %q", low, high, v.Text)
 		return def
 	}
 	return d
@@ -111,11 +112,11 @@
 		}
 		return ""
 	}
-	if !namePattern.MatchString(v.text) {
-		f.report(key, "must be a name of a-z, 0-9 and '-', not %q", v.text)
+	if !namePattern.MatchString(v.Text) {
+		f.report(key, "must be a name of a-z, 0-9 and '-', not %q", v.Text)
 		return ""
 	}
-	return v.text
+	return v.Text
 }
 
 // list reads values separated by commas.
@@ -125,7 +126,7 @@
 		return nil
 	}
 	var items []string
-	for item := range strings.SplitSeq(v.text, ",") {
+	for item := range strings.SplitSeq(v.Text, ",") {
 		item = strings.TrimSpace(item)
 		if item == "" {
 			f.report(key, "has an empty item")
@@ -141,9 +142,9 @@
 	if !ok {
 		return def
 	}
-	class, ok := classes[v.text]
+	class, ok := classes[v.Text]
 	if !ok {
-		f.report(key, "must be interactive, batch or training, not %q", v.text)
+		f.report(key, "must be interactive, batch or training, not %q", v.Text)
 		return def
 	}
 	return class
--- a/internal/declare/parse.go
+++ b/internal/declare/parse.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/sesamestand/sesamestand/internal/finding"
+	"github.com/sesamestand/sesamestand/internal/inifile"
 )
 
 // fileSuffix marks declaration files; other files in the directory are left alone.
@@ -76,7 +77,7 @@
 
 type parsedFile struct {
 	content  string
-	sections []*section
+	sections []*inifile.Section
 	findings []finding.Finding
 }
 
@@ -93,7 +94,7 @@
 			Services: make(map[string]*Service),
 			Needs:    make(map[string]*Need),
 		},
-		sections: make(map[string]*section),
+		sections: make(map[string]*inifile.Section),
 		findings: findings,
 	}
 	total := 0
@@ -125,7 +126,7 @@
 	parsed, ok := p.files[path]
 	if !ok || parsed.content != content {
 		var findings finding.List
-		parsed = parsedFile{content: content, sections: scanFile(path, content, &findings)}
+		parsed = parsedFile{content: content, sections: inifile.Read(path, content, &findings)}
 		parsed.findings = findings.All()
 		p.files[path] = parsed
 	}
--- a/internal/declare/sections.go
+++ b/internal/declare/sections.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/finding"
+	"github.com/sesamestand/sesamestand/internal/inifile"
 )
 
 // Bounds of declared values.
@@ -31,34 +32,34 @@
 // collector builds a set from sections and reports conflicts between them.
 type collector struct {
 	set      *Set
-	sections map[string]*section // by header, first one seen
+	sections map[string]*inifile.Section // by header, first one seen
 	findings *finding.List
 }
 
-func (c *collector) add(s *section) {
+func (c *collector) add(s *inifile.Section) {
 	read, ok := map[string]func(*fields, string){
 		"model":   c.model,
 		"trainer": c.trainer,
 		"service": c.service,
 		"need":    c.need,
-	}[s.kind]
+	}[kindOf(s)]
 	if !ok {
-		c.findings.Add(s.file, s.line, s.header(), "section must be model, trainer, service or need")
+		c.findings.Add(s.File, s.Line, s.Header, "section must be model, trainer, service or need")
 		return
 	}
-	if !namePattern.MatchString(s.name) {
-		c.findings.Add(s.file, s.line, s.header(), "name must consist of a-z, 0-9 and '-' and begin with a letter")
+	if !namePattern.MatchString(nameOf(s)) {
+		c.findings.Add(s.File, s.Line, s.Header, "name must consist of a-z, 0-9 and '-' and begin with a letter")
 		return
 	}
-	if first, twice := c.sections[s.header()]; twice {
-		if first.file != s.file { // the same file was reported by scanLines
-			c.findings.Add(s.file, s.line, s.header(), "is already declared at %s:%d", first.file, first.line)
+	if first, twice := c.sections[s.Header]; twice {
+		if first.File != s.File { // the same file was reported when it was read
+			c.findings.Add(s.File, s.Line, s.Header, "is already declared at %s:%d", first.File, first.Line)
 		}
 		return
 	}
-	c.sections[s.header()] = s
+	c.sections[s.Header] = s
 	f := newFields(s, c.findings)
-	read(f, s.name)
+	read(f, nameOf(s))
 	f.unknown()
 }
 
@@ -178,3 +179,15 @@
 	}
 	return sum
 }
+
+// kindOf returns the first word of a section's header.
+func kindOf(s *inifile.Section) string {
+	kind, _, _ := strings.Cut(s.Header, " ")
+	return kind
+}
+
+// nameOf returns the header behind its first word.
+func nameOf(s *inifile.Section) string {
+	_, name, _ := strings.Cut(s.Header, " ")
+	return name
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -45,6 +45,9 @@
 	Load     LoadOptions
 	// Binary runs entry hosts as separate processes; empty runs them in this process.
 	Binary string
+	// KeepLogs is a directory in which the entry hosts' settings and logs, with
+	// decision lines, are kept; empty keeps none. Separate processes only.
+	KeepLogs string
 	// Parallel is the number of runs at the same time.
 	Parallel int
 	Progress func(Row)
@@ -163,11 +166,13 @@
 }
 
 func (p plan) fill(ctx context.Context, o Options, row *Row) error {
-	dir, err := os.MkdirTemp("", "sesamestand-experiment-")
+	dir, err := os.MkdirTemp(o.KeepLogs, "sesamestand-experiment-")
 	if err != nil {
 		return eris.Wrap(err, "create a directory for settings and logs")
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
+	if o.KeepLogs == "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
 	bed, err := p.start(ctx, o, dir)
 	if err != nil {
 		return err
@@ -205,7 +210,9 @@
 		},
 		WeightBytes: 128 << 10, WeightRate: 4 << 20,
 		Adjust: func(s *settings.Settings) {
-			s.Limits.DecisionLogPerSec = 0
+			if o.KeepLogs == "" {
+				s.Limits.DecisionLogPerSec = 0
+			}
 			s.Timing.StateInterval = stateInterval
 		},
 	})
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -3,7 +3,6 @@
 package inifile
 
 import (
-	"bufio"
 	"strings"
 
 	"gopkg.in/ini.v1"
@@ -11,92 +10,121 @@
 	"github.com/sesamestand/sesamestand/internal/finding"
 )
 
-// Section is one section of a file in file order.
-type Section struct {
-	Name string
+// Value is one key's text with its place.
+type Value struct {
+	Text string
 	Line int
-	Keys []Key
 }
 
-// Key is one key with its value.
-type Key struct {
-	Name  string
-	Value string
-	Line  int
+// Section is one section of a file with the place of each key.
+type Section struct {
+	File   string
+	Line   int
+	Header string // text between the brackets
+	Values map[string]Value
 }
 
-// place identifies a key by its section's name and its own.
-type place struct{ section, key string }
-
-// Parse reads content. Syntax errors, repeated sections and repeated keys are
-// added to findings; what could be read is returned all the same.
-func Parse(file string, content []byte, findings *finding.List) []Section {
-	parsed, err := ini.LoadSources(ini.LoadOptions{
-		IgnoreInlineComment:     false,
-		SkipUnrecognizableLines: false,
-		Loose:                   false,
-	}, content)
+// Read splits a file into sections in file order. The INI library reads the
+// values; the lines come from a scan of the text, because the library does not
+// keep them. Problems are added to findings; a file with text that cannot be
+// read reliably yields no sections.
+func Read(path, content string, findings *finding.List) []*Section {
+	scan := &scanner{path: path, findings: findings, seen: make(map[string]int), ok: true}
+	scan.run(strings.TrimPrefix(content, "\ufeff"))
+	if !scan.ok {
+		return nil
+	}
+	file, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation:       true,
+		SpaceBeforeInlineComment: true,
+		KeyValueDelimiters:       "=",
+	}, []byte(content))
 	if err != nil {
-		findings.Add(file, 0, "syntax", "%s", strings.TrimSpace(err.Error()))
+		findings.Add(path, 0, "file", "is not valid INI: %v", err)
 		return nil
 	}
-	lines := locate(file, content, findings)
-	var sections []Section
-	for _, s := range parsed.Sections() {
-		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
+	for _, s := range scan.sections {
+		parsed, err := file.GetSection(s.Header)
+		if err != nil {
+			findings.Add(path, s.Line, s.Header, "section could not be read: %v", err)
 			continue
 		}
-		section := Section{Name: s.Name(), Line: lines[place{section: s.Name()}]}
-		for _, k := range s.Keys() {
-			section.Keys = append(section.Keys, Key{
-				Name:  k.Name(),
-				Value: k.String(),
-				Line:  lines[place{section: s.Name(), key: k.Name()}],
-			})
+		for key, place := range s.Values {
+			// Value returns the raw text: String would expand %(name)s references.
+			s.Values[key] = Value{Text: strings.TrimSpace(rawValue(parsed, key)), Line: place.Line}
 		}
-		sections = append(sections, section)
 	}
-	return sections
+	return scan.sections
 }
 
-// locate returns the line of every section and key. gopkg.in/ini.v1 merges
-// repeated sections and keys without a word, so they are reported here.
-func locate(file string, content []byte, findings *finding.List) map[place]int {
-	lines := make(map[place]int)
-	section := ini.DefaultSection
-	scanner := bufio.NewScanner(strings.NewReader(string(content)))
-	for number := 1; scanner.Scan(); number++ {
-		text := strings.TrimSpace(scanner.Text())
-		if text == "" || text[0] == '#' || text[0] == ';' {
-			continue
-		}
-		p := place{}
-		if text[0] == '[' {
-			name, _, _ := strings.Cut(text[1:], "]")
-			section = strings.TrimSpace(name)
-			p = place{section: section}
-		} else {
-			p = place{section: section, key: keyName(text)}
-		}
-		if _, seen := lines[p]; seen {
-			findings.Add(file, number, p.describe(), "is given twice")
-			continue
+func rawValue(s *ini.Section, key string) string {
+	if !s.HasKey(key) {
+		return ""
+	}
+	return s.Key(key).Value()
+}
+
+// scanner records the line of each section and key and reports text that the
+// INI library would merge, drop or read over several lines.
+type scanner struct {
+	path     string
+	findings *finding.List
+	seen     map[string]int // line of each section header
+	sections []*Section
+	current  *Section
+	ok       bool
+}
+
+func (s *scanner) run(content string) {
+	number := 0
+	for raw := range strings.SplitSeq(content, "\n") {
+		number++
+		line := strings.TrimSpace(raw)
+		switch {
+		case line == "" || line[0] == '#' || line[0] == ';':
+		case line[0] == '[':
+			s.header(number, line)
+		default:
+			s.key(number, line)
 		}
-		lines[p] = number
 	}
-	return lines
 }
 
-func (p place) describe() string {
-	if p.key == "" {
-		return "[" + p.section + "]"
+func (s *scanner) report(line int, key, format string, args ...any) {
+	s.findings.Add(s.path, line, key, format, args...)
+	s.ok = false
+}
+
+func (s *scanner) header(number int, line string) {
+	header, closed := strings.CutSuffix(line[1:], "]")
+	words := strings.Fields(header)
+	if !closed || len(words) == 0 || strings.Join(words, " ") != header {
+		s.report(number, line, "section header must be [KIND] or [KIND NAME] with one space")
+		s.current = &Section{Values: make(map[string]Value)}
+		return
 	}
-	return p.key
+	if first, twice := s.seen[header]; twice {
+		s.report(number, header, "section is already on line %d", first)
+	}
+	s.seen[header] = number
+	s.current = &Section{File: s.path, Line: number, Header: header, Values: make(map[string]Value)}
+	s.sections = append(s.sections, s.current)
 }
 
-func keyName(line string) string {
-	if i := strings.IndexAny(line, "=:"); i >= 0 {
-		line = line[:i]
+func (s *scanner) key(number int, line string) {
+	key, text, found := strings.Cut(line, "=")
+	key, text = strings.TrimSpace(key), strings.TrimSpace(text)
+	switch {
+	case !found || key == "" || strings.ContainsAny(key, "\"`"):
+		s.report(number, line, "line must be a comment, a section or KEY = VALUE")
+	case s.current == nil:
+		s.report(number, key, "key stands before the first section")
+	case strings.HasPrefix(text, "`") || strings.HasPrefix(text, `"""`):
+		s.report(number, key, "values over several lines are not supported")
+	default:
+		if earlier, twice := s.current.Values[key]; twice {
+			s.report(number, key, "key is already set on line %d", earlier.Line)
+		}
+		s.current.Values[key] = Value{Line: number}
 	}
-	return strings.Trim(strings.TrimSpace(line), "`\"")
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,12 +125,12 @@
 	var findings finding.List
 	s := Defaults()
 	given := make(map[string]bool)
-	for _, section := range inifile.Parse(file, content, &findings) {
-		if section.Name == trainerTokenSection {
-			setTrainerTokens(&s, file, section, &findings)
+	for _, section := range inifile.Read(file, string(content), &findings) {
+		if section.Header == trainerTokenSection {
+			setTrainerTokens(&s, section, &findings)
 			continue
 		}
-		setSection(&s, file, section, given, &findings)
+		setSection(&s, section, given, &findings)
 	}
 	for _, k := range keys {
 		if k.required && !given[k.section+"."+k.name] {
@@ -141,35 +141,35 @@
 	return s, findings.Err()
 }
 
-func setSection(s *Settings, file string, section inifile.Section, given map[string]bool, findings *finding.List) {
-	if !knownSection(section.Name) {
-		findings.Add(file, section.Line, "["+section.Name+"]", "is not a known section")
+func setSection(s *Settings, section *inifile.Section, given map[string]bool, findings *finding.List) {
+	if !knownSection(section.Header) {
+		findings.Add(section.File, section.Line, section.Header, "is not a known section")
 		return
 	}
-	for _, entry := range section.Keys {
-		k := findKey(section.Name, entry.Name)
+	for name, value := range section.Values {
+		k := findKey(section.Header, name)
 		if k == nil {
-			findings.Add(file, entry.Line, entry.Name, "is not a known key of [%s]", section.Name)
+			findings.Add(section.File, value.Line, name, "is not a known key of [%s]", section.Header)
 			continue
 		}
-		given[section.Name+"."+entry.Name] = true
-		if k.required && entry.Value == "" {
-			findings.Add(file, entry.Line, entry.Name, "must not be empty")
+		given[section.Header+"."+name] = true
+		if k.required && value.Text == "" {
+			findings.Add(section.File, value.Line, name, "must not be empty")
 			continue
 		}
-		if err := k.set(s, entry.Value); err != nil {
-			findings.Add(file, entry.Line, entry.Name, "%v", err)
+		if err := k.set(s, value.Text); err != nil {
+			findings.Add(section.File, value.Line, name, "%v", err)
 		}
 	}
 }
 
-func setTrainerTokens(s *Settings, file string, section inifile.Section, findings *finding.List) {
-	for _, entry := range section.Keys {
-		if entry.Value == "" {
-			findings.Add(file, entry.Line, entry.Name, "has an empty token")
+func setTrainerTokens(s *Settings, section *inifile.Section, findings *finding.List) {
+	for name, value := range section.Values {
+		if value.Text == "" {
+			findings.Add(section.File, value.Line, name, "has an empty token")
 			continue
 		}
-		s.Auth.TrainerTokens[entry.Name] = entry.Value
+		s.Auth.TrainerTokens[name] = value.Text
 	}
 }
 
