Let a new home learn the newest version before it serves

Ruled out: the announcement's spread, which a host that is down cannot get. Change: before a home first serves a trainer it reads the weight store and asks the homes of the model's other trainers; an exchange answers with the newest versions of the models it names.

--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -68,7 +68,8 @@
 	return exchangeState{targets: make(map[string]*target), foreign: make(map[uint64]*peerpb.LoadRow)}
 }
 
-// Exchange merges another host's rows, suspicions and versions.
+// Exchange merges another host's rows, suspicions and versions, and answers
+// with the newest versions of the models that the message names.
 func (c *Controller) Exchange(_ context.Context, in *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
 	now := time.Now()
 	self := c.members.Self()
@@ -92,12 +93,15 @@
 		}, remote, now)
 	}
 	c.mu.Unlock()
-	if c.versions != nil {
+	reply := &peerpb.ExchangeMessage{Host: self.ID}
+	if c.versions != nil && len(in.Versions) > 0 {
+		reply.Versions = make(map[string]int64, len(in.Versions))
 		for model, version := range in.Versions {
 			c.versions.Announce(model, version)
+			reply.Versions[model] = c.versions.Newest(model)
 		}
 	}
-	return &peerpb.ExchangeMessage{Host: self.ID}, nil
+	return reply, nil
 }
 
 // send is one message to one member.
--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -91,6 +91,7 @@
 	clients   peer.Clients
 	recorder  *telemetry.Recorder
 	scorers   *http.Client
+	store     Refresher // nil asks other homes only
 
 	started  time.Time
 	ctx      context.Context // ends all samples and scoring
@@ -108,6 +109,7 @@
 	awaySince  map[string]time.Duration
 	slots      map[string]chan struct{} // scoring calls by trainer
 	reported   map[string]sample.Counts
+	learned    map[string]bool // trainers whose newest version was asked for
 	nextScorer int
 	drained    bool
 }
@@ -147,6 +149,7 @@
 		awaySince: make(map[string]time.Duration),
 		slots:     make(map[string]chan struct{}),
 		reported:  make(map[string]sample.Counts),
+		learned:   make(map[string]bool),
 	}
 }
 
--- a/internal/trainers/http.go
+++ b/internal/trainers/http.go
@@ -93,6 +93,9 @@
 func (c *Controller) call(ctx context.Context, name, operation string, body []byte) (int, []byte, *cluster.Refusal) {
 	c.mu.Lock()
 	home, ok := c.homeOf(name)
+	if home.ID != c.members.Self().ID {
+		delete(c.learned, name) // versions may be missed until this host is home again
+	}
 	c.mu.Unlock()
 	if !ok {
 		return 0, nil, notRun(cluster.ReasonDraining, "no live host of the data centre can be the trainer's home")
--- a/internal/trainers/local.go
+++ b/internal/trainers/local.go
@@ -26,6 +26,7 @@
 
 // local runs an operation as the trainer's home.
 func (c *Controller) local(ctx context.Context, name, operation string, body []byte) (int, []byte, *cluster.Refusal) {
+	c.learn(ctx, name)
 	switch operation {
 	case operationGroups:
 		var request GroupsRequest
--- a/internal/trainers/spread.go
+++ b/internal/trainers/spread.go
@@ -41,8 +41,49 @@
 	if err != nil {
 		return err
 	}
-	_, err = client.Exchange(ctx, message)
-	return err
+	reply, err := client.Exchange(ctx, message)
+	if err != nil {
+		return err
+	}
+	for model, version := range reply.Versions {
+		c.versions.Announce(model, version)
+	}
+	return nil
+}
+
+// Refresher reads the newest version of a model from the weight store.
+type Refresher interface {
+	Refresh(ctx context.Context, model string) error
+}
+
+// LearnFrom sets where a new home reads versions. It is called before Run.
+func (c *Controller) LearnFrom(store Refresher) { c.store = store }
+
+// learn finds out the newest version of a trainer's model before this host
+// first serves the trainer. A home that had just started knew of no version
+// and delivered samples over the bound until gossip reached it.
+func (c *Controller) learn(ctx context.Context, name string) {
+	c.mu.Lock()
+	set, _ := c.configs.Current()
+	if c.learned[name] || set == nil || set.Trainers[name] == nil {
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
+	model := set.Trainers[name].Model
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { c.spread(ctx, model, c.versions.Newest(model)) })
+	if c.store != nil {
+		if err := c.store.Refresh(ctx, model); err != nil {
+			klog.InfoS("a new home could not read the weight store", "trainer", name, "model", model, "err", err)
+		}
+	}
+	wg.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learned[name] = true
 }
 
 // homesOfModel returns the other hosts that are home to a trainer of the model,
--- a/internal/versions/watcher.go
+++ b/internal/versions/watcher.go
@@ -74,16 +74,21 @@
 	}
 	sort.Strings(models)
 	for _, model := range models {
-		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		listed, err := w.store.Versions(readCtx, model)
-		cancel()
-		if err != nil {
+		if err := w.Refresh(ctx, model); err != nil {
 			w.recorder.Count("weight_store_errors_total")
 			klog.V(1).InfoS("read the weight store", "model", model, "err", err)
 			return
 		}
-		for _, version := range listed {
-			w.versions.Announce(model, version)
-		}
 	}
 }
+
+// Refresh reads the versions of one model from the weight store.
+func (w *Watcher) Refresh(ctx context.Context, model string) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	listed, err := w.store.Versions(ctx, model)
+	for _, version := range listed {
+		w.versions.Announce(model, version)
+	}
+	return err
+}
