--- /dev/null
+++ b/internal/integration/system_test.go
@@ -0,0 +1,126 @@
+// Package integration runs whole systems with entry hosts as separate
+// processes, breaks them with signals and faults of the stand-ins, and asserts
+// that the checker finds no broken promise. It contains tests only.
+package integration
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/examples"
+	"github.com/sesamestand/sesamestand/internal/checker"
+	"github.com/sesamestand/sesamestand/internal/configs"
+	"github.com/sesamestand/sesamestand/internal/load"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/settings"
+	"github.com/sesamestand/sesamestand/internal/standin/engined"
+	"github.com/sesamestand/sesamestand/internal/testbed"
+)
+
+// waitLimit bounds waits for a condition; a busy machine may need most of it.
+const waitLimit = 90 * time.Second
+
+// binary is the program under test, built once per test run.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "sesamestand-integration-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "sesamestand")
+	if output, err := exec.Command("go", "build", "-o", binary, "../../cmd/sesamestand").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the program: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// system is a running example with entry hosts as processes.
+type system struct {
+	*testbed.Testbed
+	files map[string]string
+}
+
+func startSystem(t *testing.T, example string, seed uint64) *system {
+	t.Helper()
+	files, err := examples.Files(example)
+	must.NoError(t, err)
+	bed, err := testbed.Start(t.Context(), testbed.Options{
+		Files: files, HostsPerDataCentre: 2, Seed: seed, Starter: testbed.Executable(binary, t.TempDir()),
+		Engine: engined.Config{
+			TokenTime: 2 * time.Millisecond, BatchSlope: 0.05,
+			Lengths:         engined.Lengths{Mean: 32, StragglerShare: 1.0 / 16, StragglerFactor: 6},
+			CacheEventDelay: 200 * time.Millisecond, CacheEventGaps: 0.1, LoadLag: 500 * time.Millisecond, SwapPause: 20 * time.Millisecond,
+		},
+		Adjust: func(s *settings.Settings) {
+			// No balancer stands in front, so the delay only has to exist.
+			s.Timing.DrainDelay = 500 * time.Millisecond
+			s.Timing.StateInterval = 250 * time.Millisecond
+			s.Limits.DecisionLogPerSec = 0
+		},
+	})
+	must.NoError(t, err)
+	t.Cleanup(bed.Close)
+	s := &system{Testbed: bed, files: files}
+	_, err = configs.Publish(t.Context(), s.log(), files)
+	must.NoError(t, err)
+	s.waitReady(t)
+	return s
+}
+
+func (s *system) log() platform.Log { return platform.NewHTTPLog(s.LogAddr, "") }
+
+func (s *system) waitReady(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	defer cancel()
+	must.NoError(t, s.WaitReady(ctx))
+}
+
+// loadBeside runs the load, and beside it the disturbance, until both ended.
+func (s *system) loadBeside(t *testing.T, config load.Config, disturb func(context.Context) error) load.Records {
+	t.Helper()
+	disturbed := make(chan error, 1)
+	go func() { disturbed <- disturb(t.Context()) }()
+	report, err := load.Run(t.Context(), config)
+	must.NoError(t, <-disturbed)
+	must.NoError(t, err)
+	return report.Records
+}
+
+// requireKept asserts that no promise and no rule on orders was broken, and
+// that each of the named ones had facts to check.
+func requireKept(t *testing.T, facts checker.Facts, withFacts ...string) {
+	t.Helper()
+	result := checker.Check(facts)
+	var table bytes.Buffer
+	must.NoError(t, result.WriteTable(&table))
+	t.Log("\n" + table.String())
+	must.Zero(t, result.Broken(), must.Sprint("broken facts, see the table above"))
+	for _, id := range withFacts {
+		must.Positive(t, result.Promise(id).Checked, must.Sprintf("%s had no facts to check", id))
+	}
+}
+
+// sleep waits for d and reports whether ctx is still in force.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
