Test the command line with scripts

The command line had no tests: neither its exit codes, nor that all findings are reported together, nor that the subcommands form a working system. Scripts for testscript now cover check, publish, settings, help, version and wrong command lines, and one runs a small system from the stand-in subcommands until serve answers /readyz. The losing publication does not depend on timing: the test's log lets a rival publish between the read and the append of the publisher under test.

--- /dev/null
+++ b/cmd/sesamestand/main_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/sesamestand/sesamestand/internal/configs"
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/standin/logd"
+)
+
+// answerWait bounds the wait for an HTTP answer; a busy machine may need most of it.
+const answerWait = 60 * time.Second
+
+// TestMain lets scripts run this program by its name.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"sesamestand": func() { os.Exit(realMain()) },
+	})
+}
+
+// Guards against a command line that reports only its first finding, exits with
+// another code than documented, or cannot run a whole system by itself.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		RequireExplicitExec: true,
+		Setup:               setAddrs,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits":      exits,
+			"answers":    answers,
+			"post":       post,
+			"rivallog":   rivalLog,
+			"substitute": substitute,
+		},
+	})
+}
+
+// setAddrs sets variables of the script to free addresses.
+func setAddrs(env *testscript.Env) error {
+	for _, name := range []string{"LOG", "HOSTS", "WEIGHTS", "ENGINE", "SERVICE", "HTTP", "PEER"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		// Closing at the end keeps one port from being handed out twice.
+		defer func() { _ = listener.Close() }()
+		env.Setenv(name, listener.Addr().String())
+	}
+	return nil
+}
+
+// exits CODE COMMAND... runs a command and requires its exit code.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	var exit *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d instead of %d", got, want)
+	}
+}
+
+// answers STATUS URL waits until a GET request is answered with the status.
+func answers(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for end := time.Now().Add(answerWait); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		response, err := http.Get(args[1])
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == want {
+			return
+		}
+	}
+	ts.Fatalf("%s did not answer %d within %s", args[1], want, answerWait)
+}
+
+// post URL FILE sends a JSON file, with $variables replaced, and requires status 200.
+func post(ts *testscript.TestScript, _ bool, args []string) {
+	body := os.Expand(ts.ReadFile(args[1]), ts.Getenv)
+	response, err := http.Post(args[0], "application/json", strings.NewReader(body))
+	ts.Check(err)
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		ts.Fatalf("POST %s answered %d", args[0], response.StatusCode)
+	}
+}
+
+// substitute FILE replaces the $variables in a file.
+func substitute(ts *testscript.TestScript, _ bool, args []string) {
+	text := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+}
+
+// rivalLog VARIABLE NUMBER DIR starts a log stand-in and sets the variable to
+// its address. Before the log takes append NUMBER, counted from 1, a rival
+// publishes DIR, so that the order of the two does not depend on timing.
+func rivalLog(ts *testscript.TestScript, _ bool, args []string) {
+	number, err := strconv.ParseInt(args[1], 10, 64)
+	ts.Check(err)
+	_, files, findings := declare.ParseDir(ts.MkAbs(args[2]))
+	ts.Check(findings.Err())
+	log := httptest.NewServer(logd.New(logd.Config{}).Handler())
+	ts.Defer(log.Close)
+	var appends atomic.Int64
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && appends.Add(1) == number {
+			rival := platform.NewHTTPLog(log.Listener.Addr().String(), "")
+			if _, err := configs.Publish(context.Background(), rival, files); err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+				return
+			}
+		}
+		log.Config.Handler.ServeHTTP(w, r)
+	}))
+	ts.Defer(front.Close)
+	ts.Setenv(args[0], front.Listener.Addr().String())
+}
