Tell homes where samples run and accept refused groups in the checker

Cause: hedges did not avoid the replica of the late sample, because the router never named it; and the checker counted a group refused as a whole as broken. Ruled out: no test was relaxed for whole groups; a refused one must be empty.

--- a/internal/callers/call.go
+++ b/internal/callers/call.go
@@ -42,6 +42,9 @@
 		c.recorder.Decision("route", r.gen.RequestID, "chosen", "", "removed", choice.Removed.String())
 		return nil
 	}
+	if r.gen.Placed != nil {
+		r.gen.Placed(choice.Chosen.Replica)
+	}
 	c.recorder.Decision("route", r.gen.RequestID, "chosen", choice.Chosen.Replica, "owner", choice.Chosen.Owner,
 		"solo", solo, "resume", r.flight.Delivered(), "removed", choice.Removed.String(), "scores", choice.Scores())
 	return choice.Chosen
--- a/internal/load/records.go
+++ b/internal/load/records.go
@@ -77,6 +77,7 @@
 	Known     bool // the group had been submitted
 	Repeated  bool // the group had been accepted before
 	Samples   []Sample
+	Refused   string // reason of a group that was refused as a whole
 }
 
 // Submission is one group accepted by the system.
--- a/internal/load/trainers.go
+++ b/internal/load/trainers.go
@@ -66,6 +66,7 @@
 	ID      string   `json:"id"`
 	Step    int      `json:"step"`
 	Samples []Sample `json:"samples"`
+	Refused string   `json:"refused"` // reason why the group has no samples
 }
 
 func newTrainer(d *driver, plan TrainerPlan) *trainer {
@@ -236,7 +237,7 @@
 	delivery := Delivery{
 		Trainer: t.plan.Name, Model: t.declared.Model, Epoch: t.epoch, Seq: pulled.Seq, Group: pulled.ID,
 		Step: pulled.Step, Asked: t.asked, At: time.Now(), Newest: t.newest, Wanted: t.declared.GroupSize,
-		Bound: t.declared.StalenessBound, Samples: pulled.Samples,
+		Bound: t.declared.StalenessBound, Samples: pulled.Samples, Refused: pulled.Refused,
 		MaxTokens: tighter(t.declared.MaxTokens, t.d.modelLimit(t.declared.Model)),
 	}
 	if g := t.groups[pulled.ID]; g != nil {
