End the blindness of started hosts early and give shifted replicas back

Ruled out: counting at once, which breaks the declared share while other owners still follow chains. Change: such a host watches the model's replicas and counts after 3 s without a load; a model gives a replica back when the rest has little load. The assignment is computed only when its inputs change.

--- a/internal/core/place/planner.go
+++ b/internal/core/place/planner.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +17,7 @@
 	declarations Declarations
 	replicas     *table.Table[string, replica]
 	rollouts     *table.Table[string, rollout]
+	servers      []Server // sorted by ID
 	wanted       map[string]int
 	shifts       shifts
 	updated      time.Time
@@ -38,25 +40,32 @@
 	p.gap = now.Sub(p.updated) > settleTime
 	p.updated = now
 	p.declarations = d
-	p.replaceServers(servers)
+	servers = slices.SortedFunc(slices.Values(servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	wanted := make(map[string]int)
 	for name, model := range d.Models {
 		if n := model.Replicas[p.dataCentre]; n > 0 {
 			wanted[name] = n
 		}
 	}
-	p.wanted = p.shifts.apply(now, wanted, minimums(d), demand)
-	assigned := Assign(servers, p.wanted)
-	p.replicas.Each(func(id string, r *replica) bool {
-		r.wanted = assigned[id]
-		return true
-	})
+	wanted = p.shifts.apply(now, wanted, minimums(d), demand)
+	reassign := !slices.Equal(servers, p.servers) || !maps.Equal(wanted, p.wanted)
+	if reassign {
+		p.servers, p.wanted = servers, wanted
+		p.replaceServers(servers)
+		assigned := Assign(servers, wanted)
+		p.replicas.Each(func(id string, r *replica) bool {
+			r.wanted = assigned[id]
+			return true
+		})
+	}
 	for _, name := range slices.Sorted(maps.Keys(d.Models)) {
 		target := Target{Version: newest(name)}
 		if pin := d.Models[name].PinnedVersion; pin > 0 {
 			target = Target{Version: pin, Pinned: true}
 		}
-		p.retarget(now, name, target)
+		if old := p.rollouts.Get(name); reassign || old == nil || old.target != target {
+			p.retarget(now, name, target)
+		}
 	}
 }
 
--- a/internal/core/place/rollout.go
+++ b/internal/core/place/rollout.go
@@ -81,6 +81,9 @@
 	if !serves(r, r.wanted) { // it takes nothing away
 		return s.census(r, ro).source, true
 	}
+	if ro.blind {
+		s.lookForLoads(ro)
+	}
 	allowance := s.allowance(r.wanted, len(ro.members))
 	end := ro.chainsEnd(allowance)
 	if s.now.Before(end) {
@@ -97,6 +100,26 @@
 	return s.readyByCount(r, ro, position, allowance)
 }
 
+// lookForLoads ends the blindness of this host when no replica of the model
+// loaded anything for a while: then no chain is being followed.
+func (s *session) lookForLoads(ro *rollout) {
+	quiet := true
+	for _, id := range ro.members {
+		other := s.replicas.Get(id)
+		s.watch[id] = true
+		fresh := other.seen && s.now.Sub(other.at) <= freshTime
+		quiet = quiet && fresh && other.state.Loading == 0
+	}
+	switch {
+	case !quiet:
+		ro.quietSince = time.Time{}
+	case ro.quietSince.IsZero():
+		ro.quietSince = s.now
+	case s.now.Sub(ro.quietSince) >= quietTime:
+		ro.blind, ro.disturbed = false, s.now
+	}
+}
+
 // chainsEnd is when owners stop to follow chains and begin to count. All
 // owners must change over together, because chains leave no room for replicas
 // that are started by counting. It therefore follows from what all know.
--- a/internal/core/place/shift.go
+++ b/internal/core/place/shift.go
@@ -15,6 +15,9 @@
 	// replica can do, above and below which a model gains or loses a replica.
 	busyShare = 0.9
 	idleShare = 0.4
+	// returnShare is the load per remaining replica below which a model gives
+	// back a replica. It lies between the two, so that the move is not undone.
+	returnShare = 0.6
 )
 
 // shifts moves replicas between models by demand.
@@ -42,6 +45,9 @@
 		}
 	}
 	from, to := choose(current, least, demand)
+	if from == "" || to == "" {
+		from, to = s.giveBack(current, demand)
+	}
 	if from == "" || to == "" {
 		s.since = time.Time{}
 		return current
@@ -60,6 +66,21 @@
 	return current
 }
 
+// giveBack returns a model that has more than the declared number and can do
+// without, and one that has fewer.
+func (s *shifts) giveBack(current map[string]int, demand map[string]float64) (from, to string) {
+	for _, model := range slices.Sorted(maps.Keys(s.extra)) {
+		load, known := demand[model]
+		switch {
+		case s.extra[model] > 0 && known && load/float64(max(current[model]-1, 1)) < returnShare:
+			from = model
+		case s.extra[model] < 0:
+			to = model
+		}
+	}
+	return from, to
+}
+
 // choose returns the least loaded model that can spare a replica and the most
 // loaded one that needs one.
 func choose(current, least map[string]int, demand map[string]float64) (from, to string) {
--- a/internal/core/place/types.go
+++ b/internal/core/place/types.go
@@ -16,6 +16,9 @@
 	// at least chainTime, and waveTime for each wave.
 	chainTime = 15 * time.Second
 	waveTime  = 5 * time.Second
+	// quietTime without any load shows that no rollout follows its chains; the
+	// gap between two swaps of a chain is under a second.
+	quietTime = 3 * time.Second
 	// settleTime covers the differences in when owners learn of a version, a
 	// view or a changed host list, and orders that were on their way then.
 	settleTime = 2 * time.Second
@@ -143,5 +146,6 @@
 	members   []string  // replica IDs in rollout order
 	// blind says that this host was paused or has just started, so that it
 	// does not know when the others learned of the target.
-	blind bool
+	blind      bool
+	quietSince time.Time // since when no member loads, while blind
 }
