--- a/internal/configs/controller.go
+++ b/internal/configs/controller.go
@@ -46,7 +46,9 @@
 	defaultPeerTimeout = time.Second
 	maxRetryDelay      = 2 * time.Second
 	// readGrace is added to the wait of a read before the read counts as failed.
-	readGrace = 2 * time.Second
+	// It is longer than the platform client's own limit: with a shorter one a slow
+	// log would never be read.
+	readGrace = 5 * time.Second
 	// appendTimeout bounds the append of a snapshot.
 	appendTimeout = 5 * time.Second
 )
@@ -142,6 +144,8 @@
 
 // Run follows the stream until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
+	// A peer's configuration saves reading the whole stream.
+	c.askPeers(ctx, false)
 	delay := c.config.RetryDelay
 	for ctx.Err() == nil {
 		caughtUp, err := c.readPage(ctx)
@@ -160,7 +164,7 @@
 			klog.V(1).InfoS("config stream cannot be read", "err", err)
 		}
 		if !c.Ready() || !c.whole() {
-			c.askPeers(ctx)
+			c.askPeers(ctx, true)
 		}
 		sleep(ctx, delay)
 		delay = min(2*delay, maxRetryDelay)
--- a/internal/core/sample/deliver.go
+++ b/internal/core/sample/deliver.go
@@ -13,7 +13,9 @@
 	ID       string
 	Step     int64
 	Unscored bool // scoring failed and the declaration allows that
-	Samples  []DeliveredSample
+	// Refused is the reason why the group can't be run; it has no samples then.
+	Refused string
+	Samples []DeliveredSample
 }
 
 // DeliveredSample is one sample of a delivered group.
@@ -67,16 +69,21 @@
 // stops before an offered group that became too stale.
 func (h *Home) give(t *trainer, limit int) []Delivered {
 	limit = max(limit, 1)
+	room := h.config.MaxAnswer
+	full := func(out []Delivered, g *group) bool {
+		room -= g.cost
+		return len(out) == limit || (room < 0 && len(out) > 0)
+	}
 	var out []Delivered
 	for i, g := range t.offered {
-		if len(out) == limit || t.staleGroup(g) {
+		if full(out, g) || t.staleGroup(g) {
 			return out
 		}
 		out = append(out, t.delivered(g, t.acknowledged+int64(i)+1))
 		t.counts.Redelivered++
 	}
 	for _, g := range t.deliverable() {
-		if len(out) == limit {
+		if full(out, g) {
 			break
 		}
 		g.phase = offered
@@ -105,7 +112,7 @@
 }
 
 func (t *trainer) delivered(g *group, seq int64) Delivered {
-	d := Delivered{Seq: seq, ID: g.id, Step: g.step, Unscored: g.unscored}
+	d := Delivered{Seq: seq, ID: g.id, Step: g.step, Unscored: g.unscored, Refused: g.refused}
 	for i, s := range g.samples {
 		out := DeliveredSample{ID: s.id, Tokens: s.tokens, Versions: s.versions, Finish: s.finish}
 		if i < len(g.scores) {
--- a/internal/core/sample/home.go
+++ b/internal/core/sample/home.go
@@ -24,6 +24,9 @@
 	// ParkTime is how long a group is kept after an epoch change without being
 	// submitted again.
 	ParkTime time.Duration
+	// MaxAnswer bounds the tokens of one pull's answer in bytes. An answer holds
+	// at least one group.
+	MaxAnswer int64
 }
 
 // Defaults of Config.
@@ -33,6 +36,7 @@
 	DefaultMaxBytes   = 256 << 20
 	DefaultMaxDone    = 65536
 	DefaultParkTime   = 30 * time.Second
+	DefaultMaxAnswer  = 8 << 20
 )
 
 func (c *Config) applyDefaults() {
@@ -51,6 +55,9 @@
 	if c.ParkTime <= 0 {
 		c.ParkTime = DefaultParkTime
 	}
+	if c.MaxAnswer <= 0 {
+		c.MaxAnswer = DefaultMaxAnswer
+	}
 }
 
 // Params describes one trainer.
@@ -71,8 +78,13 @@
 // defaultMaxTokens limits samples of trainers that declare no length.
 const defaultMaxTokens = 4096
 
-// tokenBytes is the memory reserved per token: a string header and 16 bytes.
-const tokenBytes = 32
+// tokenHeaderBytes is the memory of a token beside its text.
+const tokenHeaderBytes = 16
+
+// tokenBytes is the memory reserved per token: its header and 16 bytes. Tokens
+// of language models are about 4 bytes long; an answer of tokens that are
+// longer than 16 bytes on average stops before its length limit.
+const tokenBytes = tokenHeaderBytes + 16
 
 // groupBytes is the memory counted for a group's own row.
 const groupBytes = 256
@@ -104,7 +116,6 @@
 
 	epoch        string
 	predecessors []string // epochs known when this one started
-	fresh        bool     // the epoch began with a call without an epoch
 	acknowledged int64    // sequence number that the trainer confirmed
 	offered      []*group // groups given and not confirmed, in sequence order
 	done         map[string]bool
@@ -119,7 +130,8 @@
 
 	newest    int64
 	durations durations
-	pace      pace
+	pace      pace // of weight versions
+	steps     stepPace
 	counts    Counts
 }
 
@@ -152,6 +164,8 @@
 	scoreBusy  bool
 	retryAt    time.Duration
 	failures   int
+	refusals   int    // rounds of samples that were refused for good
+	refused    string // reason for which the group is given up
 	cost       int64
 }
 
--- a/internal/core/sample/schedule.go
+++ b/internal/core/sample/schedule.go
@@ -12,12 +12,17 @@
 
 // start starts missing samples in the order in which the trainer needs them.
 func (h *Home) start(t *trainer, now time.Duration) {
+	t.steps.advance(now, t.oldestStep())
 	if t.running >= h.config.MaxRunning {
 		return
 	}
+	full := false
 	for _, g := range t.startable(now) {
-		if !g.active && !h.activate(t, g) {
-			return
+		// Groups that hold their memory already go on behind one that has to
+		// wait for memory, because it may be theirs that it waits for.
+		if !g.active && (full || !h.activate(t, g)) {
+			full = true
+			continue
 		}
 		for len(g.samples) < g.slots {
 			if t.running >= h.config.MaxRunning {
@@ -34,7 +39,9 @@
 	last := t.lastStep()
 	var found []*group
 	t.groups.Each(func(_ string, g *group) bool {
-		if g.phase != collecting || g.parked || now < g.retryAt || g.step > last {
+		// A group that holds memory is completed even when an earlier step was
+		// submitted since, because its memory becomes free only then.
+		if g.phase != collecting || g.parked || now < g.retryAt || (!g.active && (g.step > last || t.tooEarly(g, now))) {
 			return true
 		}
 		if !g.active || len(g.samples) < g.slots {
@@ -57,21 +64,22 @@
 
 // lastStep is the latest step that may run now.
 func (t *trainer) lastStep() int64 {
-	const unlimited = int64(1)<<62 - 1
 	if t.params.Policy.StepsAhead < 0 {
-		return unlimited
+		return noStep
 	}
-	oldest := unlimited
+	return t.steps.step + t.params.Policy.StepsAhead
+}
+
+// oldestStep is the step that the trainer needs next.
+func (t *trainer) oldestStep() int64 {
+	oldest := noStep
 	t.groups.Each(func(_ string, g *group) bool {
 		if !g.parked {
 			oldest = min(oldest, g.step)
 		}
 		return true
 	})
-	if oldest == unlimited {
-		return unlimited
-	}
-	return oldest + t.params.Policy.StepsAhead
+	return oldest
 }
 
 // activate reserves the memory of a whole group. When nothing else holds
@@ -131,7 +139,7 @@
 	}
 	a := Start{
 		Trainer: t.params.Name, Group: g.id, Sample: s.id, Prompt: g.prompt,
-		MaxTokens: t.params.MaxTokens, MinVersion: t.minVersion(),
+		MaxTokens: t.params.MaxTokens, MinVersion: t.minVersion(g, now),
 		Priority: g.step<<16 + int64(g.need-g.complete()), Hedge: s.hedge,
 	}
 	if late != nil {
@@ -147,15 +155,39 @@
 	h.act(a)
 }
 
-// minVersion is the oldest version on which a sample is expected to finish
-// within the bound, given the time that samples take and the time between
-// versions. It is never above the newest version.
-func (t *trainer) minVersion() int64 {
+// expected is the number of versions that appear until a sample of the step
+// that is started now is delivered: those that it runs through, or those until
+// the trainer gets to the step.
+func (t *trainer) expected(step int64, now time.Duration) int64 {
+	return max(t.pace.during(t.durations.median()), t.waiting(step, now))
+}
+
+// waiting is the number of versions that appear until the trainer gets to a
+// step. Before the pace of versions and steps is known, each step counts as one.
+func (t *trainer) waiting(step int64, now time.Duration) int64 {
+	ahead := step - t.steps.step
+	if ahead <= 0 || !t.paced() {
+		return max(ahead, 0)
+	}
+	return t.pace.during(time.Duration(ahead)*t.steps.interval - (now - t.steps.since))
+}
+
+// paced tells whether the pace of versions and of steps is known.
+func (t *trainer) paced() bool { return t.steps.interval > 0 && t.pace.interval > 0 }
+
+// minVersion is the oldest version on which a sample is expected to be within
+// the bound when it is delivered. It is never above the newest version.
+func (t *trainer) minVersion(g *group, now time.Duration) int64 {
 	if t.params.Policy.FirstCome {
 		return 0
 	}
-	during := t.pace.during(t.durations.median())
-	return max(0, min(t.newest, t.newest+during-t.params.Bound))
+	return max(0, min(t.newest, t.newest+t.expected(g.step, now)-t.params.Bound))
+}
+
+// tooEarly tells whether a group's samples would be too stale when the trainer
+// gets to its step even on the newest version.
+func (t *trainer) tooEarly(g *group, now time.Duration) bool {
+	return !t.params.Policy.FirstCome && t.paced() && t.waiting(g.step, now) > t.params.Bound
 }
 
 // hedge starts another sample for each late one as long as its group would
@@ -186,7 +218,7 @@
 			float64(t.counts.Hedged) >= t.params.Policy.HedgeShare*float64(t.started)+hedgeReserve {
 			return
 		}
-		if s.finish == "" && !s.hedge && !s.hedged && now-s.started > late {
+		if s.finish == "" && !s.hedged && now-s.started > late {
 			h.startSample(t, g, now, s)
 			inTime++
 		}
--- a/internal/core/sample/stream.go
+++ b/internal/core/sample/stream.go
@@ -31,7 +31,7 @@
 	t := s.trainer
 	if token != "" {
 		s.tokens = append(s.tokens, token)
-		s.bytes += tokenBytes/2 + int64(len(token))
+		s.bytes += tokenHeaderBytes + int64(len(token))
 	}
 	if !slices.Contains(s.versions, version) {
 		if len(s.versions) == 0 || version < s.lowest {
@@ -61,7 +61,7 @@
 func (h *Home) finished(now time.Duration, s *sample) {
 	t, g := s.trainer, s.group
 	t.durations.add(now - s.started)
-	g.failures = 0
+	g.failures, g.refusals = 0, 0
 	if g.complete() < g.need {
 		return
 	}
@@ -74,13 +74,18 @@
 		}
 	}
 	g.samples, g.active = kept, false
+	h.completed(t, g)
+	t.recount(g)
+}
+
+// completed moves a whole group on to scoring or delivery.
+func (h *Home) completed(t *trainer, g *group) {
 	if t.params.Scored {
 		g.phase = scoring
-	} else {
-		t.makeReady(g)
-		h.act(Wake{Trainer: t.params.Name})
+		return
 	}
-	t.recount(g)
+	t.makeReady(g)
+	h.act(Wake{Trainer: t.params.Name})
 }
 
 func (t *trainer) makeReady(g *group) {
@@ -98,6 +103,38 @@
 	return n
 }
 
+// maxRefusals is the number of rounds of refused samples after which a group
+// is given up. A refusal may come from a suspicion that a whole answer clears.
+const maxRefusals = 3
+
+// Refused reports that a sample was refused for a reason that lies in its
+// prompt, such as crashes of the backend servers that run it. It comes before
+// the sample's Ended. A group that is refused again and again is given to the
+// trainer without samples, because its step would wait for it for good.
+func (h *Home) Refused(now time.Duration, id, reason string) {
+	s := h.samples[id]
+	if s == nil || s.finish != "" {
+		return
+	}
+	t, g := s.trainer, s.group
+	if now >= g.retryAt {
+		g.refusals++
+	}
+	if g.refusals < maxRefusals {
+		return
+	}
+	for _, other := range g.samples {
+		if other.finish == "" {
+			h.cancel(other)
+		}
+	}
+	g.samples, g.active, g.refused = nil, false, reason
+	t.counts.Refused++
+	t.makeReady(g)
+	t.recount(g)
+	h.act(Wake{Trainer: t.params.Name})
+}
+
 // Ended reports that nothing more comes of a sample. A sample without a
 // finish reason failed and is replaced after a pause.
 func (h *Home) Ended(now time.Duration, id string) {
@@ -123,9 +160,12 @@
 	t, g := s.trainer, s.group
 	t.counts.Failed++
 	g.samples = slices.DeleteFunc(g.samples, func(o *sample) bool { return o == s })
-	delay := min(minRetryDelay<<min(g.failures, 10), maxRetryDelay)
-	g.failures++
-	g.retryAt = now + delay
+	// Samples that fail together count as one failure: counted one by one, a
+	// moment without replicas held a group of ten back for seconds.
+	if now >= g.retryAt {
+		g.retryAt = now + min(minRetryDelay<<min(g.failures, 10), maxRetryDelay)
+		g.failures++
+	}
 	t.recount(g)
 }
 
--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -34,6 +34,7 @@
 // completionAnswer is a whole answer or one event of a stream, in the OpenAI
 // style, with the request ID, index and weight version of a part beside it.
 type completionAnswer struct {
+	ID             string   `json:"id"` // request ID
 	RequestID      string   `json:"request_id"`
 	Index          *int     `json:"index"`
 	Token          string   `json:"token"`
@@ -50,13 +51,17 @@
 
 // call is one request of a caller with all its attempts.
 type call struct {
+	method  string
 	attempt Attempt // template
 	body    []byte
 	stream  bool
-	timeout time.Duration
+
+	timeout, attemptTimeout time.Duration
+	deadline                time.Time // as told to the system
 }
 
-func (m CallerMix) newCall(random *rand.Rand) (call, error) {
+// newCall builds a request; modelLimit is the longest answer of its model.
+func (m CallerMix) newCall(random *rand.Rand, modelLimit int) (call, error) {
 	id, err := uuid.NewRandom()
 	if err != nil {
 		return call{}, err
@@ -68,14 +73,23 @@
 	}
 	data, err := json.Marshal(body)
 	return call{
+		method: http.MethodPost,
 		attempt: Attempt{
 			Mix: m.Name, Class: m.Class, RequestID: id.String(), Model: m.Model,
-			Prompt: prompt, Seed: body.Seed, MaxTokens: m.MaxTokens,
+			Prompt: prompt, Seed: body.Seed, MaxTokens: tighter(m.MaxTokens, modelLimit),
 		},
-		body: data, stream: body.Stream, timeout: m.Timeout,
+		body: data, stream: body.Stream, timeout: m.Timeout, attemptTimeout: m.AttemptTimeout,
 	}, err
 }
 
+// tighter returns the lower of two limits; 0 is no limit.
+func tighter(a, b int) int {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // prompt begins with a shared part, so that engines can use their caches, and
 // ends with the request's ID, so that no two answers are equal.
 func (m CallerMix) prompt(random *rand.Rand, id string) string {
@@ -92,28 +106,26 @@
 }
 
 // run sends the call until it has an answer or a refusal, or its time is over.
-func (d *driver) run(ctx context.Context, c call, send func(context.Context, call, *Attempt)) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+func (d *driver) run(ctx context.Context, hosts *entries, c call, send func(context.Context, call, *Attempt)) {
+	c.deadline = time.Now().Add(c.timeout)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	defer cancel()
-	entry := d.entries.pick()
+	entry := hosts.pick()
 	for {
 		attempt := c.attempt
 		attempt.Entry, attempt.Start = entry, time.Now()
-		send(ctx, c, &attempt)
+		limit, stop := context.WithTimeout(ctx, c.attemptTimeout)
+		send(limit, c, &attempt)
+		stop()
 		attempt.End = time.Now()
 		again := attempt.Result == ResultBroken || attempt.Result == ResultNoHost
-		if again && ctx.Err() == nil {
-			select {
-			case <-time.After(repeatPause):
-			case <-ctx.Done():
-			}
-		}
-		attempt.Last = !again || ctx.Err() != nil
+		attempt.Last = !again || ctx.Err() != nil || time.Now().Add(repeatPause).After(c.deadline)
 		d.recorder.record(func(r *Records) { r.Attempts = append(r.Attempts, attempt) })
 		if attempt.Last {
 			return
 		}
-		entry = d.entries.after(entry)
+		time.Sleep(repeatPause)
+		entry = hosts.after(entry)
 	}
 }
 
@@ -122,8 +134,9 @@
 
 // complete sends one attempt of a completion.
 func (d *driver) complete(ctx context.Context, c call, attempt *Attempt) {
-	response, err := d.post(ctx, "http://"+attempt.Entry+"/v1/completions", c, func(h http.Header) {
+	response, err := d.send(ctx, "http://"+attempt.Entry+"/v1/completions", c, func(h http.Header) {
 		h.Set("Request-Id", attempt.RequestID)
+		h.Set("Sesamestand-Class", className(attempt.Class))
 	})
 	if err != nil {
 		attempt.setFailure(err)
@@ -147,16 +160,17 @@
 	}
 }
 
-// post sends a call with the headers that all calls share.
-func (d *driver) post(ctx context.Context, url string, c call, headers func(http.Header)) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(c.body))
+// send sends a call with the headers that all calls share.
+func (d *driver) send(ctx context.Context, url string, c call, headers func(http.Header)) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, c.method, url, bytes.NewReader(c.body))
 	if err != nil {
 		return nil, err
 	}
+	// With GetBody, the transport itself repeats a POST that has an
+	// Idempotency-Key when a pooled connection breaks, and no attempt shows it.
+	request.GetBody = nil
 	setHeaders(request, d.config.CallerToken)
-	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	}
+	request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
 	headers(request.Header)
 	return d.client.Do(request)
 }
@@ -169,6 +183,9 @@
 		return
 	}
 	a.Result, a.FirstToken = ResultAnswered, time.Now()
+	if a.foreign(answer.ID) || a.foreign(answer.RequestID) {
+		a.Foreign++
+	}
 	a.take(answer)
 	a.Versions = mergeVersions(a.Versions, answer.WeightVersions...)
 	if a.Finish == "" {
@@ -198,7 +215,7 @@
 			a.setRefusal(http.Header{}, []byte(data))
 			return
 		}
-		if event.Index != nil && *event.Index != next || event.RequestID != "" && event.RequestID != a.RequestID {
+		if event.Index != nil && *event.Index != next || a.foreign(event.ID) || a.foreign(event.RequestID) {
 			a.Foreign++
 		}
 		next++
@@ -215,6 +232,9 @@
 	}
 }
 
+// foreign reports whether a part names another request than this one.
+func (a *Attempt) foreign(id string) bool { return id != "" && id != a.RequestID }
+
 // take adds the text of an answer or event.
 func (a *Attempt) take(answer completionAnswer) {
 	a.Versions = mergeVersions(a.Versions, answer.WeightVersion)
--- a/internal/load/records.go
+++ b/internal/load/records.go
@@ -28,7 +28,7 @@
 	Model      string
 	Prompt     string
 	Seed       int64
-	MaxTokens  int
+	MaxTokens  int    // limit in force: the request's or the model's
 	Key        string // Idempotency-Key of calls to plain services
 	Service    string
 	Path       string
@@ -108,6 +108,7 @@
 	Trainer     string
 	Steps       int
 	Idle        time.Duration // waiting for samples
+	FirstWait   time.Duration // part of Idle before the first step was whole
 	Total       time.Duration
 	EpochChange int // answers "409 epoch changed"
 	Redelivered int // groups given again, which the trainer dropped
--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -174,15 +174,21 @@
 	}
 }
 
-// Drain gives up being home: waiting pulls are told that the epoch changed,
-// samples are cancelled, and later calls are forwarded to other members.
+// Drain gives up being home: complete samples are handed to the next homes,
+// waiting pulls are told that the epoch changed, samples that run are
+// cancelled, and later calls are forwarded to other members.
 func (c *Controller) Drain() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.drained {
+		c.mu.Unlock()
 		return
 	}
 	c.drained = true
+	handovers := c.handovers()
+	c.mu.Unlock()
+	c.handOver(handovers)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for name := range c.declared {
 		c.home.Forget(name)
 	}
@@ -207,7 +213,8 @@
 	c.runSystems()
 }
 
-// checkAway drops the groups of a trainer whose home is another member.
+// checkAway hands over and later drops the groups of a trainer whose home is
+// another member, for example one that came back after a restart.
 func (c *Controller) checkAway(name string) {
 	home, ok := c.homeOf(name)
 	if !ok || home.ID == c.members.Self().ID || !c.home.Holding(name) {
@@ -217,6 +224,9 @@
 	since, known := c.awaySince[name]
 	if !known {
 		c.awaySince[name] = c.now()
+		if groups := c.home.Export(name); len(groups) > 0 {
+			c.work.Go(func() { c.handOver([]handover{{trainer: name, home: home, groups: groups}}) })
+		}
 		return
 	}
 	if c.now()-since >= forgetAfter {
@@ -244,6 +254,7 @@
 	add("trainer_samples_failed_total", now.Failed-before.Failed)
 	add("trainer_samples_stale_total", now.Stale-before.Stale)
 	add("trainer_samples_evicted_total", now.Evicted-before.Evicted)
+	add("trainer_groups_refused_total", now.Refused-before.Refused)
 	add("trainer_groups_delivered_total", now.Delivered-before.Delivered)
 	add("trainer_groups_redelivered_total", now.Redelivered-before.Redelivered)
 	add("trainer_epochs_total", now.Epochs-before.Epochs)
--- a/internal/trainers/local.go
+++ b/internal/trainers/local.go
@@ -40,7 +40,9 @@
 		}
 		return c.pull(ctx, name, request)
 	case operationWeights:
-		return c.weights(name, body)
+		return c.weights(ctx, name, body)
+	case operationKeep:
+		return c.keep(name, body)
 	}
 	return 0, nil, notRun(cluster.ReasonUnknownName, "no such operation: "+operation)
 }
@@ -83,11 +85,12 @@
 	return 0, nil, notRun(cluster.ReasonUnknownName, "the trainer is not declared")
 }
 
-func (c *Controller) weights(name string, body []byte) (int, []byte, *cluster.Refusal) {
+func (c *Controller) weights(ctx context.Context, name string, body []byte) (int, []byte, *cluster.Refusal) {
 	model, refusal := c.announceHere(name, body)
 	if refusal != nil {
 		return 0, nil, refusal
 	}
+	c.spread(ctx, model, c.versions.Newest(model))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.drained {
@@ -113,7 +116,9 @@
 }
 
 // pull answers as soon as a group is ready, and empty when none is in time or
-// when a newer pull of the same trainer arrived.
+// when a newer pull of the same trainer arrived. When the host leaves, a pull
+// that waits is told an epoch that no home knows, so that its trainer moves to
+// the next home.
 func (c *Controller) pull(ctx context.Context, name string, request PullRequest) (int, []byte, *cluster.Refusal) {
 	began := time.Now()
 	timer := time.NewTimer(c.boundedWait(request.WaitMs))
@@ -124,8 +129,11 @@
 	c.wake(name)
 	c.mu.Unlock()
 	over := false
-	for {
+	for tries := 0; ; tries++ {
 		verdict, epoch, groups, wake, refusal := c.tryPull(name, request, mine)
+		if refusal != nil && refusal.Reason == cluster.ReasonDraining && tries > 0 {
+			return answer(sample.EpochChanged, newEpoch(), nil)
+		}
 		if refusal != nil {
 			return 0, nil, refusal
 		}
--- a/internal/trainers/work.go
+++ b/internal/trainers/work.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -50,11 +52,20 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.cancels, a.Sample)
+		if refusal := (*cluster.Refusal)(nil); errors.As(err, &refusal) && forGood(refusal.Reason) {
+			c.home.Refused(c.now(), a.Sample, string(refusal.Reason))
+		}
 		c.home.Ended(c.now(), a.Sample)
 		c.runSystems()
 	})
 }
 
+// forGood tells whether a refusal lies in the prompt, so that running the
+// sample again is refused again.
+func forGood(reason cluster.Reason) bool {
+	return reason == cluster.ReasonCrashes || reason == cluster.ReasonBadRequest || reason == cluster.ReasonTooLarge
+}
+
 func (c *Controller) generate(ctx context.Context, model string, a sample.Start) error {
 	generation := cluster.Generation{
 		RequestID:  a.Sample,
@@ -67,6 +78,11 @@
 		MinVersion: a.MinVersion,
 		Avoid:      a.Avoid,
 		Priority:   a.Priority,
+		Placed: func(replica string) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.home.Placed(a.Sample, replica)
+		},
 	}
 	return c.generator.Generate(ctx, generation, func(chunk engine.Chunk) error {
 		c.mu.Lock()
@@ -109,11 +125,37 @@
 	case <-ctx.Done():
 		return nil, eris.Wrap(ctx.Err(), "wait for a scoring slot")
 	}
+	body := marshal(ScoreRequest{Group: a.Group, Samples: a.Samples})
+	for attempt := 0; ; attempt++ {
+		scores, err := c.scoreOnce(ctx, scorer, turn+attempt, body)
+		if err == nil && len(scores) == len(a.Samples) {
+			return scores, nil
+		}
+		if err == nil {
+			err = eris.Errorf("%d scores for %d samples", len(scores), len(a.Samples))
+		}
+		select {
+		case <-time.After(scoreRetryPause):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+const (
+	scoreRetryPause = 100 * time.Millisecond
+	// scoreAttempts is how many silent servers fit into the deadline of a group.
+	scoreAttempts = 3
+)
+
+// scoreOnce calls one backend server of the scoring service.
+func (c *Controller) scoreOnce(ctx context.Context, scorer string, turn int, body []byte) ([]float64, error) {
 	addr, ok := c.scorerAddr(scorer, turn)
 	if !ok {
 		return nil, eris.Errorf("no backend server of scoring service %q is known", scorer)
 	}
-	body := marshal(ScoreRequest{Group: a.Group, Samples: a.Samples})
+	ctx, cancel := context.WithTimeout(ctx, c.config.ScoreTimeout/scoreAttempts)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/score", bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrap(err, "make the scoring request")
