Keep the share when versions follow fast and replaced owners wait

And a host replaced under its name gave orders at once on engines that ignore fencing numbers, while the earlier process may still hold a lease under the same first view. Ruled out: agreement on the change-over through the log, which costs an append per version and fails during outages. Change: a rollout begins 1 s after the version is known, and a version that follows within that second replaces it for all owners; an owner that made no update for 600 ms follows no chain; a swap that was started by counting carries the end of the turn as deadline. The first owner skips the handover wait only if its process read the stream before the first view was written. The simulation hands orders over in the step in which they are sent, as the deadline asks.

--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -127,6 +127,19 @@
 	must.Greater(t, term, elapsed(now, now.Round(0).Add(-time.Minute)))
 }
 
+// Guards against a host that was replaced under its name giving orders while
+// the earlier process may still hold a lease under the same view.
+func TestRestartedOwnerWaitsOutTheLease(t *testing.T) {
+	p := Permit{Book: NewBook(), Self: "a", Term: term}
+	_, _, _ = p.Book.Apply(start, 0, start, record(t, NoEpoch, "a"))
+	p.Succeeded(start, start)
+	_, refusal := p.MayOrder(start.Add(time.Second), "replica", "yoff", false)
+	must.Eq(t, Handover, refusal)
+	p.Succeeded(start.Add(term), start.Add(term))
+	_, refusal = p.MayOrder(start.Add(term+2*time.Second), "replica", "yoff", false)
+	must.Eq(t, "", refusal)
+}
+
 // Guards against all hosts proposing at once, against no proposal when the
 // first host does nothing, and against a view that leaves the retention.
 func TestProposersTakeTurns(t *testing.T) {
--- a/internal/core/lease/owner.go
+++ b/internal/core/lease/owner.go
@@ -85,6 +85,17 @@
 	// succeeded and reached the end of the stream. An answer shows the stream
 	// as it was at some moment after the request started, not when it arrived.
 	ReadStart time.Time
+	// FirstRead is when this process had first read the stream to its end.
+	FirstRead time.Time
+}
+
+// Succeeded records that a read that started at the given time reached the end
+// of the stream. Its records must have been applied before.
+func (p *Permit) Succeeded(start, now time.Time) {
+	p.ReadStart = start
+	if p.FirstRead.IsZero() {
+		p.FirstRead = now
+	}
 }
 
 // MayOrder says whether this host may give the replica an order now. Checked
@@ -106,7 +117,7 @@
 	if p.ReadStart.IsZero() || elapsed(p.ReadStart, now) >= p.Term {
 		return Permission{}, StaleRead
 	}
-	since, formerOwner := c.ownedSince(replica, p.Self)
+	since, formerOwner := c.ownedSince(replica, p.Self, p.FirstRead)
 	if formerOwner && now.Sub(since) < p.Term+handoverMargin {
 		return Permission{}, Handover
 	}
@@ -116,12 +127,14 @@
 
 // ownedSince returns when this host read the view that made it owner, and
 // whether another host may have owned the replica before. There was none when
-// this host owns it since the data centre's first view.
-func (c *chain) ownedSince(replica, self string) (since time.Time, formerOwner bool) {
+// this host owns it since the data centre's first view and that view was
+// written in the life of this process; an earlier process of the same host may
+// hold a lease under a view that was there before.
+func (c *chain) ownedSince(replica, self string, firstRead time.Time) (since time.Time, formerOwner bool) {
 	since, formerOwner = c.newest().ReadAt, true
 	for i := len(c.history) - 1; i >= 0 && Owner(replica, c.history[i].Hosts) == self; i-- {
 		since = c.history[i].ReadAt
-		formerOwner = c.history[i].BaseEpoch != NoEpoch
+		formerOwner = c.history[i].BaseEpoch != NoEpoch || !since.After(firstRead)
 	}
 	return since, formerOwner
 }
--- a/internal/core/place/planner.go
+++ b/internal/core/place/planner.go
@@ -37,7 +37,7 @@
 
 // Update takes the newest declarations, host list, versions and demand.
 func (p *Planner) Update(now time.Time, d Declarations, servers []Server, newest func(string) int64, demand map[string]float64) {
-	p.gap = now.Sub(p.updated) > settleTime
+	p.gap = now.Sub(p.updated) > pauseTime
 	p.updated = now
 	p.declarations = d
 	servers = slices.SortedFunc(slices.Values(servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
@@ -257,6 +257,9 @@
 	default:
 		return s.refine(r, model.Adapters, action)
 	}
+	if s.counts(r, ro) {
+		action.Deadline = s.turnStart.Add(turnTime)
+	}
 	source, ready := s.ready(r, ro)
 	action.Order.Source = source
 	return action, ready
--- a/internal/core/place/rollout.go
+++ b/internal/core/place/rollout.go
@@ -29,7 +29,10 @@
 	}
 	if old.target != target {
 		next := rollout{target: target, since: now, members: members, blind: p.gap}
-		if old.target.Version != 0 && now.Before(old.chainsEnd(p.allowance(model, len(old.members))).Add(supersedeTime)) {
+		switch end := old.chainsEnd(p.allowance(model, len(old.members))); {
+		case now.Before(old.since.Add(holdTime)): // nobody began with it
+			next.disturbed, next.blind = old.disturbed, old.blind || p.gap
+		case old.target.Version != 0 && now.Before(end.Add(supersedeTime)):
 			next.disturbed = now // the earlier rollout may still go on
 		}
 		p.rollouts.Put(model, next)
@@ -100,6 +103,11 @@
 	return s.readyByCount(r, ro, position, allowance)
 }
 
+// counts says whether the swap of a replica that serves starts by counting.
+func (s *session) counts(r *replica, ro *rollout) bool {
+	return serves(r, r.wanted) && !s.now.Before(ro.chainsEnd(s.allowance(r.wanted, len(ro.members))))
+}
+
 // lookForLoads ends the blindness of this host when no replica of the model
 // loaded anything for a while: then no chain is being followed.
 func (s *session) lookForLoads(ro *rollout) {
@@ -137,7 +145,7 @@
 	// Others may have stepped over a replica that failed, that was gone for a
 	// while, or whose former owner did nothing; it waits for the counting.
 	unwatched := r.baseAt.After(ro.since.Add(settleTime))
-	if ro.blind || r.failures > 0 || r.triedInVain() || unwatched || r.returned.After(ro.since) {
+	if s.now.Before(ro.since.Add(holdTime)) || ro.blind || r.failures > 0 || r.triedInVain() || unwatched || r.returned.After(ro.since) {
 		return "", false
 	}
 	for {
--- a/internal/core/place/types.go
+++ b/internal/core/place/types.go
@@ -16,6 +16,13 @@
 	// at least chainTime, and waveTime for each wave.
 	chainTime = 15 * time.Second
 	waveTime  = 5 * time.Second
+	// holdTime is the wait before a rollout begins. A version that follows
+	// within it replaces the first for all owners, also those that never heard
+	// of the first.
+	holdTime = time.Second
+	// pauseTime without an update shows that this host was paused; it is
+	// shorter than holdTime by more than the spread of a version takes.
+	pauseTime = 600 * time.Millisecond
 	// quietTime without any load shows that no rollout follows its chains; the
 	// gap between two swaps of a chain is under a second.
 	quietTime = 3 * time.Second
@@ -90,6 +97,9 @@
 	Addr    string
 	Order   engine.Order
 	Reason  Reason
+	// Deadline is the end of this host's turn, for a swap that was started by
+	// counting: the next owner counts on the state that it reads after it.
+	Deadline time.Time
 }
 
 // Turn is the place of this host among the owners of the data centre, by which
--- a/internal/core/place/world_test.go
+++ b/internal/core/place/world_test.go
@@ -210,6 +210,9 @@
 	if !permission.Deadline.IsZero() && permission.Deadline.Before(deadline) {
 		deadline = permission.Deadline
 	}
+	if !action.Deadline.IsZero() && action.Deadline.Before(deadline) {
+		deadline = action.Deadline
+	}
 	action.Order.Fence, action.Order.Holder = permission.Fence, h.id
 	h.outgoing = append(h.outgoing, outgoing{action, permission.Fence, deadline})
 	h.planner.Sent(w.now, action.Replica, action.Order)
@@ -221,11 +224,12 @@
 			continue
 		}
 		i := slices.IndexFunc(w.engines, func(e *simEngine) bool { return e.ID == o.action.Replica })
-		delay := time.Duration(0)
 		if w.lateOrders && w.random.IntN(4) == 0 {
-			delay = time.Duration(w.random.Int64N(int64(30 * time.Second)))
+			delay := time.Duration(w.random.Int64N(int64(30 * time.Second)))
+			w.flying = append(w.flying, delivery{w.now.Add(delay), w.engines[i], o.action.Order})
+			continue
 		}
-		w.flying = append(w.flying, delivery{w.now.Add(delay), w.engines[i], o.action.Order})
+		w.take(w.engines[i], o.action.Order)
 	}
 	h.outgoing = nil
 }
@@ -238,7 +242,7 @@
 	for ; h.offset < len(w.log); h.offset++ {
 		_, _, _ = h.permit.Book.Apply(w.now, int64(h.offset), w.logged[h.offset], w.log[h.offset])
 	}
-	h.permit.ReadStart = w.now
+	h.permit.Succeeded(w.now, w.now)
 	h.permit.Book.Prune(w.now, leaseTerm)
 }
 
--- a/internal/orders/control.go
+++ b/internal/orders/control.go
@@ -212,6 +212,9 @@
 	if !permission.Deadline.IsZero() && permission.Deadline.Before(deadline) {
 		deadline = permission.Deadline
 	}
+	if !action.Deadline.IsZero() && action.Deadline.Before(deadline) {
+		deadline = action.Deadline
+	}
 	sending, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	action.Order.Fence, action.Order.Holder = permission.Fence, c.self.ID
--- a/internal/orders/views.go
+++ b/internal/orders/views.go
@@ -60,7 +60,7 @@
 	}
 	next := max(offset, page.Next)
 	if next >= page.End {
-		c.permit.ReadStart = start
+		c.permit.Succeeded(start, now)
 	}
 	c.permit.Book.Prune(now, c.cfg.LeaseTerm)
 	c.mu.Unlock()
