--- a/internal/core/place/planner.go
+++ b/internal/core/place/planner.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +17,7 @@
 	declarations Declarations
 	replicas     *table.Table[string, replica]
 	rollouts     *table.Table[string, rollout]
+	servers      []Server // sorted by ID
 	wanted       map[string]int
 	shifts       shifts
 	updated      time.Time
@@ -35,28 +37,35 @@
 
 // Update takes the newest declarations, host list, versions and demand.
 func (p *Planner) Update(now time.Time, d Declarations, servers []Server, newest func(string) int64, demand map[string]float64) {
-	p.gap = now.Sub(p.updated) > settleTime
+	p.gap = now.Sub(p.updated) > pauseTime
 	p.updated = now
 	p.declarations = d
-	p.replaceServers(servers)
+	servers = slices.SortedFunc(slices.Values(servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	wanted := make(map[string]int)
 	for name, model := range d.Models {
 		if n := model.Replicas[p.dataCentre]; n > 0 {
 			wanted[name] = n
 		}
 	}
-	p.wanted = p.shifts.apply(now, wanted, minimums(d), demand)
-	assigned := Assign(servers, p.wanted)
-	p.replicas.Each(func(id string, r *replica) bool {
-		r.wanted = assigned[id]
-		return true
-	})
+	wanted = p.shifts.apply(now, wanted, minimums(d), demand)
+	reassign := !slices.Equal(servers, p.servers) || !maps.Equal(wanted, p.wanted)
+	if reassign {
+		p.servers, p.wanted = servers, wanted
+		p.replaceServers(servers)
+		assigned := Assign(servers, wanted)
+		p.replicas.Each(func(id string, r *replica) bool {
+			r.wanted = assigned[id]
+			return true
+		})
+	}
 	for _, name := range slices.Sorted(maps.Keys(d.Models)) {
 		target := Target{Version: newest(name)}
 		if pin := d.Models[name].PinnedVersion; pin > 0 {
 			target = Target{Version: pin, Pinned: true}
 		}
-		p.retarget(now, name, target)
+		if old := p.rollouts.Get(name); reassign || old == nil || old.target != target {
+			p.retarget(now, name, target)
+		}
 	}
 }
 
@@ -248,6 +257,9 @@
 	default:
 		return s.refine(r, model.Adapters, action)
 	}
+	if s.counts(r, ro) {
+		action.Deadline = s.turnStart.Add(turnTime)
+	}
 	source, ready := s.ready(r, ro)
 	action.Order.Source = source
 	return action, ready
@@ -271,7 +283,8 @@
 			return action, true
 		}
 	}
-	if role := p.roleOf(r); r.state.Role != role {
+	// An engine that reports no role knows none and serves mixed work.
+	if role := p.roleOf(r); r.state.Role != role && r.state.Role != "" {
 		action.Reason = ReasonRole
 		action.Order = engine.Order{Kind: engine.OrderSetRole, Role: role}
 		return action, true
