Add a bench command that fits cost lines and extrapolates them

The size in two years is far from what a test can run, so each role's cost is measured at three or more sizes and a line fitted by least squares gives the figure at that size. Processor time is used instead of elapsed time, because the machine is shared.

gonum's stat package is not among the libraries of go.mod, so the fit is by hand and tested against points whose line is known.

--- a/cmd/sesamestand/arguments.go
+++ b/cmd/sesamestand/arguments.go
@@ -11,6 +11,7 @@
 	Explain  *explainCommand    `arg:"subcommand:explain" help:"show the decisions taken for a request"`
 	Demo     *demoCommand       `arg:"subcommand:demo" help:"run a whole system on loopback and check every promise"`
 	Measure  *experimentCommand `arg:"subcommand:experiment" help:"measure policies against each other under faults"`
+	Bench    *benchCommand      `arg:"subcommand:bench" help:"measure how costs grow and extrapolate to the size of the design"`
 	Standin  *standinCommand    `arg:"subcommand:standin" help:"run a stand-in of an outside system"`
 	Settings *settingsCommand   `arg:"subcommand:settings" help:"print the settings reference or check a settings file"`
 }
--- /dev/null
+++ b/internal/capacity/fit_test.go
@@ -0,0 +1,22 @@
+package capacity
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a slope, an intercept or a residual that is wrong, on points
+// whose line is known from calculation by hand.
+func TestFitOfKnownPoints(t *testing.T) {
+	line := Fit([]float64{0, 1, 2}, []float64{1, 3, 5})
+	must.InDelta(t, 2, line.Slope, 1e-12)
+	must.InDelta(t, 1, line.Intercept, 1e-12)
+	must.InDelta(t, 0, line.Residual, 1e-12)
+
+	line = Fit([]float64{0, 1, 2, 3}, []float64{1, -1, -1, 1})
+	must.InDelta(t, 0, line.Slope, 1e-12)
+	line = Fit([]float64{0, 1, 2, 3}, []float64{3, 1, 1, 3})
+	must.InDelta(t, 2, line.Intercept, 1e-12)
+	must.InDelta(t, 0.5, line.Residual, 1e-12)
+}
--- /dev/null
+++ b/internal/capacity/logs.go
@@ -0,0 +1,159 @@
+package capacity
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/core/config"
+	"github.com/sesamestand/sesamestand/internal/core/intent"
+	"github.com/sesamestand/sesamestand/internal/platform"
+)
+
+const (
+	// confirmationsSecond is an assumption, since section 1.6 does not divide
+	// the peak load: 0.6% of 17,000 requests a second are not idempotent.
+	confirmationsSecond = 100
+	retentionSeconds    = 24 * 3600
+	// declaredFiles is an assumption: the files of 28 trainers with their
+	// models, services and needs, with some growth.
+	declaredFiles = 500
+	changesDay    = 17_000
+	// readOverhead is what a record costs in a page besides its data: base64
+	// makes 4 bytes of 3, and the offset and time are JSON fields.
+	readOverhead = 70
+)
+
+// intents measures what each host pays for every key in the stream, whoever
+// wrote it: the row that it keeps for the retention, and the time to apply it.
+func intents() ([]Series, error) {
+	memory := Series{Role: "log reader", Name: "intent rows", Variable: "keys in retention", Unit: "B",
+		Target: confirmationsSecond * retentionSeconds, Scale: 1e-6, Control: Memory}
+	cpu := Series{Role: "log reader", Name: "intents applied", Variable: "keys", Unit: "s",
+		Target: confirmationsSecond, Scale: 100, Control: CPU, PerEvent: true}
+	net := Series{Role: "log reader", Name: "intents read", Variable: "keys a second", Unit: "B/s",
+		Target: confirmationsSecond, Scale: 1e-3, Control: Net}
+	for _, keys := range []int{25_000, 50_000, 100_000, 200_000} {
+		now := time.Unix(1_700_000_000, 0)
+		pages, bytes, err := intentPages(keys, now)
+		if err != nil {
+			return nil, err
+		}
+		ledger := intent.NewLedger(intent.Config{Self: intent.Author{Host: "entry-000", Incarnation: 1}, Started: now,
+			Retention: retentionSeconds * time.Second, Skew: 5 * time.Second})
+		used := measure(func() any {
+			for _, page := range pages {
+				ledger.Apply(page, now)
+			}
+			return []any{ledger, pages} // the pages were there before
+		})
+		if ledger.Skipped() != 0 || ledger.Next() != int64(keys) {
+			return nil, eris.Errorf("ledger read %d of %d intents", ledger.Next(), keys)
+		}
+		memory.X, memory.Y = append(memory.X, float64(keys)), append(memory.Y, used.heap)
+		cpu.X, cpu.Y = append(cpu.X, float64(keys)), append(cpu.Y, used.cpu)
+		rate := float64(keys) / 1000
+		net.X, net.Y = append(net.X, rate), append(net.Y, rate*float64(bytes)/float64(keys))
+	}
+	return []Series{memory, cpu, net}, nil
+}
+
+// intentPages returns a stream of intents of 590 hosts and its bytes as read.
+func intentPages(keys int, now time.Time) ([]platform.Page, int, error) {
+	const perPage = 500
+	var pages []platform.Page
+	bytes := 0
+	for from := 0; from < keys; from += perPage {
+		page := platform.Page{Next: int64(min(from+perPage, keys)), End: int64(keys)}
+		for i := from; i < min(from+perPage, keys); i++ {
+			var key intent.Key
+			binary.BigEndian.PutUint64(key[:8], uint64(now.UnixMilli())<<16|7<<12)
+			binary.BigEndian.PutUint64(key[8:], 1<<63|uint64(i)*2654435761)
+			data, err := intent.Record{Kind: intent.KindIntent, Key: key, Nonce: intent.Nonce(key),
+				Author: intent.Author{Host: fmt.Sprintf("entry-%03d", i%590), Incarnation: now.UnixMilli()}}.Encode()
+			if err != nil {
+				return nil, 0, eris.Wrap(err, "encode intent")
+			}
+			bytes += (len(data)+2)/3*4 + readOverhead
+			page.Records = append(page.Records, platform.Record{Offset: int64(i), Time: now, Data: data})
+		}
+		pages = append(pages, page)
+	}
+	return pages, bytes, nil
+}
+
+func declaration(i, replicas int) (name, content string) {
+	name = fmt.Sprintf("model-%04d", i)
+	return name + ".ini", fmt.Sprintf("[model %s]\nreplicas = dc-01:%d, dc-02:%d\n\n[trainer t%04d]\nmodel = %s\n"+
+		"share = 1\nstaleness_bound = 6\ngroup_size = 8\nsurplus = 2\nidle_weight = 0.8\nmax_tokens = 512\n",
+		name, replicas, replicas, i, name)
+}
+
+// configuration measures the time to apply one change of one file, and the
+// memory of the set, against the number of files, and the processor time
+// against the number of changes.
+func configuration() ([]Series, error) {
+	memory := Series{Role: "log reader", Name: "configuration held", Variable: "files", Unit: "B", Target: declaredFiles,
+		Scale: 1e-6, Control: Memory}
+	apply := Series{Role: "log reader", Name: "one configuration change", Variable: "files", Unit: "s", Target: declaredFiles,
+		Scale: 100.0 * changesDay / retentionSeconds, Control: CPU}
+	for _, files := range []int{125, 250, 500, 1000} {
+		const changes = 20
+		held, used, err := changeFiles(files, changes)
+		if err != nil {
+			return nil, err
+		}
+		memory.X, memory.Y = append(memory.X, float64(files)), append(memory.Y, held)
+		apply.X, apply.Y = append(apply.X, float64(files)), append(apply.Y, used/changes)
+	}
+	many := Series{Role: "log reader", Name: "configuration changes, 250 files", Variable: "changes", Unit: "s", Target: changesDay, PerEvent: true}
+	for _, changes := range []int{50, 100, 200} {
+		_, used, err := changeFiles(250, changes)
+		if err != nil {
+			return nil, err
+		}
+		many.X, many.Y = append(many.X, float64(changes)), append(many.Y, used)
+	}
+	return []Series{memory, apply, many}, nil
+}
+
+// changeFiles installs a set of files by one record and applies single changes
+// to it. It returns the memory of the set and the time of the changes.
+func changeFiles(files, changes int) (held, used float64, err error) {
+	now := time.Unix(1_700_000_000, 0)
+	follower := config.NewFollower()
+	all := make(map[string]string, files)
+	for i := range files {
+		name, content := declaration(i, 1)
+		all[name] = content
+	}
+	apply := func(record config.Record) {
+		data, failed := record.Encode()
+		if failed != nil {
+			err = failed
+			return
+		}
+		at := follower.Next()
+		for _, event := range follower.Apply(platform.Page{Next: at + 1, End: at + 1,
+			Records: []platform.Record{{Offset: at, Time: now, Data: data}}}) {
+			if !event.Accepted {
+				err = eris.Errorf("record %s at %d was not accepted: %v", event.ID, event.Offset, event.Err)
+			}
+		}
+	}
+	built := measure(func() any {
+		apply(config.Record{ID: "first", Kind: config.KindChange, Files: all})
+		return follower
+	})
+	changed := measure(func() any {
+		for i := range changes {
+			name, content := declaration(i%files, 2+i)
+			apply(config.Record{ID: fmt.Sprint(i), Kind: config.KindChange, Base: follower.State().Version,
+				Files: map[string]string{name: content}})
+		}
+		return follower
+	})
+	return built.heap, changed.cpu, err
+}
--- /dev/null
+++ b/internal/capacity/member.go
@@ -0,0 +1,165 @@
+package capacity
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/core/member"
+	"github.com/sesamestand/sesamestand/internal/gossip"
+)
+
+const (
+	packetHead = 28 // IP and UDP headers, in bytes
+	linkDelay  = time.Millisecond
+	models     = 28
+	weightsDue = 120 // seconds between two versions of a model
+	hostsPerDC = 37
+)
+
+// delivery is a tick of a host, or a packet that arrives at it.
+type delivery struct {
+	at     time.Time
+	order  int
+	host   *simulated
+	source string
+	packet []byte
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if d[i].at.Equal(d[j].at) {
+		return d[i].order < d[j].order
+	}
+	return d[i].at.Before(d[j].at)
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+type simulated struct {
+	addr string
+	core *member.Core
+}
+
+// network simulates members in virtual time with the real codec.
+type network struct {
+	now    time.Time
+	codec  *gossip.Codec
+	hosts  []*simulated
+	byAddr map[string]*simulated
+	queue  deliveries
+	order  int
+	bytes  int
+	failed error
+}
+
+func newNetwork(hosts int) *network {
+	n := &network{now: time.Unix(1_700_000_000, 0), codec: gossip.NewCodec("token"), byAddr: map[string]*simulated{}}
+	var rows []member.Row
+	dataCentres := max(1, (hosts+hostsPerDC/2)/hostsPerDC)
+	for i := range hosts {
+		addr := fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1)
+		h := &simulated{addr: addr, core: member.New(member.Config{
+			Self: member.Row{ID: fmt.Sprintf("entry-%03d", i), DataCentre: fmt.Sprintf("dc-%02d", i%dataCentres), Addr: addr,
+				Incarnation: n.now.UnixMilli()},
+			Seeds: []string{"10.0.0.1:7000"}, RandomSeed: uint64(i + 1)}, n.now)}
+		n.hosts, n.byAddr[addr], rows = append(n.hosts, h), h, append(rows, h.core.Self())
+		offset := h.core.TickInterval() * time.Duration(i) / time.Duration(hosts)
+		n.push(delivery{at: n.now.Add(offset), host: h})
+	}
+	for _, h := range n.hosts { // as in a system that has been running for long
+		h.core.Receive(n.now, member.Message{Kind: member.Sync, From: "table", To: h.core.Self().ID, Updates: rows}, "")
+	}
+	return n
+}
+
+func (n *network) push(d delivery) {
+	n.order++
+	d.order = n.order
+	heap.Push(&n.queue, d)
+}
+
+func (n *network) run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
+		next := heap.Pop(&n.queue).(delivery)
+		n.now = next.at
+		if next.packet == nil {
+			n.carryOut(next.host, next.host.core.Tick(n.now))
+			n.push(delivery{at: n.now.Add(next.host.core.TickInterval()), host: next.host})
+			continue
+		}
+		message, err := n.codec.Decode(next.packet)
+		if err != nil {
+			n.failed = err
+			return
+		}
+		n.carryOut(next.host, next.host.core.Receive(n.now, message, next.source))
+	}
+	n.now = end
+}
+
+func (n *network) carryOut(h *simulated, out member.Output) {
+	for _, send := range out.Sends {
+		data, err := n.codec.Encode(send.Message)
+		if err != nil {
+			n.failed = err
+			return
+		}
+		n.bytes += len(data) + packetHead
+		if to := n.byAddr[send.Addr]; to != nil {
+			n.push(delivery{at: n.now.Add(linkDelay), host: to, source: h.addr, packet: data})
+		}
+	}
+}
+
+// announce raises the weight versions that are due in this second.
+func (n *network) announce(second int) {
+	for model := range models {
+		if model*weightsDue/models == second%weightsDue {
+			n.hosts[model%len(n.hosts)].core.Announce(fmt.Sprintf("model-%02d", model), n.now.Unix())
+		}
+	}
+}
+
+// membership measures one host's traffic, processor time and memory against
+// the number of hosts. The processor time includes encoding, signing and the
+// simulation's queue, but no socket calls.
+func membership() ([]Series, error) {
+	const warmUp, seconds = 5 * time.Second, 10
+	base := Series{Role: "member", Variable: "hosts", Target: 590}
+	net, cpu, memory := base, base, base
+	net.Name, net.Unit, net.Scale, net.Control = "membership bytes sent", "B/s", 1e-3, Net
+	cpu.Name, cpu.Unit, cpu.Scale, cpu.Control = "membership processor time", "s/s", 100, CPU
+	memory.Name, memory.Unit, memory.Scale, memory.Control = "membership table", "B", 1e-6, Memory
+	for _, hosts := range []int{74, 148, 296, 444} {
+		var n *network
+		built := measure(func() any { n = newNetwork(hosts); return n })
+		n.run(warmUp)
+		n.bytes = 0
+		ran := measure(func() any {
+			for second := range seconds {
+				n.announce(second)
+				n.run(time.Second)
+			}
+			return n
+		})
+		if n.failed != nil {
+			return nil, eris.Wrap(n.failed, "simulate membership")
+		}
+		x, perHost := float64(hosts), float64(hosts)
+		net.X, net.Y = append(net.X, x), append(net.Y, float64(n.bytes)/perHost/seconds)
+		cpu.X, cpu.Y = append(cpu.X, x), append(cpu.Y, ran.cpu/perHost/seconds)
+		memory.X, memory.Y = append(memory.X, x), append(memory.Y, (built.heap+ran.heap)/perHost)
+	}
+	return []Series{net, cpu, memory}, nil
+}
--- /dev/null
+++ b/internal/capacity/owner.go
@@ -0,0 +1,164 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamestand/sesamestand/internal/core/admit"
+	"github.com/sesamestand/sesamestand/internal/core/route"
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
+)
+
+const (
+	ownReplicas     = 20  // per daemon
+	replicasPerDC   = 750 // per data centre
+	summariesSecond = 2   // per peer, when each interval of 500 ms sends one
+	messageOverhead = 60  // HTTP/2 and gRPC, as internal/owner counts it
+	requestsSecond  = 29  // per daemon
+	answerSeconds   = 20  // a request of some hundred tokens
+)
+
+// summary is a load summary with changed rows of so many replicas.
+func summary(replicas int) *peerpb.ExchangeMessage {
+	message := &peerpb.ExchangeMessage{Host: "entry-123"}
+	for i := range replicas {
+		message.Loads = append(message.Loads, &peerpb.LoadRow{ReplicaHash: route.HashReplica(fmt.Sprintf("engine-%d", i)),
+			Running: int32(20 + i%10), Queued: int32(i % 3), Limit: 32, Version: 100_000, Healthy: true})
+	}
+	return message
+}
+
+// exchange measures the bytes of one summary against the changed rows in it,
+// and the bytes and the processor time a second against the peers that get a
+// summary of all own rows each interval, before the bound of the sender.
+func exchange() ([]Series, error) {
+	size := Series{Role: "owner", Name: "one load summary", Variable: "changed rows", Unit: "B", Target: ownReplicas}
+	for _, rows := range []int{5, 10, 20, 40} {
+		size.X = append(size.X, float64(rows))
+		size.Y = append(size.Y, float64(proto.Size(summary(rows))+messageOverhead))
+	}
+	net := Series{Role: "owner", Name: "summaries wanted, all rows changed", Variable: "peers", Unit: "B/s", Target: hostsPerDC - 1}
+	cpu := Series{Role: "owner", Name: "summaries encoded and decoded", Variable: "peers", Unit: "s/s", Target: hostsPerDC - 1,
+		Scale: 100, Control: CPU}
+	const seconds = 200
+	message := summary(ownReplicas)
+	for _, peers := range []int{9, 18, 36, 72} {
+		var failed error
+		bytes := 0
+		used := measure(func() any {
+			for range seconds * summariesSecond * peers {
+				data, err := proto.Marshal(message)
+				if err != nil {
+					failed = err
+				}
+				var received peerpb.ExchangeMessage
+				if err := proto.Unmarshal(data, &received); err != nil {
+					failed = err
+				}
+				bytes += len(data) + messageOverhead
+			}
+			return nil
+		})
+		if failed != nil {
+			return nil, eris.Wrap(failed, "encode summaries")
+		}
+		net.X, net.Y = append(net.X, float64(peers)), append(net.Y, float64(bytes)/seconds)
+		cpu.X, cpu.Y = append(cpu.X, float64(peers)), append(cpu.Y, used.cpu/seconds)
+	}
+	return []Series{size, net, cpu}, nil
+}
+
+func candidates(count int, now time.Time) []route.Candidate {
+	all := make([]route.Candidate, count)
+	for i := range all {
+		id := fmt.Sprintf("engine-%04d", i)
+		all[i] = route.Candidate{Replica: id, DataCentre: "dc-01", Model: "album", Owner: "entry", Hash: route.HashReplica(id),
+			Known: true, Healthy: true, Version: 9, Running: i % 16, Limit: 32, At: now}
+	}
+	return all
+}
+
+// routing measures the processor time of a decision against the candidates,
+// all of one model, with a prompt of 16 prefix blocks.
+func routing() ([]Series, error) {
+	const rounds = 400
+	s := Series{Role: "router", Name: "routing decision", Variable: "candidates", Unit: "s", Target: replicasPerDC,
+		Scale: 100 * requestsSecond, Control: CPU, Requests: true}
+	now := time.Unix(1_700_000_000, 0)
+	blocks := make([]uint64, 16)
+	for i := range blocks {
+		blocks[i] = route.HashReplica(fmt.Sprint("block ", i))
+	}
+	for _, count := range []int{100, 300, 750, 1500} {
+		all, prefixes := candidates(count, now), route.NewPrefixes()
+		prefixes.Sent(all[1].Replica, blocks[:8], now)
+		used := measure(func() any {
+			for i := range rounds {
+				route.Choose(route.Request{Model: "album", DataCentre: "dc-01", Newest: 9, Prefix: blocks, Seed: uint64(i)},
+					all, prefixes, route.DefaultWeights(), now)
+			}
+			return prefixes
+		})
+		s.X, s.Y = append(s.X, float64(count)), append(s.Y, used.cpu/rounds)
+	}
+	return []Series{s}, nil
+}
+
+// admission measures the memory of requests in flight and waiting at the
+// replicas of one owner, and the processor time to start them, to count 400
+// tokens each and to end them.
+func admission() ([]Series, error) {
+	const tokens = 400
+	memory := Series{Role: "owner", Name: "admission table", Variable: "requests held", Unit: "B",
+		Target: requestsSecond * answerSeconds, Scale: 1e-6, Control: Memory, Requests: true}
+	cpu := Series{Role: "owner", Name: "admission, 400 tokens a request", Variable: "requests", Unit: "s",
+		Target: requestsSecond, Scale: 100, Control: CPU, PerEvent: true, Requests: true}
+	for _, count := range []int{500, 1000, 2000, 4000} {
+		now := time.Unix(1_700_000_000, 0)
+		config := admit.Defaults()
+		config.MaxQueue = count
+		system := admit.New(config)
+		var running []uint64
+		take := func(actions []admit.Action) {
+			for _, a := range actions {
+				if a.Kind == admit.Start {
+					running = append(running, a.ID)
+				}
+			}
+		}
+		filled := measure(func() any {
+			for i := range ownReplicas {
+				system.SetReplica(fmt.Sprint("engine-", i), true, false, now)
+			}
+			for i := range count {
+				take(system.Enqueue(admit.Request{ID: uint64(i + 1), Replica: fmt.Sprint("engine-", i%ownReplicas),
+					Class: declare.ClassTraining, Trainer: fmt.Sprint("trainer-", i%models), Share: 1, MaxTokens: tokens}, now))
+			}
+			return system
+		})
+		ended := 0
+		emptied := measure(func() any {
+			for len(running) > 0 {
+				id := running[0]
+				running = running[1:]
+				for range tokens {
+					now = now.Add(time.Microsecond)
+					system.Token(id, 30*time.Millisecond)
+				}
+				take(system.Done(id, true, now))
+				ended++
+			}
+			return system
+		})
+		if ended != count {
+			return nil, eris.Errorf("%d of %d admitted requests ended", ended, count)
+		}
+		memory.X, memory.Y = append(memory.X, float64(count)), append(memory.Y, filled.heap)
+		cpu.X, cpu.Y = append(cpu.X, float64(count)), append(cpu.Y, filled.cpu+emptied.cpu)
+	}
+	return []Series{memory, cpu}, nil
+}
