Measure the shell's costs and publications in the bench command

The decision core alone does not show what a daemon pays, so the bench also measures the reading of the host list and of engine states, the lookups of owners, a planning step, the building of candidates, a publication against the length of the stream, and the time until a configuration is in force.

--- a/internal/capacity/owner.go
+++ b/internal/capacity/owner.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	ownReplicas     = 20  // per daemon
-	replicasPerDC   = 750 // per data centre
-	summariesSecond = 2   // per peer, when each interval of 500 ms sends one
-	messageOverhead = 60  // HTTP/2 and gRPC, as internal/owner counts it
-	requestsSecond  = 29  // per daemon
-	answerSeconds   = 20  // a request of some hundred tokens
+	ownReplicas     = 20   // per daemon
+	replicasPerDC   = 750  // per data centre
+	summariesSecond = 2    // per peer, when each interval of 500 ms sends one
+	exchangeBound   = 4096 // B/s that internal/owner sends at most
+	messageOverhead = 60   // HTTP/2 and gRPC, as internal/owner counts it
+	requestsSecond  = 29   // per daemon
+	answerSeconds   = 20   // a request of some hundred tokens
 )
 
 // summary is a load summary with changed rows of so many replicas.
@@ -41,7 +42,8 @@
 		size.X = append(size.X, float64(rows))
 		size.Y = append(size.Y, float64(proto.Size(summary(rows))+messageOverhead))
 	}
-	net := Series{Role: "owner", Name: "summaries wanted, all rows changed", Variable: "peers", Unit: "B/s", Target: hostsPerDC - 1}
+	net := Series{Role: "owner", Name: "summaries wanted, all rows changed", Variable: "peers", Unit: "B/s", Target: hostsPerDC - 1,
+		Scale: 1e-3, Control: Net, Most: exchangeBound}
 	cpu := Series{Role: "owner", Name: "summaries encoded and decoded", Variable: "peers", Unit: "s/s", Target: hostsPerDC - 1,
 		Scale: 100, Control: CPU}
 	const seconds = 200
@@ -76,24 +78,24 @@
 	all := make([]route.Candidate, count)
 	for i := range all {
 		id := fmt.Sprintf("engine-%04d", i)
-		all[i] = route.Candidate{Replica: id, DataCentre: "dc-01", Model: "album", Owner: "entry", Hash: route.HashReplica(id),
+		all[i] = route.Candidate{Replica: id, DataCentre: fmt.Sprintf("dc-%02d", i%allCentres), Model: "album", Owner: "entry", Hash: route.HashReplica(id),
 			Known: true, Healthy: true, Version: 9, Running: i % 16, Limit: 32, At: now}
 	}
 	return all
 }
 
 // routing measures the processor time of a decision against the candidates,
-// all of one model, with a prompt of 16 prefix blocks.
+// all of one model and a sixteenth of them in the own data centre, with a prompt of 16 prefix blocks.
 func routing() ([]Series, error) {
-	const rounds = 400
-	s := Series{Role: "router", Name: "routing decision", Variable: "candidates", Unit: "s", Target: replicasPerDC,
+	const rounds = 100
+	s := Series{Role: "router", Name: "routing decision", Variable: "candidates of all centres", Unit: "s", Target: allReplicas,
 		Scale: 100 * requestsSecond, Control: CPU, Requests: true}
 	now := time.Unix(1_700_000_000, 0)
 	blocks := make([]uint64, 16)
 	for i := range blocks {
 		blocks[i] = route.HashReplica(fmt.Sprint("block ", i))
 	}
-	for _, count := range []int{100, 300, 750, 1500} {
+	for _, count := range []int{750, 3000, 6000, 12_000} {
 		all, prefixes := candidates(count, now), route.NewPrefixes()
 		prefixes.Sent(all[1].Replica, blocks[:8], now)
 		used := measure(func() any {
--- a/internal/capacity/rollout.go
+++ b/internal/capacity/rollout.go
@@ -38,7 +38,7 @@
 		duration := Series{Role: "owner", Name: fmt.Sprintf("rollout, min_serving %g", share), Variable: "log2(replicas)",
 			Unit: "s", Target: math.Log2(replicasPerDC), Scale: 1, Control: Time}
 		for _, replicas := range []int{24, 96, 375, 750} {
-			took, fromStore, err := rollout(replicas, share, betweenVersions)
+			took, fromStore, err := rollout(replicas, share, betweenVersions, swapTime)
 			if err != nil {
 				return nil, err
 			}
@@ -49,21 +49,30 @@
 		}
 		all = append(all, duration)
 	}
+	swaps := Series{Role: "owner", Name: "rollout, min_serving 0.9, 750 replicas", Variable: "swap time in s", Unit: "s", Target: 2,
+		Scale: 1, Control: Time}
+	for _, swap := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		took, _, err := rollout(replicasPerDC, 0.9, betweenVersions, swap)
+		if err != nil {
+			return nil, err
+		}
+		swaps.X, swaps.Y = append(swaps.X, swap.Seconds()), append(swaps.Y, took.Seconds())
+	}
 	superseded := loads
 	superseded.Name, superseded.X, superseded.Y = "store loads when superseded", nil, nil
 	for _, replicas := range loads.X {
-		_, fromStore, err := rollout(int(replicas), 0.5, 5*planInterval)
+		_, fromStore, err := rollout(int(replicas), 0.5, 5*planInterval, swapTime)
 		if err != nil {
 			return nil, err
 		}
 		superseded.X, superseded.Y = append(superseded.X, replicas), append(superseded.Y, float64(fromStore))
 	}
-	return append(all, loads, superseded), nil
+	return append(all, swaps, loads, superseded), nil
 }
 
 // rollout runs one weight version that comes settled after the one before through one planner that owns all replicas
 // and sees their states each planInterval, as owners see watched replicas.
-func rollout(replicas int, share float64, settled time.Duration) (took time.Duration, fromStore int, err error) {
+func rollout(replicas int, share float64, settled, swap time.Duration) (took time.Duration, fromStore int, err error) {
 	const limit = 10 * time.Minute
 	start := time.Unix(1_700_000_000, 0)
 	declared := place.Declarations{Version: 1, PinsCurrent: true, Models: map[string]*declare.Model{
@@ -105,7 +114,7 @@
 			if action.Order.Source == "" {
 				fromStore++
 			}
-			e.state.Loading, e.loaded = action.Order.Version, now.Add(swapTime)
+			e.state.Loading, e.loaded = action.Order.Version, now.Add(swap)
 		}
 	}
 	return 0, 0, eris.Errorf("%d replicas did not take the new version within %v", replicas, limit)
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -26,6 +26,8 @@
 	// PerEvent says that only the slope counts, because X counts events of
 	// which Target happen a second; the intercept is the cost of the start.
 	PerEvent bool
+	// Most is the bound that the system itself keeps, in the unit of Y; 0 is none.
+	Most float64
 	// Requests says that the cost is that of serving requests and samples, and
 	// not of control.
 	Requests bool
@@ -50,7 +52,10 @@
 	if s.PerEvent {
 		return s.Line().Slope * s.Target
 	}
-	return s.Line().At(s.Target)
+	if value := s.Line().At(s.Target); s.Most == 0 || value < s.Most {
+		return value
+	}
+	return s.Most
 }
 
 // measurement is one run at one size: processor seconds and heap bytes that
@@ -91,7 +96,7 @@
 func All() ([]Series, error) {
 	var all []Series
 	for _, run := range []func() ([]Series, error){membership, exchange, routing, admission, requestHome, trainerHome,
-		intents, configuration, rollouts} {
+		intents, configuration, publication, inForce, rollouts, hostList, states, ownership, planning, rowsBuilt} {
 		series, err := run()
 		if err != nil {
 			return nil, eris.Wrap(err, "measure")
