Work out the capacity of each role from measured slopes

The design has to say which limits hold at 590 daemons and 12,000 replicas.

The bench now also measures how long a weight version takes to reach all hosts.

--- a/internal/capacity/member.go
+++ b/internal/capacity/member.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -161,5 +162,35 @@
 		cpu.X, cpu.Y = append(cpu.X, x), append(cpu.Y, ran.cpu/perHost/seconds)
 		memory.X, memory.Y = append(memory.X, x), append(memory.Y, (built.heap+ran.heap)/perHost)
 	}
-	return []Series{net, cpu, memory}, nil
+	spread, err := versionSpread()
+	return []Series{net, cpu, memory, spread}, err
+}
+
+// versionSpread measures the time until every host knows a version that one
+// of them announces.
+func versionSpread() (Series, error) {
+	const step, limit = 50 * time.Millisecond, 30 * time.Second
+	s := Series{Role: "member", Name: "weight version known everywhere", Variable: "log2(hosts)", Unit: "s", Target: math.Log2(590)}
+	for _, hosts := range []int{74, 148, 296, 592} {
+		n := newNetwork(hosts)
+		n.run(5 * time.Second)
+		start := n.now
+		n.hosts[hosts/2].core.Announce("album", 7)
+		for !n.knows("album", 7) {
+			if n.run(step); n.failed != nil || n.now.Sub(start) > limit {
+				return s, eris.Errorf("a version did not spread over %d hosts: %v", hosts, n.failed)
+			}
+		}
+		s.X, s.Y = append(s.X, math.Log2(float64(hosts))), append(s.Y, n.now.Sub(start).Seconds())
+	}
+	return s, nil
+}
+
+func (n *network) knows(model string, version int64) bool {
+	for _, h := range n.hosts {
+		if h.core.Newest(model) < version {
+			return false
+		}
+	}
+	return true
 }
