--- a/internal/capacity/shell.go
+++ b/internal/capacity/shell.go
@@ -226,7 +226,7 @@
 					}
 				}
 				planner.Update(now, declared, listed, func(string) int64 { return 1 }, nil)
-				planner.Plan(now, mine)
+				planner.Plan(now, place.Turn{Count: hostsPerDC}, mine, mine)
 			}
 			return planner
 		})
--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -91,6 +91,7 @@
 	clients   peer.Clients
 	recorder  *telemetry.Recorder
 	scorers   *http.Client
+	store     Refresher // nil asks other homes only
 
 	started  time.Time
 	ctx      context.Context // ends all samples and scoring
@@ -108,6 +109,7 @@
 	awaySince  map[string]time.Duration
 	slots      map[string]chan struct{} // scoring calls by trainer
 	reported   map[string]sample.Counts
+	learned    map[string]bool // trainers whose newest version was asked for
 	nextScorer int
 	drained    bool
 }
@@ -147,6 +149,7 @@
 		awaySince: make(map[string]time.Duration),
 		slots:     make(map[string]chan struct{}),
 		reported:  make(map[string]sample.Counts),
+		learned:   make(map[string]bool),
 	}
 }
 
@@ -213,7 +216,8 @@
 	c.runSystems()
 }
 
-// checkAway drops the groups of a trainer whose home is another member.
+// checkAway hands over and later drops the groups of a trainer whose home is
+// another member, for example one that came back after a restart.
 func (c *Controller) checkAway(name string) {
 	home, ok := c.homeOf(name)
 	if !ok || home.ID == c.members.Self().ID || !c.home.Holding(name) {
@@ -223,6 +227,9 @@
 	since, known := c.awaySince[name]
 	if !known {
 		c.awaySince[name] = c.now()
+		if groups := c.home.Export(name); len(groups) > 0 {
+			c.work.Go(func() { c.handOver([]handover{{trainer: name, home: home, groups: groups}}) })
+		}
 		return
 	}
 	if c.now()-since >= forgetAfter {
