--- /dev/null
+++ b/internal/capacity/rollout.go
@@ -0,0 +1,146 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/core/place"
+	"github.com/sesamestand/sesamestand/internal/declare"
+	"github.com/sesamestand/sesamestand/internal/engine"
+)
+
+const (
+	// swapTime is an assumption: the time that an engine takes to load a
+	// version that is at hand in its data centre.
+	swapTime = time.Second
+	// planInterval is that of internal/orders for states of watched replicas.
+	planInterval = 400 * time.Millisecond
+	// betweenVersions is the time between two versions of a model.
+	betweenVersions = weightsDue * time.Second
+)
+
+type server struct {
+	state  engine.State
+	loaded time.Time
+}
+
+// rollouts measures the time until all replicas of one model in a data centre
+// run a new version, against the logarithm of their number, since the waves
+// double; and the number of loads from the weight store, against the replicas.
+func rollouts() ([]Series, error) {
+	var all []Series
+	loads := Series{Role: "owner", Name: "loads from the store, a data centre", Variable: "replicas of a model", Unit: "loads",
+		Target: replicasPerDC}
+	for _, share := range []float64{0.9, 0.75, 0.5} {
+		duration := Series{Role: "owner", Name: fmt.Sprintf("rollout, min_serving %g", share), Variable: "log2(replicas)",
+			Unit: "s", Target: math.Log2(replicasPerDC), Scale: 1, Control: Time}
+		for _, replicas := range []int{24, 96, 375, 750} {
+			took, fromStore, err := scenario{replicas, share, betweenVersions, swapTime, 1}.run()
+			if err != nil {
+				return nil, err
+			}
+			duration.X, duration.Y = append(duration.X, math.Log2(float64(replicas))), append(duration.Y, took.Seconds())
+			if share == 0.5 {
+				loads.X, loads.Y = append(loads.X, float64(replicas)), append(loads.Y, float64(fromStore))
+			}
+		}
+		all = append(all, duration)
+	}
+	swaps := Series{Role: "owner", Name: "rollout, min_serving 0.9, 750 replicas", Variable: "swap time in s", Unit: "s", Target: 2,
+		Scale: 1, Control: Time}
+	for _, swap := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		took, _, err := scenario{replicasPerDC, 0.9, betweenVersions, swap, 1}.run()
+		if err != nil {
+			return nil, err
+		}
+		swaps.X, swaps.Y = append(swaps.X, swap.Seconds()), append(swaps.Y, took.Seconds())
+	}
+	counted, countedLoads, err := superseded()
+	if err != nil {
+		return nil, err
+	}
+	return append(all, swaps, loads, counted, countedLoads), nil
+}
+
+// superseded measures rollouts of a version that follows another one after
+// 2 s. Owners then take turns of one second, so the number of owners counts.
+func superseded() (duration, loads Series, err error) {
+	duration = Series{Role: "owner", Name: "superseded rollout, 750 replicas", Variable: "owners", Unit: "s", Target: hostsPerDC,
+		Scale: 1, Control: Time}
+	loads = duration
+	loads.Name, loads.Unit, loads.Scale, loads.Control = "its loads from the store", "loads", 0, ""
+	for _, owners := range []int{5, 9, 18, hostsPerDC} {
+		took, fromStore, err := scenario{replicasPerDC, 0.9, 5 * planInterval, swapTime, owners}.run()
+		if err != nil {
+			return duration, loads, err
+		}
+		duration.X, duration.Y = append(duration.X, float64(owners)), append(duration.Y, took.Seconds())
+		loads.X, loads.Y = append(loads.X, float64(owners)), append(loads.Y, float64(fromStore))
+	}
+	return duration, loads, nil
+}
+
+// scenario is a rollout of one model in one data centre. Version 2 comes some
+// time after version 1.
+type scenario struct {
+	replicas int
+	share    float64 // min_serving
+	settled  time.Duration
+	swap     time.Duration
+	owners   int
+}
+
+// run returns the time until all replicas run version 2 and the number of
+// loads from the store. All owners share one planner that sees the states of
+// all replicas each planInterval, as owners see watched replicas.
+func (sc scenario) run() (took time.Duration, fromStore int, err error) {
+	const limit = 10 * time.Minute
+	start := time.Unix(1_700_000_000, 0)
+	declared := place.Declarations{Version: 1, PinsCurrent: true, Models: map[string]*declare.Model{
+		"album": {Name: "album", Replicas: map[string]int{"dc-01": sc.replicas}, MinServing: sc.share}}}
+	planner := place.NewPlanner("dc-01")
+	var listed []place.Server
+	engines, owner := map[string]*server{}, map[string]int{}
+	for i := range sc.replicas {
+		id := fmt.Sprintf("engine-%03d", i)
+		listed = append(listed, place.Server{ID: id, Addr: id, Model: "album"})
+		engines[id] = &server{state: engine.State{Model: "album", Version: 1, Role: engine.RoleMixed}}
+		owner[id] = i % sc.owners
+	}
+	version := int64(1)
+	for now := start; now.Sub(start) < limit; now = now.Add(planInterval) {
+		if now.Sub(start) >= sc.settled {
+			version = 2
+		}
+		planner.Update(now, declared, listed, func(string) int64 { return version }, nil)
+		done := true
+		for _, s := range listed {
+			e := engines[s.ID]
+			if e.state.Loading != 0 && !now.Before(e.loaded) {
+				e.state.Version, e.state.Loading = e.state.Loading, 0
+			}
+			done = done && e.state.Version == 2
+			planner.Observe(now, s.ID, e.state, true)
+		}
+		if done {
+			return now.Sub(start) - sc.settled, fromStore, nil
+		}
+		for i := range sc.owners {
+			owned := func(id string) bool { return owner[id] == i }
+			for _, action := range planner.Plan(now, place.Turn{Index: i, Count: sc.owners}, owned, owned).Actions {
+				planner.Sent(now, action.Replica, action.Order)
+				if action.Order.Kind == engine.OrderLoadVersion && action.Order.Source == "" {
+					fromStore++
+				}
+				if action.Order.Kind == engine.OrderLoadVersion {
+					e := engines[action.Replica]
+					e.state.Loading, e.loaded = action.Order.Version, now.Add(sc.swap)
+				}
+			}
+		}
+	}
+	return 0, 0, eris.Errorf("%d replicas did not take the new version within %v", sc.replicas, limit)
+}
