Keep streams open while entry hosts are restarted in turn

With 2 ms a token, few streams were open when a shutdown began: a trial that killed the hosts instead of draining them left P8 without a single fact. TestRollingRestartCutsOffNothing now runs with 10 ms a token and 40 requests a second of each need.

--- a/internal/integration/faults_test.go
+++ b/internal/integration/faults_test.go
@@ -44,7 +44,7 @@
 // or loses answers, engines that crash or fall silent, and racing publishers.
 func TestRandomFaults(t *testing.T) {
 	seed := chooseSeed(t)
-	s := startSystem(t, "association", seed)
+	s := startSystem(t, "association", seed, tokenTime)
 	f := &faults{system: s, seed: seed, busy: make([]sync.Mutex, len(s.Entries))}
 	config := s.Mix(testbed.MixOptions{
 		CallerRate: 10, ServiceRate: 10, GroupsPerStep: 6, TrainTime: 2 * time.Second, Ahead: 1, Duration: loadTime,
--- a/internal/integration/fresh_test.go
+++ b/internal/integration/fresh_test.go
@@ -16,7 +16,7 @@
 // configuration in force has reverted there.
 func TestFreshHostRefusesNoDeclaredName(t *testing.T) {
 	passOverKnownRed(t)
-	s := startSystem(t, "association", 1)
+	s := startSystem(t, "association", 1, tokenTime)
 	host := s.Entries[0]
 	host.Process.Kill()
 	// A slow log lengthens the time in which the host has no configuration.
--- a/internal/integration/hosts_test.go
+++ b/internal/integration/hosts_test.go
@@ -17,7 +17,7 @@
 // Guards against requests that are lost or answered twice when an entry host
 // dies without warning: its callers send them again through another host.
 func TestKilledHostLosesNoRequest(t *testing.T) {
-	s := startSystem(t, "lin", 1)
+	s := startSystem(t, "lin", 1, tokenTime)
 	config := s.Mix(testbed.MixOptions{
 		CallerRate: 20, ServiceRate: 20, GroupsPerStep: 6, TrainTime: time.Second, Ahead: 1, Duration: 12 * time.Second,
 	})
@@ -64,9 +64,10 @@
 // Guards against a rolling restart, as with each new release, that cuts off
 // requests in flight or loses samples.
 func TestRollingRestartCutsOffNothing(t *testing.T) {
-	s := startSystem(t, "association", 1)
+	// Slow tokens keep streams open when a shutdown begins.
+	s := startSystem(t, "association", 1, 5*tokenTime)
 	config := s.Mix(testbed.MixOptions{
-		CallerRate: 15, ServiceRate: 10, GroupsPerStep: 6, TrainTime: time.Second, Ahead: 1, Duration: 25 * time.Second,
+		CallerRate: 40, ServiceRate: 10, GroupsPerStep: 6, TrainTime: time.Second, Ahead: 1, Duration: 25 * time.Second,
 	})
 	var drains []checker.Drain
 	records := s.loadBeside(t, config, func(ctx context.Context) error {
--- a/internal/integration/system_test.go
+++ b/internal/integration/system_test.go
@@ -28,6 +28,9 @@
 // waitLimit bounds waits for a condition; a busy machine may need most of it.
 const waitLimit = 90 * time.Second
 
+// tokenTime is the engines' time per token.
+const tokenTime = 2 * time.Millisecond
+
 // binary is the program under test, built once per test run.
 var binary string
 
@@ -54,14 +57,14 @@
 	files map[string]string
 }
 
-func startSystem(t *testing.T, example string, seed uint64) *system {
+func startSystem(t *testing.T, example string, seed uint64, tokenTime time.Duration) *system {
 	t.Helper()
 	files, err := examples.Files(example)
 	must.NoError(t, err)
 	bed, err := testbed.Start(t.Context(), testbed.Options{
 		Files: files, HostsPerDataCentre: 2, Seed: seed, Starter: testbed.Executable(binary, t.TempDir()),
 		Engine: engined.Config{
-			TokenTime: 2 * time.Millisecond, BatchSlope: 0.05,
+			TokenTime: tokenTime, BatchSlope: 0.05,
 			Lengths:         engined.Lengths{Mean: 32, StragglerShare: 1.0 / 16, StragglerFactor: 6},
 			CacheEventDelay: 200 * time.Millisecond, CacheEventGaps: 0.1, LoadLag: 500 * time.Millisecond, SwapPause: 20 * time.Millisecond,
 		},
