Hold requests back until a fresh host knows the configuration

Ruled out: refusing at once, since the log answers within milliseconds when it is up; "not run" for requests with an identifier, which may have run elsewhere. Change: such requests wait up to 2 s and are then refused "not-ready".

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -139,6 +139,7 @@
 	ReasonKeyInvalid     Reason = "key-invalid"
 	ReasonOtherAuthor    Reason = "other-author"
 	ReasonDraining       Reason = "draining"
+	ReasonNotReady       Reason = "not-ready"
 	ReasonUnauthorized   Reason = "unauthorized"
 	ReasonBadRequest     Reason = "bad-request"
 	ReasonTooLarge       Reason = "too-large"
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/urfave/negroni/v3"
 	"k8s.io/klog/v2"
@@ -26,6 +27,7 @@
 	limited := negroni.New(
 		negroni.HandlerFunc(h.trackInFlight),
 		negroni.HandlerFunc(h.authenticate),
+		negroni.HandlerFunc(h.awaitConfiguration),
 		negroni.HandlerFunc(h.limitBody),
 	)
 	limited.UseHandler(api)
@@ -61,10 +63,40 @@
 	next(w, r)
 }
 
+const (
+	// configurationPatience is how long a request waits for the first
+	// configuration of a host that has just started.
+	configurationPatience = 2 * time.Second
+	// configurationCheckInterval is the time between two looks at it.
+	configurationCheckInterval = 20 * time.Millisecond
+)
+
+// awaitConfiguration holds requests of a fresh host back until it knows a
+// configuration; before, it would call every declared name unknown. A request
+// with an identifier may have run through another host, so its refusal does not
+// say "not run".
+func (h *Host) awaitConfiguration(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	for deadline := time.Now().Add(configurationPatience); !h.configs.Ready(); time.Sleep(configurationCheckInterval) {
+		if r.Context().Err() == nil && time.Now().Before(deadline) {
+			continue
+		}
+		outcome := cluster.OutcomeNotRun
+		if r.Header.Get(httpapi.HeaderRequestID) != "" || r.Header.Get(httpapi.HeaderIdempotencyKey) != "" {
+			outcome = cluster.OutcomeUnknown
+		}
+		httpapi.WriteRefusal(w, r.Header.Get(httpapi.HeaderRequestID), &cluster.Refusal{
+			Outcome: outcome, Reason: cluster.ReasonNotReady,
+			Message: "this entry host has not read the configuration yet",
+		})
+		return
+	}
+	next(w, r)
+}
+
 func (h *Host) limitBody(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
 	limit := int64(h.settings.Limits.BodyBytes)
 	if r.ContentLength > limit {
-		httpapi.WriteRefusal(w, r.Header.Get("Request-Id"), &cluster.Refusal{
+		httpapi.WriteRefusal(w, r.Header.Get(httpapi.HeaderRequestID), &cluster.Refusal{
 			Outcome: cluster.OutcomeNotRun, Reason: cluster.ReasonTooLarge,
 			Message: "the body is over the limit of this entry host",
 		})
@@ -82,7 +114,7 @@
 		return
 	}
 	h.recorder.Count("unauthorized_total")
-	httpapi.WriteRefusal(w, r.Header.Get("Request-Id"), &cluster.Refusal{
+	httpapi.WriteRefusal(w, r.Header.Get(httpapi.HeaderRequestID), &cluster.Refusal{
 		Outcome: cluster.OutcomeNotRun, Reason: cluster.ReasonUnauthorized,
 		Message: "the bearer token is missing or wrong",
 	})
--- a/internal/httpapi/refusal.go
+++ b/internal/httpapi/refusal.go
@@ -47,6 +47,7 @@
 	cluster.ReasonKeyInvalid:     http.StatusBadRequest,
 	cluster.ReasonOtherAuthor:    http.StatusConflict,
 	cluster.ReasonDraining:       http.StatusServiceUnavailable,
+	cluster.ReasonNotReady:       http.StatusServiceUnavailable,
 	cluster.ReasonUnauthorized:   http.StatusUnauthorized,
 	cluster.ReasonBadRequest:     http.StatusBadRequest,
 	cluster.ReasonTooLarge:       http.StatusRequestEntityTooLarge,
