Add the load and plot commands

Cause: a running system of separate processes could not be driven from the command line, and nothing drew the rows of an experiment. Ruled out: a second way to derive a load; the test bed uses the same one. Change: 'load', 'plot', load.Mix.

--- a/cmd/sesamestand/arguments.go
+++ b/cmd/sesamestand/arguments.go
@@ -10,7 +10,9 @@
 	Status   *statusCommand     `arg:"subcommand:status" help:"show what an entry host knows"`
 	Explain  *explainCommand    `arg:"subcommand:explain" help:"show the decisions taken for a request"`
 	Demo     *demoCommand       `arg:"subcommand:demo" help:"run a whole system on loopback and check every promise"`
+	Load     *loadCommand       `arg:"subcommand:load" help:"drive a running system with callers and trainers"`
 	Measure  *experimentCommand `arg:"subcommand:experiment" help:"measure policies against each other under faults"`
+	Plot     *plotCommand       `arg:"subcommand:plot" help:"draw idle share and staleness from the rows of an experiment"`
 	Bench    *benchCommand      `arg:"subcommand:bench" help:"measure how costs grow and extrapolate to the size of the design"`
 	Standin  *standinCommand    `arg:"subcommand:standin" help:"run a stand-in of an outside system"`
 	Settings *settingsCommand   `arg:"subcommand:settings" help:"print the settings reference or check a settings file"`
--- /dev/null
+++ b/cmd/sesamestand/plot.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/plots"
+)
+
+// plotCommand draws rows that 'experiment --json' wrote.
+type plotCommand struct {
+	Rows string `arg:"positional,required" help:"file of rows written by 'experiment --json'" placeholder:"ROWS.json"`
+	Out  string `arg:"positional,required" help:"picture to write; its name ends in .png or .svg" placeholder:"PICTURE"`
+}
+
+func (c *plotCommand) run(context.Context) error {
+	file, err := os.Open(c.Rows)
+	if err != nil {
+		return eris.Wrap(err, "open the rows")
+	}
+	defer func() { _ = file.Close() }()
+	rows, err := plots.Read(file)
+	if err != nil {
+		return err
+	}
+	return plots.WriteFile(c.Out, rows)
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -93,7 +93,7 @@
 // loadWithFaults runs the load and meanwhile crashes an engine, takes a
 // backend server out of service, publishes a change and drains an entry host.
 func loadWithFaults(ctx context.Context, bed *testbed.Testbed, files map[string]string) (Result, error) {
-	config := bed.Mix(testbed.MixOptions{
+	config := bed.Mix(load.MixOptions{
 		CallerRate: 10, ServiceRate: 10, GroupsPerStep: 6, TrainTime: 3 * time.Second, Ahead: 1, Duration: loadTime,
 	})
 	config.Finish = finishTime
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -178,7 +178,7 @@
 		return err
 	}
 	defer bed.Close()
-	config := bed.Mix(testbed.MixOptions{
+	config := bed.Mix(load.MixOptions{
 		CallerRate: o.Load.CallerRate, ServiceRate: o.Load.ServiceRate, GroupsPerStep: o.Load.GroupsPerStep,
 		TrainTime: o.Load.TrainTime, Ahead: o.Load.Ahead, Duration: o.Duration,
 	})
--- a/internal/integration/faults_test.go
+++ b/internal/integration/faults_test.go
@@ -16,8 +16,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sesamestand/sesamestand/internal/checker"
+	"github.com/sesamestand/sesamestand/internal/load"
 	"github.com/sesamestand/sesamestand/internal/standin/logd"
-	"github.com/sesamestand/sesamestand/internal/testbed"
 )
 
 const (
@@ -46,7 +46,7 @@
 	seed := chooseSeed(t)
 	s := startSystem(t, "association", seed, tokenTime)
 	f := &faults{system: s, seed: seed, busy: make([]sync.Mutex, len(s.Entries))}
-	config := s.Mix(testbed.MixOptions{
+	config := s.Mix(load.MixOptions{
 		CallerRate: 10, ServiceRate: 10, GroupsPerStep: 6, TrainTime: 2 * time.Second, Ahead: 1, Duration: loadTime,
 	})
 	config.Finish = finishTime
--- a/internal/integration/hosts_test.go
+++ b/internal/integration/hosts_test.go
@@ -11,14 +11,13 @@
 	"github.com/sesamestand/sesamestand/internal/checker"
 	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/load"
-	"github.com/sesamestand/sesamestand/internal/testbed"
 )
 
 // Guards against requests that are lost or answered twice when an entry host
 // dies without warning: its callers send them again through another host.
 func TestKilledHostLosesNoRequest(t *testing.T) {
 	s := startSystem(t, "lin", 1, tokenTime)
-	config := s.Mix(testbed.MixOptions{
+	config := s.Mix(load.MixOptions{
 		CallerRate: 20, ServiceRate: 20, GroupsPerStep: 6, TrainTime: time.Second, Ahead: 1, Duration: 12 * time.Second,
 	})
 	config.Services = append(config.Services, load.ServiceMix{
@@ -66,7 +65,7 @@
 func TestRollingRestartCutsOffNothing(t *testing.T) {
 	// Slow tokens keep streams open when a shutdown begins.
 	s := startSystem(t, "association", 1, 5*tokenTime)
-	config := s.Mix(testbed.MixOptions{
+	config := s.Mix(load.MixOptions{
 		CallerRate: 40, ServiceRate: 10, GroupsPerStep: 6, TrainTime: time.Second, Ahead: 1, Duration: 25 * time.Second,
 	})
 	var drains []checker.Drain
