--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -69,5 +69,6 @@
 		values[i] = value(r)
 	}
 	slices.Sort(values)
-	return fmt.Sprintf(format+" ("+format+" to "+format+")", values[len(values)/2], values[0], values[len(values)-1])
+	middle := (values[(len(values)-1)/2] + values[len(values)/2]) / 2
+	return fmt.Sprintf(format+" ("+format+" to "+format+")", middle, values[0], values[len(values)-1])
 }
