Leave a warm-up out of latencies and idle times

A run can now name a warm-up; records and checks cover it nevertheless.

go test -race passes on internal/load and internal/checker.

--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -31,6 +31,10 @@
 	ProbeServices []string
 	ProbeInterval time.Duration // 0 means 500 ms
 	Duration      time.Duration
+	// WarmUp is the first part of Duration, which latencies and idle times
+	// leave out. Owners of engines that ignore fencing numbers send no orders
+	// for a lease term and 1 s after a start. Records cover it nevertheless.
+	WarmUp time.Duration
 	// Finish is the time that requests in flight get after Duration; 0 means 30 s.
 	Finish time.Duration
 	Seed   uint64
@@ -120,8 +124,8 @@
 	if len(c.Entries) == 0 {
 		return c, eris.New("no entry host is named")
 	}
-	if c.Duration <= 0 {
-		return c, eris.New("the duration is not positive")
+	if c.Duration <= c.WarmUp {
+		return c, eris.Errorf("the duration %s does not exceed the warm-up %s", c.Duration, c.WarmUp)
 	}
 	setDefault(&c.Finish, defaultFinish)
 	setDefault(&c.ProbeInterval, defaultProbe)
--- a/internal/load/records.go
+++ b/internal/load/records.go
@@ -103,7 +103,7 @@
 	Known   bool
 }
 
-// TrainerTime is how one trainer spent a run.
+// TrainerTime is how one trainer spent a run. Times begin after the warm-up.
 type TrainerTime struct {
 	Trainer     string
 	Steps       int
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -62,7 +62,9 @@
 	Max   float64 `json:"max"`
 }
 
-func newReport(elapsed time.Duration, records Records) Report {
+// newReport sums up a run. Latencies of requests that began before measured
+// do not count.
+func newReport(measured time.Time, elapsed time.Duration, records Records) Report {
 	report := Report{Seconds: elapsed.Seconds(), Records: records, Callers: []ClassReport{}, Trainers: []TrainerReport{}}
 	mixes := make(map[string][]Attempt)
 	for _, attempt := range records.Attempts {
@@ -75,7 +77,7 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		report.Callers = append(report.Callers, reportClass(mixes[name]))
+		report.Callers = append(report.Callers, reportClass(mixes[name], measured))
 	}
 	for _, spent := range records.Trainers {
 		report.Trainers = append(report.Trainers, reportTrainer(spent, records.Deliveries))
@@ -96,7 +98,7 @@
 	return fmt.Sprint(int(class))
 }
 
-func reportClass(attempts []Attempt) ClassReport {
+func reportClass(attempts []Attempt, measured time.Time) ClassReport {
 	report := ClassReport{Mix: attempts[0].Mix, Class: className(attempts[0].Class), Attempts: len(attempts), Refusals: map[string]int{}}
 	first := make(map[string]time.Time) // start of a request's first attempt
 	answer := make(map[string]Attempt)  // first answer of a request
@@ -119,6 +121,9 @@
 	report.Requests, report.Answered = len(first), len(answer)
 	var latencies, firstTokens []time.Duration
 	for id, a := range answer {
+		if first[id].Before(measured) {
+			continue
+		}
 		latencies = append(latencies, a.End.Sub(first[id]))
 		if !a.FirstToken.IsZero() {
 			firstTokens = append(firstTokens, a.FirstToken.Sub(first[id]))
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -35,7 +35,7 @@
 	}
 	d.runAll(ctx)
 	d.client.CloseIdleConnections()
-	return newReport(time.Since(d.started), d.recorder.Records), nil
+	return newReport(d.started.Add(config.WarmUp), time.Since(d.started), d.recorder.Records), nil
 }
 
 // runAll starts all callers and trainers. Arrivals stop after the duration;
--- a/internal/load/trainers.go
+++ b/internal/load/trainers.go
@@ -82,11 +82,11 @@
 
 // run goes from step to step until ctx ends.
 func (t *trainer) run(ctx context.Context) {
-	began := time.Now()
+	measured := t.d.started.Add(t.d.config.WarmUp)
 	for step := 1; ctx.Err() == nil; step++ {
 		waiting := time.Now()
 		whole := t.collect(ctx, step)
-		t.time.Idle += time.Since(waiting)
+		t.time.Idle += since(later(waiting, measured))
 		if step == 1 {
 			t.time.FirstWait = t.time.Idle
 		}
@@ -101,7 +101,7 @@
 		t.announce(ctx)
 		delete(t.steps, step)
 	}
-	t.time.Total = time.Since(began)
+	t.time.Total = since(measured)
 	t.wanted(func(g *group) {
 		if !g.submitted.IsZero() {
 			t.time.Outstanding++
@@ -110,6 +110,16 @@
 	t.d.recorder.record(func(r *Records) { r.Trainers = append(r.Trainers, t.time) })
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// since is the time since at, or 0 when at lies ahead.
+func since(at time.Time) time.Duration { return max(0, time.Since(at)) }
+
 // collect submits and pulls until the step is whole.
 func (t *trainer) collect(ctx context.Context, step int) bool {
 	for ctx.Err() == nil {
