End load runs on a condition in the checker's tests

Two tests ran the load tool for a fixed 3 s and then expected several steps, which a slow machine may not reach. A run can now be ended by closing a channel, and the tests close it once the system has seen enough steps, pulls and calls. What they assert is unchanged.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -36,7 +36,8 @@
 		Trainers:      []load.TrainerPlan{{Name: "captions", GroupsPerStep: 3, TrainTime: 10 * time.Millisecond, Ahead: 1, FirstVersion: 7}},
 		ProbeServices: []string{"desk"},
 		ProbeInterval: 50 * time.Millisecond,
-		Duration:      3 * time.Second,
+		Duration:      time.Minute,
+		Stop:          system.stopAfter(t, 4, 40),
 	})
 	must.NoError(t, err)
 	result := Check(Facts{
@@ -69,7 +70,8 @@
 			"captions": {Name: "captions", Model: "album", GroupSize: groupSize, StalenessBound: 1},
 		}},
 		Trainers: []load.TrainerPlan{{Name: "captions", GroupsPerStep: 3, FirstVersion: 7, LossAfter: 300 * time.Millisecond}},
-		Duration: 3 * time.Second,
+		Duration: time.Minute,
+		Stop:     system.stopAfter(t, 3, 0),
 	})
 	must.NoError(t, err)
 	must.Positive(t, report.Trainers[0].Steps)
--- a/internal/checker/system_test.go
+++ b/internal/checker/system_test.go
@@ -32,6 +32,7 @@
 	epoch  int
 	groups []map[string]any
 	pulls  int
+	step   int    // highest submitted
 	change int    // number of the pull that meets a new epoch; 0 means none
 	forget string // a group that the home forgets once
 }
@@ -63,6 +64,25 @@
 	return s, entries
 }
 
+// stopAfter returns a channel that is closed once the system has seen enough
+// of a trainer and of callers.
+func (s *system) stopAfter(t *testing.T, steps, calls int) <-chan struct{} {
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		for t.Context().Err() == nil {
+			s.mu.Lock()
+			enough := s.step > steps && s.pulls > 12
+			s.mu.Unlock()
+			if enough && len(s.service.Journal()) >= calls {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	return stop
+}
+
 func (s *system) complete(w http.ResponseWriter, r *http.Request) {
 	var request engine.GenerateRequest
 	standin.ReadJSON(w, r, &request)
@@ -90,6 +110,7 @@
 		standin.WriteJSON(w, http.StatusConflict, map[string]any{"epoch": fmt.Sprint(s.epoch)})
 		return
 	}
+	s.step = max(s.step, body.Step)
 	for _, g := range body.Groups {
 		if g.ID == s.forget {
 			s.forget = ""
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -31,6 +31,8 @@
 	ProbeServices []string
 	ProbeInterval time.Duration // 0 means 500 ms
 	Duration      time.Duration
+	// Stop ends Duration early when it is closed; nil never does.
+	Stop <-chan struct{}
 	// WarmUp is the first part of Duration, which latencies and idle times
 	// leave out. Owners of engines that ignore fencing numbers send no orders
 	// for a lease term and 1 s after a start. Records cover it nevertheless.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -45,6 +45,13 @@
 	defer cancel()
 	arrivals, stop := context.WithTimeout(requests, d.config.Duration)
 	defer stop()
+	go func() {
+		select {
+		case <-d.config.Stop:
+			stop()
+		case <-arrivals.Done():
+		}
+	}()
 	for _, plan := range d.config.Trainers {
 		model := d.config.Declared.Trainers[plan.Name].Model
 		d.recorder.newest[model] = max(d.recorder.newest[model], plan.FirstVersion)
