--- a/cmd/sesamestand/serve.go
+++ b/cmd/sesamestand/serve.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/sesamestand/sesamestand/internal/entry"
 	"github.com/sesamestand/sesamestand/internal/settings"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
+	"github.com/sesamestand/sesamestand/platform"
 )
 
 // serveCommand runs an entry host until it is told to stop.
@@ -17,9 +20,24 @@
 	if err != nil {
 		return err
 	}
+	if s.Platform.OnLogStore() {
+		return serveOnLogStore(ctx, s)
+	}
 	host, err := entry.New(s)
 	if err != nil {
 		return err
 	}
 	return host.Run(ctx)
 }
+
+// serveOnLogStore runs an entry host on a platform with a partitioned log store.
+func serveOnLogStore(ctx context.Context, s settings.Settings) error {
+	if err := telemetry.LogTo(os.Stdout); err != nil {
+		return err
+	}
+	host, err := platform.NewHost(s)
+	if err != nil {
+		return err
+	}
+	return host.Run(ctx, platform.NewIngress)
+}
--- /dev/null
+++ b/internal/core/schedule/schedule.go
@@ -0,0 +1,272 @@
+// Package schedule decides which item of a model's jobs runs next, on which
+// replica, and when a run is moved to another one.
+//
+// It answers the load of synchronous trainers: a burst of some dozens of items
+// a model at the start of a step, with a few items several times as long as
+// the mean, of which the trainer waits for most groups, not for all. Tokens of
+// one item come at a nearly fixed pace, so a step ends when its longest wanted
+// item ends.
+//
+// The package has no I/O and no clock.
+package schedule
+
+import (
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/core/table"
+)
+
+// Config holds the parameters of a Board.
+type Config struct {
+	// FirstEventTimeout is how long a run may take to its first event.
+	FirstEventTimeout time.Duration
+	// EventTimeout is the longest pause between two events.
+	EventTimeout time.Duration
+	// SlowFactor is how much slower than the median a replica's events may come
+	// before its runs are moved.
+	SlowFactor float64
+	// MinEvents is the number of events of a replica that its pace needs.
+	MinEvents int
+	// RetryPause is the pause after a run that was not accepted.
+	RetryPause time.Duration
+	// FailurePause is the pause after a run that broke.
+	FailurePause time.Duration
+	// MaxBroken is the number of runs of an item that may break with its
+	// replica before the item is tried only once every SuspectPause.
+	MaxBroken    int
+	SuspectPause time.Duration
+}
+
+// Defaults returns the default parameters.
+func Defaults() Config {
+	return Config{
+		FirstEventTimeout: 1500 * time.Millisecond, // a full replica's queue and a prompt
+		EventTimeout:      time.Second,             // some 20 events of a healthy replica
+		SlowFactor:        1.8,
+		MinEvents:         8,
+		RetryPause:        60 * time.Millisecond,
+		FailurePause:      100 * time.Millisecond,
+		MaxBroken:         3,
+		SuspectPause:      4 * time.Second,
+	}
+}
+
+// Replica is one replica as the model's scheduler knows it.
+type Replica struct {
+	ID         string
+	DataCentre string
+	Slots      int
+	// Usable says that the replica is registered, does not leave and takes
+	// runs of the model.
+	Usable bool
+	// Version is the weight version of the model that the replica runs.
+	Version int64
+	// Spare says that the replica was not chosen to serve the model.
+	Spare bool
+	// OthersRunning is the number of runs of other models there.
+	OthersRunning int
+}
+
+// task is one item that is not listed yet.
+type task struct {
+	job      *jobs.Entry
+	item     *jobs.Item
+	partial  jobs.Partial
+	failures int // answers that count as failed attempts
+	broken   int // runs that broke with their replica before any event
+	// notBefore delays the next run.
+	notBefore time.Time
+	run       *run
+	// done says that the result was decided and is on its way to the log.
+	done   bool
+	failed bool // the result is a failure
+	// carried says that an earlier job had the item too.
+	carried bool
+}
+
+// run is one run of an item.
+type run struct {
+	id        int64
+	replica   string
+	started   time.Time
+	lastEvent time.Time
+	events    int
+}
+
+// pace is how fast a replica's events come.
+type pace struct {
+	perEvent time.Duration // moving average
+	events   int
+	measured time.Time
+	// blockedUntil keeps new runs away after a refusal or a failure.
+	blockedUntil time.Time
+	failures     int
+}
+
+// Board holds the items of the jobs of one partition that wait or run. It is
+// not safe for concurrent use.
+type Board struct {
+	config  Config
+	tasks   *table.Table[string, task] // by job and item ID
+	byRun   map[int64]string
+	paces   map[string]*pace
+	running map[string]int // own runs by replica
+	nextRun int64
+	median  time.Duration // of the replicas' paces at the last tick
+}
+
+// NewBoard returns an empty board.
+func NewBoard(config Config) *Board {
+	return &Board{
+		config: config, tasks: table.New[string, task](), byRun: make(map[int64]string),
+		paces: make(map[string]*pace), running: make(map[string]int),
+	}
+}
+
+// Start asks for a run of an item.
+type Start struct {
+	Run     int64
+	Job     *jobs.Entry
+	Item    *jobs.Item
+	Replica string
+	Version int64 // weight version that the replica must have
+	// Stored is the text to go on from; empty means from the start.
+	Stored jobs.Partial
+	// Reason explains the choice for the decision line.
+	Reason string
+}
+
+// Stop asks for the end of a run.
+type Stop struct {
+	Run    int64
+	Reason string
+}
+
+// Listing asks for a result to be appended to the log.
+type Listing struct {
+	Job    string
+	Result jobs.Result
+}
+
+// Actions is what a tick decided.
+type Actions struct {
+	Stops    []Stop
+	Starts   []Start
+	Listings []Listing
+}
+
+// Running returns the own runs on a replica.
+func (b *Board) Running(replica string) int { return b.running[replica] }
+
+// Waiting returns the number of items that neither run nor are decided.
+func (b *Board) Waiting() int {
+	n := 0
+	b.tasks.Each(func(_ string, t *task) bool {
+		if t.run == nil && !t.done {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
+func taskKey(job, item string) string { return job + "/" + item }
+
+// Update takes the state of a job: new items are added, listed ones removed.
+// stored returns what is known of an item's text from earlier runs.
+func (b *Board) Update(e *jobs.Entry, stored func(item string) (jobs.Partial, bool)) {
+	for i := range e.Job.Items {
+		item := &e.Job.Items[i]
+		k := taskKey(e.Job.ID, item.ID)
+		if _, listed := e.Listed[item.ID]; listed || e.Ended {
+			continue
+		}
+		if b.tasks.Get(k) != nil {
+			continue
+		}
+		t := task{job: e, item: item}
+		if partial, ok := stored(item.ID); ok {
+			t.partial, t.carried = partial, true
+		}
+		b.tasks.Put(k, t)
+	}
+}
+
+// Accepted notes that a run's replica took the request.
+func (b *Board) Accepted(runID int64, now time.Time) {
+	if t := b.taskOf(runID); t != nil {
+		t.run.lastEvent = now
+	}
+}
+
+// Event notes the next event of a run with its ID and the version that made it.
+func (b *Board) Event(runID, id int64, data string, version int64, now time.Time) {
+	t := b.taskOf(runID)
+	if t == nil {
+		return
+	}
+	r := t.run
+	if r.events > 0 {
+		b.measure(r.replica, now.Sub(r.lastEvent), now)
+	}
+	r.events++
+	r.lastEvent = now
+	t.broken = 0
+	t.partial.Events = append(t.partial.Events, data)
+	t.partial.Versions = append(t.partial.Versions, version)
+	t.partial.LastID = id
+}
+
+// paceLifetime is how long a replica's pace counts without new events. A
+// replica that was slow is tried again after it.
+const paceLifetime = 3 * time.Second
+
+// known says whether a pace rests on enough and recent events.
+func (b *Board) known(p *pace, now time.Time) bool {
+	return p.events >= b.config.MinEvents && now.Sub(p.measured) <= paceLifetime
+}
+
+// paceWeight is the weight of one event in a replica's moving average.
+const paceWeight = 0.15
+
+func (b *Board) measure(replica string, gap time.Duration, now time.Time) {
+	p := b.pace(replica)
+	if now.Sub(p.measured) > paceLifetime {
+		p.events = 0
+	}
+	p.measured = now
+	p.events++
+	p.failures = 0
+	if p.events == 1 {
+		p.perEvent = gap
+		return
+	}
+	p.perEvent += time.Duration(paceWeight * float64(gap-p.perEvent))
+}
+
+func (b *Board) pace(replica string) *pace {
+	p := b.paces[replica]
+	if p == nil {
+		p = &pace{}
+		b.paces[replica] = p
+	}
+	return p
+}
+
+func (b *Board) taskOf(runID int64) *task {
+	k, ok := b.byRun[runID]
+	if !ok {
+		return nil
+	}
+	return b.tasks.Get(k)
+}
+
+func (b *Board) release(t *task) {
+	if t.run == nil {
+		return
+	}
+	b.running[t.run.replica]--
+	delete(b.byRun, t.run.id)
+	t.run = nil
+}
--- /dev/null
+++ b/internal/fronthost/duties.go
@@ -0,0 +1,109 @@
+package fronthost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/logstore"
+)
+
+// Times of duties.
+const (
+	// unconfirmedLimit is how long a runner goes on while the store does not
+	// renew the membership. Items may run twice, and results are fenced.
+	unconfirmedLimit = 12 * time.Second
+	// takeOverTimeout bounds one try to take a partition over.
+	takeOverTimeout = 3 * time.Second
+	// stopTimeout bounds the last append of a runner that stops in order.
+	stopTimeout = 1200 * time.Millisecond
+)
+
+// keepDuties starts and stops duties as the group deals partitions.
+func (h *Host) keepDuties(ctx context.Context, changed <-chan struct{}) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		h.matchDuties(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *Host) matchDuties(ctx context.Context) {
+	held := h.group.Assigned()
+	if time.Since(h.group.Renewed()) > unconfirmedLimit {
+		held = nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for p, r := range h.runners {
+		if epoch, ok := held[p]; !ok || epoch != r.epoch {
+			klog.InfoS("duty ends", "partition", p, "epoch", r.epoch)
+			r.cancel()
+			delete(h.runners, p)
+		}
+	}
+	for p, epoch := range held {
+		if h.runners[p] != nil || h.followers[p] == nil || h.draining.Load() {
+			continue
+		}
+		r := newRunner(h, p, epoch)
+		h.runners[p] = r
+		klog.InfoS("duty begins", "partition", p, "epoch", epoch)
+		var duty context.Context
+		duty, r.cancel = context.WithCancel(ctx)
+		go r.run(duty)
+	}
+}
+
+// stopDuties ends all duties in order and leaves the group, so that other hosts
+// take over at once.
+func (h *Host) stopDuties() {
+	h.mu.Lock()
+	runners := make([]*runner, 0, len(h.runners))
+	for _, r := range h.runners {
+		runners = append(runners, r)
+	}
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	var done sync.WaitGroup
+	for _, r := range runners {
+		done.Go(func() { r.stop(ctx) })
+	}
+	done.Wait()
+	h.group.Stop(ctx)
+}
+
+// takeOver makes this host the only writer of a partition, and waits until it
+// has read everything that was written before.
+func (r *runner) takeOver(ctx context.Context) error {
+	for {
+		tryCtx, cancel := context.WithTimeout(ctx, takeOverTimeout)
+		writer, end, err := logstore.Begin(tryCtx, r.host.store, workPartition(r.partition), writerName, r.epoch)
+		if err == nil {
+			err = r.host.follower(r.partition).WaitFor(tryCtx, end)
+		}
+		cancel()
+		if err == nil {
+			r.writer = writer
+			klog.InfoS("duty taken over", "partition", r.partition, "epoch", r.epoch, "end", end)
+			return nil
+		}
+		klog.InfoS("duty is not taken over yet", "partition", r.partition, "epoch", r.epoch, "err", err)
+		if isFenced(err) {
+			r.host.group.Fenced(r.partition)
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/fronthost/orders.go
@@ -0,0 +1,348 @@
+package fronthost
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/backend"
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/core/rollout"
+	"github.com/sesamestand/sesamestand/internal/logstore"
+)
+
+// Times of orders.
+const (
+	// leaseMargin is added to the lease that a new holder waits, for clocks
+	// that run at different rates and messages under way.
+	leaseMargin = 300 * time.Millisecond
+	// firstReport is when a load is first looked at: somewhat under the
+	// shortest time that one takes.
+	firstReport = 700 * time.Millisecond
+	// reportInterval is the time between two looks at a load.
+	reportInterval = 150 * time.Millisecond
+	// loadLimit ends the watch of a load; it is planned anew then.
+	loadLimit = 12 * time.Second
+	// orderRetry delays the next order after one that was not taken.
+	orderRetry = 300 * time.Millisecond
+	// unknownRetry delays the next order after one without an answer.
+	unknownRetry = time.Second
+	// reportLag is how old a report may be.
+	reportLag = 400 * time.Millisecond
+	// defaultLag is the number of versions behind the newest that a trainer is
+	// expected to allow before its first job says so.
+	defaultLag = 1
+)
+
+// orderer plans versions and sends orders while its runner holds the control
+// partition. It is the only place that sends orders.
+type orderer struct {
+	runner *runner
+	since  time.Time // when this host took over
+	rows   map[string]*orderRow
+}
+
+// orderRow is what the orderer knows of one start of one replica.
+type orderRow struct {
+	started   int64
+	known     bool  // a report was read
+	orders    int64 // orders that the replica has taken
+	busy      bool  // an exchange or a load is under way
+	notBefore time.Time
+}
+
+func newOrderer(r *runner) *orderer {
+	return &orderer{runner: r, since: time.Now(), rows: make(map[string]*orderRow)}
+}
+
+// mayOrder says whether this host is the holder for sure and the former one has
+// been silent for a lease.
+func (o *orderer) mayOrder(now time.Time) bool {
+	lease := o.runner.host.settings.Timing.OrderLease + leaseMargin
+	epoch, held := o.runner.host.group.Held()[controlPartition]
+	return held && epoch == o.runner.epoch && now.Sub(o.since) >= lease && !o.runner.isStopping()
+}
+
+// tick assigns replicas to models and sends the orders that are due.
+func (o *orderer) tick(ctx context.Context) {
+	h := o.runner.host
+	now := time.Now()
+	h.mu.Lock()
+	replicas, models := o.tables()
+	changed := rollout.Assign(rollout.Defaults(), replicas, models)
+	records := o.assignments(changed, replicas)
+	var orders []rollout.Order
+	if o.mayOrder(now) {
+		orders = rollout.Next(rollout.Defaults(), replicas, models, now)
+	}
+	for _, order := range orders {
+		o.launch(ctx, order)
+	}
+	h.mu.Unlock()
+	o.runner.write(records)
+}
+
+// tables copies what the plan needs. The caller holds host.mu.
+func (o *orderer) tables() ([]*rollout.Replica, []rollout.Model) {
+	h := o.runner.host
+	if h.state.Config == nil {
+		return nil, nil
+	}
+	var replicas []*rollout.Replica
+	var models []rollout.Model
+	for _, name := range sortedServices(h.state.Config) {
+		service := h.state.Config.Services[name]
+		if len(service.Models) == 0 {
+			continue
+		}
+		for _, model := range service.Models {
+			models = append(models, rollout.Model{
+				Name: model, Service: name, Newest: h.state.Newest(model), Lag: h.lagOf(model), KeepOne: h.keepsOne(model),
+			})
+		}
+		for _, s := range h.byService[name] {
+			replicas = append(replicas, o.replica(&s))
+		}
+	}
+	return replicas, models
+}
+
+func (o *orderer) replica(s *deployment.Server) *rollout.Replica {
+	row := o.row(s)
+	p := o.runner.host.placement(s.ID)
+	serves := make(map[string]bool, len(p.Serves))
+	for _, m := range p.Serves {
+		serves[m] = true
+	}
+	return &rollout.Replica{
+		ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Started: s.Started, Leaving: s.Leaving,
+		Versions: p.Versions, Serves: serves, Loading: row.busy, NotBefore: row.notBefore,
+	}
+}
+
+func (o *orderer) row(s *deployment.Server) *orderRow {
+	row := o.rows[s.ID]
+	if row == nil || row.started != s.Started {
+		row = &orderRow{started: s.Started}
+		o.rows[s.ID] = row
+	}
+	return row
+}
+
+// assignments returns the records of changed assignments and takes them over.
+// The caller holds host.mu.
+func (o *orderer) assignments(changed []string, replicas []*rollout.Replica) []logstore.Record {
+	h := o.runner.host
+	var records []logstore.Record
+	for _, id := range changed {
+		for _, r := range replicas {
+			if r.ID != id {
+				continue
+			}
+			p := h.placement(id)
+			p.Serves = p.Serves[:0:0]
+			for _, m := range h.state.Config.Models() {
+				if r.Serves[m] {
+					p.Serves = append(p.Serves, m)
+				}
+			}
+			h.recorder.Decision("place", "", "replica", id, "serves", p.Serves, "versions", p.Versions)
+			records = append(records, o.record(id, p)...)
+		}
+	}
+	return records
+}
+
+func (o *orderer) record(id string, p *placement) []logstore.Record {
+	record, err := encodePlacement(id, p)
+	if err != nil {
+		klog.ErrorS(err, "placement cannot be written", "replica", id)
+		return nil
+	}
+	return []logstore.Record{record}
+}
+
+func sortedServices(c *deployment.Config) []string {
+	return slices.Sorted(maps.Keys(c.Services))
+}
+
+// lagOf returns how many versions behind the newest a model's trainer allows.
+// The caller holds mu.
+func (h *Host) lagOf(model string) int64 {
+	lag, step := int64(defaultLag), int64(-1)
+	h.jobs.Each(func(e *jobs.Entry) bool {
+		if e.Job.Model == model && e.Job.Step > step && e.Job.Step > 1 {
+			step = e.Job.Step
+			lag = max(e.Job.Step-e.Job.MinVersion, 0)
+		}
+		return true
+	})
+	return min(lag, defaultLag)
+}
+
+// keepsOne says whether a model's results may have one version only. The caller
+// holds mu.
+func (h *Host) keepsOne(model string) bool {
+	keeps := false
+	h.jobs.Each(func(e *jobs.Entry) bool {
+		if e.Job.Model == model && !e.Ended {
+			route := h.routeOf(e)
+			keeps = keeps || (route != nil && route.SingleVersion)
+		}
+		return true
+	})
+	return keeps
+}
+
+// launch sends one order in the background. The caller holds host.mu.
+func (o *orderer) launch(ctx context.Context, order rollout.Order) {
+	server := o.runner.host.state.Servers.Get(order.Replica)
+	if server == nil {
+		return
+	}
+	row := o.row(server)
+	row.busy = true
+	go o.carryOut(ctx, order, backend.Target{ID: server.ID, Addr: server.Addr}, row)
+}
+
+// carryOut sends an order and watches the load until it is done.
+func (o *orderer) carryOut(ctx context.Context, order rollout.Order, target backend.Target, row *orderRow) {
+	h := o.runner.host
+	if !row.known && !o.readReport(ctx, order, target, row) {
+		o.release(row, orderRetry)
+		return
+	}
+	h.mu.Lock()
+	if h.placement(target.ID).Versions[order.Model] >= order.Version || !o.mayOrder(time.Now()) {
+		row.busy = false
+		h.mu.Unlock()
+		return
+	}
+	expected := row.orders
+	h.mu.Unlock()
+	o.publish(target.ID, order.Model)
+	outcome, err := h.backends.Order(ctx, target, backend.Order{
+		Model: order.Model, Version: order.Version, Finish: order.Finish,
+		Holder: h.member, Fence: o.runner.epoch, Expected: expected,
+	})
+	h.recorder.Decision("order", "", "replica", target.ID, "model", order.Model, "version", order.Version, "fence", o.runner.epoch, "expected", expected, "outcome", outcome.String(), "err", errorText(err))
+	h.recorder.Count("orders_total", "outcome", outcome.String())
+	pause := time.Duration(0)
+	switch outcome {
+	case backend.OrderTaken:
+		h.mu.Lock()
+		row.orders = expected + 1
+		h.mu.Unlock()
+		o.watch(ctx, order, target, row, firstReport)
+	case backend.OrderHolds:
+		o.learned(target.ID, order.Model, order.Version)
+	case backend.OrderUnknown:
+		o.watch(ctx, order, target, row, reportLag)
+		pause = unknownRetry
+	case backend.OrderConflict:
+		row.known = false
+		pause = orderRetry
+	case backend.OrderFenced:
+		klog.InfoS("a replica has seen a higher fencing number", "replica", target.ID, "fence", o.runner.epoch)
+		h.group.Fenced(controlPartition)
+		pause = unknownRetry
+	case backend.OrderRefused:
+		row.known = false
+		pause = unknownRetry
+	}
+	o.publish(target.ID, "")
+	o.release(row, pause)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// watch reads reports until the replica has the version or is idle without it.
+func (o *orderer) watch(ctx context.Context, order rollout.Order, target backend.Target, row *orderRow, first time.Duration) {
+	started := time.Now()
+	for pause := first; time.Since(started) < loadLimit; pause = reportInterval {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		report, err := o.runner.host.backends.Report(ctx, target)
+		if err != nil {
+			if !o.registered(target) {
+				return
+			}
+			continue
+		}
+		o.take(target.ID, report, row)
+		if report.Versions[order.Model] >= order.Version {
+			return
+		}
+		if !report.Busy && time.Since(started) > first+2*reportLag {
+			return
+		}
+	}
+}
+
+func (o *orderer) registered(target backend.Target) bool {
+	o.runner.host.mu.Lock()
+	defer o.runner.host.mu.Unlock()
+	s := o.runner.host.state.Servers.Get(target.ID)
+	return s != nil && s.Addr == target.Addr
+}
+
+// readReport reads a replica's state before the first order.
+func (o *orderer) readReport(ctx context.Context, order rollout.Order, target backend.Target, row *orderRow) bool {
+	report, err := o.runner.host.backends.Report(ctx, target)
+	if err != nil {
+		klog.V(1).InfoS("replica gave no report", "replica", target.ID, "err", err)
+		return false
+	}
+	o.take(target.ID, report, row)
+	return report.Versions[order.Model] < order.Version
+}
+
+// take takes a report. It may be older than what is known.
+func (o *orderer) take(replica string, report backend.Report, row *orderRow) {
+	h := o.runner.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	row.known = true
+	row.orders = max(row.orders, report.Orders)
+	for model, version := range report.Versions {
+		h.placement(replica).learn(model, version)
+	}
+}
+
+func (o *orderer) learned(replica, model string, version int64) {
+	o.runner.host.mu.Lock()
+	defer o.runner.host.mu.Unlock()
+	o.runner.host.placement(replica).learn(model, version)
+}
+
+// publish tells the runners of all models what a replica loads and has.
+func (o *orderer) publish(replica, loading string) {
+	h := o.runner.host
+	h.mu.Lock()
+	p := h.placement(replica)
+	p.Loading = loading
+	records := o.record(replica, p)
+	h.wakeRunners()
+	h.mu.Unlock()
+	o.runner.write(records)
+}
+
+func (o *orderer) release(row *orderRow, pause time.Duration) {
+	o.runner.host.mu.Lock()
+	defer o.runner.host.mu.Unlock()
+	row.busy = false
+	row.notBefore = time.Now().Add(pause)
+	o.runner.wake()
+}
--- /dev/null
+++ b/internal/fronthost/runner.go
@@ -0,0 +1,322 @@
+package fronthost
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/backend"
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/core/schedule"
+	"github.com/sesamestand/sesamestand/internal/logstore"
+)
+
+// Times of a runner.
+const (
+	// tickInterval is the time between two decisions when nothing happens.
+	tickInterval = 50 * time.Millisecond
+	// listDelay gathers results that finish together into one append.
+	listDelay = 5 * time.Millisecond
+	// giveUpMargin keeps items from being given up too early by a host whose
+	// view of the submission is late or early.
+	giveUpMargin = time.Second
+	// partialInterval is the time between two appends of unfinished texts.
+	partialInterval = time.Second
+	// partialEvents is the least growth of a text that is worth an append.
+	partialEvents = 15
+	// cleanUpInterval is the time between two looks for jobs to remove.
+	cleanUpInterval = 5 * time.Second
+)
+
+// runner holds one partition: it runs the items of its jobs and lists results,
+// or, on the control partition, plans versions and sends orders.
+type runner struct {
+	host      *Host
+	partition int
+	epoch     int64
+	cancel    context.CancelFunc
+	writer    *logstore.FencedWriter
+	woken     chan struct{}
+
+	board   *schedule.Board  // guarded by host.mu
+	cancels map[int64]func() // ends a run; guarded by host.mu
+	seen    map[string]int   // events of texts in the log
+	orders  *orderer         // control partition only
+
+	mu       sync.Mutex
+	pending  []schedule.Listing
+	queued   map[string]bool // results on their way, by job and item
+	records  []logstore.Record
+	appends  chan struct{}
+	stopping bool
+	idle     chan struct{} // closed when the appender has ended
+}
+
+func newRunner(h *Host, partition int, epoch int64) *runner {
+	return &runner{
+		host: h, partition: partition, epoch: epoch, woken: make(chan struct{}, 1),
+		board: schedule.NewBoard(schedule.Defaults()), cancels: make(map[int64]func()), seen: make(map[string]int),
+		queued: make(map[string]bool), appends: make(chan struct{}, 1), idle: make(chan struct{}),
+	}
+}
+
+// wake makes the runner decide soon.
+func (r *runner) wake() {
+	select {
+	case r.woken <- struct{}{}:
+	default:
+	}
+}
+
+// run holds the duty until ctx ends.
+func (r *runner) run(ctx context.Context) {
+	if err := r.takeOver(ctx); err != nil {
+		close(r.idle)
+		return
+	}
+	go r.appendLoop(ctx)
+	if r.partition == controlPartition {
+		r.orders = newOrderer(r)
+	}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	partials, cleanUp := time.Now(), time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			r.stopRuns()
+			return
+		case <-ticker.C:
+		case <-r.woken:
+		}
+		if r.orders != nil {
+			r.orders.tick(ctx)
+			continue
+		}
+		r.tick(ctx)
+		if now := time.Now(); now.Sub(partials) >= partialInterval {
+			partials = now
+			r.storePartials(partialEvents)
+		}
+		if now := time.Now(); now.Sub(cleanUp) >= cleanUpInterval {
+			cleanUp = now
+			r.removeOld(now)
+		}
+	}
+}
+
+// tick lets the board decide and carries its decisions out.
+func (r *runner) tick(ctx context.Context) {
+	h := r.host
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r.isStopping() {
+		return
+	}
+	h.jobs.Each(func(e *jobs.Entry) bool {
+		if e.Partition == r.partition && !e.Ended {
+			r.board.Update(e, h.jobs.Partial)
+		}
+		return true
+	})
+	actions := r.board.Tick(r.view(now))
+	for _, s := range actions.Stops {
+		if stop := r.cancels[s.Run]; stop != nil {
+			stop()
+			delete(r.cancels, s.Run)
+		}
+		h.recorder.Decision("run-stop", "", "partition", r.partition, "run", s.Run, "reason", s.Reason)
+	}
+	for _, s := range actions.Starts {
+		r.start(ctx, s)
+	}
+	r.list(actions.Listings)
+}
+
+// view collects what the board needs to know. The caller holds host.mu.
+func (r *runner) view(now time.Time) schedule.View {
+	h := r.host
+	return schedule.View{
+		Now:      now,
+		Replicas: r.replicas,
+		Single: func(e *jobs.Entry) bool {
+			route := h.routeOf(e)
+			return route != nil && route.SingleVersion
+		},
+		Finished: h.jobs.Finished,
+		GivenUp: func(e *jobs.Entry) bool {
+			if h.state.Config == nil {
+				return false
+			}
+			route := h.routeOf(e)
+			return route == nil || now.Sub(e.Seen) > route.Retention+giveUpMargin
+		},
+	}
+}
+
+// routeOf returns the route of a job under the newest configuration. The caller
+// holds mu.
+func (h *Host) routeOf(e *jobs.Entry) *deployment.Route {
+	if h.state.Config == nil {
+		return nil
+	}
+	return h.state.Config.Match(e.Job.Host, e.Job.Path)
+}
+
+// serviceOf returns the service that runs a job's items.
+func serviceOf(route *deployment.Route, job string) string {
+	return route.Pick(float64(xxhash.Sum64String(job)>>11) / (1 << 53))
+}
+
+// replicas returns the replicas for a job as the board sees them. The caller
+// holds host.mu.
+func (r *runner) replicas(e *jobs.Entry) []schedule.Replica {
+	h := r.host
+	route := h.routeOf(e)
+	if route == nil {
+		return nil
+	}
+	servers := h.byService[serviceOf(route, e.Job.ID)]
+	rows := make([]schedule.Replica, 0, len(servers))
+	chosen := false
+	for _, s := range servers {
+		p := h.placement(s.ID)
+		row := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, Version: p.Versions[e.Job.Model]}
+		row.Usable = !s.Leaving && p.Loading != e.Job.Model
+		if p.serves(e.Job.Model) {
+			chosen = true
+		} else {
+			row.Spare = true
+		}
+		rows = append(rows, row)
+	}
+	if !chosen {
+		for i := range rows {
+			rows[i].Spare = false
+		}
+	}
+	return rows
+}
+
+// start runs an item. The caller holds host.mu.
+func (r *runner) start(ctx context.Context, s schedule.Start) {
+	h := r.host
+	server := h.state.Servers.Get(s.Replica)
+	route := h.routeOf(s.Job)
+	if server == nil || route == nil {
+		r.board.End(s.Run, schedule.NotRun, 1, time.Now())
+		return
+	}
+	target := backend.Target{ID: server.ID, Addr: server.Addr}
+	runCtx, cancel := context.WithCancel(ctx)
+	r.cancels[s.Run] = cancel
+	request := &backend.Run{
+		ID: s.Item.ID, HostName: s.Job.Job.Host, Path: s.Item.Path, Headers: s.Item.Headers, Body: s.Item.Body,
+		Version: s.Version, After: s.Stored.LastID, Resumed: len(s.Stored.Events) > 0,
+	}
+	h.recorder.Decision("run", s.Item.ID, "job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Stored.Events), "expected", s.Item.Expected, "why", s.Reason)
+	go r.execute(runCtx, cancel, target, request, s, route.Attempts)
+}
+
+// execute runs an item to its end and tells the board.
+func (r *runner) execute(ctx context.Context, cancel func(), target backend.Target, request *backend.Run, s schedule.Start, attempts int) {
+	defer cancel()
+	h := r.host
+	started := time.Now()
+	events := 0
+	end := h.backends.Run(ctx, target, request, func(e backend.Event) {
+		events++
+		now := time.Now()
+		h.mu.Lock()
+		r.board.Event(s.Run, e.ID, e.Data, e.Version, now)
+		h.placement(target.ID).learn(s.Job.Job.Model, e.Version)
+		h.mu.Unlock()
+	})
+	outcome := runOutcome(end)
+	now := time.Now()
+	h.mu.Lock()
+	delete(r.cancels, s.Run)
+	r.board.End(s.Run, outcome, attempts, now)
+	h.mu.Unlock()
+	r.wake()
+	details := []any{"job", s.Job.Job.ID, "run", s.Run, "replica", target.ID, "outcome", outcome.String(), "events", events, "took_ms", now.Sub(started).Milliseconds()}
+	if end.Err != nil {
+		details = append(details, "err", end.Err.Error())
+	}
+	if end.Answer != nil {
+		details = append(details, "status", end.Answer.Status)
+	}
+	h.recorder.Decision("run-end", request.ID, details...)
+	h.recorder.Count("runs_total", "outcome", outcome.String())
+}
+
+func runOutcome(end backend.RunEnd) schedule.Outcome {
+	switch {
+	case end.Complete:
+		return schedule.Complete
+	case errors.Is(end.Err, backend.ErrNotSent):
+		return schedule.Broken
+	case end.Answer == nil:
+		return schedule.Broken
+	case end.Answer.OtherInstance, end.Answer.OtherVersion:
+		return schedule.WrongState
+	case end.Answer.NotRun:
+		return schedule.NotRun
+	case end.Answer.Status == statusImpossible:
+		return schedule.Impossible
+	case end.Answer.Status == statusFailed:
+		return schedule.Failed
+	}
+	return schedule.Broken
+}
+
+// Statuses of answers to items.
+const (
+	statusFailed     = 500 // a failed attempt
+	statusImpossible = 422 // the item can never be done
+)
+
+func (r *runner) stopRuns() {
+	r.host.mu.Lock()
+	defer r.host.mu.Unlock()
+	for id, stop := range r.cancels {
+		stop()
+		delete(r.cancels, id)
+	}
+}
+
+func (r *runner) isStopping() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopping
+}
+
+func isFenced(err error) bool {
+	var sequence *logstore.SequenceError
+	return errors.Is(err, logstore.ErrFenced) || errors.As(err, &sequence)
+}
+
+// removeOld removes jobs whose results need not be kept any more.
+func (r *runner) removeOld(now time.Time) {
+	h := r.host
+	h.mu.Lock()
+	var records []logstore.Record
+	h.jobs.Each(func(e *jobs.Entry) bool {
+		if e.Partition == r.partition && now.Sub(e.Seen) > 2*h.settings.Timing.JobRetention && (e.Ended || len(e.Results) == len(e.Job.Items)) {
+			records = append(records, jobs.Removals(e)...)
+			klog.InfoS("job is removed", "job", e.Job.ID, "age", now.Sub(e.Seen))
+		}
+		return len(records) < maxRemovals
+	})
+	h.mu.Unlock()
+	r.write(records)
+}
+
+// maxRemovals bounds the records of one clean-up.
+const maxRemovals = 2000
--- /dev/null
+++ b/internal/fronthost/serve.go
@@ -0,0 +1,139 @@
+package fronthost
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/negroni/v3"
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/settings"
+)
+
+// Times of serving.
+const (
+	// readHeaderTimeout bounds how long a client may take for a header.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is far above what operators configure for clients, who may
+	// send on an idle connection until then.
+	idleTimeout = 2 * time.Minute
+	// drainNotice is how long the host goes on taking connections after it has
+	// said that it is not ready: two checks of the balancer and some more.
+	drainNotice = 2600 * time.Millisecond
+	// killMargin is left between the end of a drain and the platform's kill.
+	killMargin = 700 * time.Millisecond
+	// drainPoll is the time between two looks at requests in flight.
+	drainPoll = 20 * time.Millisecond
+	// quietSpan is how long no request may be in flight before the host exits.
+	quietSpan = 100 * time.Millisecond
+)
+
+// Ingress builds the handler that callers reach, and the readiness check.
+type Ingress func(*Host) (front, ready http.Handler)
+
+// Run serves until ctx ends, and then drains.
+func (h *Host) Run(ctx context.Context, ingress Ingress) error {
+	klog.InfoS("start", "host", h.settings.Host.ID, "data_centre", h.settings.Host.DataCentre, "member", h.member, "front", h.settings.Host.HTTPAddr, "store", h.settings.Platform.LogAddr)
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	front, ready := ingress(h)
+	metrics := http.NewServeMux()
+	metrics.Handle("/metrics", h.recorder.Handler())
+	handler := negroni.New(negroni.HandlerFunc(h.track))
+	handler.UseHandler(front)
+	servers := []*http.Server{
+		newServer(h.settings.Host.HTTPAddr, handler),
+		newServer(h.settings.Host.ReadyAddr, ready),
+	}
+	if h.settings.Host.MetricsAddr != "" {
+		servers = append(servers, newServer(h.settings.Host.MetricsAddr, metrics))
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		listener, err := net.Listen("tcp", s.Addr)
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", s.Addr)
+		}
+		go func() { failed <- s.Serve(listener) }()
+	}
+	h.start(work)
+	go h.reload(work)
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return eris.Wrap(err, "serve")
+	}
+	h.drain()
+	for _, s := range servers {
+		if err := s.Close(); err != nil {
+			klog.V(1).InfoS("server did not close", "addr", s.Addr, "err", err)
+		}
+	}
+	klog.InfoS("stop", "host", h.settings.Host.ID, "in_flight", h.inFlight.Load())
+	return nil
+}
+
+func newServer(addr string, handler http.Handler) *http.Server {
+	return &http.Server{Addr: addr, Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// track counts requests in flight and, while the host drains, asks clients to
+// use other connections.
+func (h *Host) track(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	next(w, r)
+}
+
+// drain gives the duties up, lets the balancer notice, and waits for requests in
+// flight as long as the platform allows.
+func (h *Host) drain() {
+	started := time.Now()
+	deadline := started.Add(h.settings.Timing.StopGrace - killMargin)
+	klog.InfoS("drain", "host", h.settings.Host.ID, "in_flight", h.inFlight.Load(), "limit", h.settings.Timing.StopGrace-killMargin)
+	h.draining.Store(true)
+	go h.stopDuties()
+	quietSince := time.Now()
+	for time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+		if h.inFlight.Load() > 0 {
+			quietSince = time.Now()
+		}
+		if time.Since(started) >= drainNotice && time.Since(quietSince) >= quietSpan {
+			return
+		}
+	}
+}
+
+// reload reads the settings file again on SIGHUP. Addresses and limits take
+// effect at the next start; a file with findings changes nothing.
+func (h *Host) reload(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		if h.settings.File == "" {
+			continue
+		}
+		s, err := settings.Load(h.settings.File)
+		if err != nil {
+			klog.ErrorS(err, "settings are not reloaded", "file", h.settings.File)
+			continue
+		}
+		klog.InfoS("settings reloaded", "file", h.settings.File, "needs_restart", s.Host != h.settings.Host || s.Platform != h.settings.Platform)
+	}
+}
--- a/internal/httpapi/refusal.go
+++ b/internal/httpapi/refusal.go
@@ -75,6 +75,11 @@
 // WriteRefusal answers a request with a refusal. Nothing may have been written
 // to w before.
 func WriteRefusal(w http.ResponseWriter, requestID string, refusal *cluster.Refusal) {
+	WriteRefusalStatus(w, requestID, refusal, Status(refusal.Reason))
+}
+
+// WriteRefusalStatus is WriteRefusal for interfaces with statuses of their own.
+func WriteRefusalStatus(w http.ResponseWriter, requestID string, refusal *cluster.Refusal, status int) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderOutcome, string(refusal.Outcome))
@@ -82,7 +87,7 @@
 	if requestID != "" {
 		header.Set(HeaderRequestID, requestID)
 	}
-	w.WriteHeader(Status(refusal.Reason))
+	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(Body(requestID, refusal)); err != nil {
 		klog.V(1).InfoS("refusal was not written", "request_id", requestID, "err", err)
 	}
--- /dev/null
+++ b/internal/logstore/follower.go
@@ -0,0 +1,228 @@
+package logstore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// Times of a follower.
+const (
+	// followWait is how long the store may hold a read. It bounds the age of
+	// what a quiet partition is known to hold.
+	followWait = 500 * time.Millisecond
+	// callMargin is added to a call's own waiting time before it is given up.
+	// It is well under the 3 s after which hosts count as reachable again.
+	callMargin = 900 * time.Millisecond
+	// followRetry is the pause after a failed read.
+	followRetry = 150 * time.Millisecond
+	// outageAfter is the time without an answer that counts as an outage.
+	outageAfter = 1200 * time.Millisecond
+)
+
+// Batch is a run of records that a follower hands to its receiver.
+type Batch struct {
+	Records []Record
+	// Complete says that the batch lists the newest record of every key: a key
+	// that it lacks does not exist.
+	Complete bool
+	// AfterOutage says when the store last came back after an outage.
+	AfterOutage time.Time
+}
+
+// Follower reads one partition and hands its records on in order.
+type Follower struct {
+	store     Store
+	partition Partition
+	apply     func(Batch)
+
+	mu          sync.Mutex
+	listed      bool
+	next        int64     // offset to read next
+	current     time.Time // up to when the tables are known to be current
+	lastAnswer  time.Time
+	afterOutage time.Time
+	down        bool
+	changed     chan struct{} // closed and replaced when next moves
+}
+
+// NewFollower returns a follower that calls apply for each batch, one at a time.
+func NewFollower(store Store, p Partition, apply func(Batch)) *Follower {
+	return &Follower{store: store, partition: p, apply: apply, changed: make(chan struct{})}
+}
+
+// Run follows the partition until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.lastAnswer = time.Now()
+	f.mu.Unlock()
+	for ctx.Err() == nil {
+		if err := f.step(ctx, followWait); err != nil {
+			f.failed(err)
+			sleep(ctx, followRetry)
+		}
+	}
+}
+
+// step lists the partition if that was not done yet, and else reads on.
+func (f *Follower) step(ctx context.Context, wait time.Duration) error {
+	f.mu.Lock()
+	listed, from := f.listed, f.next
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	defer cancel()
+	if !listed {
+		return f.list(ctx)
+	}
+	sent := time.Now()
+	page, err := f.store.Read(ctx, f.partition, from, wait)
+	if errors.Is(err, ErrDeleted) {
+		klog.InfoS("records were deleted, listing again", "partition", f.partition, "offset", from)
+		f.mu.Lock()
+		f.listed = false
+		f.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.accept(page, sent)
+	return nil
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	sent := time.Now()
+	listing, err := f.store.Newest(ctx, f.partition)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered()
+	if listing.End < f.next {
+		return nil
+	}
+	f.listed = true
+	f.apply(Batch{Records: listing.Records, Complete: true, AfterOutage: f.afterOutage})
+	f.moveTo(listing.End)
+	f.current = sent
+	return nil
+}
+
+// accept hands on the records of a page that were not handed on yet.
+func (f *Follower) accept(page Page, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered()
+	records := page.Records
+	for len(records) > 0 && records[0].Offset < f.next {
+		records = records[1:]
+	}
+	if len(records) > 0 {
+		f.apply(Batch{Records: records, AfterOutage: f.afterOutage})
+		f.moveTo(records[len(records)-1].Offset + 1)
+	}
+	if f.next >= page.End {
+		f.current = sent
+		if len(page.Records) == 0 {
+			// The store held the call to its end and had nothing new until then.
+			f.current = time.Now()
+		}
+	}
+}
+
+func (f *Follower) moveTo(next int64) {
+	f.next = next
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Follower) answered() {
+	now := time.Now()
+	if f.down {
+		f.down = false
+		f.afterOutage = now
+		klog.InfoS("log store regained", "partition", f.partition, "outage", now.Sub(f.lastAnswer))
+	}
+	f.lastAnswer = now
+}
+
+func (f *Follower) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down || time.Since(f.lastAnswer) < outageAfter {
+		return
+	}
+	f.down = true
+	klog.InfoS("log store lost", "partition", f.partition, "since", f.lastAnswer, "err", err)
+}
+
+// Listed says whether the partition was read at least once.
+func (f *Follower) Listed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed || f.next > 0
+}
+
+// Down says whether the store has not answered for some time.
+func (f *Follower) Down() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
+// Age returns how old the newest knowledge of the partition is.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.current)
+}
+
+// Confirm reads on until everything that the store held when it was called has
+// been handed on.
+func (f *Follower) Confirm(ctx context.Context) error {
+	start := time.Now()
+	for {
+		f.mu.Lock()
+		done := f.listed && f.current.After(start)
+		f.mu.Unlock()
+		if done {
+			return nil
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if err := f.step(ctx, 0); err != nil {
+			return err
+		}
+	}
+}
+
+// WaitFor waits until all records before an offset have been handed on.
+func (f *Follower) WaitFor(ctx context.Context, offset int64) error {
+	for {
+		f.mu.Lock()
+		reached, changed := f.next >= offset, f.changed
+		f.mu.Unlock()
+		if reached {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -17,8 +17,20 @@
 	bounds   string
 	doc      string
 	required bool
-	set      func(*Settings, string) error
-	get      func(*Settings) string
+	// requiredOn limits required to one kind of platform; empty means all.
+	requiredOn string
+	set        func(*Settings, string) error
+	get        func(*Settings) string
+}
+
+// on limits a required key to one kind of platform.
+func (k key) on(kind string) key {
+	k.requiredOn = kind
+	return k
+}
+
+func (k key) isRequired(s *Settings) bool {
+	return k.required && (k.requiredOn == "" || k.requiredOn == s.Platform.Kind)
 }
 
 // keys lists every key in the order of the reference page.
@@ -26,18 +38,27 @@
 	textKey("host", "id", "unique name of this entry host", true, func(s *Settings) *string { return &s.Host.ID }),
 	textKey("host", "data_centre", "name of the data centre that this entry host is in", true, func(s *Settings) *string { return &s.Host.DataCentre }),
 	addrKey("host", "http_addr", "address for callers, trainers and operators", true, func(s *Settings) *string { return &s.Host.HTTPAddr }),
-	addrKey("host", "peer_addr", "address for other entry hosts: gRPC over TCP and membership over UDP", true, func(s *Settings) *string { return &s.Host.PeerAddr }),
+	addrKey("host", "peer_addr", "address for other entry hosts: gRPC over TCP and membership over UDP", true, func(s *Settings) *string { return &s.Host.PeerAddr }).on(PlatformServices),
+	addrKey("host", "ready_addr", "address of the readiness check for the platform's balancer", true, func(s *Settings) *string { return &s.Host.ReadyAddr }).on(PlatformLogStore),
+	addrKey("host", "metrics_addr", "address of the metrics; none serves them on http_addr", false, func(s *Settings) *string { return &s.Host.MetricsAddr }),
 	{section: "host", name: "peers", unit: "IP:port list", doc: "peer_addr of other entry hosts to contact at start; a few are enough", set: setPeers,
 		get: func(s *Settings) string { return strings.Join(s.Peers, ", ") }},
 
+	{section: "platform", name: "kind", unit: "name", fallback: PlatformServices, bounds: PlatformServices + " or " + PlatformLogStore, doc: "what the platform offers: a log of streams with a host list and a weight store, or one partitioned log store", set: setPlatformKind,
+		get: func(s *Settings) string { return s.Platform.Kind }},
 	addrKey("platform", "log_addr", "log service", true, func(s *Settings) *string { return &s.Platform.LogAddr }),
-	addrKey("platform", "hosts_addr", "host list", true, func(s *Settings) *string { return &s.Platform.HostsAddr }),
-	addrKey("platform", "weights_addr", "weight store", true, func(s *Settings) *string { return &s.Platform.WeightsAddr }),
+	addrKey("platform", "hosts_addr", "host list", true, func(s *Settings) *string { return &s.Platform.HostsAddr }).on(PlatformServices),
+	addrKey("platform", "weights_addr", "weight store", true, func(s *Settings) *string { return &s.Platform.WeightsAddr }).on(PlatformServices),
+
+	intKey("platform", "partitions", "partitions", "8", 2, 1024, "partitions of each topic of the log store", func(s *Settings) *int { return &s.Platform.Store.Partitions }),
+	intKey("platform", "record_bytes", "bytes", "262144", 4096, 64<<20, "largest record of the log store", func(s *Settings) *int { return &s.Platform.Store.RecordBytes }),
+	intKey("platform", "append_bytes", "bytes", "2097152", 4096, 64<<20, "largest total of one append to the log store", func(s *Settings) *int { return &s.Platform.Store.AppendBytes }),
+	durationKey("platform", "min_member_ttl", "1s", 100*time.Millisecond, time.Minute, "shortest time to live that the log store allows a group's member", func(s *Settings) *time.Duration { return &s.Platform.Store.MinTTL }),
 
 	{section: "auth", name: "caller_tokens", unit: "token list", doc: "tokens that callers may use; none lets every caller in", set: setCallerTokens,
 		get: func(s *Settings) string { return strings.Join(s.Auth.CallerTokens, ", ") }},
 	textKey("auth", "operator_token", "token for status, explain and metrics; none leaves them open", false, func(s *Settings) *string { return &s.Auth.OperatorToken }),
-	textKey("auth", "cluster_token", "token shared by all entry hosts", true, func(s *Settings) *string { return &s.Auth.ClusterToken }),
+	textKey("auth", "cluster_token", "token shared by all entry hosts", true, func(s *Settings) *string { return &s.Auth.ClusterToken }).on(PlatformServices),
 	textKey("auth", "backend_token", "token sent to backend servers", false, func(s *Settings) *string { return &s.Auth.BackendToken }),
 	textKey("auth", "platform_token", "token sent to the log, the host list and the weight store", false, func(s *Settings) *string { return &s.Auth.PlatformToken }),
 
@@ -61,6 +82,10 @@
 	durationKey("timing", "state_interval", "1s", 10*time.Millisecond, time.Minute, "time between two reads of an engine's state", func(s *Settings) *time.Duration { return &s.Timing.StateInterval }),
 	durationKey("timing", "request_timeout", "60s", 100*time.Millisecond, time.Hour, "deadline of a request that names none", func(s *Settings) *time.Duration { return &s.Timing.RequestTimeout }),
 
+	durationKey("timing", "order_lease", "3s", 100*time.Millisecond, time.Hour, "shortest time between orders of two holders to one replica", func(s *Settings) *time.Duration { return &s.Timing.OrderLease }),
+	durationKey("timing", "stop_grace", "8s", time.Second, time.Hour, "time from SIGTERM until the platform kills the process", func(s *Settings) *time.Duration { return &s.Timing.StopGrace }),
+	durationKey("timing", "job_retention", "120s", time.Second, 24*time.Hour, "how long after its submission a job's results can be read", func(s *Settings) *time.Duration { return &s.Timing.JobRetention }),
+
 	textKey("tls", "cert_file", "certificate (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.CertFile }),
 	textKey("tls", "key_file", "private key (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.KeyFile }),
 	textKey("tls", "ca_file", "certificates (PEM) that other entry hosts must chain to", false, func(s *Settings) *string { return &s.TLS.CAFile }),
@@ -165,6 +190,14 @@
 	return nil
 }
 
+func setPlatformKind(s *Settings, value string) error {
+	if value != PlatformServices && value != PlatformLogStore {
+		return fmt.Errorf("%q is neither %s nor %s", value, PlatformServices, PlatformLogStore)
+	}
+	s.Platform.Kind = value
+	return nil
+}
+
 func checkAddr(value string) error {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		return fmt.Errorf("%q is not IP:port", value)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,11 +21,20 @@
 	PolicyBaseline = "baseline"
 )
 
+// Kinds of platform that an entry host can run on.
+const (
+	// PlatformServices offers a log of streams, a host list and a weight store.
+	PlatformServices = "services"
+	// PlatformLogStore offers one partitioned log store with consumer groups.
+	PlatformLogStore = "log_store"
+)
+
 // trainerTokenSection maps trainer names to tokens; its keys are free.
 const trainerTokenSection = "trainer_tokens"
 
 // Settings is the content of a settings file.
 type Settings struct {
+	File     string // the file that was read, if there was one
 	Host     Host
 	Platform Platform
 	Auth     Auth
@@ -42,15 +51,32 @@
 	DataCentre string
 	HTTPAddr   string
 	PeerAddr   string // gRPC over TCP and membership over UDP share this address
+	// ReadyAddr serves the readiness check of the platform's balancer.
+	ReadyAddr string
+	// MetricsAddr serves the metrics; empty means HTTPAddr.
+	MetricsAddr string
 }
 
 // Platform holds the addresses of the platform's services. Section [platform].
 type Platform struct {
+	Kind        string
 	LogAddr     string
 	HostsAddr   string
 	WeightsAddr string
+	Store       Store
 }
 
+// Store holds the limits of a partitioned log store. Section [platform].
+type Store struct {
+	Partitions  int           // of each topic
+	RecordBytes int           // largest record
+	AppendBytes int           // largest total of one append
+	MinTTL      time.Duration // shortest time to live of a group's member
+}
+
+// OnLogStore says whether the host runs on a partitioned log store.
+func (p Platform) OnLogStore() bool { return p.Kind == PlatformLogStore }
+
 // Auth holds tokens. Sections [auth] and [trainer_tokens].
 type Auth struct {
 	CallerTokens  []string
@@ -85,6 +111,9 @@
 	ProbeInterval   time.Duration // membership
 	StateInterval   time.Duration // reading engines' state
 	RequestTimeout  time.Duration // when the caller names none
+	OrderLease      time.Duration // pause between orders of two holders
+	StopGrace       time.Duration // from SIGTERM to SIGKILL
+	JobRetention    time.Duration // how long a job's results can be read
 }
 
 // TLS holds key files, reloaded when they change. Section [tls]. Empty means plain TCP.
@@ -117,7 +146,9 @@
 	if err != nil {
 		return Settings{}, eris.Wrap(err, "read the settings file")
 	}
-	return Parse(path, content)
+	s, err := Parse(path, content)
+	s.File = path
+	return s, err
 }
 
 // Parse checks the content of a settings file; file names it in findings.
@@ -133,7 +164,7 @@
 		setSection(&s, section, given, &findings)
 	}
 	for _, k := range keys {
-		if k.required && !given[k.section+"."+k.name] {
+		if k.isRequired(&s) && !given[k.section+"."+k.name] {
 			findings.Add(file, 0, k.section+"."+k.name, "is required")
 		}
 	}
@@ -153,7 +184,7 @@
 			continue
 		}
 		given[section.Header+"."+name] = true
-		if k.required && value.Text == "" {
+		if k.isRequired(s) && value.Text == "" {
 			findings.Add(section.File, value.Line, name, "must not be empty")
 			continue
 		}
@@ -213,7 +244,10 @@
 			fmt.Fprintf(&b, "\n## [%s]\n\n| key | unit | default | bounds | meaning |\n|---|---|---|---|---|\n", section)
 		}
 		fallback := k.fallback
-		if k.required {
+		switch {
+		case k.required && k.requiredOn != "":
+			fallback = "required with `kind = " + k.requiredOn + "`"
+		case k.required:
 			fallback = "required"
 		}
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", k.name, k.unit, fallback, k.bounds, k.doc)
