Keep payloads and texts apart from the records that all hosts follow

Ruled out: a longer limit alone, which only moves the size at which it fails. Change: payloads and texts lie in a topic of their own that is read on demand; jobs and results refer to them. A listing keeps the pages it has when a later one fails.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -5,18 +5,32 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/core/table"
 )
 
-// Item is one request of a job.
-type Item struct {
-	ID      string            `json:"id"`
+// Ref says where a blob lies: large data that only some hosts need is kept in
+// another topic, and the records that all hosts follow refer to it.
+type Ref struct {
+	Key     string `json:"key"`
+	Offset  int64  `json:"offset"`
+	Records int    `json:"records"`
+	Bytes   int    `json:"bytes"`
+}
+
+// Payload is what a replica is sent for an item.
+type Payload struct {
 	Path    string            `json:"path"`
 	Headers map[string]string `json:"headers,omitempty"`
 	Body    []byte            `json:"body,omitempty"`
-	Group   string            `json:"group,omitempty"`
+}
+
+// Item is one request of a job.
+type Item struct {
+	ID    string `json:"id"`
+	Group string `json:"group,omitempty"`
 	// Prompt is the number of prompt tokens; MaxOutput bounds the generated
 	// ones, Expected estimates them. Zero means unknown.
 	Prompt    int `json:"prompt,omitempty"`
@@ -35,17 +49,19 @@
 	// MinVersion is the oldest weight version that may generate its tokens.
 	MinVersion int64  `json:"min_version"`
 	Items      []Item `json:"items"`
+	// Payloads refers to the items' payloads, in the order of Items.
+	Payloads Ref `json:"payloads"`
 }
 
 // Result is the outcome of one item.
 type Result struct {
 	Item     string  `json:"item"`
 	Failed   bool    `json:"failed,omitempty"`
-	Text     string  `json:"text,omitempty"`
+	Text     Ref     `json:"text"` // unless it failed
 	Versions []int64 `json:"versions,omitempty"`
 }
 
-// Partial is the text of an unfinished run.
+// Partial is the text of an unfinished run. It is kept as a blob.
 type Partial struct {
 	Events   []string `json:"events"`
 	Versions []int64  `json:"versions"` // one for each event
@@ -73,26 +89,9 @@
 // Changed returns a channel that is closed at the next result or at the end.
 func (e *Entry) Changed() <-chan struct{} { return e.changed }
 
-// item returns the item of an ID, or nil.
-func (e *Entry) item(id string) *Item {
-	if e.Job == nil {
-		return nil
-	}
-	for i := range e.Job.Items {
-		if e.Job.Items[i].ID == id {
-			return &e.Job.Items[i]
-		}
-	}
-	return nil
-}
-
-// Body returns the body of an item and whether the job has the item.
-func (e *Entry) Body(id string) ([]byte, bool) {
-	item := e.item(id)
-	if item == nil {
-		return nil, false
-	}
-	return item.Body, true
+// Index returns the place of an item in the job, or -1.
+func (e *Entry) Index(id string) int {
+	return slices.IndexFunc(e.Job.Items, func(item Item) bool { return item.ID == id })
 }
 
 // Page returns results from a position on, at least one if there is one, and
@@ -102,8 +101,8 @@
 		return nil
 	}
 	end, size := after, 0
-	for end < len(e.Results) && (end == after || size+len(e.Results[end].Text) <= maxBytes) {
-		size += len(e.Results[end].Text)
+	for end < len(e.Results) && (end == after || size+e.Results[end].Text.Bytes <= maxBytes) {
+		size += e.Results[end].Text.Bytes
 		end++
 	}
 	return e.Results[after:end]
@@ -115,14 +114,14 @@
 	// texts holds finished results by item ID: an item that comes again in a
 	// later job may use them.
 	texts map[string]Result
-	// partials holds the stored text of unfinished runs by item ID.
-	partials map[string]Partial
+	// partials refers to the stored text of unfinished runs by item ID.
+	partials map[string]Ref
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		entries: table.New[string, Entry](), texts: make(map[string]Result), partials: make(map[string]Partial),
+		entries: table.New[string, Entry](), texts: make(map[string]Result), partials: make(map[string]Ref),
 	}
 }
 
@@ -151,8 +150,8 @@
 	return r, ok
 }
 
-// Partial returns the stored text of an unfinished run of an item.
-func (t *Table) Partial(item string) (Partial, bool) {
+// Partial refers to the stored text of an unfinished run of an item.
+func (t *Table) Partial(item string) (Ref, bool) {
 	p, ok := t.partials[item]
 	return p, ok
 }
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -60,15 +60,33 @@
 	return logstore.Record{Key: key(kindEnd, job, ""), Value: []byte("{}")}
 }
 
-// EncodePartial returns the record of an unfinished run's text.
-func EncodePartial(job, item string, p Partial) (logstore.Record, error) {
-	data, err := json.Marshal(p)
+// EncodePartial returns the record that refers to an unfinished run's text.
+func EncodePartial(job, item string, text Ref) (logstore.Record, error) {
+	data, err := json.Marshal(text)
 	if err != nil {
-		return logstore.Record{}, eris.Wrap(err, "encode a partial text")
+		return logstore.Record{}, eris.Wrap(err, "encode a reference")
 	}
 	return logstore.Record{Key: key(kindPartial, job, item), Value: data}, nil
 }
 
+// BlobRemovals returns the records that remove the blobs of a job.
+func BlobRemovals(e *Entry) []logstore.Record {
+	refs := []Ref{e.Job.Payloads}
+	for _, r := range e.Results {
+		refs = append(refs, r.Text)
+	}
+	var records []logstore.Record
+	for _, ref := range refs {
+		for i := range ref.Records {
+			records = append(records, logstore.Record{Key: ref.ChunkKey(i)})
+		}
+	}
+	return records
+}
+
+// ChunkKey returns the key of one record of a blob.
+func (r Ref) ChunkKey(i int) string { return fmt.Sprintf("%s/%04d", r.Key, i) }
+
 // Removals returns the records that remove all keys of a job.
 func Removals(e *Entry) []logstore.Record {
 	var records []logstore.Record
@@ -125,11 +143,11 @@
 		e.Ended = true
 		e.notify()
 	case kindPartial:
-		var p Partial
-		if err := json.Unmarshal(r.Value, &p); err != nil || len(p.Events) != len(p.Versions) {
-			return fmt.Errorf("partial text of item %q cannot be read: %v", rest, err)
+		var text Ref
+		if err := json.Unmarshal(r.Value, &text); err != nil {
+			return eris.Wrapf(err, "decode the text of item %q", rest)
 		}
-		t.partials[rest] = p
+		t.partials[rest] = text
 	}
 	return nil
 }
--- a/internal/core/schedule/outcome.go
+++ b/internal/core/schedule/outcome.go
@@ -76,24 +76,29 @@
 	t.partial = jobs.Partial{}
 }
 
-// result returns the result of a decided item.
-func (t *task) result() jobs.Result {
-	if t.failed {
-		return jobs.Result{Item: t.item.ID, Failed: true}
-	}
-	return jobs.Result{
-		Item: t.item.ID, Text: strings.Join(t.partial.Events, "\n"), Versions: jobs.Distinct(t.partial.Versions),
+// listing returns the result of a decided item.
+func (t *task) listing() Listing {
+	l := Listing{Job: t.job.Job.ID}
+	switch {
+	case t.failed:
+		l.Result = jobs.Result{Item: t.item.ID, Failed: true}
+	case t.reused != nil:
+		l.Result = *t.reused
+	default:
+		l.Result = jobs.Result{Item: t.item.ID, Versions: jobs.Distinct(t.partial.Versions)}
+		l.Text = strings.Join(t.partial.Events, "\n")
 	}
+	return l
 }
 
 // Partials returns the stored text of running items that have grown by at
 // least minEvents since the last call with the same seen table.
-func (b *Board) Partials(seen map[string]int, minEvents int) map[string]PartialOf {
-	grown := make(map[string]PartialOf)
+func (b *Board) Partials(seen map[string]int, minEvents int) []PartialOf {
+	var grown []PartialOf
 	b.tasks.Each(func(k string, t *task) bool {
 		n := len(t.partial.Events)
-		if !t.done && n-seen[k] >= minEvents {
-			grown[k] = PartialOf{Job: t.job.Job.ID, Item: t.item.ID, Partial: t.partial}
+		if !t.done && n-seen[k] >= max(minEvents, 1) {
+			grown = append(grown, PartialOf{Job: t.job.Job.ID, Item: t.item.ID, Partial: t.partial})
 			seen[k] = n
 		}
 		return true
--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -81,6 +81,8 @@
 	// done says that the result was decided and is on its way to the log.
 	done   bool
 	failed bool // the result is a failure
+	// reused is an earlier result that is listed again.
+	reused *jobs.Result
 	// carried says that an earlier job had the item too.
 	carried bool
 }
@@ -147,6 +149,8 @@
 type Listing struct {
 	Job    string
 	Result jobs.Result
+	// Text is the result's text, unless the result refers to a stored one.
+	Text string
 }
 
 // Actions is what a tick decided.
@@ -154,6 +158,9 @@
 	Stops    []Stop
 	Starts   []Start
 	Listings []Listing
+	// Dropped holds the unfinished texts of items that are not wanted any more.
+	// They may come again in a later job.
+	Dropped []PartialOf
 }
 
 // Running returns the own runs on a replica.
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -67,7 +67,7 @@
 				actions.Stops = append(actions.Stops, Stop{Run: t.run.id, Reason: "result is decided"})
 				b.release(t)
 			}
-			actions.Listings = append(actions.Listings, Listing{Job: e.Job.ID, Result: t.result()})
+			actions.Listings = append(actions.Listings, t.listing())
 		}
 		return true
 	})
@@ -78,6 +78,9 @@
 		actions.Stops = append(actions.Stops, Stop{Run: t.run.id, Reason: "job ended or item listed"})
 		b.release(t)
 	}
+	if !t.done && len(t.partial.Events) > 0 {
+		actions.Dropped = append(actions.Dropped, PartialOf{Job: t.job.Job.ID, Item: t.item.ID, Partial: t.partial})
+	}
 	b.tasks.Delete(k)
 }
 
@@ -87,11 +90,10 @@
 		return
 	}
 	r, ok := v.Finished(t.item.ID)
-	if !ok || !jobs.Fits(r.Versions, t.job.Job.MinVersion, v.Single(t.job)) || r.Text == "" {
+	if !ok || !jobs.Fits(r.Versions, t.job.Job.MinVersion, v.Single(t.job)) {
 		return
 	}
-	t.partial = jobs.Partial{Events: []string{r.Text}, Versions: r.Versions}
-	t.done = true
+	t.reused, t.done = &r, true
 }
 
 // stopStalled ends runs without progress.
--- /dev/null
+++ b/internal/fronthost/blobs.go
@@ -0,0 +1,255 @@
+package fronthost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/logstore"
+)
+
+// topicBlobs holds payloads and texts, which only some hosts need.
+const topicBlobs = "blobs"
+
+// Limits of blobs.
+const (
+	// cacheBytes bounds the blobs that a host keeps: some steps' texts.
+	cacheBytes = 4 << 20
+	// maxRangeBytes bounds one read of neighbouring blobs.
+	maxRangeBytes = 900 << 10
+	// blobOverhead is room for the key and its framing in a record.
+	blobOverhead = 512
+	// blobReadTimeout bounds one read. A read takes some milliseconds.
+	blobReadTimeout = 800 * time.Millisecond
+)
+
+var errNoBlob = errors.New("blob is not in the store")
+
+// blob is data to be stored under a key.
+type blob struct {
+	key  string
+	data []byte
+}
+
+// blobs stores and reads blobs, and keeps the newest ones in memory.
+type blobs struct {
+	store     logstore.Store
+	maxRecord int
+	maxAppend int
+
+	mu    sync.Mutex
+	cache map[string][]byte
+	order []string // oldest first
+	size  int
+}
+
+func newBlobs(store logstore.Store, maxRecord, maxAppend int) *blobs {
+	return &blobs{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte)}
+}
+
+func blobPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicBlobs, Number: n} }
+
+// put stores blobs and returns where they lie. Storing again does no harm.
+func (b *blobs) put(ctx context.Context, partition int, items []blob) ([]jobs.Ref, error) {
+	refs := make([]jobs.Ref, len(items))
+	for start := 0; start < len(items); {
+		end, size := start, 0
+		for end < len(items) && (end == start || size+len(items[end].data)+blobOverhead <= b.maxAppend) {
+			size += len(items[end].data) + blobOverhead
+			end++
+		}
+		if err := b.putTogether(ctx, partition, items[start:end], refs[start:end]); err != nil {
+			return nil, err
+		}
+		start = end
+	}
+	return refs, nil
+}
+
+// putTogether stores blobs one after the other. A blob over the size of an
+// append takes several, between which other records may come.
+func (b *blobs) putTogether(ctx context.Context, partition int, items []blob, refs []jobs.Ref) error {
+	var records []logstore.Record
+	for i, item := range items {
+		refs[i] = jobs.Ref{Key: item.key, Offset: int64(len(records)), Bytes: len(item.data)}
+		size := b.maxRecord - blobOverhead
+		for chunk := range slices.Chunk(item.data, size) {
+			records = append(records, logstore.Record{Key: refs[i].ChunkKey(refs[i].Records), Value: chunk})
+			refs[i].Records++
+		}
+		b.keep(item.key, item.data)
+	}
+	base := int64(-1)
+	for len(records) > 0 {
+		n := fitting(records, b.maxAppend)
+		end, err := logstore.AppendOnce(ctx, b.store, blobPartition(partition), records[:n])
+		if err != nil {
+			return err
+		}
+		if base < 0 {
+			base = end - int64(n)
+		}
+		records = records[n:]
+	}
+	for i := range refs {
+		refs[i].Offset += base
+	}
+	return nil
+}
+
+// get returns blobs in the order of refs.
+func (b *blobs) get(ctx context.Context, partition int, refs []jobs.Ref) ([][]byte, error) {
+	found := make([][]byte, len(refs))
+	var missing []int
+	for i, ref := range refs {
+		if found[i] = b.cached(ref); found[i] == nil && ref.Bytes > 0 {
+			missing = append(missing, i)
+		}
+	}
+	slices.SortFunc(missing, func(x, y int) int { return int(refs[x].Offset - refs[y].Offset) })
+	for len(missing) > 0 {
+		n := neighbours(refs, missing)
+		if err := b.read(ctx, partition, refs, missing[:n], found); err != nil {
+			return nil, err
+		}
+		missing = missing[n:]
+	}
+	return found, nil
+}
+
+// neighbours returns how many blobs one read can bring.
+func neighbours(refs []jobs.Ref, sorted []int) int {
+	first := refs[sorted[0]]
+	size, end := first.Bytes, first.Offset+int64(first.Records)
+	for n := 1; n < len(sorted); n++ {
+		next := refs[sorted[n]]
+		size += next.Bytes
+		if next.Offset != end || size > maxRangeBytes {
+			return n
+		}
+		end += int64(next.Records)
+	}
+	return len(sorted)
+}
+
+// read reads neighbouring blobs by offset, or by key when their offsets are
+// gone.
+func (b *blobs) read(ctx context.Context, partition int, refs []jobs.Ref, places []int, found [][]byte) error {
+	values := make(map[string][]byte)
+	first, last := refs[places[0]], refs[places[len(places)-1]]
+	size := 0
+	for _, i := range places {
+		size += refs[i].Bytes + refs[i].Records*blobOverhead
+	}
+	err := b.readRange(ctx, partition, first.Offset, last.Offset+int64(last.Records), size, values)
+	if err != nil && !errors.Is(err, logstore.ErrDeleted) {
+		return err
+	}
+	for _, i := range places {
+		ref := refs[i]
+		data, ok := assemble(ref, values)
+		if !ok {
+			if err := b.readByKey(ctx, partition, ref, values); err != nil {
+				return err
+			}
+			if data, ok = assemble(ref, values); !ok {
+				return fmt.Errorf("%w: %s", errNoBlob, ref.Key)
+			}
+		}
+		found[i] = data
+		b.keep(ref.Key, data)
+	}
+	return nil
+}
+
+func (b *blobs) readRange(ctx context.Context, partition int, from, to int64, size int, values map[string][]byte) error {
+	for from < to {
+		tryCtx, cancel := context.WithTimeout(ctx, blobReadTimeout)
+		page, err := b.store.Read(tryCtx, blobPartition(partition), from, size, 0)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if len(page.Records) == 0 {
+			return nil
+		}
+		for _, r := range page.Records {
+			values[r.Key] = r.Value
+		}
+		from += int64(len(page.Records))
+	}
+	return nil
+}
+
+// readByKey reads a blob whose offset is gone: the newest record of a key stays.
+func (b *blobs) readByKey(ctx context.Context, partition int, ref jobs.Ref, values map[string][]byte) error {
+	after := ref.Key + "/"
+	for {
+		tryCtx, cancel := context.WithTimeout(ctx, blobReadTimeout)
+		listing, err := b.store.Newest(tryCtx, blobPartition(partition), after)
+		cancel()
+		if err != nil {
+			return err
+		}
+		for _, r := range listing.Records {
+			if !strings.HasPrefix(r.Key, ref.Key+"/") {
+				return nil
+			}
+			values[r.Key] = r.Value
+			after = r.Key
+		}
+		if !listing.More || len(listing.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+func assemble(ref jobs.Ref, values map[string][]byte) ([]byte, bool) {
+	if ref.Records == 1 {
+		data, ok := values[ref.ChunkKey(0)]
+		return data, ok
+	}
+	var data []byte
+	for i := range ref.Records {
+		chunk, ok := values[ref.ChunkKey(i)]
+		if !ok {
+			return nil, false
+		}
+		data = append(data, chunk...)
+	}
+	return data, true
+}
+
+// cached returns a blob from memory. A text of an unfinished run is stored under
+// one key as it grows, so the size must fit.
+func (b *blobs) cached(ref jobs.Ref) []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if data := b.cache[ref.Key]; len(data) == ref.Bytes {
+		return data
+	}
+	return nil
+}
+
+func (b *blobs) keep(key string, data []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if old, ok := b.cache[key]; ok {
+		b.size += len(data) - len(old)
+		b.cache[key] = data
+		return
+	}
+	b.cache[key] = data
+	b.order = append(b.order, key)
+	b.size += len(data)
+	for b.size > cacheBytes && len(b.order) > 1 {
+		b.size -= len(b.cache[b.order[0]])
+		delete(b.cache, b.order[0])
+		b.order = b.order[1:]
+	}
+}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -68,6 +68,7 @@
 	recorder *telemetry.Recorder
 	member   string // unique for this start of the process
 	group    *logstore.Group
+	blobs    *blobs
 
 	operators *logstore.Follower
 	servers   *logstore.Follower
@@ -97,6 +98,7 @@
 		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()),
 		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner),
 	}
+	h.blobs = newBlobs(store, s.Platform.Store.RecordBytes, s.Platform.Store.AppendBytes)
 	h.operators = logstore.NewFollower(store, feeds.Operators.Partition, h.applyOperators)
 	h.servers = logstore.NewFollower(store, feeds.Servers.Partition, h.applyServers)
 	return h
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
@@ -30,9 +33,12 @@
 
 // Submit accepts a job. A nil refusal means that the job will outlive the loss
 // of all hosts.
-func (h *Host) Submit(ctx context.Context, job *jobs.Job) *Refusal {
+func (h *Host) Submit(ctx context.Context, job *jobs.Job, payloads []jobs.Payload) *Refusal {
 	started := time.Now()
-	refusal := h.submit(ctx, job)
+	// A caller that leaves must not stop a submission halfway.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitTimeout)
+	defer cancel()
+	refusal := h.submit(ctx, job, payloads)
 	details := []any{"model", job.Model, "step", job.Step, "items", len(job.Items), "min_version", job.MinVersion, "took_ms", time.Since(started).Milliseconds()}
 	outcome := "accepted"
 	if refusal != nil {
@@ -44,16 +50,28 @@
 	return refusal
 }
 
-func (h *Host) submit(ctx context.Context, job *jobs.Job) *Refusal {
+func (h *Host) submit(ctx context.Context, job *jobs.Job, payloads []jobs.Payload) *Refusal {
 	if h.job(job.ID) != nil {
 		return nil
 	}
-	records, err := jobs.EncodeJob(job, h.settings.Platform.Store.RecordBytes)
+	data, err := json.Marshal(payloads)
 	if err != nil {
 		return notRun(cluster.ReasonBadRequest, err.Error())
 	}
 	partition := h.partitionOf(job.Model)
-	if err := h.appendAll(ctx, partition, records, submitTimeout); err != nil {
+	refs, err := h.blobs.put(ctx, partition, []blob{{key: "b/" + job.ID, data: data}})
+	if err != nil {
+		// No record of the job itself was sent yet, so nothing of it can run.
+		refusal := notRun(cluster.ReasonLogUnavailable, err.Error())
+		refusal.RetryAfter = storeRetry
+		return refusal
+	}
+	job.Payloads = refs[0]
+	records, err := jobs.EncodeJob(job, h.settings.Platform.Store.RecordBytes)
+	if err != nil {
+		return notRun(cluster.ReasonBadRequest, err.Error())
+	}
+	if err := h.appendAll(ctx, partition, records); err != nil {
 		return storeRefusal(err)
 	}
 	h.applyOwn(partition, records)
@@ -73,10 +91,7 @@
 
 // appendAll appends records in calls that the store takes. An error after the
 // first call leaves the outcome unknown.
-func (h *Host) appendAll(ctx context.Context, partition int, records []logstore.Record, limit time.Duration) error {
-	// A caller that leaves must not stop an append halfway.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
-	defer cancel()
+func (h *Host) appendAll(ctx context.Context, partition int, records []logstore.Record) error {
 	for first := true; len(records) > 0; first = false {
 		n := fitting(records, h.settings.Platform.Store.AppendBytes)
 		_, err := logstore.AppendOnce(ctx, h.store, workPartition(partition), records[:n])
@@ -171,6 +186,7 @@
 	Total   int
 	Next    int
 	Results []jobs.Result
+	Texts   []string // of each result
 }
 
 // Results returns results from a position on, and waits for one if there is
@@ -188,7 +204,7 @@
 		total, changed, ended := len(e.Job.Items), e.Changed(), e.Ended
 		h.mu.Unlock()
 		if len(page) > 0 {
-			return &Results{Total: total, Next: after + len(page), Results: page}, nil
+			return h.withTexts(ctx, e, &Results{Total: total, Next: after + len(page), Results: page})
 		}
 		if f.Age() > freshFor {
 			confirming, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -216,16 +232,60 @@
 	}
 }
 
+// withTexts adds the texts of a page's results.
+func (h *Host) withTexts(ctx context.Context, e *jobs.Entry, page *Results) (*Results, *Refusal) {
+	refs := make([]jobs.Ref, len(page.Results))
+	for i, r := range page.Results {
+		refs[i] = r.Text
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	texts, err := h.blobs.get(ctx, e.Partition, refs)
+	if err != nil {
+		h.recorder.Decision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "err", err.Error())
+		return nil, notRun(cluster.ReasonLogUnavailable, "the store does not return the texts")
+	}
+	page.Texts = make([]string, len(texts))
+	for i, text := range texts {
+		page.Texts[i] = string(text)
+	}
+	return page, nil
+}
+
 // ItemBody returns the body of an item. found is false if there is no such item.
 func (h *Host) ItemBody(ctx context.Context, job, item string) (body []byte, found bool, refusal *Refusal) {
 	e, refusal := h.findJob(ctx, job)
 	if e == nil {
 		return nil, false, refusal
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	body, found = e.Body(item)
-	return body, found, nil
+	i := e.Index(item)
+	if i < 0 {
+		return nil, false, nil
+	}
+	payloads, err := h.payloads(ctx, e)
+	if err != nil {
+		h.recorder.Decision("body-unavailable", item, "job", job, "err", err.Error())
+		return nil, false, notRun(cluster.ReasonLogUnavailable, "the store does not return the item")
+	}
+	return payloads[i].Body, true, nil
+}
+
+// payloads reads the payloads of a job's items.
+func (h *Host) payloads(ctx context.Context, e *jobs.Entry) ([]jobs.Payload, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	data, err := h.blobs.get(ctx, e.Partition, []jobs.Ref{e.Job.Payloads})
+	if err != nil {
+		return nil, err
+	}
+	var payloads []jobs.Payload
+	if err := json.Unmarshal(data[0], &payloads); err != nil {
+		return nil, eris.Wrap(err, "decode payloads")
+	}
+	if len(payloads) != len(e.Job.Items) {
+		return nil, fmt.Errorf("job %s has %d items and %d payloads", e.Job.ID, len(e.Job.Items), len(payloads))
+	}
+	return payloads, nil
 }
 
 // EndJob ends a job. found is false if there is no such job.
@@ -241,7 +301,9 @@
 		return true, nil
 	}
 	records := []logstore.Record{jobs.EncodeEnd(id)}
-	if err := h.appendAll(ctx, e.Partition, records, submitTimeout); err != nil {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitTimeout)
+	defer cancel()
+	if err := h.appendAll(ctx, e.Partition, records); err != nil {
 		h.recorder.Decision("end", id, "outcome", err.Error())
 		return true, storeRefusal(err)
 	}
@@ -256,8 +318,10 @@
 // tellSuspect tells the other hosts of a crash in the background.
 func (h *Host) tellSuspect(fingerprint, crash string) {
 	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
+		defer cancel()
 		records := []logstore.Record{encodeSuspect(fingerprint, crash)}
-		if err := h.appendAll(context.Background(), controlPartition, records, suspectTimeout); err != nil {
+		if err := h.appendAll(ctx, controlPartition, records); err != nil {
 			klog.InfoS("crash was not told to other hosts", "fingerprint", fingerprint, "err", err)
 		}
 	}()
--- a/internal/fronthost/listing.go
+++ b/internal/fronthost/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -38,7 +39,7 @@
 
 // signalAppend wakes the appender. The caller holds r.mu.
 func (r *runner) signalAppend() {
-	if len(r.pending) == 0 && len(r.records) == 0 {
+	if len(r.pending) == 0 && len(r.records) == 0 && len(r.grown) == 0 {
 		return
 	}
 	select {
@@ -68,16 +69,24 @@
 func (r *runner) nothingQueued() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.pending) == 0 && len(r.records) == 0
+	return len(r.pending) == 0 && len(r.records) == 0 && len(r.grown) == 0
 }
 
 // appendQueued appends one call's worth of what is queued, and reports whether
 // there may be more.
 func (r *runner) appendQueued(ctx context.Context) bool {
 	r.mu.Lock()
-	listings, records := r.pending, r.records
-	r.pending, r.records = nil, nil
+	listings, records, grown := r.pending, r.records, r.grown
+	r.pending, r.records, r.grown = nil, nil, nil
 	r.mu.Unlock()
+	if len(grown) > 0 {
+		records = append(records, r.partialRecords(ctx, grown)...)
+	}
+	if err := r.storeTexts(ctx, listings); err != nil {
+		klog.InfoS("duty ends because texts are not stored", "partition", r.partition, "results", len(listings), "err", err)
+		r.cancel()
+		return false
+	}
 	records = append(records, r.place(listings)...)
 	for len(records) > 0 {
 		n := fitting(records, r.host.settings.Platform.Store.AppendBytes)
@@ -98,9 +107,45 @@
 	for _, l := range listings {
 		delete(r.queued, l.Job+"/"+l.Result.Item)
 	}
-	return len(r.pending) > 0 || len(r.records) > 0
+	return len(r.pending) > 0 || len(r.records) > 0 || len(r.grown) > 0
 }
 
+// storeTexts stores the texts of results that do not refer to a stored one.
+func (r *runner) storeTexts(ctx context.Context, listings []schedule.Listing) error {
+	var items []blob
+	var places []int
+	for i, l := range listings {
+		if l.Text != "" {
+			items = append(items, blob{key: "t/" + l.Job + "/" + l.Result.Item, data: []byte(l.Text)})
+			places = append(places, i)
+		}
+	}
+	refs, err := r.putRepeatedly(ctx, items)
+	for n, ref := range refs {
+		listings[places[n]].Result.Text = ref
+	}
+	return err
+}
+
+// putRepeatedly stores blobs as soon as the store takes them.
+func (r *runner) putRepeatedly(ctx context.Context, items []blob) ([]jobs.Ref, error) {
+	for {
+		refs, err := r.host.blobs.put(ctx, r.partition, items)
+		if err == nil || ctx.Err() != nil {
+			return refs, err
+		}
+		klog.V(1).InfoS("blobs are not stored yet", "partition", r.partition, "blobs", len(items), "err", err)
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(blobRetry):
+		}
+	}
+}
+
+// blobRetry is the pause before blobs are stored again.
+const blobRetry = 100 * time.Millisecond
+
 // place gives each result the next position of its job.
 func (r *runner) place(listings []schedule.Listing) []logstore.Record {
 	h := r.host
@@ -136,17 +181,43 @@
 func (r *runner) storePartials(growth int) {
 	r.host.mu.Lock()
 	grown := r.board.Partials(r.seen, growth)
-	var records []logstore.Record
+	r.host.mu.Unlock()
+	if len(grown) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.grown = append(r.grown, grown...)
+	r.signalAppend()
+}
+
+// partialRecords stores unfinished texts and returns the records that refer to
+// them. A text that is not stored is only missed by the next runner.
+func (r *runner) partialRecords(ctx context.Context, grown []schedule.PartialOf) []logstore.Record {
+	var items []blob
 	for _, p := range grown {
-		record, err := jobs.EncodePartial(p.Job, p.Item, p.Partial)
-		if err != nil || len(record.Value) > r.host.settings.Platform.Store.RecordBytes-recordFraming-len(record.Key) {
-			klog.InfoS("text of an unfinished run is not stored", "job", p.Job, "item", p.Item, "bytes", len(record.Value), "err", err)
+		data, err := json.Marshal(p.Partial)
+		if err != nil {
+			klog.ErrorS(err, "text of an unfinished run cannot be written", "job", p.Job, "item", p.Item)
+			continue
+		}
+		items = append(items, blob{key: "c/" + p.Item, data: data})
+	}
+	refs, err := r.host.blobs.put(ctx, r.partition, items)
+	if err != nil {
+		klog.InfoS("unfinished texts are not stored", "partition", r.partition, "texts", len(items), "err", err)
+		return nil
+	}
+	var records []logstore.Record
+	for i, ref := range refs {
+		record, err := jobs.EncodePartial(grown[i].Job, grown[i].Item, ref)
+		if err != nil {
+			klog.ErrorS(err, "reference to a text cannot be written", "item", grown[i].Item)
 			continue
 		}
 		records = append(records, record)
 	}
-	r.host.mu.Unlock()
-	r.write(records)
+	return records
 }
 
 // stop ends the runs, appends what they have made and ends the duty.
--- /dev/null
+++ b/internal/fronthost/load.go
@@ -0,0 +1,96 @@
+package fronthost
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
+)
+
+// loadRetry is the pause before a job's payloads are read again.
+const loadRetry = 100 * time.Millisecond
+
+// load reads a job's payloads and stored texts in the background, and reports
+// whether they are there. The caller holds host.mu.
+func (r *runner) load(ctx context.Context, e *jobs.Entry) bool {
+	payloads, known := r.loaded[e.Job.ID]
+	if known {
+		return payloads != nil
+	}
+	r.loaded[e.Job.ID] = nil
+	refs := make(map[string]jobs.Ref)
+	for i := range e.Job.Items {
+		id := e.Job.Items[i].ID
+		if _, here := r.texts[id]; here {
+			continue
+		}
+		if ref, ok := r.host.jobs.Partial(id); ok {
+			refs[id] = ref
+		}
+	}
+	go r.readJob(ctx, e, refs)
+	return false
+}
+
+func (r *runner) readJob(ctx context.Context, e *jobs.Entry, refs map[string]jobs.Ref) {
+	texts := r.readTexts(ctx, refs)
+	for ctx.Err() == nil {
+		payloads, err := r.host.payloads(ctx, e)
+		if err != nil {
+			klog.InfoS("payloads are not read yet", "job", e.Job.ID, "err", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(loadRetry):
+			}
+			continue
+		}
+		r.host.mu.Lock()
+		defer r.host.mu.Unlock()
+		r.loaded[e.Job.ID] = payloads
+		for id, text := range texts {
+			r.texts[id] = text
+		}
+		r.wake()
+		return
+	}
+}
+
+// readTexts reads stored texts of unfinished runs. Without them the items start
+// from the beginning.
+func (r *runner) readTexts(ctx context.Context, refs map[string]jobs.Ref) map[string]jobs.Partial {
+	texts := make(map[string]jobs.Partial, len(refs))
+	for id, ref := range refs {
+		data, err := r.host.blobs.get(ctx, r.partition, []jobs.Ref{ref})
+		if err != nil {
+			klog.InfoS("text of an unfinished run is not read", "item", id, "err", err)
+			continue
+		}
+		var p jobs.Partial
+		if err := json.Unmarshal(data[0], &p); err != nil || len(p.Events) != len(p.Versions) {
+			klog.InfoS("text of an unfinished run cannot be used", "item", id, "err", err)
+			continue
+		}
+		texts[id] = p
+	}
+	return texts
+}
+
+// stored returns the unfinished text of an item from earlier runs. The caller
+// holds host.mu.
+func (r *runner) stored(item string) (jobs.Partial, bool) {
+	p, ok := r.texts[item]
+	delete(r.texts, item)
+	return p, ok
+}
+
+// forget drops what was loaded for jobs that ended. The caller holds host.mu.
+func (r *runner) forget() {
+	for id := range r.loaded {
+		if e := r.host.jobs.Get(id); e == nil || e.Ended {
+			delete(r.loaded, id)
+		}
+	}
+}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -46,12 +46,17 @@
 	board   *schedule.Board  // guarded by host.mu
 	cancels map[int64]func() // ends a run; guarded by host.mu
 	seen    map[string]int   // events of texts in the log
-	orders  *orderer         // control partition only
+	// loaded holds the payloads of jobs; nil while they are being read.
+	loaded map[string][]jobs.Payload
+	// texts holds the unfinished texts of items that the runner does not run.
+	texts  map[string]jobs.Partial
+	orders *orderer // control partition only
 
 	mu       sync.Mutex
 	pending  []schedule.Listing
 	queued   map[string]bool // results on their way, by job and item
 	records  []logstore.Record
+	grown    []schedule.PartialOf // unfinished texts to be stored
 	appends  chan struct{}
 	stopping bool
 	idle     chan struct{} // closed when the appender has ended
@@ -61,6 +66,7 @@
 	return &runner{
 		host: h, partition: partition, epoch: epoch, woken: make(chan struct{}, 1),
 		board: schedule.NewBoard(schedule.Defaults()), cancels: make(map[int64]func()), seen: make(map[string]int),
+		loaded: make(map[string][]jobs.Payload), texts: make(map[string]jobs.Partial),
 		queued: make(map[string]bool), appends: make(chan struct{}, 1), idle: make(chan struct{}),
 	}
 }
@@ -120,8 +126,8 @@
 		return
 	}
 	h.jobs.Each(func(e *jobs.Entry) bool {
-		if e.Partition == r.partition && !e.Ended {
-			r.board.Update(e, h.jobs.Partial)
+		if e.Partition == r.partition && !e.Ended && r.load(ctx, e) {
+			r.board.Update(e, r.stored)
 		}
 		return true
 	})
@@ -136,6 +142,10 @@
 	for _, s := range actions.Starts {
 		r.start(ctx, s)
 	}
+	r.forget()
+	for _, p := range actions.Dropped {
+		r.texts[p.Item] = p.Partial
+	}
 	r.list(actions.Listings)
 }
 
@@ -216,8 +226,9 @@
 	target := backend.Target{ID: server.ID, Addr: server.Addr}
 	runCtx, cancel := context.WithCancel(ctx)
 	r.cancels[s.Run] = cancel
+	payload := r.loaded[s.Job.Job.ID][s.Job.Index(s.Item.ID)]
 	request := &backend.Run{
-		ID: s.Item.ID, HostName: s.Job.Job.Host, Path: s.Item.Path, Headers: s.Item.Headers, Body: s.Item.Body,
+		ID: s.Item.ID, HostName: s.Job.Job.Host, Path: payload.Path, Headers: payload.Headers, Body: payload.Body,
 		Version: s.Version, After: s.Stored.LastID, Resumed: len(s.Stored.Events) > 0,
 	}
 	h.recorder.Decision("run", s.Item.ID, "job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Stored.Events), "expected", s.Item.Expected, "why", s.Reason)
@@ -306,16 +317,34 @@
 func (r *runner) removeOld(now time.Time) {
 	h := r.host
 	h.mu.Lock()
-	var records []logstore.Record
+	var records, old []logstore.Record
 	h.jobs.Each(func(e *jobs.Entry) bool {
 		if e.Partition == r.partition && now.Sub(e.Seen) > 2*h.settings.Timing.JobRetention && (e.Ended || len(e.Results) == len(e.Job.Items)) {
 			records = append(records, jobs.Removals(e)...)
+			old = append(old, jobs.BlobRemovals(e)...)
 			klog.InfoS("job is removed", "job", e.Job.ID, "age", now.Sub(e.Seen))
 		}
 		return len(records) < maxRemovals
 	})
 	h.mu.Unlock()
 	r.write(records)
+	if len(old) > 0 {
+		go r.removeBlobs(old)
+	}
+}
+
+// removeBlobs removes blobs that no record refers to any more.
+func (r *runner) removeBlobs(records []logstore.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), takeOverTimeout)
+	defer cancel()
+	for len(records) > 0 {
+		n := fitting(records, r.host.settings.Platform.Store.AppendBytes)
+		if _, err := logstore.AppendOnce(ctx, r.host.store, blobPartition(r.partition), records[:n]); err != nil {
+			klog.InfoS("blobs are not removed", "partition", r.partition, "records", len(records), "err", err)
+			return
+		}
+		records = records[n:]
+	}
 }
 
 // maxRemovals bounds the records of one clean-up.
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -14,6 +14,8 @@
 	// followWait is how long the store may hold a read. It bounds the age of
 	// what a quiet partition is known to hold.
 	followWait = 500 * time.Millisecond
+	// followBytes bounds one read.
+	followBytes = 1 << 20
 	// callMargin is added to a call's own waiting time before it is given up.
 	// It is well under the 3 s after which hosts count as reachable again.
 	callMargin = 900 * time.Millisecond
@@ -41,6 +43,7 @@
 
 	mu          sync.Mutex
 	listed      bool
+	listing     Listing   // pages read so far
 	next        int64     // offset to read next
 	current     time.Time // up to when the tables are known to be current
 	lastAnswer  time.Time
@@ -78,7 +81,7 @@
 		return f.list(ctx)
 	}
 	sent := time.Now()
-	page, err := f.store.Read(ctx, f.partition, from, wait)
+	page, err := f.store.Read(ctx, f.partition, from, followBytes, wait)
 	if errors.Is(err, ErrDeleted) {
 		klog.InfoS("records were deleted, listing again", "partition", f.partition, "offset", from)
 		f.mu.Lock()
@@ -93,22 +96,41 @@
 	return nil
 }
 
+// list reads the next page of a listing, and hands the listing on when it is
+// complete. Pages that were read are kept when a later one fails.
 func (f *Follower) list(ctx context.Context) error {
 	sent := time.Now()
-	listing, err := f.store.Newest(ctx, f.partition)
+	f.mu.Lock()
+	after := ""
+	if n := len(f.listing.Records); n > 0 {
+		after = f.listing.Records[n-1].Key
+	}
+	f.mu.Unlock()
+	page, err := f.store.Newest(ctx, f.partition, after)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered()
-	if listing.End < f.next {
+	if f.listed {
+		return nil
+	}
+	if after == "" {
+		// What changes after the first page is read again from its end on.
+		f.listing = Listing{End: page.End}
+	}
+	f.listing.Records = append(f.listing.Records, page.Records...)
+	if page.More && len(page.Records) > 0 {
 		return nil
 	}
-	f.listed = true
-	f.apply(Batch{Records: listing.Records, Complete: true, AfterOutage: f.afterOutage})
-	f.moveTo(listing.End)
-	f.current = sent
+	complete := f.listing
+	f.listing, f.listed = Listing{}, true
+	f.apply(Batch{Records: complete.Records, Complete: true, AfterOutage: f.afterOutage})
+	f.moveTo(max(complete.End, f.next))
+	if len(complete.Records) == len(page.Records) {
+		f.current = sent
+	}
 	return nil
 }
 
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -63,6 +63,7 @@
 type Listing struct {
 	Records []Record
 	End     int64
+	More    bool // continue after the last record's key
 }
 
 // Writer fences the appends of one writer to one partition.
@@ -93,10 +94,12 @@
 	// end after them. A nil writer is not fenced. With a writer and no records
 	// it only sets the writer's epoch.
 	Append(ctx context.Context, p Partition, records []Record, w *Writer) (end int64, err error)
-	// Read returns records from an offset on and waits up to wait for the first.
-	Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Page, error)
-	// Newest lists the newest record of each key.
-	Newest(ctx context.Context, p Partition) (Listing, error)
+	// Read returns records from an offset on, not much more than maxBytes of
+	// them, and waits up to wait for the first.
+	Read(ctx context.Context, p Partition, from int64, maxBytes int, wait time.Duration) (Page, error)
+	// Newest lists the newest record of each key after a key, in the order of
+	// keys. Pages are no snapshot.
+	Newest(ctx context.Context, p Partition, after string) (Listing, error)
 	// Join joins a group or renews the membership.
 	Join(ctx context.Context, m Membership) (Assignment, error)
 	// Leave gives up all partitions of a member.
