Give the text of each run a key of its own

Cause: two runners that both ran an item stored its text under one key. Ruled out: two results at one position. Change: the key names the runner's epoch.

--- a/internal/fronthost/listing.go
+++ b/internal/fronthost/listing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -116,7 +117,7 @@
 	var places []int
 	for i, l := range listings {
 		if l.Text != "" {
-			items = append(items, blob{key: "t/" + l.Job + "/" + l.Result.Item, data: []byte(l.Text)})
+			items = append(items, blob{key: textKey(l, r.epoch), data: []byte(l.Text)})
 			places = append(places, i)
 		}
 	}
@@ -127,6 +128,12 @@
 	return err
 }
 
+// textKey returns the key of a result's text. Two runners may both run an item,
+// so their texts need keys of their own: only one of them will be listed.
+func textKey(l schedule.Listing, epoch int64) string {
+	return fmt.Sprintf("t/%s/%s/%d", l.Job, l.Result.Item, epoch)
+}
+
 // putRepeatedly stores blobs as soon as the store takes them.
 func (r *runner) putRepeatedly(ctx context.Context, items []blob) ([]jobs.Ref, error) {
 	for {
