Keep a listing whole when two calls list at once

Cause: a follower and a call that confirms its state may both list a partition after a start. Ruled out: removal of the job (its retention had not passed) and skipped records (none logged). Change: a page that does not continue the listing is dropped. An empty answer to a waiting read proves currency up to the end of the wait, not up to its arrival. Tests: TestListingIsWholeWhenTwoCallsListAtOnce fails before (20 of 30 records) and passes after. Also tests of listing under failures, deleted records, fenced appends under lost answers, and refusals of uncertain appends.

--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	f.accept(page, sent)
+	f.accept(page, sent, wait)
 	return nil
 }
 
@@ -101,10 +101,7 @@
 func (f *Follower) list(ctx context.Context) error {
 	sent := time.Now()
 	f.mu.Lock()
-	after := ""
-	if n := len(f.listing.Records); n > 0 {
-		after = f.listing.Records[n-1].Key
-	}
+	after := f.listing.last()
 	f.mu.Unlock()
 	page, err := f.store.Newest(ctx, f.partition, after)
 	if err != nil {
@@ -113,8 +110,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered()
-	if f.listed {
-		return nil
+	if f.listed || after != f.listing.last() {
+		return nil // another call has read on meanwhile
 	}
 	if after == "" {
 		// What changes after the first page is read again from its end on.
@@ -135,7 +132,7 @@
 }
 
 // accept hands on the records of a page that were not handed on yet.
-func (f *Follower) accept(page Page, sent time.Time) {
+func (f *Follower) accept(page Page, sent time.Time, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered()
@@ -150,8 +147,8 @@
 	if f.next >= page.End {
 		f.current = sent
 		if len(page.Records) == 0 {
-			// The store held the call to its end and had nothing new until then.
-			f.current = time.Now()
+			// The store held the call and had nothing new until its end.
+			f.current = sent.Add(wait)
 		}
 	}
 }
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -66,6 +66,14 @@
 	More    bool // continue after the last record's key
 }
 
+// last returns the last key listed so far.
+func (l Listing) last() string {
+	if len(l.Records) == 0 {
+		return ""
+	}
+	return l.Records[len(l.Records)-1].Key
+}
+
 // Writer fences the appends of one writer to one partition.
 type Writer struct {
 	Name     string
