Order loads by intents in the log instead of a pause at take-over

Change: a holder has its intent in the log, fenced, before it sends an order. A successor reads all intents at take-over and waits a lease only for replicas that have one. Members' time to live is half a lease. A replica serves 1.5 models.

--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -26,7 +26,7 @@
 }
 
 // Defaults returns the default parameters.
-func Defaults() Config { return Config{ModelsPerReplica: 2, LoadShare: 0.2} }
+func Defaults() Config { return Config{ModelsPerReplica: 1.5, LoadShare: 0.2} }
 
 // Replica is one replica of a service of engines.
 type Replica struct {
--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -106,7 +106,7 @@
 	case jobs.Owns(r.Key):
 		return h.jobs.Apply(partition, r, now)
 	case ownsPlacement(r.Key):
-		err := h.applyPlacement(r)
+		err := h.applyPlacement(r, now)
 		h.wakeRunners()
 		return err
 	case ownsSuspect(r.Key):
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -126,7 +126,7 @@
 // memberTTL is the time after which the duties of a silent host move. Orders of
 // two holders must lie a lease apart, so it stays well under the lease.
 func (h *Host) memberTTL() time.Duration {
-	return max(h.settings.Platform.Store.MinTTL, h.settings.Timing.OrderLease*6/10)
+	return max(h.settings.Platform.Store.MinTTL, h.settings.Timing.OrderLease/2)
 }
 
 // follow starts to follow a partition of topicWork unless that was done.
--- a/internal/fronthost/listing.go
+++ b/internal/fronthost/listing.go
@@ -38,6 +38,23 @@
 	r.signalAppend()
 }
 
+// writeAndWait appends records and reports whether they are in the log. It gives
+// up when ctx ends; the records may still be appended then.
+func (r *runner) writeAndWait(ctx context.Context, records []logstore.Record) bool {
+	done := make(chan bool, 1)
+	r.mu.Lock()
+	r.records = append(r.records, records...)
+	r.waiters = append(r.waiters, done)
+	r.signalAppend()
+	r.mu.Unlock()
+	select {
+	case ok := <-done:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // signalAppend wakes the appender. The caller holds r.mu.
 func (r *runner) signalAppend() {
 	if len(r.pending) == 0 && len(r.records) == 0 && len(r.grown) == 0 {
@@ -77,9 +94,15 @@
 // there may be more.
 func (r *runner) appendQueued(ctx context.Context) bool {
 	r.mu.Lock()
-	listings, records, grown := r.pending, r.records, r.grown
-	r.pending, r.records, r.grown = nil, nil, nil
+	listings, records, grown, waiters := r.pending, r.records, r.grown, r.waiters
+	r.pending, r.records, r.grown, r.waiters = nil, nil, nil, nil
 	r.mu.Unlock()
+	appended := false
+	defer func() {
+		for _, w := range waiters {
+			w <- appended
+		}
+	}()
 	if len(grown) > 0 {
 		records = append(records, r.partialRecords(ctx, grown)...)
 	}
@@ -103,6 +126,7 @@
 		r.host.applyOwn(r.partition, records[:n])
 		records = records[n:]
 	}
+	appended = true
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, l := range listings {
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -17,9 +17,13 @@
 
 // Times of orders.
 const (
-	// leaseMargin is added to the lease that a new holder waits, for clocks
-	// that run at different rates and messages under way.
-	leaseMargin = 300 * time.Millisecond
+	// intentTimeout bounds the time from the decision to order until the order
+	// is sent; an order that was not sent by then is not sent at all.
+	intentTimeout = 600 * time.Millisecond
+	// leaseMargin is added to the lease that a new holder waits after the former
+	// holder's intent: the time until that order was sent, and for messages
+	// under way.
+	leaseMargin = intentTimeout + 300*time.Millisecond
 	// firstReport is when a load is first looked at: somewhat under the
 	// shortest time that one takes.
 	firstReport = 700 * time.Millisecond
@@ -42,7 +46,6 @@
 // partition. It is the only place that sends orders.
 type orderer struct {
 	runner *runner
-	since  time.Time // when this host took over
 	rows   map[string]*orderRow
 }
 
@@ -56,15 +59,26 @@
 }
 
 func newOrderer(r *runner) *orderer {
-	return &orderer{runner: r, since: time.Now(), rows: make(map[string]*orderRow)}
+	return &orderer{runner: r, rows: make(map[string]*orderRow)}
 }
 
-// mayOrder says whether this host is the holder for sure and the former one has
-// been silent for a lease.
-func (o *orderer) mayOrder(now time.Time) bool {
-	lease := o.runner.host.settings.Timing.OrderLease + leaseMargin
+// mayOrder says whether this host is the holder for sure.
+func (o *orderer) mayOrder() bool {
 	epoch, held := o.runner.host.group.Held()[controlPartition]
-	return held && epoch == o.runner.epoch && now.Sub(o.since) >= lease && !o.runner.isStopping()
+	return held && epoch == o.runner.epoch && !o.runner.isStopping()
+}
+
+// orderFrom returns when a replica may be sent an order: a lease after the last
+// one that another holder may have sent it. Every holder has its intent in the
+// log before it sends an order, so an order without a known intent was not sent.
+func (o *orderer) orderFrom(row *orderRow, p *placement) time.Time {
+	from := row.notBefore
+	if p.Holder != "" && p.Holder != o.runner.host.member {
+		if lease := p.intended.Add(o.runner.host.settings.Timing.OrderLease + leaseMargin); lease.After(from) {
+			return lease
+		}
+	}
+	return from
 }
 
 // tick assigns replicas to models and sends the orders that are due.
@@ -76,7 +90,7 @@
 	changed := rollout.Assign(rollout.Defaults(), replicas, models)
 	records := o.assignments(changed, replicas)
 	var orders []rollout.Order
-	if o.mayOrder(now) {
+	if o.mayOrder() {
 		orders = rollout.Next(rollout.Defaults(), replicas, models, now)
 	}
 	for _, order := range orders {
@@ -120,7 +134,7 @@
 	}
 	return &rollout.Replica{
 		ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Started: s.Started, Leaving: s.Leaving,
-		Versions: p.Versions, Serves: serves, Loading: row.busy, NotBefore: row.notBefore,
+		Versions: p.Versions, Serves: serves, Loading: row.busy, NotBefore: o.orderFrom(row, p),
 	}
 }
 
@@ -217,14 +231,20 @@
 		return
 	}
 	h.mu.Lock()
-	if h.placement(target.ID).Versions[order.Model] >= order.Version || !o.mayOrder(time.Now()) {
-		row.busy = false
-		h.mu.Unlock()
-		return
-	}
+	needed := h.placement(target.ID).Versions[order.Model] < order.Version
 	expected := row.orders
 	h.mu.Unlock()
-	o.publish(target.ID, order.Model)
+	if !needed {
+		o.release(row, 0)
+		return
+	}
+	decided := time.Now()
+	if !o.intend(ctx, target.ID, order.Model) || !o.mayOrder() || time.Since(decided) > intentTimeout {
+		klog.InfoS("order is not sent: no intent in the log", "replica", target.ID, "model", order.Model, "version", order.Version)
+		o.publish(target.ID, "")
+		o.release(row, orderRetry)
+		return
+	}
 	outcome, err := h.backends.Order(ctx, target, backend.Order{
 		Model: order.Model, Version: order.Version, Finish: order.Finish,
 		Holder: h.member, Fence: o.runner.epoch, Expected: expected,
@@ -327,16 +347,27 @@
 	o.runner.host.placement(replica).learn(model, version)
 }
 
+// intend has the intent to order a load in the log.
+func (o *orderer) intend(ctx context.Context, replica, model string) bool {
+	ctx, cancel := context.WithTimeout(ctx, intentTimeout)
+	defer cancel()
+	return o.runner.writeAndWait(ctx, o.placementWith(replica, model))
+}
+
 // publish tells the runners of all models what a replica loads and has.
 func (o *orderer) publish(replica, loading string) {
+	o.runner.write(o.placementWith(replica, loading))
+}
+
+// placementWith returns the record of a replica that loads a model.
+func (o *orderer) placementWith(replica, loading string) []logstore.Record {
 	h := o.runner.host
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	p := h.placement(replica)
-	p.Loading = loading
-	records := o.record(replica, p)
+	p.Loading, p.Holder = loading, h.member
 	h.wakeRunners()
-	h.mu.Unlock()
-	o.runner.write(records)
+	return o.record(replica, p)
 }
 
 func (o *orderer) release(row *orderRow, pause time.Duration) {
--- a/internal/fronthost/placement.go
+++ b/internal/fronthost/placement.go
@@ -27,6 +27,9 @@
 	Serves   []string         `json:"serves,omitempty"`
 	Versions map[string]int64 `json:"versions,omitempty"`
 	Loading  string           `json:"loading,omitempty"` // model that is being loaded
+	Holder   string           `json:"holder,omitempty"`  // member that sends the order
+	// intended is when this host read that a holder was about to send an order.
+	intended time.Time
 }
 
 func ownsPlacement(key string) bool { return strings.HasPrefix(key, kindPlacement) }
@@ -40,7 +43,7 @@
 }
 
 // applyPlacement takes a placement record. The caller holds mu.
-func (h *Host) applyPlacement(r logstore.Record) error {
+func (h *Host) applyPlacement(r logstore.Record, now time.Time) error {
 	id := strings.TrimPrefix(r.Key, kindPlacement)
 	if r.Removed() {
 		delete(h.placed, id)
@@ -51,7 +54,10 @@
 		return eris.Wrap(err, "decode a placement")
 	}
 	known := h.placement(id)
-	known.Serves, known.Loading = p.Serves, p.Loading
+	known.Serves, known.Loading, known.Holder = p.Serves, p.Loading, p.Holder
+	if p.Loading != "" {
+		known.intended = now
+	}
 	for model, version := range p.Versions {
 		known.learn(model, version)
 	}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -54,6 +54,7 @@
 
 	mu       sync.Mutex
 	pending  []schedule.Listing
+	waiters  []chan bool     // told whether the queued records were appended
 	queued   map[string]bool // results on their way, by job and item
 	records  []logstore.Record
 	grown    []schedule.PartialOf // unfinished texts to be stored
