--- /dev/null
+++ b/internal/fronthost/world_test.go
@@ -0,0 +1,390 @@
+package fronthost
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/backend"
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/logstore"
+	"github.com/sesamestand/sesamestand/internal/logstore/memlog"
+	"github.com/sesamestand/sesamestand/internal/settings"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
+)
+
+// Names and times of the test world.
+const (
+	testModel   = "model-a"
+	testService = "engines"
+	testApp     = "app"
+	testHost    = "rollouts.example"
+	eventPause  = 2 * time.Millisecond
+	loadTime    = 60 * time.Millisecond
+	waitLimit   = 20 * time.Second
+)
+
+var (
+	operatorPartition = logstore.Partition{Topic: "operators"}
+	serverPartition   = logstore.Partition{Topic: "servers"}
+)
+
+// orderSeen is an order as a replica got it.
+type orderSeen struct {
+	at     time.Time
+	holder string
+	fence  int64
+	taken  bool
+}
+
+// fakeReplica is a backend server in memory.
+type fakeReplica struct {
+	id       string
+	version  int64
+	orders   int64
+	fence    int64
+	busy     bool
+	seen     []orderSeen
+	runs     int
+	down     bool
+	failRuns map[string]int // answers of 500 left by item
+}
+
+// world holds the stores, replicas and hosts of a test.
+type world struct {
+	t     *testing.T
+	store *memlog.Store
+
+	mu       sync.Mutex
+	replicas map[string]*fakeReplica
+	events   int                             // events of an item
+	running  map[string]int                  // runs under way by item
+	newest   int64                           // newest named version
+	calls    func(id string) *backend.Answer // answers of the app
+	breaks   func(id string, event int) bool
+}
+
+func newWorld(t *testing.T, replicas int) *world {
+	w := &world{t: t, store: memlog.New(4), replicas: make(map[string]*fakeReplica), events: 10, running: make(map[string]int), newest: 1}
+	for i := range replicas {
+		id := fmt.Sprintf("replica-%d", i)
+		w.replicas[id] = &fakeReplica{id: id, version: 1, failRuns: make(map[string]int)}
+		w.register(id, testService)
+	}
+	w.configure(1)
+	return w
+}
+
+func (w *world) put(p logstore.Partition, key string, value any) {
+	data, err := json.Marshal(value)
+	must.NoError(w.t, err)
+	_, err = w.store.Append(context.Background(), p, []logstore.Record{{Key: key, Value: data}}, nil)
+	must.NoError(w.t, err)
+}
+
+func (w *world) register(id, service string) {
+	w.put(serverPartition, id, deployment.Server{ID: id, Service: service, Addr: id, Slots: 4, Started: 1, Versions: map[string]int64{testModel: 1}})
+}
+
+func (w *world) unregister(id string) {
+	_, err := w.store.Append(context.Background(), serverPartition, []logstore.Record{{Key: id}}, nil)
+	must.NoError(w.t, err)
+}
+
+func (w *world) configure(version int64) {
+	w.put(operatorPartition, "config", deployment.Config{
+		Version: version,
+		Routes: []deployment.Route{
+			{Name: "jobs", Host: testHost, Prefix: "/jobs/", Kind: deployment.Jobs, Shares: []deployment.Share{{Service: testService, Weight: 1}}, Attempts: 3, Retention: time.Minute},
+			{Name: "pages", Host: testHost, Prefix: "/pages/", Kind: deployment.Idempotent, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, Attempts: 2, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond},
+			{Name: "once", Host: testHost, Prefix: "/once/", Kind: deployment.NonIdempotent, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, Attempts: 2, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond},
+		},
+		Services: map[string]deployment.Service{
+			testService: {Name: testService, Slots: 4, Models: []string{testModel}},
+			testApp:     {Name: testApp},
+		},
+	})
+}
+
+func (w *world) name(version int64) {
+	w.mu.Lock()
+	w.newest = version
+	w.mu.Unlock()
+	w.put(operatorPartition, "version", deployment.ModelVersion{Model: testModel, Version: version})
+}
+
+// host starts an entry host that speaks to the store through a view of its own.
+func (w *world) host(id string) *testHostHandle {
+	view := &storeView{Store: w.store}
+	recorder, err := telemetry.NewRecorder(id, 0)
+	must.NoError(w.t, err)
+	s := settings.Defaults()
+	s.Host.ID, s.Host.DataCentre = id, "centre-1"
+	s.Platform.Store.Partitions = 4
+	s.Platform.Store.MinTTL = 200 * time.Millisecond
+	s.Timing.OrderLease = 600 * time.Millisecond
+	h := New(s, view, w, Feeds{
+		Operators: Feed{Partition: operatorPartition, Decode: decodeOperator},
+		Servers:   Feed{Partition: serverPartition, Decode: decodeServer},
+	}, recorder)
+	ctx, cancel := context.WithCancel(context.Background())
+	w.t.Cleanup(cancel)
+	h.start(ctx)
+	w.until("host is ready", h.Ready)
+	return &testHostHandle{Host: h, view: view, kill: cancel}
+}
+
+type testHostHandle struct {
+	*Host
+	view *storeView
+	kill func()
+}
+
+// storeView is one host's way to the store; it can be cut off alone.
+type storeView struct {
+	*memlog.Store
+	mu  sync.Mutex
+	cut bool
+}
+
+func (v *storeView) setCut(cut bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cut = cut
+}
+
+// lost waits like a call to a store that does not answer.
+func (v *storeView) lost(ctx context.Context) error {
+	v.mu.Lock()
+	cut := v.cut
+	v.mu.Unlock()
+	if !cut {
+		return nil
+	}
+	<-ctx.Done()
+	return logstore.ErrUnknown
+}
+
+func (v *storeView) Append(ctx context.Context, p logstore.Partition, records []logstore.Record, w *logstore.Writer) (int64, error) {
+	if err := v.lost(ctx); err != nil {
+		return 0, err
+	}
+	return v.Store.Append(ctx, p, records, w)
+}
+
+func (v *storeView) Read(ctx context.Context, p logstore.Partition, from int64, maxBytes int, wait time.Duration) (logstore.Page, error) {
+	if err := v.lost(ctx); err != nil {
+		return logstore.Page{}, err
+	}
+	return v.Store.Read(ctx, p, from, maxBytes, wait)
+}
+
+func (v *storeView) Newest(ctx context.Context, p logstore.Partition, after string) (logstore.Listing, error) {
+	if err := v.lost(ctx); err != nil {
+		return logstore.Listing{}, err
+	}
+	return v.Store.Newest(ctx, p, after)
+}
+
+func (v *storeView) Join(ctx context.Context, m logstore.Membership) (logstore.Assignment, error) {
+	if err := v.lost(ctx); err != nil {
+		return logstore.Assignment{}, err
+	}
+	return v.Store.Join(ctx, m)
+}
+
+func decodeOperator(r logstore.Record) deployment.Change {
+	if r.Key == "config" {
+		c := &deployment.Config{}
+		if err := json.Unmarshal(r.Value, c); err != nil {
+			return deployment.Change{Unknown: &deployment.UnknownChange{Key: r.Key, Reason: err.Error()}}
+		}
+		c.Index()
+		return deployment.Change{Config: c}
+	}
+	v := &deployment.ModelVersion{}
+	if err := json.Unmarshal(r.Value, v); err != nil {
+		return deployment.Change{Unknown: &deployment.UnknownChange{Key: r.Key, Reason: err.Error()}}
+	}
+	return deployment.Change{Version: v}
+}
+
+func decodeServer(r logstore.Record) deployment.Change {
+	change := deployment.Change{Server: &deployment.ServerChange{ID: r.Key}}
+	if !r.Removed() {
+		s := &deployment.Server{}
+		if err := json.Unmarshal(r.Value, s); err == nil {
+			change.Server.Server = s
+		}
+	}
+	return change
+}
+
+// Forget implements Backends.
+func (w *world) Forget(func(backend.Target) bool) {}
+
+// Call implements backend.Client.
+func (w *world) Call(ctx context.Context, t backend.Target, r *backend.Request, _ time.Duration) (*backend.Answer, error) {
+	w.mu.Lock()
+	answer := w.calls(t.ID)
+	w.mu.Unlock()
+	if answer == nil {
+		return nil, backend.ErrUnknown
+	}
+	return answer, ctx.Err()
+}
+
+// Run implements backend.Client: the events of an item are numbered.
+func (w *world) Run(ctx context.Context, t backend.Target, r *backend.Run, on func(backend.Event)) backend.RunEnd {
+	w.mu.Lock()
+	replica := w.replicas[t.ID]
+	if end := replica.refuses(r); end != nil {
+		w.mu.Unlock()
+		return *end
+	}
+	replica.runs++
+	w.running[r.ID]++
+	version := replica.version
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		w.running[r.ID]--
+		w.mu.Unlock()
+	}()
+	first := int64(0)
+	if r.Resumed {
+		first = r.After + 1
+	}
+	for id := first; id < int64(w.events); id++ {
+		select {
+		case <-ctx.Done():
+			return backend.RunEnd{Err: backend.ErrUnknown}
+		case <-time.After(eventPause):
+		}
+		w.mu.Lock()
+		broken := replica.down || (w.breaks != nil && w.breaks(r.ID, int(id)))
+		w.mu.Unlock()
+		if broken {
+			return backend.RunEnd{Err: backend.ErrUnknown}
+		}
+		on(backend.Event{ID: id, Data: fmt.Sprintf("%s:%d", r.ID, id), Version: version})
+	}
+	return backend.RunEnd{Complete: true}
+}
+
+// refuses returns the end of a run that does not start.
+func (r *fakeReplica) refuses(run *backend.Run) *backend.RunEnd {
+	answer := &backend.Answer{}
+	switch {
+	case r.down:
+		return &backend.RunEnd{Err: backend.ErrNotSent}
+	case r.busy:
+		answer.Status, answer.NotRun = http.StatusServiceUnavailable, true
+	case run.Version != r.version:
+		answer.Status, answer.NotRun, answer.OtherVersion = http.StatusMisdirectedRequest, true, true
+	case r.failRuns[run.ID] > 0:
+		r.failRuns[run.ID]--
+		answer.Status = http.StatusInternalServerError
+	default:
+		return nil
+	}
+	return &backend.RunEnd{Answer: answer}
+}
+
+// Order implements backend.Client.
+func (w *world) Order(_ context.Context, t backend.Target, o backend.Order) (backend.OrderOutcome, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.replicas[t.ID]
+	seen := orderSeen{at: time.Now(), holder: o.Holder, fence: o.Fence}
+	defer func() { r.seen = append(r.seen, seen) }()
+	switch {
+	case r.down:
+		return backend.OrderUnknown, backend.ErrUnknown
+	case o.Fence < r.fence:
+		return backend.OrderFenced, nil
+	case r.busy || o.Expected != r.orders:
+		return backend.OrderConflict, nil
+	case o.Version > w.newest:
+		return backend.OrderRefused, nil
+	case r.version >= o.Version:
+		return backend.OrderHolds, nil
+	}
+	seen.taken = true
+	r.fence, r.busy = o.Fence, true
+	r.orders++
+	time.AfterFunc(loadTime, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		r.version, r.busy = o.Version, false
+	})
+	return backend.OrderTaken, nil
+}
+
+// Report implements backend.Client.
+func (w *world) Report(_ context.Context, t backend.Target) (backend.Report, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.replicas[t.ID]
+	if r.down {
+		return backend.Report{}, backend.ErrUnknown
+	}
+	return backend.Report{Versions: map[string]int64{testModel: r.version}, Busy: r.busy, Orders: r.orders}, nil
+}
+
+// until waits for a condition.
+func (w *world) until(what string, condition func() bool) {
+	w.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			w.t.Fatalf("not reached within %s: %s", waitLimit, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func newJob(id string, items int, minVersion int64) (*jobs.Job, []jobs.Payload) {
+	job := &jobs.Job{ID: id, Host: testHost, Path: "/jobs/" + id, Model: testModel, Wanted: items, MinVersion: minVersion}
+	var payloads []jobs.Payload
+	for i := range items {
+		item := jobs.Item{ID: fmt.Sprintf("%s-%d", id, i), Group: fmt.Sprintf("%s-g%d", id, i/2), Expected: 10}
+		job.Items = append(job.Items, item)
+		payloads = append(payloads, jobs.Payload{Path: "/jobs/" + item.ID, Body: []byte("body of " + item.ID)})
+	}
+	return job, payloads
+}
+
+// wholeText is what a finished item must hold.
+func (w *world) wholeText(item string) string {
+	text := ""
+	for i := range w.events {
+		if i > 0 {
+			text += "\n"
+		}
+		text += fmt.Sprintf("%s:%d", item, i)
+	}
+	return text
+}
+
+// collect reads all results of a job through a host.
+func (w *world) collect(h *testHostHandle, id string, total int) ([]jobs.Result, []string) {
+	w.t.Helper()
+	var results []jobs.Result
+	var texts []string
+	w.until("all results of "+id, func() bool {
+		page, refusal := h.Results(context.Background(), id, len(results), 50*time.Millisecond)
+		if refusal == nil && page != nil {
+			results, texts = append(results, page.Results...), append(texts, page.Texts...)
+		}
+		return len(results) == total
+	})
+	return results, texts
+}
