Order loads for the model that needs them most, without report lag

Cause: two replicas may load at once and loads queue. Each load also held its place until a report, 200 ms old, showed its end. Items of groups that come again counted as surplus unless a text of theirs was stored, and started last. Change: the model with the fewest replicas at its newest version goes first; a load frees its place after the shortest time that loads were seen to take; groups of an earlier step count as wanted in any case.

--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -39,8 +39,12 @@
 	Versions map[string]int64
 	// Serves holds the models that the replica was chosen for.
 	Serves map[string]bool
-	// Loading says that an order is under way there.
-	Loading bool
+	// Busy says that an order is under way there, Loading for which model.
+	Busy    bool
+	Loading string
+	// Settling says that the load has taken as long as loads do, and only the
+	// replica's late report of it is missing.
+	Settling bool
 	// NotBefore delays the next order.
 	NotBefore time.Time
 }
@@ -140,22 +144,24 @@
 	return added
 }
 
-// Next returns the orders to send now.
+// Next returns the orders to send now. When loads have to wait, the model with
+// the fewest replicas at its newest version goes first: once the next version is
+// named, only those can serve it.
 func Next(config Config, replicas []*Replica, models []Model, now time.Time) []Order {
 	type candidate struct {
-		order  Order
-		usable int // replicas of the model that can serve it meanwhile
-		behind int64
+		order    Order
+		atNewest int // replicas that have the newest version or load it, before this one
+		usable   int // replicas of the model that can serve it meanwhile
 	}
 	var candidates []candidate
 	for _, m := range models {
 		group := servingModel(replicas, m)
 		usable, atNewest := 0, 0
 		for _, r := range group {
-			if !r.Loading && r.Versions[m.Name] >= m.Newest-m.Lag {
+			if r.Loading != m.Name && r.Versions[m.Name] >= m.Newest-m.Lag {
 				usable++
 			}
-			if r.Versions[m.Name] >= m.Newest {
+			if r.Loading == m.Name || r.Versions[m.Name] >= m.Newest {
 				atNewest++
 			}
 		}
@@ -164,20 +170,21 @@
 		for _, r := range group {
 			version := r.Versions[m.Name]
 			stale := version < m.Newest-m.Lag
-			if version >= m.Newest || (!stale && quota <= 0) {
+			if version >= m.Newest || r.Loading == m.Name || (!stale && quota <= 0) {
 				continue
 			}
-			quota--
-			if r.Loading || now.Before(r.NotBefore) {
+			if r.Busy || now.Before(r.NotBefore) {
 				continue
 			}
+			quota--
 			candidates = append(candidates, candidate{
-				order: Order{Replica: r.ID, Model: m.Name, Version: m.Newest, Finish: m.KeepOne}, usable: usable, behind: m.Newest - version,
+				order: Order{Replica: r.ID, Model: m.Name, Version: m.Newest, Finish: m.KeepOne}, atNewest: atNewest, usable: usable,
 			})
+			atNewest++
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.usable, b.usable), cmp.Compare(b.behind, a.behind))
+		return cmp.Or(cmp.Compare(a.atNewest, b.atNewest), cmp.Compare(a.usable, b.usable))
 	})
 	room := loadLimit(config, replicas)
 	var orders []Order
@@ -200,7 +207,7 @@
 func loadLimit(config Config, replicas []*Replica) int {
 	loading := 0
 	for _, r := range replicas {
-		if r.Loading {
+		if r.Busy && !r.Settling {
 			loading++
 		}
 	}
--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -180,9 +180,9 @@
 
 func taskKey(job, item string) string { return job + "/" + item }
 
-// Update takes the state of a job: new items are added, listed ones removed.
-// stored returns what is known of an item's text from earlier runs.
-func (b *Board) Update(e *jobs.Entry, stored func(item string) (jobs.Partial, bool)) {
+// Update takes the new items of a job. carried says whether an earlier step had
+// an item; stored returns what is known of its text from earlier runs.
+func (b *Board) Update(e *jobs.Entry, carried func(*jobs.Job, string) bool, stored func(item string) (jobs.Partial, bool)) {
 	for i := range e.Job.Items {
 		item := &e.Job.Items[i]
 		k := taskKey(e.Job.ID, item.ID)
@@ -192,9 +192,9 @@
 		if b.tasks.Get(k) != nil {
 			continue
 		}
-		t := task{job: e, item: item}
+		t := task{job: e, item: item, carried: carried(e.Job, item.ID)}
 		if partial, ok := stored(item.ID); ok {
-			t.partial, t.carried = partial, true
+			t.partial = partial
 		}
 		b.tasks.Put(k, t)
 	}
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -24,19 +24,23 @@
 	// holder's intent: the time until that order was sent, and for messages
 	// under way.
 	leaseMargin = intentTimeout + 300*time.Millisecond
-	// firstReport is when a load is first looked at: somewhat under the
-	// shortest time that one takes.
+	// firstReport is when a load is first looked at while it is not known how
+	// long loads take.
 	firstReport = 700 * time.Millisecond
-	// reportInterval is the time between two looks at a load.
-	reportInterval = 150 * time.Millisecond
+	// reportInterval is the time between the first two looks at a load; each
+	// further one is reportGrowth times longer, up to maxReportInterval.
+	reportInterval    = 80 * time.Millisecond
+	reportGrowth      = 1.3
+	maxReportInterval = 400 * time.Millisecond
 	// loadLimit ends the watch of a load; it is planned anew then.
 	loadLimit = 12 * time.Second
 	// orderRetry delays the next order after one that was not taken.
 	orderRetry = 300 * time.Millisecond
 	// unknownRetry delays the next order after one without an answer.
 	unknownRetry = time.Second
-	// reportLag is how old a report may be.
-	reportLag = 400 * time.Millisecond
+	// reportLag is how old a report usually is; maxReportLag is how old it may be.
+	reportLag    = 200 * time.Millisecond
+	maxReportLag = 400 * time.Millisecond
 	// defaultLag is the number of versions behind the newest that a trainer is
 	// expected to allow before its first job says so.
 	defaultLag = 1
@@ -47,14 +51,18 @@
 type orderer struct {
 	runner *runner
 	rows   map[string]*orderRow
+	// loadTime is the shortest time that a load was seen to take; 0 if none was.
+	loadTime time.Duration
 }
 
 // orderRow is what the orderer knows of one start of one replica.
 type orderRow struct {
 	started   int64
-	known     bool  // a report was read
-	orders    int64 // orders that the replica has taken
-	busy      bool  // an exchange or a load is under way
+	known     bool      // a report was read
+	orders    int64     // orders that the replica has taken
+	busy      bool      // an exchange or a load is under way
+	loading   string    // model of the order that is under way
+	taken     time.Time // when the replica took that order
 	notBefore time.Time
 }
 
@@ -134,7 +142,8 @@
 	}
 	return &rollout.Replica{
 		ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Started: s.Started, Leaving: s.Leaving,
-		Versions: p.Versions, Serves: serves, Loading: row.busy, NotBefore: o.orderFrom(row, p),
+		Versions: p.Versions, Serves: serves, Busy: row.busy, Loading: row.loading, NotBefore: o.orderFrom(row, p),
+		Settling: o.loadTime > 0 && !row.taken.IsZero() && time.Since(row.taken) >= o.loadTime,
 	}
 }
 
@@ -219,7 +228,7 @@
 		return
 	}
 	row := o.row(server)
-	row.busy = true
+	row.busy, row.loading = true, order.Model
 	go o.carryOut(ctx, order, backend.Target{ID: server.ID, Addr: server.Addr}, row)
 }
 
@@ -255,13 +264,19 @@
 	switch outcome {
 	case backend.OrderTaken:
 		h.mu.Lock()
-		row.orders = expected + 1
+		row.orders, row.taken = expected+1, time.Now()
+		first := firstReport
+		if o.loadTime > 0 {
+			first = o.loadTime + reportLag
+		}
 		h.mu.Unlock()
-		o.watch(ctx, order, target, row, firstReport)
+		if took := o.watch(ctx, order, target, row, first); took > 0 {
+			o.loaded(took)
+		}
 	case backend.OrderHolds:
 		o.learned(target.ID, order.Model, order.Version)
 	case backend.OrderUnknown:
-		o.watch(ctx, order, target, row, reportLag)
+		o.watch(ctx, order, target, row, maxReportLag)
 		pause = unknownRetry
 	case backend.OrderConflict:
 		row.known = false
@@ -285,30 +300,45 @@
 	return err.Error()
 }
 
-// watch reads reports until the replica has the version or is idle without it.
-func (o *orderer) watch(ctx context.Context, order rollout.Order, target backend.Target, row *orderRow, first time.Duration) {
+// watch reads reports until the replica has the version, and returns how long
+// that took, or until it is idle without it.
+func (o *orderer) watch(ctx context.Context, order rollout.Order, target backend.Target, row *orderRow, first time.Duration) time.Duration {
 	started := time.Now()
-	for pause := first; time.Since(started) < loadLimit; pause = reportInterval {
+	interval := reportInterval
+	for pause := first; time.Since(started) < loadLimit; pause = interval {
 		select {
 		case <-ctx.Done():
-			return
+			return 0
 		case <-time.After(pause):
 		}
+		interval = min(time.Duration(reportGrowth*float64(interval)), maxReportInterval)
 		report, err := o.runner.host.backends.Report(ctx, target)
 		if err != nil {
 			if !o.registered(target) {
-				return
+				return 0
 			}
 			continue
 		}
 		o.take(target.ID, report, row)
 		if report.Versions[order.Model] >= order.Version {
-			return
+			return time.Since(started)
 		}
-		if !report.Busy && time.Since(started) > first+2*reportLag {
-			return
+		if !report.Busy && time.Since(started) > first+2*maxReportLag {
+			return 0
 		}
 	}
+	return 0
+}
+
+// loaded notes how long a load took until a report showed it.
+func (o *orderer) loaded(took time.Duration) {
+	o.runner.host.mu.Lock()
+	defer o.runner.host.mu.Unlock()
+	took = max(took-reportLag, reportInterval)
+	if o.loadTime == 0 || took < o.loadTime {
+		o.loadTime = took
+	}
+	o.runner.wake()
 }
 
 func (o *orderer) registered(target backend.Target) bool {
@@ -373,7 +403,7 @@
 func (o *orderer) release(row *orderRow, pause time.Duration) {
 	o.runner.host.mu.Lock()
 	defer o.runner.host.mu.Unlock()
-	row.busy = false
+	row.busy, row.loading, row.taken = false, "", time.Time{}
 	row.notBefore = time.Now().Add(pause)
 	o.runner.wake()
 }
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -128,7 +128,7 @@
 	}
 	h.jobs.Each(func(e *jobs.Entry) bool {
 		if e.Partition == r.partition && !e.Ended && r.load(ctx, e) {
-			r.board.Update(e, r.stored)
+			r.board.Update(e, h.jobs.Carried, r.stored)
 		}
 		return true
 	})
