Keep runs going when the same host holds the partition again

Cause: after each outage of the store the group deals its partitions anew. A duty that moved dropped the texts that had grown since the last store of them. Refusals of a host that knows no configuration yet were not logged. Change: runs belong to the partition, not to the epoch, and pass to the next runner on the same host. A runner whose partition moves stores its unfinished texts first. Not-ready refusals have a decision line. Test: TestRunsGoOnWhenThePartitionIsDealtAgain (8 items, partitions dealt three times, 8 runs).

--- a/internal/fronthost/duties.go
+++ b/internal/fronthost/duties.go
@@ -17,6 +17,8 @@
 	unconfirmedLimit = 12 * time.Second
 	// takeOverTimeout bounds one try to take a partition over.
 	takeOverTimeout = 3 * time.Second
+	// handOverTimeout is under the time between two renewals.
+	handOverTimeout = 300 * time.Millisecond
 	// stopTimeout bounds the last append of a runner that stops in order.
 	stopTimeout = 1200 * time.Millisecond
 )
@@ -44,25 +46,40 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for p, r := range h.runners {
-		if epoch, ok := held[p]; !ok || epoch != r.epoch {
+		if _, ok := held[p]; !ok {
 			klog.InfoS("duty ends", "partition", p, "epoch", r.epoch)
-			r.cancel()
 			delete(h.runners, p)
+			go r.handOver()
 		}
 	}
 	for p, epoch := range held {
-		if h.runners[p] != nil || h.followers[p] == nil || h.draining.Load() {
+		former := h.runners[p]
+		if (former != nil && former.epoch == epoch) || h.followers[p] == nil || h.draining.Load() {
 			continue
 		}
+		klog.InfoS("duty begins", "partition", p, "epoch", epoch, "goes_on", former != nil)
 		r := newRunner(h, p, epoch)
+		if former != nil {
+			r.runs = former.runs
+			former.runs = newRuns()
+			former.cancel()
+		}
 		h.runners[p] = r
-		klog.InfoS("duty begins", "partition", p, "epoch", epoch)
 		var duty context.Context
 		duty, r.cancel = context.WithCancel(ctx)
 		go r.run(duty)
 	}
 }
 
+// handOver ends a duty that another host will take over. Until this member's
+// next renewal the store does not deal the partition again, so there is time to
+// store what the runs have made.
+func (r *runner) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	r.stop(ctx)
+}
+
 // stopDuties ends all duties in order and leaves the group, so that other hosts
 // take over at once.
 func (h *Host) stopDuties() {
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
+	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 	"github.com/sesamestand/sesamestand/internal/core/forward"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
@@ -73,6 +74,7 @@
 	operators *logstore.Follower
 	servers   *logstore.Follower
 
+	work     context.Context // ends with the process; runs end with it
 	draining atomic.Bool
 	inFlight atomic.Int64
 
@@ -106,6 +108,7 @@
 
 // start starts the followers and duties; they end with ctx.
 func (h *Host) start(ctx context.Context) {
+	h.work = ctx
 	go h.operators.Run(ctx)
 	go h.servers.Run(ctx)
 	h.follow(ctx, controlPartition)
@@ -214,6 +217,14 @@
 	return true
 }
 
+// Unready refuses a request that came before the host knows what it needs.
+func (h *Host) Unready(id string) *Refusal {
+	h.recorder.Decision("request", id, "outcome", "refused", "reason", string(cluster.ReasonNotReady), "config", h.Config() != nil)
+	refusal := notRun(cluster.ReasonNotReady, "the host has not read its configuration yet")
+	refusal.RetryAfter = busyRetry
+	return refusal
+}
+
 // Config returns the newest configuration, or nil.
 func (h *Host) Config() *deployment.Config {
 	h.mu.Lock()
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -249,3 +249,30 @@
 	done.Wait()
 	w.until("no item runs", func() bool { return running() == 0 })
 }
+
+// Guards against runs that start again because the store dealt the same
+// partition to the same host once more, as it does after an outage.
+func TestRunsGoOnWhenThePartitionIsDealtAgain(t *testing.T) {
+	w := newWorld(t, 3)
+	w.events = 300
+	a := w.host("a")
+	job, payloads := newJob("job-1", 8, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	started := func() int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		n := 0
+		for _, r := range w.replicas {
+			n += r.runs
+		}
+		return n
+	}
+	w.until("all items run", func() bool { return started() == 8 })
+	for range 3 {
+		w.store.DealAnew(groupDuties)
+		time.Sleep(150 * time.Millisecond)
+	}
+	results, texts := w.collect(a, "job-1", 8)
+	checkResults(t, w, job, results, texts)
+	must.EqOp(t, 8, started())
+}
--- a/internal/fronthost/load.go
+++ b/internal/fronthost/load.go
@@ -15,7 +15,7 @@
 
 // load reads a job's payloads and stored texts in the background, and reports
 // whether they are there. The caller holds host.mu.
-func (r *runner) load(ctx context.Context, e *jobs.Entry) bool {
+func (r *runner) load(e *jobs.Entry) bool {
 	payloads, known := r.loaded[e.Job.ID]
 	if known {
 		return payloads != nil
@@ -31,14 +31,15 @@
 			refs[id] = ref
 		}
 	}
-	go r.readJob(ctx, e, refs)
+	go r.host.readJob(e, r.runs, refs)
 	return false
 }
 
-func (r *runner) readJob(ctx context.Context, e *jobs.Entry, refs map[string]jobs.Ref) {
-	texts := r.readTexts(ctx, refs)
+func (h *Host) readJob(e *jobs.Entry, into *runs, refs map[string]jobs.Ref) {
+	ctx := h.work
+	texts := h.readTexts(ctx, e.Partition, refs)
 	for ctx.Err() == nil {
-		payloads, err := r.host.payloads(ctx, e)
+		payloads, err := h.payloads(ctx, e)
 		if err != nil {
 			klog.InfoS("payloads are not read yet", "job", e.Job.ID, "err", err)
 			select {
@@ -47,23 +48,23 @@
 			}
 			continue
 		}
-		r.host.mu.Lock()
-		defer r.host.mu.Unlock()
-		r.loaded[e.Job.ID] = payloads
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		into.loaded[e.Job.ID] = payloads
 		for id, text := range texts {
-			r.texts[id] = text
+			into.texts[id] = text
 		}
-		r.wake()
+		h.wakeRunners()
 		return
 	}
 }
 
 // readTexts reads stored texts of unfinished runs. Without them the items start
 // from the beginning.
-func (r *runner) readTexts(ctx context.Context, refs map[string]jobs.Ref) map[string]jobs.Partial {
+func (h *Host) readTexts(ctx context.Context, partition int, refs map[string]jobs.Ref) map[string]jobs.Partial {
 	texts := make(map[string]jobs.Partial, len(refs))
 	for id, ref := range refs {
-		data, err := r.host.blobs.get(ctx, r.partition, []jobs.Ref{ref})
+		data, err := h.blobs.get(ctx, partition, []jobs.Ref{ref})
 		if err != nil {
 			klog.InfoS("text of an unfinished run is not read", "item", id, "err", err)
 			continue
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -33,6 +33,26 @@
 	cleanUpInterval = 5 * time.Second
 )
 
+// runs are the items of a partition that wait or run, with their texts. They
+// stay when this host holds the partition again under another epoch. All fields
+// are guarded by host.mu.
+type runs struct {
+	board   *schedule.Board
+	cancels map[int64]func() // ends a run
+	seen    map[string]int   // events of texts in the log, by job and item
+	// loaded holds the payloads of jobs; nil while they are being read.
+	loaded map[string][]jobs.Payload
+	// texts holds the unfinished texts of items that are not run now.
+	texts map[string]jobs.Partial
+}
+
+func newRuns() *runs {
+	return &runs{
+		board: schedule.NewBoard(schedule.Defaults()), cancels: make(map[int64]func()), seen: make(map[string]int),
+		loaded: make(map[string][]jobs.Payload), texts: make(map[string]jobs.Partial),
+	}
+}
+
 // runner holds one partition: it runs the items of its jobs and lists results,
 // or, on the control partition, plans versions and sends orders.
 type runner struct {
@@ -43,13 +63,7 @@
 	writer    *logstore.FencedWriter
 	woken     chan struct{}
 
-	board   *schedule.Board  // guarded by host.mu
-	cancels map[int64]func() // ends a run; guarded by host.mu
-	seen    map[string]int   // events of texts in the log
-	// loaded holds the payloads of jobs; nil while they are being read.
-	loaded map[string][]jobs.Payload
-	// texts holds the unfinished texts of items that the runner does not run.
-	texts  map[string]jobs.Partial
+	*runs
 	orders *orderer // control partition only
 
 	mu       sync.Mutex
@@ -65,9 +79,7 @@
 
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
-		host: h, partition: partition, epoch: epoch, woken: make(chan struct{}, 1),
-		board: schedule.NewBoard(schedule.Defaults()), cancels: make(map[int64]func()), seen: make(map[string]int),
-		loaded: make(map[string][]jobs.Payload), texts: make(map[string]jobs.Partial),
+		host: h, partition: partition, epoch: epoch, woken: make(chan struct{}, 1), runs: newRuns(),
 		queued: make(map[string]bool), appends: make(chan struct{}, 1), idle: make(chan struct{}),
 	}
 }
@@ -105,7 +117,7 @@
 			r.orders.tick(ctx)
 			continue
 		}
-		r.tick(ctx)
+		r.tick()
 		if now := time.Now(); now.Sub(partials) >= partialInterval {
 			partials = now
 			r.storePartials(partialEvents)
@@ -118,7 +130,7 @@
 }
 
 // tick lets the board decide and carries its decisions out.
-func (r *runner) tick(ctx context.Context) {
+func (r *runner) tick() {
 	h := r.host
 	now := time.Now()
 	h.mu.Lock()
@@ -127,7 +139,7 @@
 		return
 	}
 	h.jobs.Each(func(e *jobs.Entry) bool {
-		if e.Partition == r.partition && !e.Ended && r.load(ctx, e) {
+		if e.Partition == r.partition && !e.Ended && r.load(e) {
 			r.board.Update(e, h.jobs.Carried, r.stored)
 		}
 		return true
@@ -141,7 +153,7 @@
 		h.recorder.Decision("run-stop", "", "partition", r.partition, "run", s.Run, "reason", s.Reason)
 	}
 	for _, s := range actions.Starts {
-		r.start(ctx, s)
+		r.start(s)
 	}
 	r.forget()
 	for _, p := range actions.Dropped {
@@ -216,7 +228,7 @@
 }
 
 // start runs an item. The caller holds host.mu.
-func (r *runner) start(ctx context.Context, s schedule.Start) {
+func (r *runner) start(s schedule.Start) {
 	h := r.host
 	server := h.state.Servers.Get(s.Replica)
 	route := h.routeOf(s.Job)
@@ -225,7 +237,7 @@
 		return
 	}
 	target := backend.Target{ID: server.ID, Addr: server.Addr}
-	runCtx, cancel := context.WithCancel(ctx)
+	runCtx, cancel := context.WithCancel(h.work)
 	r.cancels[s.Run] = cancel
 	payload := r.loaded[s.Job.Job.ID][s.Job.Index(s.Item.ID)]
 	request := &backend.Run{
@@ -233,13 +245,13 @@
 		Version: s.Version, After: s.Stored.LastID, Resumed: len(s.Stored.Events) > 0,
 	}
 	h.recorder.Decision("run", s.Item.ID, "job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Stored.Events), "expected", s.Item.Expected, "why", s.Reason)
-	go r.execute(runCtx, cancel, target, request, s, route.Attempts)
+	go h.execute(runCtx, cancel, r.runs, target, request, s, route.Attempts)
 }
 
-// execute runs an item to its end and tells the board.
-func (r *runner) execute(ctx context.Context, cancel func(), target backend.Target, request *backend.Run, s schedule.Start, attempts int) {
+// execute runs an item to its end and tells the board. The runner that started
+// it may have been replaced meanwhile.
+func (h *Host) execute(ctx context.Context, cancel func(), r *runs, target backend.Target, request *backend.Run, s schedule.Start, attempts int) {
 	defer cancel()
-	h := r.host
 	started := time.Now()
 	events := 0
 	end := h.backends.Run(ctx, target, request, func(e backend.Event) {
@@ -255,8 +267,8 @@
 	h.mu.Lock()
 	delete(r.cancels, s.Run)
 	r.board.End(s.Run, outcome, attempts, now)
+	h.wakeRunners()
 	h.mu.Unlock()
-	r.wake()
 	details := []any{"job", s.Job.Job.ID, "run", s.Run, "replica", target.ID, "outcome", outcome.String(), "events", events, "took_ms", now.Sub(started).Milliseconds()}
 	if end.Err != nil {
 		details = append(details, "err", end.Err.Error())
