--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -14,12 +14,14 @@
 func (h *Host) applyOperators(b logstore.Batch) {
 	for _, r := range b.Records {
 		change := h.feeds.Operators.Decode(r)
+		var follow *deployment.Config
 		h.mu.Lock()
 		switch {
 		case change.Config != nil:
 			if h.state.SetConfig(change.Config) {
 				klog.InfoS("configuration in force", "version", change.Config.Version, "offset", r.Offset, "routes", len(change.Config.Routes), "services", len(change.Config.Services))
 				h.wakeRunners()
+				follow = change.Config
 			}
 		case change.Version != nil:
 			if h.state.SetVersion(*change.Version) {
@@ -30,6 +32,9 @@
 			h.skipped("operators", change.Unknown)
 		}
 		h.mu.Unlock()
+		if follow != nil {
+			h.followModels(follow)
+		}
 	}
 }
 
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -139,6 +139,7 @@
 	if h.followers[partition] != nil {
 		return
 	}
+	klog.InfoS("partition is followed", "partition", partition)
 	f := logstore.NewFollower(h.store, workPartition(partition), func(b logstore.Batch) { h.applyWork(partition, b) })
 	h.followers[partition] = f
 	go f.Run(ctx)
@@ -158,8 +159,15 @@
 	return h.followers[partition]
 }
 
-// housekeep follows the partitions of new models, carries out removals that
-// waited, and forgets what belongs to servers that are gone.
+// followModels follows the partitions of all models of a configuration.
+func (h *Host) followModels(config *deployment.Config) {
+	for _, model := range config.Models() {
+		h.follow(h.work, h.partitionOf(model))
+	}
+}
+
+// housekeep carries out removals that waited, and forgets what belongs to
+// servers that are gone.
 func (h *Host) housekeep(ctx context.Context) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
@@ -174,10 +182,6 @@
 		if len(gone) > 0 {
 			h.refreshServers()
 		}
-		var models []string
-		if h.state.Config != nil {
-			models = h.state.Config.Models()
-		}
 		registered := make(map[backend.Target]bool, len(h.known))
 		for _, s := range h.known {
 			registered[backend.Target{ID: s.ID, Addr: s.Addr}] = true
@@ -187,9 +191,6 @@
 		for _, id := range gone {
 			klog.InfoS("backend server is gone", "server", id, "reason", "did not come back after an outage of the store")
 		}
-		for _, model := range models {
-			h.follow(ctx, h.partitionOf(model))
-		}
 		h.backends.Forget(func(t backend.Target) bool { return registered[t] })
 	}
 }
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -154,10 +154,10 @@
 	for _, f := range h.followers {
 		followers = append(followers, f)
 	}
-	ready := h.state.Config != nil
 	h.mu.Unlock()
-	if !ready {
-		return nil, notRun(cluster.ReasonNotReady, "no configuration is known yet")
+	if !h.Knows() {
+		// The job may lie in a partition that this host does not read yet.
+		return nil, h.Unready(id)
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -276,3 +276,21 @@
 	checkResults(t, w, job, results, texts)
 	must.EqOp(t, 8, started())
 }
+
+// Guards against "no such job" from a host that has just started and does not
+// read the partition of the job's model yet.
+func TestFreshHostIsNotSureBeforeItReadsAllPartitions(t *testing.T) {
+	w := newWorld(t, 2)
+	a := w.host("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	fresh := w.newHost("b")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	fresh.start(ctx)
+	w.until("the job is known", func() bool {
+		page, refusal := fresh.Results(context.Background(), "job-1", 0, 0)
+		must.True(t, page != nil || refusal != nil, must.Sprint("the fresh host says that there is no such job"))
+		return page != nil
+	})
+}
--- a/internal/fronthost/world_test.go
+++ b/internal/fronthost/world_test.go
@@ -120,8 +120,8 @@
 	w.put(operatorPartition, "version", deployment.ModelVersion{Model: testModel, Version: version})
 }
 
-// host starts an entry host that speaks to the store through a view of its own.
-func (w *world) host(id string) *testHostHandle {
+// newHost makes an entry host that speaks to the store through a view of its own.
+func (w *world) newHost(id string) *testHostHandle {
 	view := &storeView{Store: w.store}
 	recorder, err := telemetry.NewRecorder(id, 0)
 	must.NoError(w.t, err)
@@ -134,11 +134,18 @@
 		Operators: Feed{Partition: operatorPartition, Decode: decodeOperator},
 		Servers:   Feed{Partition: serverPartition, Decode: decodeServer},
 	}, recorder)
+	return &testHostHandle{Host: h, view: view}
+}
+
+// host starts an entry host.
+func (w *world) host(id string) *testHostHandle {
+	h := w.newHost(id)
 	ctx, cancel := context.WithCancel(context.Background())
 	w.t.Cleanup(cancel)
+	h.kill = cancel
 	h.start(ctx)
 	w.until("host is ready", h.Ready)
-	return &testHostHandle{Host: h, view: view, kill: cancel}
+	return h
 }
 
 type testHostHandle struct {
