Leave duties to hosts with processor time to spare

Ruled out: orders (loads went on), the store (stable from 6.3 s on). Change: settings name the host's share of a core; hosts with under half a core stand by, and take part in duties only while a duty is vacant three checks in a row and no large host holds one. Test: TestSmallHostsTakeDutiesOnlyWithoutLargeOnes.

--- a/internal/fronthost/duties.go
+++ b/internal/fronthost/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,60 @@
 	stopTimeout = 1200 * time.Millisecond
 )
 
+// Hosts with little processor time leave duties to others as long as there are
+// others: a runner reads the events of all runs of its models.
+const (
+	// fullCapacity is the processor time, in cores, from which a host takes
+	// part in duties at once. A runner of 224 runs uses some 0.15 cores.
+	fullCapacity = 0.5
+	// smallMark in a member's name tells other small hosts what it is.
+	smallMark = "-small-"
+	// ownerCheck is the time between two looks at who holds duties.
+	ownerCheck = time.Second
+	// vacantChecks is how often in a row a duty must be vacant before a small
+	// host takes part: members lapse and come back within one.
+	vacantChecks = 3
+)
+
+func (h *Host) small() bool {
+	return h.settings.Limits.CPUShare*h.settings.Limits.Cores < fullCapacity
+}
+
+// standBy lets a small host take part in duties only while the others hold none.
+func (h *Host) standBy(ctx context.Context) {
+	ticker := time.NewTicker(ownerCheck)
+	defer ticker.Stop()
+	vacant := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		callCtx, cancel := context.WithTimeout(ctx, ownerCheck)
+		owners, err := h.store.Owners(callCtx, groupDuties, topicWork)
+		cancel()
+		if err != nil {
+			klog.V(1).InfoS("owners of duties are not known", "err", err)
+			continue
+		}
+		held, large := len(owners), false
+		for _, member := range owners {
+			large = large || !strings.Contains(member, smallMark)
+		}
+		vacant++
+		if held == h.settings.Platform.Store.Partitions {
+			vacant = 0
+		}
+		switch {
+		case large && vacant == 0:
+			h.group.Rest(ctx, true)
+		case vacant >= vacantChecks:
+			h.group.Rest(ctx, false)
+		}
+	}
+}
+
 // keepDuties starts and stops duties as the group deals partitions.
 func (h *Host) keepDuties(ctx context.Context, changed <-chan struct{}) {
 	ticker := time.NewTicker(time.Second)
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -100,6 +100,9 @@
 		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()),
 		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner),
 	}
+	if h.small() {
+		h.member = s.Host.ID + smallMark + uuid.NewString()[:8]
+	}
 	h.blobs = newBlobs(store, s.Platform.Store.RecordBytes, s.Platform.Store.AppendBytes)
 	h.operators = logstore.NewFollower(store, feeds.Operators.Partition, h.applyOperators)
 	h.servers = logstore.NewFollower(store, feeds.Servers.Partition, h.applyServers)
@@ -121,6 +124,10 @@
 		default:
 		}
 	})
+	if h.small() {
+		h.group.Rest(ctx, true)
+		go h.standBy(ctx)
+	}
 	go h.group.Run(ctx)
 	go h.keepDuties(ctx, changed)
 	go h.housekeep(ctx)
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -294,3 +294,26 @@
 		return page != nil
 	})
 }
+
+// Answers the load of a fleet with large and small hosts: guards against duties
+// on a small host while a large one is there, and against none taking them when
+// there is none.
+func TestSmallHostsTakeDutiesOnlyWithoutLargeOnes(t *testing.T) {
+	w := newWorld(t, 3)
+	small, large := w.newHost("small"), w.newHost("large")
+	small.settings.Limits.CPUShare = 0.2
+	small.member = "small" + smallMark
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	small.start(ctx)
+	w.until("the small host holds all duties", func() bool { return len(small.group.Held()) == 4 })
+	largeCtx, endLarge := context.WithCancel(ctx)
+	large.start(largeCtx)
+	w.until("the large host holds all duties", func() bool { return len(large.group.Held()) == 4 && len(small.group.Held()) == 0 })
+	job, payloads := newJob("job-1", 6, 1)
+	must.Nil(t, small.Submit(ctx, job, payloads))
+	results, texts := w.collect(small, "job-1", 6)
+	checkResults(t, w, job, results, texts)
+	endLarge()
+	w.until("the small host holds all duties again", func() bool { return len(small.group.Held()) == 4 })
+}
--- a/internal/logstore/group.go
+++ b/internal/logstore/group.go
@@ -20,6 +20,7 @@
 	partitions map[int]int64 // epoch at which each partition was dealt
 	renewed    time.Time     // start of the last answered renewal
 	stopped    bool
+	resting    bool // does not take part for now
 }
 
 // renewals is the number of renewals in a time to live.
@@ -47,9 +48,9 @@
 
 func (g *Group) renew(ctx context.Context, limit time.Duration) {
 	g.mu.Lock()
-	stopped, m := g.stopped, g.membership
+	stopped, resting, m := g.stopped, g.resting, g.membership
 	g.mu.Unlock()
-	if stopped {
+	if stopped || resting {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -68,6 +69,10 @@
 
 func (g *Group) accept(a Assignment, sent time.Time) {
 	g.mu.Lock()
+	if g.resting {
+		g.mu.Unlock()
+		return
+	}
 	lapsed := time.Since(g.renewed) >= g.membership.TTL
 	g.renewed = sent
 	changed := false
@@ -131,6 +136,28 @@
 	return g.renewed
 }
 
+// Rest leaves the group until Rest(ctx, false), or takes part in it again.
+func (g *Group) Rest(ctx context.Context, rest bool) {
+	g.mu.Lock()
+	changed := g.resting != rest
+	g.resting = rest
+	if rest {
+		g.partitions = make(map[int]int64)
+	}
+	m := g.membership
+	g.mu.Unlock()
+	if !changed {
+		return
+	}
+	klog.InfoS("group membership", "group", m.Group, "member", m.Member, "resting", rest)
+	g.onChange()
+	if rest {
+		if err := g.store.Leave(ctx, m.Group, m.Member); err != nil {
+			klog.InfoS("could not leave the group", "group", m.Group, "err", err)
+		}
+	}
+}
+
 // Stop leaves the group for good.
 func (g *Group) Stop(ctx context.Context) {
 	g.mu.Lock()
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -110,6 +110,8 @@
 	Newest(ctx context.Context, p Partition, after string) (Listing, error)
 	// Join joins a group or renews the membership.
 	Join(ctx context.Context, m Membership) (Assignment, error)
+	// Owners returns the member that holds each partition of a topic in a group.
+	Owners(ctx context.Context, group, topic string) (map[int]string, error)
 	// Leave gives up all partitions of a member.
 	Leave(ctx context.Context, group, member string) error
 }
--- a/internal/logstore/memlog/memlog.go
+++ b/internal/logstore/memlog/memlog.go
@@ -23,6 +23,7 @@
 	CallNewest Call = "newest"
 	CallJoin   Call = "join"
 	CallLeave  Call = "leave"
+	CallOwners Call = "owners"
 )
 
 // Fault says what happens to one call.
@@ -311,10 +312,29 @@
 		g.generation++
 	}
 	g.members[m.Member] = now.Add(m.TTL)
+	g.giveUp(m.Member, (s.partitions+len(g.members)-1)/len(g.members))
 	g.deal(s.partitions)
 	return g.assignment(m.Member), nil
 }
 
+// Owners implements logstore.Store.
+func (s *Store) Owners(_ context.Context, name, _ string) (map[int]string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faultOf(CallOwners, logstore.Partition{}) != None {
+		return nil, logstore.ErrUnknown
+	}
+	owners := make(map[int]string)
+	if g := s.groups[name]; g != nil {
+		for p, member := range g.owners {
+			if now := s.now(); now.Before(g.members[member]) {
+				owners[p] = member
+			}
+		}
+	}
+	return owners, nil
+}
+
 // Leave implements logstore.Store.
 func (s *Store) Leave(_ context.Context, name, member string) error {
 	s.mu.Lock()
@@ -335,6 +355,15 @@
 	g.generation++
 }
 
+// giveUp takes what a member holds beyond a limit.
+func (g *group) giveUp(member string, limit int) {
+	held := g.assignment(member).Partitions
+	for _, p := range held[min(limit, len(held)):] {
+		delete(g.owners, p)
+		g.generation++
+	}
+}
+
 // deal gives free partitions to the members with the fewest.
 func (g *group) deal(partitions int) {
 	var members []string
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -71,6 +71,9 @@
 	intKey("limits", "crashes_to_refuse", "crashes", "3", 1, 100, "crashes of backend servers after which a request's content is refused", func(s *Settings) *int { return &s.Limits.CrashesToRefuse }),
 	intKey("limits", "decision_log_per_second", "lines/s", "1000", 0, 100000, "decision lines above this rate are counted and not written", func(s *Settings) *int { return &s.Limits.DecisionLogPerSec }),
 
+	floatKey("limits", "cpu_share", "share", "1", 0.01, 1024, "share of its cores that the process may use; hosts with little leave duties to others", func(s *Settings) *float64 { return &s.Limits.CPUShare }),
+	floatKey("limits", "cores", "cores", "1", 0.01, 1024, "cores of the host", func(s *Settings) *float64 { return &s.Limits.Cores }),
+
 	durationKey("timing", "progress_timeout", "5s", 10*time.Millisecond, time.Hour, "longest gap between two chunks of a stream", func(s *Settings) *time.Duration { return &s.Timing.ProgressTimeout }),
 	durationKey("timing", "drain_timeout", "60s", 0, 24*time.Hour, "longest time that a drain waits for requests in flight", func(s *Settings) *time.Duration { return &s.Timing.DrainTimeout }),
 	durationKey("timing", "drain_delay", "2s", 0, time.Minute, "time between failing readiness and draining, for the balancer to notice", func(s *Settings) *time.Duration { return &s.Timing.DrainDelay }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,6 +97,8 @@
 	RetryReserve       int     // retries allowed whatever the share
 	CrashesToRefuse    int
 	DecisionLogPerSec  int
+	CPUShare           float64 // of a core
+	Cores              float64
 }
 
 // Timing holds durations. Section [timing].
