Start the items with the least slack first

Cause: items of the groups that the trainer does not wait for, as the hints have it, started last. Hints are often far off: groups that were pushed back that way held up the step, or came again in a later one, where they are wanted in any case. A short item of an older job also started before a long one of the next. Change: one order by slack, over all jobs of a model; what an earlier run has made is a least length of an item. The ranks and the table of first steps go. Test: TestWantedGroupsAreWholeAsSoonAsTheirLongestItem plays the burst of a step; it fails with the order turned round. Tests of moves and of the board's invariants come with it.

--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -76,6 +76,8 @@
 	// that are no engines.
 	Slots  int
 	Models []string
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
 }
 
 // Limits bounds what a client may send.
--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -116,14 +116,12 @@
 	texts map[string]Result
 	// partials refers to the stored text of unfinished runs by item ID.
 	partials map[string]Ref
-	// firstStep holds the lowest step that had an item.
-	firstStep map[string]int64
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		entries: table.New[string, Entry](), texts: make(map[string]Result), partials: make(map[string]Ref), firstStep: make(map[string]int64),
+		entries: table.New[string, Entry](), texts: make(map[string]Result), partials: make(map[string]Ref),
 	}
 }
 
@@ -146,12 +144,6 @@
 	})
 }
 
-// Carried says whether an item of a job was part of an earlier step already.
-func (t *Table) Carried(job *Job, item string) bool {
-	first, known := t.firstStep[item]
-	return known && first < job.Step
-}
-
 // Finished returns an earlier finished result of an item.
 func (t *Table) Finished(item string) (Result, bool) {
 	r, ok := t.texts[item]
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -136,7 +136,7 @@
 	}
 	switch kind {
 	case kindChunk:
-		return t.addChunk(e, rest, r.Value, now)
+		return e.addChunk(rest, r.Value, now)
 	case kindResult:
 		return t.addResult(e, rest, r.Value)
 	case kindEnd:
@@ -163,19 +163,16 @@
 		}
 	case kindEnd:
 		// The last record of a removed job.
-		if e != nil && e.Removed && e.Job != nil {
+		if e != nil && e.Removed {
 			for _, r := range e.Results {
 				delete(t.texts, r.Item)
 			}
-			for i := range e.Job.Items {
-				delete(t.firstStep, e.Job.Items[i].ID)
-			}
 			t.entries.Delete(id)
 		}
 	}
 }
 
-func (t *Table) addChunk(e *Entry, index string, value []byte, now time.Time) error {
+func (e *Entry) addChunk(index string, value []byte, now time.Time) error {
 	if e.Job != nil {
 		return nil
 	}
@@ -198,12 +195,6 @@
 		return eris.Wrap(err, "decode a job")
 	}
 	e.Job, e.Seen = job, now
-	for i := range job.Items {
-		id := job.Items[i].ID
-		if first, known := t.firstStep[id]; !known || job.Step < first {
-			t.firstStep[id] = job.Step
-		}
-	}
 	return nil
 }
 
--- a/internal/core/schedule/choose.go
+++ b/internal/core/schedule/choose.go
@@ -114,7 +114,7 @@
 		}
 		return true
 	})
-	slices.SortStableFunc(slow, func(x, y *task) int { return cmp.Compare(remaining(y), remaining(x)) })
+	slices.SortStableFunc(slow, func(x, y *task) int { return cmp.Compare(b.expected(y, v), b.expected(x, v)) })
 	for _, t := range slow {
 		from := t.run.replica
 		choice, _ := b.choose(t, v, from)
--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -83,8 +83,9 @@
 	failed bool // the result is a failure
 	// reused is an earlier result that is listed again.
 	reused *jobs.Result
-	// carried says that an earlier job had the item too.
-	carried bool
+	// longest is the number of events that an earlier run was seen to make.
+	longest int
+	latest  time.Time // when the item should start at the latest
 }
 
 // run is one run of an item.
@@ -180,9 +181,9 @@
 
 func taskKey(job, item string) string { return job + "/" + item }
 
-// Update takes the new items of a job. carried says whether an earlier step had
-// an item; stored returns what is known of its text from earlier runs.
-func (b *Board) Update(e *jobs.Entry, carried func(*jobs.Job, string) bool, stored func(item string) (jobs.Partial, bool)) {
+// Update takes the new items of a job. stored returns what is known of an item's
+// text from earlier runs.
+func (b *Board) Update(e *jobs.Entry, stored func(item string) (jobs.Partial, bool)) {
 	for i := range e.Job.Items {
 		item := &e.Job.Items[i]
 		k := taskKey(e.Job.ID, item.ID)
@@ -192,9 +193,12 @@
 		if b.tasks.Get(k) != nil {
 			continue
 		}
-		t := task{job: e, item: item, carried: carried(e.Job, item.ID)}
+		t := task{job: e, item: item}
 		if partial, ok := stored(item.ID); ok {
-			t.partial = partial
+			t.longest = len(partial.Events)
+			if jobs.Fits(partial.Versions, e.Job.MinVersion, false) {
+				t.partial = partial
+			}
 		}
 		b.tasks.Put(k, t)
 	}
--- /dev/null
+++ b/internal/core/schedule/schedule_test.go
@@ -0,0 +1,234 @@
+package schedule
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
+)
+
+const (
+	testEvent       = 40 * time.Millisecond
+	testTick        = 20 * time.Millisecond
+	testEventTokens = 58
+	testMaxEvents   = 192
+)
+
+// step is one job of a trainer on replicas that make one event each testEvent.
+type step struct {
+	board    *Board
+	entry    *jobs.Entry
+	replicas []Replica
+	lengths  map[string]int
+	running  map[int64]*running
+	slow     map[string]int // times as slow, by replica
+	now      time.Time
+	whole    map[string]time.Duration // of items
+}
+
+type running struct {
+	start Start
+	made  int
+	next  time.Time
+}
+
+// newStep draws lengths with a heavy tail and hints that are right at the
+// median and often far off.
+func newStep(r *rand.Rand, groups, size, replicas, slots int) *step {
+	s := &step{
+		board: NewBoard(Defaults()), lengths: make(map[string]int), running: make(map[int64]*running),
+		slow: make(map[string]int), now: time.Unix(1000, 0), whole: make(map[string]time.Duration),
+	}
+	job := &jobs.Job{ID: "job", Wanted: groups * 9 / 10, MinVersion: 1}
+	for i := range groups * size {
+		id := fmt.Sprintf("item-%03d", i)
+		length := 20 * math.Exp(0.9*r.NormFloat64()-0.4)
+		if r.Float64() < 0.08 {
+			length *= 5
+		}
+		s.lengths[id] = int(min(max(length, 1), testMaxEvents))
+		hint := float64(s.lengths[id]*testEventTokens) * math.Exp(0.5*r.NormFloat64())
+		job.Items = append(job.Items, jobs.Item{ID: id, Group: fmt.Sprintf("g%d", i/size), Expected: int(hint)})
+	}
+	s.entry = &jobs.Entry{Job: job, Seen: s.now, Listed: make(map[string]int)}
+	for i := range replicas {
+		s.replicas = append(s.replicas, Replica{ID: fmt.Sprintf("r%d", i), Slots: slots, Usable: true, Version: 1})
+	}
+	return s
+}
+
+func (s *step) view() View {
+	return View{
+		Now:         s.now,
+		Replicas:    func(*jobs.Entry) []Replica { return s.replicas },
+		Single:      func(*jobs.Entry) bool { return false },
+		Finished:    func(string) (jobs.Result, bool) { return jobs.Result{}, false },
+		GivenUp:     func(*jobs.Entry) bool { return false },
+		Due:         func(*jobs.Entry) time.Duration { return 7500 * time.Millisecond },
+		EventTokens: func(*jobs.Entry) int { return testEventTokens },
+	}
+}
+
+// play runs the step to its end and returns when each group was whole, in order.
+func (s *step) play(t *testing.T) []time.Duration {
+	t.Helper()
+	begin := s.now
+	for len(s.whole) < len(s.lengths) {
+		must.Less(t, time.Minute, s.now.Sub(begin), must.Sprint("the step does not end"))
+		s.board.Update(s.entry, func(string) (jobs.Partial, bool) { return jobs.Partial{}, false })
+		actions := s.board.Tick(s.view())
+		for _, stop := range actions.Stops {
+			delete(s.running, stop.Run)
+		}
+		for _, start := range actions.Starts {
+			s.running[start.Run] = &running{start: start, made: len(start.Stored.Events), next: s.now.Add(s.pace(start.Replica))}
+		}
+		for _, l := range actions.Listings {
+			must.EqOp(t, s.lengths[l.Result.Item], countEvents(l.Text))
+			s.entry.Listed[l.Result.Item] = len(s.entry.Listed)
+			s.whole[l.Result.Item] = s.now.Sub(begin)
+		}
+		s.now = s.now.Add(testTick)
+		s.advance()
+	}
+	groups := make(map[string]time.Duration)
+	for _, item := range s.entry.Job.Items {
+		groups[item.Group] = max(groups[item.Group], s.whole[item.ID])
+	}
+	var ends []time.Duration
+	for _, end := range groups {
+		ends = append(ends, end)
+	}
+	slices.Sort(ends)
+	return ends
+}
+
+func (s *step) pace(replica string) time.Duration {
+	return testEvent * time.Duration(max(s.slow[replica], 1))
+}
+
+func countEvents(text string) int {
+	n := 1
+	for _, c := range text {
+		if c == '\n' {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *step) advance() {
+	ids := make([]int64, 0, len(s.running))
+	for id := range s.running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		r := s.running[id]
+		for !s.now.Before(r.next) && r.made < s.lengths[r.start.Item.ID] {
+			r.made++
+			s.board.Event(id, int64(r.made), "event", 1, r.next)
+			r.next = r.next.Add(s.pace(r.start.Replica))
+		}
+		if r.made == s.lengths[r.start.Item.ID] {
+			delete(s.running, id)
+			s.board.End(id, Complete, 3, s.now)
+		}
+	}
+}
+
+// Answers the burst at the start of a trainer's step: 72 items with a heavy tail
+// on 36 slots. The wanted groups must be whole about as soon as the longest item
+// among all can be, however far off the hints are, and no group may be late.
+func TestWantedGroupsAreWholeAsSoonAsTheirLongestItem(t *testing.T) {
+	const seeds = 60
+	var over time.Duration
+	for seed := range uint64(seeds) {
+		s := newStep(rand.New(rand.NewPCG(seed, 1)), 18, 4, 3, 12)
+		longest := 0
+		for _, n := range s.lengths {
+			longest = max(longest, n)
+		}
+		ends := s.play(t)
+		last := ends[len(ends)-1]
+		over += max(last-time.Duration(longest)*testEvent, 0)
+		must.Less(t, 8200*time.Millisecond, last, must.Sprintf("seed %d", seed))
+	}
+	must.Less(t, 200*time.Millisecond, over/seeds)
+}
+
+// Answers a replica that turns slow: its long runs must move, and the step must
+// not take as long as the slow replica would.
+func TestRunsMoveAwayFromASlowReplica(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newStep(rand.New(rand.NewPCG(seed, 2)), 18, 4, 6, 12)
+		s.slow["r1"] = 4
+		ends := s.play(t)
+		must.Less(t, 11*time.Second, ends[len(ends)-1], must.Sprintf("seed %d", seed))
+	}
+}
+
+// Guards against more runs on a replica than it has slots, runs on replicas that
+// load or have an old version, and two runs of one item at once.
+func TestBoardKeepsItsInvariants(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		s := newStep(r, 8, 4, 4, 5)
+		perItem := make(map[string]int)
+		runs := make(map[int64]Start)
+		for range 400 {
+			for i := range s.replicas {
+				s.replicas[i].Usable = r.Float64() < 0.8
+				s.replicas[i].Version = int64(r.IntN(2)) // 0 is too old
+			}
+			s.board.Update(s.entry, func(string) (jobs.Partial, bool) { return jobs.Partial{}, false })
+			actions := s.board.Tick(s.view())
+			for _, stop := range actions.Stops {
+				perItem[runs[stop.Run].Item.ID]--
+				delete(runs, stop.Run)
+			}
+			perReplica := make(map[string]int)
+			for _, start := range actions.Starts {
+				runs[start.Run] = start
+				perItem[start.Item.ID]++
+				must.EqOp(t, 1, perItem[start.Item.ID])
+				must.EqOp(t, 1, start.Version)
+				must.EqOp(t, 0, len(start.Stored.Events)-int(start.Stored.LastID))
+			}
+			for _, run := range runs {
+				perReplica[run.Replica]++
+			}
+			for id, n := range perReplica {
+				must.LessEq(t, 5, n, must.Sprint(id))
+			}
+			s.end(r, runs, perItem)
+			s.now = s.now.Add(testTick)
+		}
+	}
+}
+
+// end gives random runs an event or an outcome.
+func (s *step) end(r *rand.Rand, runs map[int64]Start, perItem map[string]int) {
+	ids := make([]int64, 0, len(runs))
+	for id := range runs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		switch {
+		case r.Float64() < 0.3:
+			t := s.board.taskOf(id)
+			s.board.Event(id, t.partial.LastID+1, "event", 1, s.now)
+		case r.Float64() < 0.1:
+			s.board.End(id, Outcome(1+r.IntN(int(Broken))), 3, s.now)
+			perItem[runs[id].Item.ID]--
+			delete(runs, id)
+		}
+	}
+}
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -19,6 +18,10 @@
 	// Finished returns an earlier result of an item that was listed in another
 	// job, if there is one.
 	Finished func(item string) (jobs.Result, bool)
+	// Due returns how long after its submission a job's results are wanted.
+	Due func(*jobs.Entry) time.Duration
+	// EventTokens returns how many tokens one event holds; 0 if that is unknown.
+	EventTokens func(*jobs.Entry) int
 	// GivenUp says whether a job's items are given up for good.
 	GivenUp func(*jobs.Entry) bool
 }
@@ -144,90 +147,43 @@
 	}
 }
 
-// waiting returns the items that may start now, most urgent first: jobs by the
-// time at which they came, in a job the groups that the trainer waits for, and
-// among those the longest items.
+// waiting returns the items that may start now, those with the least slack
+// first: the time until the job is due less the expected time of the run. In one
+// job this puts the longest items first, and a long item of a new job before a
+// short one of the job before. Leaving the groups that the trainer does not wait
+// for to the end would save nothing: which groups these are is known only when
+// the others are whole, and a long item that starts late holds up its group.
 func (b *Board) waiting(v View) []*task {
 	var tasks []*task
 	b.tasks.Each(func(_ string, t *task) bool {
 		if t.run == nil && !t.done && !v.Now.Before(t.notBefore) {
+			t.latest = t.job.Seen.Add(v.Due(t.job) - b.expected(t, v))
 			tasks = append(tasks, t)
 		}
 		return true
 	})
-	if len(tasks) == 0 {
-		return nil
-	}
-	surplus := b.surplusGroups()
-	slices.SortStableFunc(tasks, func(x, y *task) int {
-		return cmp.Or(
-			x.job.Seen.Compare(y.job.Seen),
-			cmp.Compare(rank(x, surplus), rank(y, surplus)),
-			cmp.Compare(remaining(y), remaining(x)),
-		)
-	})
+	slices.SortStableFunc(tasks, func(x, y *task) int { return x.latest.Compare(y.latest) })
 	return tasks
 }
 
-// Ranks of items in a job.
-const (
-	rankCarried = iota // the trainer waits for these in any case
-	rankWanted
-	rankSurplus
-)
+// defaultTokenTime is used until replicas' paces are known.
+const defaultTokenTime = 700 * time.Microsecond
 
-func rank(t *task, surplus map[string]bool) int {
-	switch {
-	case t.carried:
-		return rankCarried
-	case surplus[taskKey(t.job.Job.ID, t.item.Group)]:
-		return rankSurplus
+// expected estimates how long the rest of an item's run takes. The hint of its
+// length may be far off; an earlier run proves a least length.
+func (b *Board) expected(t *task, v View) time.Duration {
+	tokens := t.item.Expected
+	perEvent := v.EventTokens(t.job)
+	if t.longest > 0 {
+		tokens = max(tokens, t.longest*max(perEvent, 1)*longerThanSeen/100)
 	}
-	return rankWanted
-}
-
-// remaining estimates the tokens that an item still has to generate.
-func remaining(t *task) int { return t.item.Expected }
-
-// surplusGroups returns the groups of each job that are expected to take
-// longest and that the trainer does not wait for.
-func (b *Board) surplusGroups() map[string]bool {
-	type group struct {
-		key     string
-		longest int
+	tokens = max(tokens-len(t.partial.Events)*perEvent, 0)
+	if b.median > 0 && perEvent > 0 {
+		return time.Duration(float64(b.median) * float64(tokens) / float64(perEvent))
 	}
-	groups := make(map[*jobs.Entry]map[string]int)
-	b.tasks.Each(func(_ string, t *task) bool {
-		if groups[t.job] == nil {
-			groups[t.job] = longestByGroup(t.job.Job)
-		}
-		return true
-	})
-	surplus := make(map[string]bool)
-	for e, longest := range groups {
-		extra := len(longest) - e.Job.Wanted
-		if e.Job.Wanted <= 0 || extra <= 0 {
-			continue
-		}
-		var sorted []group
-		for name, n := range longest {
-			sorted = append(sorted, group{taskKey(e.Job.ID, name), n})
-		}
-		slices.SortFunc(sorted, func(x, y group) int {
-			return cmp.Or(cmp.Compare(y.longest, x.longest), cmp.Compare(x.key, y.key))
-		})
-		for _, g := range sorted[:extra] {
-			surplus[g.key] = true
-		}
-	}
-	return surplus
+	return time.Duration(tokens) * defaultTokenTime
 }
 
-func longestByGroup(job *jobs.Job) map[string]int {
-	longest := make(map[string]int)
-	for i := range job.Items {
-		item := &job.Items[i]
-		longest[item.Group] = max(longest[item.Group], item.Expected)
-	}
-	return longest
-}
+// longerThanSeen is the expected length of an item whose run was ended, in
+// percent of what that run had made.
+const longerThanSeen = 130
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -140,7 +140,7 @@
 	}
 	h.jobs.Each(func(e *jobs.Entry) bool {
 		if e.Partition == r.partition && !e.Ended && r.load(e) {
-			r.board.Update(e, h.jobs.Carried, r.stored)
+			r.board.Update(e, r.stored)
 		}
 		return true
 	})
@@ -173,6 +173,18 @@
 			return route != nil && route.SingleVersion
 		},
 		Finished: h.jobs.Finished,
+		Due: func(e *jobs.Entry) time.Duration {
+			if route := h.routeOf(e); route != nil {
+				return route.Due
+			}
+			return 0
+		},
+		EventTokens: func(e *jobs.Entry) int {
+			if route := h.routeOf(e); route != nil {
+				return h.state.Config.Services[serviceOf(route, e.Job.ID)].EventTokens
+			}
+			return 0
+		},
 		GivenUp: func(e *jobs.Entry) bool {
 			if h.state.Config == nil {
 				return false
