--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -164,21 +164,6 @@
 	Dropped []PartialOf
 }
 
-// Running returns the own runs on a replica.
-func (b *Board) Running(replica string) int { return b.running[replica] }
-
-// Waiting returns the number of items that neither run nor are decided.
-func (b *Board) Waiting() int {
-	n := 0
-	b.tasks.Each(func(_ string, t *task) bool {
-		if t.run == nil && !t.done {
-			n++
-		}
-		return true
-	})
-	return n
-}
-
 func taskKey(job, item string) string { return job + "/" + item }
 
 // Update takes the new items of a job. stored returns what is known of an item's
@@ -204,13 +189,6 @@
 	}
 }
 
-// Accepted notes that a run's replica took the request.
-func (b *Board) Accepted(runID int64, now time.Time) {
-	if t := b.taskOf(runID); t != nil {
-		t.run.lastEvent = now
-	}
-}
-
 // Event notes the next event of a run with its ID and the version that made it.
 func (b *Board) Event(runID, id int64, data string, version int64, now time.Time) {
 	t := b.taskOf(runID)
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -110,6 +111,7 @@
 		select {
 		case t := <-f.results:
 			if answer := f.take(t); answer != nil {
+				f.cleared()
 				return answer, nil
 			}
 			if f.mayRepeat(t) {
@@ -207,7 +209,7 @@
 // tells the other hosts, because the caller comes back to any of them.
 func (f *forwarding) crashed(t *try) {
 	h := f.host
-	crash := t.server.ID
+	crash := fmt.Sprintf("%s-%d", t.server.ID, t.server.Started)
 	h.mu.Lock()
 	changed := h.suspects.Crashed(f.fingerprint, crash, false, time.Now())
 	h.mu.Unlock()
@@ -217,6 +219,13 @@
 	}
 }
 
+// cleared takes marks off content that was answered after all.
+func (f *forwarding) cleared() {
+	f.host.mu.Lock()
+	defer f.host.mu.Unlock()
+	f.host.suspects.Clear(f.fingerprint, time.Now())
+}
+
 func (f *forwarding) mayRepeat(t *try) bool {
 	ran := t.err != nil && !errors.Is(t.err, backend.ErrNotSent) || t.err == nil && !t.answer.NotRun
 	if !ran {
--- /dev/null
+++ b/internal/fronthost/forwarding_test.go
@@ -0,0 +1,90 @@
+package fronthost
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/backend"
+	"github.com/sesamestand/sesamestand/internal/cluster"
+)
+
+// forward has a host forward a request to n servers that answer as told.
+func forwardTo(t *testing.T, prefix string, n int, answers func(id string) *backend.Answer) (*backend.Answer, *Refusal, int) {
+	t.Helper()
+	w := newWorld(t, 1)
+	sends := 0
+	w.calls = func(id string) *backend.Answer {
+		sends++
+		return answers(id)
+	}
+	for i := range n {
+		w.register("app-"+string(rune('a'+i)), testApp)
+	}
+	h := w.host("a")
+	route := h.Config().Match(testHost, prefix)
+	must.NotNil(t, route)
+	request := &backend.Request{ID: "r1", Method: http.MethodPost, URI: prefix + "x", HostName: testHost, Header: http.Header{}}
+	answer, refusal := h.Forward(context.Background(), request, route, time.Now().Add(time.Second))
+	return answer, refusal, sends
+}
+
+func full(string) *backend.Answer {
+	return &backend.Answer{Status: http.StatusServiceUnavailable, NotRun: true}
+}
+
+func broken(string) *backend.Answer { return nil }
+
+func good(string) *backend.Answer { return &backend.Answer{Status: http.StatusOK} }
+
+// Guards against a second run of a request that may run once only, and against
+// "not run" for one that may have run.
+func TestBrokenRequestIsRepeatedOnlyIfItMay(t *testing.T) {
+	_, refusal, sends := forwardTo(t, "/once/", 3, broken)
+	must.EqOp(t, 1, sends)
+	must.EqOp(t, cluster.OutcomeUnknown, refusal.Outcome)
+	_, refusal, sends = forwardTo(t, "/pages/", 3, broken)
+	must.EqOp(t, 2, sends) // the route's attempts
+	must.EqOp(t, cluster.OutcomeUnknown, refusal.Outcome)
+}
+
+// Guards against a refusal while another server has room, and against an untrue
+// or late refusal when none has.
+func TestRefusedRequestGoesOnToOtherServers(t *testing.T) {
+	for _, prefix := range []string{"/once/", "/pages/"} {
+		answer, refusal, sends := forwardTo(t, prefix, 3, func(id string) *backend.Answer {
+			if id == "app-c" {
+				return good(id)
+			}
+			return full(id)
+		})
+		must.Nil(t, refusal)
+		must.EqOp(t, http.StatusOK, answer.Status)
+		must.LessEq(t, 3, sends)
+		begin := time.Now()
+		_, refusal, sends = forwardTo(t, prefix, 3, full)
+		must.EqOp(t, 3, sends)
+		must.EqOp(t, cluster.OutcomeNotRun, refusal.Outcome)
+		must.Positive(t, refusal.RetryAfter)
+		must.Less(t, 10*time.Second, time.Since(begin))
+	}
+	_, refusal, sends := forwardTo(t, "/pages/", 0, good)
+	must.EqOp(t, 0, sends)
+	must.EqOp(t, cluster.OutcomeNotRun, refusal.Outcome)
+}
+
+// Guards against a server's own failure that is replaced by one of ours.
+func TestFailureOfTheLastServerIsPassedOn(t *testing.T) {
+	failing := func(string) *backend.Answer { return &backend.Answer{Status: http.StatusInternalServerError} }
+	answer, refusal, sends := forwardTo(t, "/pages/", 3, failing)
+	must.Nil(t, refusal)
+	must.EqOp(t, http.StatusInternalServerError, answer.Status)
+	must.EqOp(t, 2, sends)
+	answer, refusal, sends = forwardTo(t, "/once/", 3, failing)
+	must.Nil(t, refusal)
+	must.EqOp(t, http.StatusInternalServerError, answer.Status)
+	must.EqOp(t, 1, sends)
+}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -246,5 +245,3 @@
 		r.wake()
 	}
 }
-
-func (h *Host) String() string { return fmt.Sprintf("host %s", h.settings.Host.ID) }
--- a/internal/fronthost/listing.go
+++ b/internal/fronthost/listing.go
@@ -225,14 +225,14 @@
 // partialRecords stores unfinished texts and returns the records that refer to
 // them. A text that is not stored is only missed by the next runner.
 func (r *runner) partialRecords(ctx context.Context, grown []schedule.PartialOf) []logstore.Record {
-	var items []blob
-	for _, p := range grown {
+	items := make([]blob, len(grown))
+	for i, p := range grown {
 		data, err := json.Marshal(p.Partial)
 		if err != nil {
 			klog.ErrorS(err, "text of an unfinished run cannot be written", "job", p.Job, "item", p.Item)
-			continue
+			return nil
 		}
-		items = append(items, blob{key: "c/" + p.Item, data: data})
+		items[i] = blob{key: "c/" + p.Item, data: data}
 	}
 	refs, err := r.host.blobs.put(ctx, r.partition, items)
 	if err != nil {
