--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -92,6 +92,7 @@
 
 // New returns a host that is not running yet.
 func New(s settings.Settings, store logstore.Store, backends Backends, feeds Feeds, recorder *telemetry.Recorder) *Host {
+	store = &meteredStore{Store: store, recorder: recorder}
 	h := &Host{
 		settings: s, store: store, backends: backends, feeds: feeds, recorder: recorder,
 		member: s.Host.ID + "-" + uuid.NewString()[:8],
