Bound what runners and the orders' holder keep

Cause: reading the change: texts of dropped items, marks of stored texts and placements of replicas that are gone stayed for as long as the process or the store lives. Change: texts are dropped after a minute, marks with their job, placements five minutes after a replica left the registry.

--- a/internal/fronthost/load.go
+++ b/internal/fronthost/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -52,7 +53,7 @@
 		defer h.mu.Unlock()
 		into.loaded[e.Job.ID] = payloads
 		for id, text := range texts {
-			into.texts[id] = text
+			into.texts[id] = keptText{text, time.Now()}
 		}
 		h.wakeRunners()
 		return
@@ -82,9 +83,27 @@
 // stored returns the unfinished text of an item from earlier runs. The caller
 // holds host.mu.
 func (r *runner) stored(item string) (jobs.Partial, bool) {
-	p, ok := r.texts[item]
+	kept, ok := r.texts[item]
 	delete(r.texts, item)
-	return p, ok
+	return kept.partial, ok
+}
+
+// forgetOld drops texts that no job has asked for in time, and what is known of
+// texts in the log for jobs that are gone.
+func (r *runner) forgetOld(now time.Time) {
+	r.host.mu.Lock()
+	defer r.host.mu.Unlock()
+	for id, kept := range r.texts {
+		if now.Sub(kept.since) > textLifetime {
+			delete(r.texts, id)
+		}
+	}
+	for key := range r.seen {
+		job, _, _ := strings.Cut(key, "/")
+		if e := r.host.jobs.Get(job); e == nil || e.Ended {
+			delete(r.seen, key)
+		}
+	}
 }
 
 // forget drops what was loaded for jobs that ended. The caller holds host.mu.
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -41,6 +41,9 @@
 	// reportLag is how old a report usually is; maxReportLag is how old it may be.
 	reportLag    = 200 * time.Millisecond
 	maxReportLag = 400 * time.Millisecond
+	// placementLifetime is how long the placement of a replica outlives its
+	// registration: much longer than a lease and than a restart under one ID.
+	placementLifetime = 5 * time.Minute
 	// defaultLag is the number of versions behind the newest that a trainer is
 	// expected to allow before its first job says so.
 	defaultLag = 1
@@ -53,6 +56,8 @@
 	rows   map[string]*orderRow
 	// loadTime is the shortest time that a load was seen to take; 0 if none was.
 	loadTime time.Duration
+	// gone holds since when a placed replica is not registered.
+	gone map[string]time.Time
 }
 
 // orderRow is what the orderer knows of one start of one replica.
@@ -67,7 +72,7 @@
 }
 
 func newOrderer(r *runner) *orderer {
-	return &orderer{runner: r, rows: make(map[string]*orderRow)}
+	return &orderer{runner: r, rows: make(map[string]*orderRow), gone: make(map[string]time.Time)}
 }
 
 // mayOrder says whether this host is the holder for sure.
@@ -96,7 +101,7 @@
 	h.mu.Lock()
 	replicas, models := o.tables()
 	changed := rollout.Assign(rollout.Defaults(), replicas, models)
-	records := o.assignments(changed, replicas)
+	records := append(o.assignments(changed, replicas), o.removals(now)...)
 	var orders []rollout.Order
 	if o.mayOrder() {
 		orders = rollout.Next(rollout.Defaults(), replicas, models, now)
@@ -180,6 +185,30 @@
 	return records
 }
 
+// removals returns the records that remove the placements of replicas that have
+// been gone for long. The caller holds host.mu.
+func (o *orderer) removals(now time.Time) []logstore.Record {
+	h := o.runner.host
+	var records []logstore.Record
+	for id := range h.placed {
+		if h.state.Servers.Get(id) != nil {
+			delete(o.gone, id)
+			continue
+		}
+		since, known := o.gone[id]
+		switch {
+		case !known:
+			o.gone[id] = now
+		case now.Sub(since) > placementLifetime:
+			delete(o.gone, id)
+			delete(o.rows, id)
+			delete(h.placed, id)
+			records = append(records, logstore.Record{Key: kindPlacement + id})
+		}
+	}
+	return records
+}
+
 func (o *orderer) record(id string, p *placement) []logstore.Record {
 	record, err := encodePlacement(id, p)
 	if err != nil {
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -31,6 +31,9 @@
 	partialEvents = 15
 	// cleanUpInterval is the time between two looks for jobs to remove.
 	cleanUpInterval = 5 * time.Second
+	// textLifetime is how long the text of an item is kept that no job wants. A
+	// trainer asks for a group again within a few steps.
+	textLifetime = time.Minute
 )
 
 // runs are the items of a partition that wait or run, with their texts. They
@@ -43,13 +46,19 @@
 	// loaded holds the payloads of jobs; nil while they are being read.
 	loaded map[string][]jobs.Payload
 	// texts holds the unfinished texts of items that are not run now.
-	texts map[string]jobs.Partial
+	texts map[string]keptText
+}
+
+// keptText is an unfinished text and when it was kept.
+type keptText struct {
+	partial jobs.Partial
+	since   time.Time
 }
 
 func newRuns() *runs {
 	return &runs{
 		board: schedule.NewBoard(schedule.Defaults()), cancels: make(map[int64]func()), seen: make(map[string]int),
-		loaded: make(map[string][]jobs.Payload), texts: make(map[string]jobs.Partial),
+		loaded: make(map[string][]jobs.Payload), texts: make(map[string]keptText),
 	}
 }
 
@@ -124,6 +133,7 @@
 		}
 		if now := time.Now(); now.Sub(cleanUp) >= cleanUpInterval {
 			cleanUp = now
+			r.forgetOld(now)
 			r.removeOld(now)
 		}
 	}
@@ -157,7 +167,7 @@
 	}
 	r.forget()
 	for _, p := range actions.Dropped {
-		r.texts[p.Item] = p.Partial
+		r.texts[p.Item] = keptText{p.Partial, now}
 	}
 	r.list(actions.Listings)
 }
