Serve requests that name no deadline, and log refused content

Cause: reading the change: without a client's deadline and a route's timeout the deadline was the zero time, already past; a refusal of content that crashes servers had no decision line; one expression stood twice. Change: the settings' request timeout is the default; the line is written. Test: TestRequestWithoutADeadlineIsServed.

--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
@@ -66,11 +64,14 @@
 	if limit := now.Add(route.Timeout); route.Timeout > 0 && (deadline.IsZero() || limit.Before(deadline)) {
 		deadline = limit
 	}
+	if deadline.IsZero() {
+		deadline = now.Add(h.settings.Timing.RequestTimeout)
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	f := &forwarding{
 		host: h, request: request, route: route, deadline: deadline,
-		service:     route.Pick(float64(xxhash.Sum64String(request.ID)>>11) / (1 << 53)),
+		service:     serviceOf(route, request.ID),
 		results:     make(chan *try, route.Attempts+refusedSends+1),
 		excluded:    make(map[string]bool),
 		fingerprint: suspect.Fingerprint(route.Name, request.Method+" "+request.URI, string(request.Body), 0, 0),
@@ -79,7 +80,9 @@
 	refused := h.refused(f.fingerprint)
 	h.mu.Unlock()
 	if refused {
-		return nil, notRun(cluster.ReasonCrashes, "this request has crashed several backend servers")
+		refusal := notRun(cluster.ReasonCrashes, "this request has crashed several backend servers")
+		f.record(nil, refusal, 0)
+		return nil, refusal
 	}
 	answer, refusal := f.run(ctx)
 	f.record(answer, refusal, time.Since(now))
--- a/internal/fronthost/forwarding_test.go
+++ b/internal/fronthost/forwarding_test.go
@@ -88,3 +88,18 @@
 	must.EqOp(t, http.StatusInternalServerError, answer.Status)
 	must.EqOp(t, 1, sends)
 }
+
+// Guards against a request without a deadline, on a route without a timeout,
+// that counts as late at once.
+func TestRequestWithoutADeadlineIsServed(t *testing.T) {
+	w := newWorld(t, 1)
+	w.calls = good
+	w.register("app-a", testApp)
+	h := w.host("a")
+	route := *h.Config().Match(testHost, "/pages/")
+	route.Timeout = 0
+	request := &backend.Request{ID: "r1", Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}
+	answer, refusal := h.Forward(context.Background(), request, &route, time.Time{})
+	must.Nil(t, refusal)
+	must.EqOp(t, http.StatusOK, answer.Status)
+}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -214,9 +214,11 @@
 	return h.state.Config.Match(e.Job.Host, e.Job.Path)
 }
 
-// serviceOf returns the service that runs a job's items.
-func serviceOf(route *deployment.Route, job string) string {
-	return route.Pick(float64(xxhash.Sum64String(job)>>11) / (1 << 53))
+// serviceOf returns the service of a route for a request or a job: always the
+// same one for an ID while the route stays.
+func serviceOf(route *deployment.Route, id string) string {
+	const steps = 1 << 53 // numbers that a float64 can hold exactly
+	return route.Pick(float64(xxhash.Sum64String(id)>>11) / steps)
 }
 
 // replicas returns the replicas for a job as the board sees them. The caller
