Let addresses of the other kind of platform be empty

Change: an empty address means none; keys that a kind of platform requires are checked for a value once the kind is known. Test: TestEmptyAddressesOfTheOtherPlatformAreNoFindings.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -109,8 +109,11 @@
 func addrKey(section, name, doc string, required bool, field func(*Settings) *string) key {
 	return key{section: section, name: name, unit: "IP:port", doc: doc, required: required,
 		set: func(s *Settings, value string) error {
-			if err := checkAddr(value); err != nil {
-				return err
+			// An empty value means none; required keys are checked for one apart.
+			if value != "" {
+				if err := checkAddr(value); err != nil {
+					return err
+				}
 			}
 			*field(s) = value
 			return nil
--- /dev/null
+++ b/internal/settings/platform_test.go
@@ -0,0 +1,19 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against keys of one kind of platform, written empty, that keep a host
+// of the other kind from starting.
+func TestEmptyAddressesOfTheOtherPlatformAreNoFindings(t *testing.T) {
+	const host = "[host]\nid = a\ndata_centre = b\nhttp_addr = 127.0.0.1:1\n"
+	const peer = "peer_addr = 127.0.0.1:2\nready_addr =\nmetrics_addr =\n"
+	const services = "[platform]\nlog_addr = 127.0.0.1:3\nhosts_addr = 127.0.0.1:4\nweights_addr = 127.0.0.1:5\n[auth]\ncluster_token = t\n"
+	_, err := Parse("s.ini", []byte(host+peer+services))
+	must.NoError(t, err)
+	_, err = Parse("s.ini", []byte(host+"peer_addr =\nready_addr =\n[platform]\nkind = log_store\nlog_addr = 127.0.0.1:3\n"))
+	must.ErrorContains(t, err, "host.ready_addr: must not be empty")
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -168,6 +168,8 @@
 	for _, k := range keys {
 		if k.isRequired(&s) && !given[k.section+"."+k.name] {
 			findings.Add(file, 0, k.section+"."+k.name, "is required")
+		} else if k.requiredOn != "" && k.isRequired(&s) && k.get(&s) == "" {
+			findings.Add(file, 0, k.section+"."+k.name, "must not be empty with kind = %s", k.requiredOn)
 		}
 	}
 	checkCombinations(&s, file, &findings)
@@ -186,7 +188,7 @@
 			continue
 		}
 		given[section.Header+"."+name] = true
-		if k.isRequired(s) && value.Text == "" {
+		if k.required && k.requiredOn == "" && value.Text == "" {
 			findings.Add(section.File, value.Line, name, "must not be empty")
 			continue
 		}
