Keep the platform's defaults in the testbed's settings

Cause: the testbed replaced the whole platform section, so the new keys were written as 0 and the hosts of the integration tests refused their settings file (not ready for 90 s). Change: only the three addresses are set.

--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -281,7 +281,7 @@
 	s.Host = settings.Host{ID: id, DataCentre: dc, HTTPAddr: httpAddr, PeerAddr: peerAddr}
 	s.Peers = []string{seed}
 	links := t.links[dc]
-	s.Platform = settings.Platform{LogAddr: links.log.Addr(), HostsAddr: links.hosts.Addr(), WeightsAddr: links.weights.Addr()}
+	s.Platform.LogAddr, s.Platform.HostsAddr, s.Platform.WeightsAddr = links.log.Addr(), links.hosts.Addr(), links.weights.Addr()
 	s.Auth.CallerTokens = []string{CallerToken}
 	s.Auth.ClusterToken = ClusterToken
 	for name := range t.Set.Trainers {
