Report a malformed required address once

The check for an empty required key looked at the parsed value, so an address that is no IP:port counted as empty too and was reported twice. Ruled out: the expected output; it is right, and stays as it was. Change: the check looks at the text that was given. Test: TestScripts/settings failed before (one finding too many), passes after.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -157,7 +157,7 @@
 func Parse(file string, content []byte) (Settings, error) {
 	var findings finding.List
 	s := Defaults()
-	given := make(map[string]bool)
+	given := make(map[string]string) // text by section and key
 	for _, section := range inifile.Read(file, string(content), &findings) {
 		if section.Header == trainerTokenSection {
 			setTrainerTokens(&s, section, &findings)
@@ -166,9 +166,14 @@
 		setSection(&s, section, given, &findings)
 	}
 	for _, k := range keys {
-		if k.isRequired(&s) && !given[k.section+"."+k.name] {
+		if !k.isRequired(&s) {
+			continue
+		}
+		text, ok := given[k.section+"."+k.name]
+		switch {
+		case !ok:
 			findings.Add(file, 0, k.section+"."+k.name, "is required")
-		} else if k.requiredOn != "" && k.isRequired(&s) && k.get(&s) == "" {
+		case text == "" && k.requiredOn != "":
 			findings.Add(file, 0, k.section+"."+k.name, "must not be empty with kind = %s", k.requiredOn)
 		}
 	}
@@ -176,7 +181,7 @@
 	return s, findings.Err()
 }
 
-func setSection(s *Settings, section *inifile.Section, given map[string]bool, findings *finding.List) {
+func setSection(s *Settings, section *inifile.Section, given map[string]string, findings *finding.List) {
 	if !knownSection(section.Header) {
 		findings.Add(section.File, section.Line, section.Header, "is not a known section")
 		return
@@ -187,7 +192,7 @@
 			findings.Add(section.File, value.Line, name, "is not a known key of [%s]", section.Header)
 			continue
 		}
-		given[section.Header+"."+name] = true
+		given[section.Header+"."+name] = value.Text
 		if k.required && k.requiredOn == "" && value.Text == "" {
 			findings.Add(section.File, value.Line, name, "must not be empty")
 			continue
