Learn who ordered a replica last from the log alone

Reading the path from the failure gave two holes, neither of which needs load to exist. A holder that lost its duty, or whose intent was not appended, marked itself as the last holder in its own table; when it held the duty again it did not wait out the lease of the holder between. And a host that learns placements from a listing sees only the newest record, which is the one after the order, so it knew of no intent and did not wait either. Ruled out: the test's bound (it is the stated lease) and its clock (both times are taken at the replica). Change: the table changes only by records in the log; a listed record of another holder counts as an intent read now.

--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -97,7 +97,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range b.Records {
-		if err := h.applyWorkRecord(partition, r, now); err != nil {
+		if err := h.applyWorkRecord(partition, r, b.Complete, now); err != nil {
 			h.skipped(topicWork, &deployment.UnknownChange{Key: r.Key, Reason: err.Error()})
 		}
 	}
@@ -106,12 +106,12 @@
 	}
 }
 
-func (h *Host) applyWorkRecord(partition int, r logstore.Record, now time.Time) error {
+func (h *Host) applyWorkRecord(partition int, r logstore.Record, listed bool, now time.Time) error {
 	switch {
 	case jobs.Owns(r.Key):
 		return h.jobs.Apply(partition, r, now)
 	case ownsPlacement(r.Key):
-		err := h.applyPlacement(r, now)
+		err := h.applyPlacement(r, listed, now)
 		h.wakeRunners()
 		return err
 	case ownsSuspect(r.Key):
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -128,7 +128,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range records {
-		if err := h.applyWorkRecord(partition, r, now); err != nil {
+		if err := h.applyWorkRecord(partition, r, false, now); err != nil {
 			klog.ErrorS(err, "own record cannot be read", "key", r.Key)
 		}
 	}
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -418,15 +418,15 @@
 	o.runner.write(o.placementWith(replica, loading))
 }
 
-// placementWith returns the record of a replica that loads a model.
+// placementWith returns the record of a replica that loads a model. The table
+// changes only when the record is in the log.
 func (o *orderer) placementWith(replica, loading string) []logstore.Record {
 	h := o.runner.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	p := h.placement(replica)
+	p := *h.placement(replica)
 	p.Loading, p.Holder = loading, h.member
-	h.wakeRunners()
-	return o.record(replica, p)
+	return o.record(replica, &p)
 }
 
 func (o *orderer) release(row *orderRow, pause time.Duration) {
--- a/internal/fronthost/placement.go
+++ b/internal/fronthost/placement.go
@@ -28,7 +28,8 @@
 	Versions map[string]int64 `json:"versions,omitempty"`
 	Loading  string           `json:"loading,omitempty"` // model that is being loaded
 	Holder   string           `json:"holder,omitempty"`  // member that sends the order
-	// intended is when this host read that a holder was about to send an order.
+	// intended is when this host read that a holder was about to send an order,
+	// or, from a listing, that one has sent orders at some time.
 	intended time.Time
 }
 
@@ -42,8 +43,10 @@
 	return logstore.Record{Key: kindPlacement + replica, Value: data}, nil
 }
 
-// applyPlacement takes a placement record. The caller holds mu.
-func (h *Host) applyPlacement(r logstore.Record, now time.Time) error {
+// applyPlacement takes a placement record. Who ordered last is learned only
+// here, from what is in the log. A listed record may have replaced the intent of
+// an order that was sent a moment ago. The caller holds mu.
+func (h *Host) applyPlacement(r logstore.Record, listed bool, now time.Time) error {
 	id := strings.TrimPrefix(r.Key, kindPlacement)
 	if r.Removed() {
 		delete(h.placed, id)
@@ -55,7 +58,7 @@
 	}
 	known := h.placement(id)
 	known.Serves, known.Loading, known.Holder = p.Serves, p.Loading, p.Holder
-	if p.Loading != "" {
+	if p.Loading != "" || listed {
 		known.intended = now
 	}
 	for model, version := range p.Versions {
