Score the outputs of items by their reward calls before they are committed

Change: an item with a reward call is decided when its output is complete and scored. core/schedule/score.go orders and limits the calls, fronthost/scoring.go sends them as requests that may be repeated, platform translates. A stored complete output is scored by the next owner; a result of another job keeps its score only for the same call. Tests cover the score of another call, a call before the last event, the loss of the owner, lost responses, failures over two owners, an outage of the service, the end of the job and reuse. All fail without the change. Found by the test of an outage: after broken connections to three servers the call counted as crash-inducing and was refused for 30 minutes. Reward calls are not refused for that; after three broken calls they go to one server at a time.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -39,6 +39,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Signature is the server's signature of the response, or empty.
+	Signature string
 	// NotRun is set if the server has not run the request and never will.
 	NotRun bool
 	// InstanceMismatch is set if a server other than the target answered, because it
--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -5,9 +5,12 @@
 package jobs
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sesamestand/sesamestand/internal/core/table"
 )
 
@@ -26,6 +29,27 @@
 	Path    string            `json:"path"`
 	Headers map[string]string `json:"headers,omitempty"`
 	Body    []byte            `json:"body,omitempty"`
+	// Score is the reward call of the item, or nil if its output is not scored.
+	Score *ScoreRequest `json:"score,omitempty"`
+}
+
+// ScoreRequest is a reward call: a request to the service that scores the output of
+// an item. It is sent once the output is complete and may be repeated.
+type ScoreRequest struct {
+	ID       string `json:"id"`
+	HostName string `json:"host"`
+	Path     string `json:"path"`
+	Body     []byte `json:"body,omitempty"`
+}
+
+// Key identifies the content of the reward call. A score belongs to another call if
+// the keys differ, even if the request IDs are equal.
+func (r *ScoreRequest) Key() string {
+	digest := xxhash.New()
+	for _, part := range []string{r.ID, r.HostName, r.Path, string(r.Body)} {
+		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part) // a digest never returns an error
+	}
+	return fmt.Sprintf("%s-%016x", r.ID, digest.Sum64())
 }
 
 // Item is one request of a job.
@@ -37,6 +61,9 @@
 	PromptTokens   int `json:"prompt,omitempty"`
 	MaxOutput      int `json:"max_output,omitempty"`
 	ExpectedOutput int `json:"expected,omitempty"`
+	// ScoreKey is the key of the item's reward call, or empty if its output is not
+	// scored.
+	ScoreKey string `json:"score_key,omitempty"`
 }
 
 // Job is a batch of items that were submitted together.
@@ -61,13 +88,23 @@
 	Failed   bool    `json:"failed,omitempty"`
 	Output   BlobRef `json:"text"` // zero if the item failed
 	Versions []int64 `json:"versions,omitempty"`
+	// Score is the signature of the response to the reward call ScoreKey. Both are
+	// empty if the item failed or its output is not scored.
+	Score    string `json:"score,omitempty"`
+	ScoreKey string `json:"score_key,omitempty"`
 }
 
-// Partial is the partial output of an unfinished run. It is stored as a blob.
+// Partial is the output of an item without a result. It is stored as a blob.
 type Partial struct {
 	Events   []string `json:"events"`
 	Versions []int64  `json:"versions"` // weight version of each event
 	LastID   int64    `json:"last_id"`  // ID of the last event
+	// Complete is set if the run has ended and only the score is missing.
+	Complete bool `json:"complete,omitempty"`
+	// ScoreFailures is the number of failures that servers reported for the reward
+	// call of the item in the job ScoreJob.
+	ScoreFailures int    `json:"score_failures,omitempty"`
+	ScoreJob      string `json:"score_job,omitempty"`
 }
 
 // Entry is the state of one job according to the log.
--- a/internal/core/schedule/outcome.go
+++ b/internal/core/schedule/outcome.go
@@ -40,7 +40,8 @@
 	switch outcome {
 	case Complete:
 		p.failures = 0
-		t.decided = true
+		t.partial.Complete = true
+		t.completeOutput(now)
 	case NotRun:
 		p.blockedUntil = now.Add(s.config.RefusalBackoff)
 	case WrongState:
@@ -86,23 +87,34 @@
 		c.Result = jobs.Result{Item: t.item.ID, Failed: true}
 	case t.reused != nil:
 		c.Result = *t.reused
+		c.Result.Score, c.Result.ScoreKey = t.score, t.item.ScoreKey
 	default:
-		c.Result = jobs.Result{Item: t.item.ID, Versions: jobs.DistinctVersions(t.partial.Versions)}
+		c.Result = jobs.Result{Item: t.item.ID, Versions: jobs.DistinctVersions(t.partial.Versions), Score: t.score, ScoreKey: t.item.ScoreKey}
 		c.Output = strings.Join(t.partial.Events, "\n")
 	}
 	return c
 }
 
-// Partials returns the partial outputs of undecided items that gained at least
-// minEvents events, and at least one, since they were last returned. reported
-// holds the number of events last returned for each item and is updated.
-func (s *Scheduler) Partials(reported map[string]int, minEvents int) []ItemPartial {
+// Progress is what was last returned of an item's output.
+type Progress struct {
+	Events        int
+	Complete      bool
+	ScoreFailures int
+}
+
+// Partials returns the outputs of undecided items that gained at least minEvents
+// events, and at least one, since they were last returned, or that were completed or
+// whose reward call failed in the meantime. reported holds the progress last returned
+// for each item and is updated.
+func (s *Scheduler) Partials(reported map[string]Progress, minEvents int) []ItemPartial {
 	var updated []ItemPartial
 	s.tasks.Each(func(k string, t *task) bool {
-		n := len(t.partial.Events)
-		if !t.decided && n-reported[k] >= max(minEvents, 1) {
+		last := reported[k]
+		now := Progress{Events: len(t.partial.Events), Complete: t.partial.Complete, ScoreFailures: t.partial.ScoreFailures}
+		scored := now.Complete && (!last.Complete || now.ScoreFailures != last.ScoreFailures)
+		if !t.decided && (now.Events-last.Events >= max(minEvents, 1) || scored) {
 			updated = append(updated, ItemPartial{Job: t.job.Job.ID, Item: t.item.ID, Partial: t.partial})
-			reported[k] = n
+			reported[k] = now
 		}
 		return true
 	})
--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -93,6 +93,14 @@
 	// notBefore delays the next run.
 	notBefore time.Time
 	run       *run
+	// outputComplete is set when the output is known to its end, and score when
+	// the reward call for that output succeeded.
+	outputComplete bool
+	completedAt    time.Time
+	score          string
+	scoring        *scoreCall
+	scoreRetries   int
+	scoreNotBefore time.Time
 	// decided is set when the result is known and its commit is pending.
 	decided bool
 	failed  bool // the result is a failure
@@ -141,6 +149,8 @@
 	config        Config
 	tasks         *table.Table[string, task] // by job and item ID
 	byRun         map[int64]string
+	byScoreCall   map[int64]string
+	scoreCalls    map[string]int // reward calls in progress, by service
 	paces         map[string]*pace
 	usages        map[string]*usage // by replica
 	addedJobs     map[string]bool   // IDs of the jobs whose items were added
@@ -161,6 +171,7 @@
 func NewScheduler(config Config) *Scheduler {
 	return &Scheduler{
 		config: config, tasks: table.New[string, task](), byRun: make(map[int64]string),
+		byScoreCall: make(map[int64]string), scoreCalls: make(map[string]int),
 		paces: make(map[string]*pace), usages: make(map[string]*usage),
 		addedJobs: make(map[string]bool),
 	}
@@ -179,7 +190,7 @@
 	Reason string
 }
 
-// Stop requests the end of a run.
+// Stop requests the end of a run or of a reward call. Their IDs are distinct.
 type Stop struct {
 	Run    int64
 	Reason string
@@ -199,6 +210,7 @@
 type Actions struct {
 	Stops   []Stop
 	Starts  []Start
+	Scores  []ScoreStart
 	Commits []Commit
 	// Cancelled holds the partial outputs of removed items without a decided
 	// result. A later job may contain the same items and continue from them.
@@ -226,6 +238,9 @@
 			if jobs.VersionsAllowed(partial.Versions, e.Job.MinVersion, false) {
 				t.partial = partial
 			}
+			if partial.ScoreJob != e.Job.ID {
+				t.partial.ScoreFailures, t.partial.ScoreJob = 0, ""
+			}
 		}
 		s.tasks.Put(k, t)
 	}
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -27,6 +27,9 @@
 	// Expired reports whether a job is past its retention, so that its undecided
 	// items fail.
 	Expired func(*jobs.Entry) bool
+	// ScoreTarget returns the service that answers an item's reward call, and false
+	// if no route leads to one.
+	ScoreTarget func(*jobs.Entry, *jobs.Item) (ScoreTarget, bool)
 }
 
 // Tick decides which runs to stop and start and which results to commit.
@@ -42,6 +45,7 @@
 	onTime := s.onTime(in.Now)
 	s.stopStalled(in, onTime, &actions)
 	s.startWaiting(in, &actions)
+	s.startScores(in, &actions)
 	if onTime {
 		s.moveRuns(in, &actions)
 	}
@@ -71,9 +75,12 @@
 			s.remove(k, t, actions)
 			return true
 		}
-		if !t.decided {
+		if !t.outputComplete && !t.decided {
 			s.reuseResult(in, t)
 		}
+		if !t.outputComplete && !t.decided {
+			s.reuseOutput(in, t)
+		}
 		if !t.decided && in.Expired(e) {
 			t.markFailed()
 		}
@@ -82,6 +89,7 @@
 				actions.Stops = append(actions.Stops, Stop{Run: t.run.id, Reason: "result of the item is already decided"})
 				s.release(t)
 			}
+			s.stopScoring(t, "result of the item is already decided", actions)
 			actions.Commits = append(actions.Commits, t.commit())
 		}
 		return true
@@ -95,14 +103,16 @@
 		actions.Stops = append(actions.Stops, Stop{Run: t.run.id, Reason: "job ended or result of the item is committed"})
 		s.release(t)
 	}
+	s.stopScoring(t, "job ended or result of the item is committed", actions)
 	if !t.decided && len(t.partial.Events) > 0 {
 		actions.Cancelled = append(actions.Cancelled, ItemPartial{Job: t.job.Job.ID, Item: t.item.ID, Partial: t.partial})
 	}
 	s.tasks.Delete(k)
 }
 
-// reuseResult decides an item by its result from another job if this job allows
-// the weight versions of that result.
+// reuseResult takes an item's output from its result in another job if this job
+// allows the weight versions of that result. The score is reused only if it belongs
+// to the same reward call.
 func (s *Scheduler) reuseResult(in TickInput, t *task) {
 	if t.run != nil {
 		return
@@ -111,7 +121,23 @@
 	if !ok || !jobs.VersionsAllowed(r.Versions, t.job.Job.MinVersion, in.SingleVersion(t.job)) {
 		return
 	}
-	t.reused, t.decided = &r, true
+	t.reused = &r
+	if r.ScoreKey == t.item.ScoreKey {
+		t.score = r.Score
+	}
+	t.completeOutput(in.Now)
+}
+
+// reuseOutput takes over a complete stored output if the job allows its weight
+// versions, and discards it otherwise.
+func (s *Scheduler) reuseOutput(in TickInput, t *task) {
+	switch {
+	case t.run != nil || !t.partial.Complete:
+	case jobs.VersionsAllowed(t.partial.Versions, t.job.Job.MinVersion, in.SingleVersion(t.job)):
+		t.completeOutput(in.Now)
+	default:
+		t.partial = jobs.Partial{}
+	}
 }
 
 // onTime reports whether this host has read events without delay, judged by the
@@ -215,7 +241,7 @@
 	var tasks []*task
 	anyFreeSlot := memoize(func(e *jobs.Entry) bool { return s.anyFreeSlot(e, in) })
 	s.tasks.Each(func(_ string, t *task) bool {
-		if t.run == nil && !t.decided && !in.Now.Before(t.notBefore) && anyFreeSlot(t.job) {
+		if t.run == nil && !t.decided && !t.outputComplete && !in.Now.Before(t.notBefore) && anyFreeSlot(t.job) {
 			t.latestStart = t.job.ReadAt.Add(in.DueAfter(t.job) - s.remainingTime(t, in))
 			tasks = append(tasks, t)
 		}
--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -69,6 +70,8 @@
 	running  map[string]int                    // current runs, by item
 	newest   int64                             // newest announced version
 	calls    func(id string) *backend.Response // responses of the servers of testApp; nil breaks the connection
+	// scores answers reward calls, whose paths begin with /score/.
+	scores func(t backend.Target, r *backend.Request) *backend.Response
 	// breaks reports whether a run breaks before an event.
 	breaks func(id string, event int) bool
 	// streams handles the streams that hosts send to the servers of testApp.
@@ -108,6 +111,7 @@
 		Routes: []deployment.Route{
 			{Name: "jobs", Host: testHost, Prefix: "/jobs/", Kind: deployment.Jobs, Shares: []deployment.Share{{Service: testService, Weight: 1}}, MaxAttempts: 3, Retention: time.Minute},
 			{Name: "pages", Host: testHost, Prefix: "/pages/", Kind: deployment.Idempotent, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond},
+			{Name: "score", Host: testHost, Prefix: "/score/", Kind: deployment.Idempotent, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 3, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond},
 			{Name: "live", Host: testHost, Prefix: "/live/", Kind: deployment.Stream, Resumable: true, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 3, Timeout: 10 * time.Second, Objective: 200 * time.Millisecond},
 			{Name: "live-once", Host: testHost, Prefix: "/live-once/", Kind: deployment.Stream, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 3, Timeout: 10 * time.Second, Objective: 200 * time.Millisecond},
 			{Name: "once", Host: testHost, Prefix: "/once/", Kind: deployment.NonIdempotent, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond},
@@ -249,7 +253,12 @@
 // Call implements backend.Client.
 func (c *testCluster) Call(ctx context.Context, t backend.Target, r *backend.Request, _ time.Duration) (*backend.Response, error) {
 	c.mu.Lock()
-	response := c.calls(t.ID)
+	var response *backend.Response
+	if strings.HasPrefix(r.URI, "/score/") {
+		response = c.scores(t, r)
+	} else {
+		response = c.calls(t.ID)
+	}
 	c.mu.Unlock()
 	if response == nil {
 		return nil, backend.ErrOutcomeUnknown
--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -215,7 +215,7 @@
 // events, so that the next runner of the partition can resume from them.
 func (r *runner) queuePartials(growth int) {
 	r.host.mu.Lock()
-	grown := r.scheduler.Partials(r.loggedEvents, growth)
+	grown := r.scheduler.Partials(r.loggedProgress, growth)
 	r.host.mu.Unlock()
 	if len(grown) == 0 {
 		return
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -59,6 +59,7 @@
 	inFlight     int // sends without a result
 	refusals     int
 	lastFailure  *backend.Response // last response with a status of 500 or above
+	failures     int               // responses with status 500: the server ran the request and failed
 }
 
 // newForwarding returns the state of a request and a context that ends at the
@@ -227,6 +228,9 @@
 // settle the request.
 func (f *forwarding) handleResult(a *attempt) *backend.Response {
 	f.inFlight--
+	if a.err == nil && a.response.Status == http.StatusInternalServerError {
+		f.failures++
+	}
 	switch {
 	case errors.Is(a.err, backend.ErrNotSent), a.err == nil && a.response.NotRun:
 		f.possibleRuns--
--- a/internal/fronthost/load.go
+++ b/internal/fronthost/load.go
@@ -115,7 +115,7 @@
 }
 
 // evictStale evicts partial outputs that no job requested within partialRetention,
-// the scheduler's state of unregistered replicas, and the logged event counts of jobs
+// the scheduler's state of unregistered replicas, and the logged progress of jobs
 // that ended or were removed.
 func (r *runner) evictStale(now time.Time) {
 	r.host.mu.Lock()
@@ -126,10 +126,10 @@
 			delete(r.partials, id)
 		}
 	}
-	for key := range r.loggedEvents {
+	for key := range r.loggedProgress {
 		job, _, _ := strings.Cut(key, "/")
 		if e := r.host.jobs.Get(job); e == nil || e.Ended {
-			delete(r.loggedEvents, key)
+			delete(r.loggedProgress, key)
 		}
 	}
 }
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -46,9 +46,10 @@
 // outputs. A new runner takes it over if the store assigns the partition to the same
 // host again under another epoch. All fields are guarded by host.mu.
 type runState struct {
-	scheduler    *schedule.Scheduler
-	cancels      map[int64]func() // cancel functions of runs, by run ID
-	loggedEvents map[string]int   // number of events of the partial output in the log, by job and item
+	scheduler *schedule.Scheduler
+	cancels   map[int64]func() // cancel functions of runs and reward calls, by ID
+	// loggedProgress is the progress of each output in the log, by job and item.
+	loggedProgress map[string]schedule.Progress
 	// payloads holds the payloads of each job; nil while they are being read.
 	payloads map[string][]jobs.Payload
 	// partials holds the partial outputs of items that are not running.
@@ -63,7 +64,7 @@
 
 func newRunState() *runState {
 	return &runState{
-		scheduler: schedule.NewScheduler(schedule.Defaults()), cancels: make(map[int64]func()), loggedEvents: make(map[string]int),
+		scheduler: schedule.NewScheduler(schedule.Defaults()), cancels: make(map[int64]func()), loggedProgress: make(map[string]schedule.Progress),
 		payloads: make(map[string][]jobs.Payload), partials: make(map[string]retainedPartial),
 	}
 }
@@ -175,6 +176,9 @@
 	for _, s := range actions.Starts {
 		r.start(s)
 	}
+	for _, s := range actions.Scores {
+		r.startScore(s)
+	}
 	r.releaseEnded()
 	for _, p := range actions.Cancelled {
 		r.partials[p.Item] = retainedPartial{p.Partial, now}
@@ -212,6 +216,7 @@
 			route := h.routeOf(e)
 			return route == nil || now.Sub(e.ReadAt) > route.Retention+expiryMargin
 		},
+		ScoreTarget: r.scoreTarget,
 	}
 }
 
