Refuse service paths with an encoded slash

Cause: the name of the service and the repeatable prefix were taken from the decoded path, the URI sent to the server from the escaped one. POST orders%2Fsearch/trays counted as repeatable and was sent twice as POST /trays. Change: a path with an encoded slash is refused as bad-request before it is sent; it cannot be read one way only.

--- a/internal/services/http_test.go
+++ b/internal/services/http_test.go
@@ -188,3 +188,28 @@
 	now = now.Add(avoidAfterFailure)
 	must.StrHasPrefix(t, "near", acquire())
 }
+
+// Guards against a path that this host and the server read differently: with an
+// encoded slash the service and the repeatable prefix could be taken from one reading
+// and the call be sent in the other, so that a call that must run at most once is
+// repeated.
+func TestPathsWithEncodedSlashAreNotSent(t *testing.T) {
+	env := newTestEnv(t)
+	backends := []*countingServer{{}, {}}
+	for i, backend := range backends {
+		env.server([]string{"s1", "s2"}[i], "here", func(rw http.ResponseWriter, r *http.Request) {
+			backend.handle(discardWriter{rw}, r)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	a := env.start("a")
+	for _, path := range []string{"orders%2Fsearch/trays", "orders%2fsearch/trays", "orders/search%2Ftrays", "orders/trays%2F..%2Fsearch"} {
+		got := a.send(http.MethodPost, pathPrefix+path, "12 trays")
+		must.Eq(t, "not-run bad-request", outcome(got), must.Sprint(path))
+		must.Eq(t, 400, got.Code)
+	}
+	for _, backend := range backends {
+		total, _, _ := backend.last()
+		must.Eq(t, 0, total)
+	}
+}
--- a/internal/services/request.go
+++ b/internal/services/request.go
@@ -20,6 +20,9 @@
 // pathPrefix precedes the name of the service in request paths.
 const pathPrefix = "/v1/services/"
 
+// encodedSlash is the percent-encoding of a slash, in lower case.
+const encodedSlash = "%2f"
+
 // maxRequestIDBytes bounds request IDs, which are stored in memory and in logs.
 const maxRequestIDBytes = 128
 
@@ -45,6 +48,12 @@
 	if len(requestID) > maxRequestIDBytes {
 		return nil, notRun(cluster.ReasonBadRequest, "the request ID is over "+strconv.Itoa(maxRequestIDBytes)+" bytes")
 	}
+	escaped := strings.TrimPrefix(r.URL.EscapedPath(), pathPrefix)
+	if strings.Contains(strings.ToLower(escaped), encodedSlash) {
+		// Servers differ in whether an encoded slash separates segments, so the call
+		// could be repeatable in one reading and not in the other.
+		return nil, notRun(cluster.ReasonBadRequest, "the path must not hold an encoded slash")
+	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
 	rest = "/" + rest
 	if clean := path.Clean(rest); clean != rest && clean+"/" != rest {
@@ -68,7 +77,6 @@
 	case err != nil:
 		return nil, notRun(cluster.ReasonBadRequest, "the body could not be read: "+err.Error())
 	}
-	escaped := strings.TrimPrefix(r.URL.EscapedPath(), pathPrefix)
 	_, escaped, _ = strings.Cut(escaped, "/")
 	uri := "/" + escaped
 	if r.URL.RawQuery != "" {
