Ask followers for their state without holding the host's lock

Cause: Host.Status held Host.mu and locked each follower; a follower that applies records holds its own lock and takes Host.mu. The two stop each other. Change: Status collects the followers under mu and asks them after unlocking. The order is stated at Host.mu; no other place locks a follower under mu (all callers of Follower methods in fronthost were read).

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -88,6 +88,7 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 
+	// mu is locked after the lock of a Follower and before that of a runner.
 	mu                sync.Mutex
 	state             *deployment.State
 	jobs              *jobs.Table
--- a/internal/fronthost/status.go
+++ b/internal/fronthost/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -70,20 +71,13 @@
 		Host: h.settings.Host.ID, DataCentre: h.settings.Host.DataCentre, Member: h.member,
 		Ready: h.Ready(), Draining: h.draining.Load(), InFlight: h.inFlight.Load(), Counters: h.recorder.Totals(),
 	}
+	s.Partitions = h.partitionStatus()
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.state.Config != nil {
 		s.ConfigVersion = h.state.Config.Version
 	}
-	for n, f := range h.followers {
-		p := PartitionStatus{Number: n, AgeMs: f.Staleness().Milliseconds(), StoreUnavailable: f.StoreUnavailable()}
-		if r := h.runners[n]; r != nil {
-			p.Epoch = r.epoch
-		}
-		s.Partitions = append(s.Partitions, p)
-	}
-	slices.SortFunc(s.Partitions, func(a, b PartitionStatus) int { return a.Number - b.Number })
 	h.jobs.Each(func(e *jobs.Entry) bool {
 		s.Jobs = append(s.Jobs, JobStatus{
 			ID: e.Job.ID, Model: e.Job.Model, Step: e.Job.Step, MinVersion: e.Job.MinVersion, Partition: e.Partition,
@@ -104,6 +98,28 @@
 	return s
 }
 
+// partitionStatus returns the state of the followed partitions. A follower locks itself
+// before mu when it applies records, so it must not be asked while mu is held.
+func (h *Host) partitionStatus() []PartitionStatus {
+	var partitions []PartitionStatus
+	h.mu.Lock()
+	followers := maps.Clone(h.followers)
+	for n := range followers {
+		p := PartitionStatus{Number: n}
+		if r := h.runners[n]; r != nil {
+			p.Epoch = r.epoch
+		}
+		partitions = append(partitions, p)
+	}
+	h.mu.Unlock()
+	for i := range partitions {
+		f := followers[partitions[i].Number]
+		partitions[i].AgeMs, partitions[i].StoreUnavailable = f.Staleness().Milliseconds(), f.StoreUnavailable()
+	}
+	slices.SortFunc(partitions, func(a, b PartitionStatus) int { return a.Number - b.Number })
+	return partitions
+}
+
 // adminHandler serves the metrics, the status, and the decisions that were recorded
 // for a request or job ID.
 func (h *Host) adminHandler() http.Handler {
--- a/internal/fronthost/status_test.go
+++ b/internal/fronthost/status_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -50,3 +53,42 @@
 		return status.Partitions[0].StoreUnavailable && status.Partitions[1].StoreUnavailable
 	})
 }
+
+// Guards against a deadlock between a status request, which reads the state of the
+// followers, and a follower that applies records.
+func TestStatusBesideAppends(t *testing.T) {
+	c := newTestCluster(t, 2)
+	h := c.startHost("a")
+	stop := make(chan struct{})
+	var requests sync.WaitGroup
+	for range 4 {
+		requests.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					h.Status()
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 400 {
+			c.put(workPartition(modelPartition(h)), fmt.Sprintf("e/job-%d/", i), struct{}{})
+			c.put(serverPartition, fmt.Sprintf("app-%d", i%20), nil)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		must.NoError(t, h.follower(modelPartition(h)).CatchUp(ctx))
+	}()
+	select {
+	case <-done:
+	case <-time.After(waitTimeout):
+		t.Fatal("the host did not apply the records: deadlock")
+	}
+	close(stop)
+	requests.Wait()
+}
