Refuse jobs of a model that no service declares

Cause: no host follows the partition of an undeclared model, so its job could not run, and Results used a follower that does not exist: panic for 12 of 20 models. Change: Submit refuses such a job at once as not run, with a time to come back, since a newer configuration may declare the model; Results of a partition that the host does not follow answers 503. Result: TestJobOfAnUndeclaredModelIsRefused panicked before and passes.

--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -65,8 +65,16 @@
 	h.mu.Lock()
 	partition := h.partitionOf(job.Model)
 	follower := h.followers[partition]
+	declared := h.state.Config != nil && h.state.Config.ServiceOf(job.Model) != ""
 	h.mu.Unlock()
-	if follower != nil && follower.StoreUnavailable() {
+	if !declared || follower == nil {
+		// No host follows the partition of an undeclared model. A newer configuration
+		// may declare it.
+		refusal := notRunRefusal(cluster.ReasonNoReplica, fmt.Sprintf("no service declares the model %q", job.Model))
+		refusal.RetryAfter = storeRetryAfter
+		return refusal
+	}
+	if follower.StoreUnavailable() {
 		return storeUnavailableRefusal()
 	}
 	refs, err := h.blobs.put(ctx, partition, []blob{{key: "b/" + job.ID, data: data}})
@@ -221,6 +229,9 @@
 		return nil, refusal
 	}
 	f := h.follower(e.Partition)
+	if f == nil {
+		return nil, notRunRefusal(cluster.ReasonNotReady, fmt.Sprintf("the host does not follow partition %d", e.Partition))
+	}
 	deadline := time.Now().Add(wait)
 	for {
 		h.mu.Lock()
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -370,3 +370,19 @@
 	endLarge()
 	c.waitUntil("the small host owns all partitions again", func() bool { return len(small.group.Owned()) == 4 })
 }
+
+// Guards against a host that fails when a job names a model that no service declares:
+// no host follows the partition of such a model, so nothing could run or read the job.
+func TestJobOfAnUndeclaredModelIsRefused(t *testing.T) {
+	c := newTestCluster(t, 1)
+	h := c.startHost("a")
+	for i := range 20 {
+		job, payloads := newJob(fmt.Sprintf("job-%d", i), 2, 1)
+		job.Model = fmt.Sprintf("undeclared-%d", i)
+		refusal := h.Submit(context.Background(), job, payloads)
+		page, _ := h.Results(context.Background(), job.ID, 0, 0)
+		must.Nil(t, page)
+		must.NotNil(t, refusal)
+		must.EqOp(t, cluster.OutcomeNotRun, refusal.Outcome)
+	}
+}
