Keep the chunks of a job until it is decoded, and check their index

Cause: the chunks were released before the job was decoded, so a repeated record of a job that cannot be decoded was stored in a nil map. A chunk index outside of the job counted towards its chunks. Change: chunks are released after a successful decode, and an index outside of the chunk count is an error. Result: TestInvalidJobChunksAreReportedAndReplaced panicked before and passes; FuzzApply ran 15 s without a failure.

--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -186,7 +186,11 @@
 	if err != nil || len(value) < 4 {
 		return fmt.Errorf("job chunk %q has an invalid index or no chunk count", index)
 	}
-	e.totalChunks = int(binary.BigEndian.Uint32(value))
+	total := int(binary.BigEndian.Uint32(value))
+	if i < 0 || i >= total {
+		return fmt.Errorf("job chunk %d is not among %d chunks", i, total)
+	}
+	e.totalChunks = total
 	e.chunks[i] = value[4:]
 	if len(e.chunks) < e.totalChunks {
 		return nil
@@ -195,12 +199,11 @@
 	for i := range e.totalChunks {
 		data = append(data, e.chunks[i]...)
 	}
-	e.chunks = nil
 	job := &Job{}
 	if err := json.Unmarshal(data, job); err != nil {
 		return eris.Wrap(err, "decode job")
 	}
-	e.Job, e.ReadAt = job, now
+	e.Job, e.ReadAt, e.chunks = job, now, nil
 	return nil
 }
 
--- /dev/null
+++ b/internal/core/jobs/records_test.go
@@ -0,0 +1,55 @@
+package jobs
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/logstore"
+)
+
+func chunkRecord(key string, total uint32, data string) logstore.Record {
+	return logstore.Record{Key: key, Value: append(binary.BigEndian.AppendUint32(nil, total), data...)}
+}
+
+// Guards against a host that fails on job chunks that cannot be decoded, are repeated
+// or have an index outside of the job. A later valid chunk makes the job readable.
+func TestInvalidJobChunksAreReportedAndReplaced(t *testing.T) {
+	table := NewTable()
+	now := time.Unix(1000, 0)
+	for range 2 {
+		must.Error(t, table.Apply(1, chunkRecord("j/x/0", 1, "not JSON"), now))
+		must.Nil(t, table.Get("x"))
+	}
+	must.Error(t, table.Apply(1, chunkRecord("j/x/1", 1, "{}"), now))
+	must.Error(t, table.Apply(1, chunkRecord("j/x/-1", 1, "{}"), now))
+	must.Error(t, table.Apply(1, chunkRecord("j/x/0", 0, ""), now))
+	must.NoError(t, table.Apply(1, chunkRecord("j/x/0", 1, `{"id":"x"}`), now))
+	must.NotNil(t, table.Get("x"))
+	must.NoError(t, table.Apply(1, chunkRecord("j/x/0", 1, `{"id":"x"}`), now))
+}
+
+// Guards against a host that fails on records from outside.
+func FuzzApply(f *testing.F) {
+	f.Add("j/x/0", []byte("\x00\x00\x00\x01{}"), "j/x/0", []byte("\x00\x00\x00\x02{}"))
+	f.Add("p/x/0", []byte(`{"item":"a"}`), "e/x/", []byte(nil))
+	f.Add("c/x/a", []byte(`{}`), "j/x/9", []byte("\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, key1 string, value1 []byte, key2 string, value2 []byte) {
+		table := NewTable()
+		for range 2 {
+			for _, r := range []logstore.Record{{Key: key1, Value: value1}, {Key: key2, Value: value2}} {
+				if err := table.Apply(1, r, time.Unix(0, 0)); err != nil {
+					continue // an invalid record is reported and skipped
+				}
+			}
+		}
+		table.Each(func(e *Entry) bool {
+			e.Page(0, 1)
+			_ = Tombstones(e)
+			_ = BlobTombstones(e)
+			return true
+		})
+	})
+}
