Remove departed servers from the rollouts of undeclared models

Cause: Update retargets the rollouts of declared models only. A server that left while its model was not declared stayed a member of the rollout; with the model declared again under the same version, Plan used the missing replica: panic. Change: replaceServers removes absent members from the rollouts of undeclared models. Result: TestModelDeclaredAgainAfterItsServerLeft panicked before and passes.

--- a/internal/core/place/planner.go
+++ b/internal/core/place/planner.go
@@ -95,6 +95,13 @@
 			p.replicas.Delete(id)
 		}
 	}
+	// Update retargets the rollouts of declared models only.
+	p.rollouts.Each(func(model string, ro *rollout) bool {
+		if p.declarations.Models[model] == nil {
+			ro.members = slices.DeleteFunc(ro.members, func(id string) bool { return !present[id] })
+		}
+		return true
+	})
 }
 
 // Observe records the state read from a replica, or that it could not be read.
