Release the space of expired responses

Cause: removeAttempt left resultBytes as it was, so expired responses counted for ever and later ones were evicted before they expired. Change: the bytes are subtracted, and expired attempts leave resultOrder. Result: TestExpiredResponsesFreeTheirSpace failed before and passes.

--- a/internal/core/intent/ledger_test.go
+++ b/internal/core/intent/ledger_test.go
@@ -152,3 +152,33 @@
 		must.Eq(t, 1, l.NextOffset())
 	})
 }
+
+// Guards against expired responses that still count towards the bound on stored
+// responses: later responses would be evicted before they expire, and a repeated call
+// would get "unknown" instead of its stored response.
+func TestExpiredResponsesFreeTheirSpace(t *testing.T) {
+	const size, kept = 100, 4
+	now := time.UnixMilli(1_700_000_000_000)
+	l := NewLedger(Config{Self: Originator{"a", 1}, Retention: time.Minute, MaxClockSkew: time.Second, GrantTimeout: time.Second, MaxReadAge: time.Hour, MaxOpenAttempts: 9, MaxResultBytes: size * kept})
+	l.Apply(platform.Page{Next: 0, End: 0}, now)
+	random := newSimulation(1)
+	var offset int64
+	var recent []Key
+	for i := range 10 * kept {
+		now = now.Add(20 * time.Second)
+		random.now = now
+		key := random.newKey()
+		view := l.Begin(key, testNonce(i+1), now.Add(time.Second), now)
+		batch := l.NextBatch(9, now)
+		l.RecordAppend(batch, AppendStored, now)
+		l.Apply(platform.Page{Records: []platform.Record{logRecord(batch.Records[0], now, offset)}, Next: offset + 1, End: offset + 1}, now)
+		offset++
+		must.True(t, l.ClaimSend(view.ID, now))
+		l.Finish(view.ID, Result{Status: 200, Body: make([]byte, size)}, now)
+		recent = append(recent, key)
+		recent = recent[max(len(recent)-kept, 0):] // those that have not expired
+		for _, key := range recent {
+			must.Eq(t, StageDone, l.ByKey(key, now).Stage, must.Sprintf("call %d", i))
+		}
+	}
+}
--- a/internal/core/intent/log.go
+++ b/internal/core/intent/log.go
@@ -199,6 +199,9 @@
 		l.removeAttempt(l.expiryQueue[0].id)
 		l.expiryQueue = l.expiryQueue[1:]
 	}
+	for len(l.resultOrder) > 0 && l.closed[l.resultOrder[0]] == nil {
+		l.resultOrder = l.resultOrder[1:]
+	}
 }
 
 func (l *Ledger) removeAttempt(id int64) {
@@ -206,6 +209,7 @@
 	if a == nil {
 		return
 	}
+	l.resultBytes -= len(a.result.Body)
 	delete(l.closed, id)
 	delete(l.byNonce, a.nonce)
 	if l.byKey[a.key] == id {
