Finish a generation whose sink fails at the last chunk

Cause: at the last chunk the tracker is finished; the error of the sink then asked it to stop, which returns no action, and generate used the last of none: panic. Change: the Finish action of the last chunk is handled also if the sink failed; the caller gets the error of the sink. Result: TestErrorOfTheSinkAtTheLastChunk panicked before and passes.

--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -316,3 +317,21 @@
 	<-done
 	eventually(t, "the engine detects the disconnect", func() bool { return total(e.disconnected) == 1 })
 }
+
+// Guards against a host that fails when the sink returns an error for the last chunk,
+// after which the request is finished already.
+func TestErrorOfTheSinkAtTheLastChunk(t *testing.T) {
+	e := newTestEngine(t, 1, func(engine.GenerateRequest, int) behaviour { return normal })
+	f := newFixture(t, 1, "", e)
+	errSink := errors.New("sink is closed")
+	for last := range 4 {
+		chunks := 0
+		err := f.hosts[0].controller.Generate(context.Background(), cluster.Generation{Model: "album", Prompt: "proof", MaxTokens: 4}, func(engine.Chunk) error {
+			if chunks++; chunks > last {
+				return errSink
+			}
+			return nil
+		})
+		must.ErrorIs(t, err, errSink)
+	}
+}
--- a/internal/callers/generate.go
+++ b/internal/callers/generate.go
@@ -183,14 +183,12 @@
 		switch action.Kind {
 		case flight.Deliver:
 			r.tokens = append(r.tokens, chunk.Token)
-			if r.sinkErr = r.sink(chunk); r.sinkErr != nil {
-				return false, r.sinkErr
-			}
+			r.sinkErr = r.sink(chunk)
 		case flight.Finish:
-			finished = true
+			finished = true // also if the sink failed: the tracker has no further actions
 		}
 	}
-	return finished, nil
+	return finished, r.sinkErr
 }
 
 // attemptFailure converts the error of an attempt. After an error that is not a
