Answer 413 to a body over the limit of the service stand-in

Cause: an error while the body was read ended the handler without a response, which net/http sends as an empty 200. Change: 413 for a body over the limit; the connection is closed if the client broke off. Result: TestServiceRecordsEveryCall failed before with the new call and passes.

--- a/internal/standin/serviced/serviced.go
+++ b/internal/standin/serviced/serviced.go
@@ -4,6 +4,7 @@
 package serviced
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -98,9 +99,17 @@
 
 func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
-	if err != nil || !standin.Authorized(w, r, s.config.Token) {
+	if !standin.Authorized(w, r, s.config.Token) {
 		return
 	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	case err != nil: // the client broke off
+		standin.Abort()
+	}
 	faults := s.faults.Get()
 	number := s.record(Call{
 		Time: time.Now(), Server: s.config.ID, Method: r.Method, Path: r.URL.Path,
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -68,6 +68,10 @@
 	status, _ = post(t, url+"/trays", "k2", "{}")
 	must.Eq(t, http.StatusServiceUnavailable, status)
 
+	// A body over the limit is refused; an empty success would look like an answer.
+	status, _ = post(t, url+"/trays", "k3", strings.Repeat("x", 1<<20+1))
+	must.Eq(t, http.StatusRequestEntityTooLarge, status)
+
 	must.Len(t, 3, service.Journal())
 	must.Eq(t, map[string]int{"k1": 2}, service.Duplicates())
 	must.False(t, service.Journal()[2].Ran)
