Check the required keys of both kinds of platform in FuzzParse

Cause: the check demanded a cluster token of every file; a host on a log store has no peers that it shares one with, and the settings page does not require it there. Change: the check demands all keys that each kind requires, eight instead of two, and rejects unknown kinds; the file that failed is a seed.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -88,10 +89,23 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
 	f.Add([]byte("[host\nid"))
+	f.Add([]byte("[host]\nid = a\ndata_centre = b\nhttp_addr = 127.0.0.1:1\nready_addr = 127.0.0.1:2\n[platform]\nkind = log_store\nlog_addr = 127.0.0.1:3\n"))
 	f.Add([]byte("[host]\nid = \"\"\"x\n"))
 	f.Fuzz(func(t *testing.T, content []byte) {
 		s, err := Parse("f.ini", content)
-		if err == nil && (s.Host.ID == "" || s.Auth.ClusterToken == "") {
+		if err != nil {
+			return
+		}
+		required := []string{s.Host.ID, s.Host.DataCentre, s.Host.HTTPAddr, s.Platform.LogAddr}
+		switch s.Platform.Kind {
+		case PlatformLogStore:
+			required = append(required, s.Host.ReadyAddr)
+		case PlatformServices:
+			required = append(required, s.Host.PeerAddr, s.Platform.HostsAddr, s.Platform.WeightsAddr, s.Auth.ClusterToken)
+		default:
+			t.Fatalf("accepted the kind of platform %q", s.Platform.Kind)
+		}
+		if slices.Contains(required, "") {
 			t.Fatalf("accepted a file without required keys: %+v", s)
 		}
 	})
