Make every retry of a follower's read progress

Cause: while the store was unavailable to a host, each read asked for 1 MiB from the same offset and was given up after 400 ms with all that it had received. Change: logstore/pacing.go chooses size and timeout of reads: a read that fails asks for a quarter next (64 KiB at least), one that succeeds for twice as much; in an outage the timeout doubles up to 0.9 s, that of a listing up to 5.6 s. A read that times out halfway returns the records that arrived whole.

--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -14,15 +14,10 @@
 	// longPollTimeout is how long the store may hold a read open. It bounds the
 	// staleness of a partition to which nothing is appended.
 	longPollTimeout = 500 * time.Millisecond
-	// maxReadBytes bounds the size of one read.
-	maxReadBytes = 1 << 20
 	// longPollMargin is the time that a call gets beyond its long poll before it
 	// times out. It is well below 3 s, the time after an outage from which hosts
 	// count as reachable again.
 	longPollMargin = 900 * time.Millisecond
-	// outageReadTimeout bounds a read while the store is unavailable. A read sent
-	// before the store recovers gets no response, so attempts are short.
-	outageReadTimeout = 400 * time.Millisecond
 	// readRetryPause is the pause after a failed read.
 	readRetryPause = 150 * time.Millisecond
 	// outageThreshold is the time without a response after which the store counts
@@ -55,12 +50,13 @@
 	lastResponse  time.Time
 	lastOutageEnd time.Time
 	unavailable   bool
+	pacing        pacing
 	advanced      chan struct{} // closed and replaced when nextOffset advances
 }
 
 // NewFollower returns a follower that calls apply for each batch, one at a time.
 func NewFollower(store Store, p Partition, apply func(Batch)) *Follower {
-	return &Follower{store: store, partition: p, apply: apply, advanced: make(chan struct{})}
+	return &Follower{store: store, partition: p, apply: apply, pacing: newPacing(), advanced: make(chan struct{})}
 }
 
 // Run follows the partition until ctx ends.
@@ -80,11 +76,14 @@
 // records of the log.
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
-	synced, from, unavailable := f.synced, f.nextOffset, f.unavailable
+	synced, from, unavailable, pacing := f.synced, f.nextOffset, f.unavailable, f.pacing
 	f.mu.Unlock()
 	timeout := wait + longPollMargin
-	if unavailable {
-		wait, timeout = 0, outageReadTimeout
+	switch {
+	case !synced:
+		timeout = pacing.listTimeout()
+	case unavailable:
+		wait, timeout = 0, pacing.outageTimeout()
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -92,7 +91,7 @@
 		return f.list(ctx)
 	}
 	sent := time.Now()
-	page, err := f.store.Read(ctx, f.partition, from, maxReadBytes, wait)
+	page, err := f.store.Read(ctx, f.partition, from, pacing.readBytes, wait)
 	if errors.Is(err, ErrDeleted) {
 		klog.InfoS("records to read next were deleted, listing the partition again", "partition", f.partition, "offset", from)
 		f.mu.Lock()
@@ -121,6 +120,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
+	f.pacing.succeeded()
 	if f.synced || after != f.listing.lastKey() {
 		return nil // a concurrent call has already read this page
 	}
@@ -148,6 +148,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
+	if page.Truncated {
+		f.pacing.truncated()
+	} else {
+		f.pacing.succeeded()
+	}
 	records := page.Records
 	for len(records) > 0 && records[0].Offset < f.nextOffset {
 		records = records[1:]
@@ -190,6 +195,7 @@
 func (f *Follower) recordFailure(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.pacing.failed()
 	if f.unavailable || time.Since(f.lastResponse) < outageThreshold {
 		return
 	}
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -58,6 +58,9 @@
 type Page struct {
 	Records []Record
 	End     int64 // offset of the next append
+	// Truncated is set if the call ended before all records of the page had arrived.
+	// Records holds those that arrived whole.
+	Truncated bool
 }
 
 // Listing is a list of the newest record of each key, or one page of it. Records
--- /dev/null
+++ b/internal/logstore/pacing.go
@@ -0,0 +1,59 @@
+package logstore
+
+import "time"
+
+// Bounds of the reads of a follower.
+const (
+	// maxReadBytes bounds the size of one read.
+	maxReadBytes = 1 << 20
+	// minReadBytes is the size from which reads are not reduced further. It takes 9 ms
+	// on a link of 60 Mbit/s.
+	minReadBytes = 64 << 10
+	// outageReadTimeout bounds the first read after the store became unavailable. A
+	// read sent before the store recovers gets no response, so attempts are short.
+	outageReadTimeout = 400 * time.Millisecond
+	// maxOutageReadTimeout bounds later reads of an outage.
+	maxOutageReadTimeout = 900 * time.Millisecond
+	// maxListTimeout bounds the read of one page of a listing, whose size the follower
+	// cannot choose.
+	maxListTimeout = 5600 * time.Millisecond
+)
+
+// pacing chooses the size and the timeout of a follower's reads, so that every retry
+// can make progress: a read that timed out is repeated with less to transfer or more
+// time. It is designed for the end of an outage, when many hosts read their backlogs
+// at once over slow links and share the bandwidth of the store.
+type pacing struct {
+	readBytes int
+	failures  int // consecutive reads that failed
+}
+
+func newPacing() pacing { return pacing{readBytes: maxReadBytes} }
+
+// succeeded records a read that returned what it asked for.
+func (p *pacing) succeeded() {
+	p.readBytes = min(2*p.readBytes, maxReadBytes)
+	p.failures = 0
+}
+
+// truncated records a read that timed out after it had received some records.
+func (p *pacing) truncated() {
+	p.readBytes = max(p.readBytes/2, minReadBytes)
+	p.failures = 0
+}
+
+// failed records a read without a response.
+func (p *pacing) failed() {
+	p.readBytes = max(p.readBytes/4, minReadBytes)
+	p.failures++
+}
+
+// outageTimeout returns the timeout of a read while the store is unavailable.
+func (p *pacing) outageTimeout() time.Duration {
+	return min(outageReadTimeout<<min(p.failures, 4), maxOutageReadTimeout)
+}
+
+// listTimeout returns the timeout of a page of a listing.
+func (p *pacing) listTimeout() time.Duration {
+	return min((longPollTimeout+longPollMargin)<<min(p.failures, 4), maxListTimeout)
+}
--- /dev/null
+++ b/internal/logstore/pacing_test.go
@@ -0,0 +1,103 @@
+package logstore_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/logstore"
+	"github.com/sesamestand/sesamestand/internal/logstore/memlog"
+)
+
+// slowLink is a store whose responses to one host share a link. Responses to calls
+// that have timed out occupy the link too, as far as they were sent.
+type slowLink struct {
+	*memlog.Store
+	bytesPerSecond float64
+	mu             sync.Mutex
+	free           time.Time // when the link has sent what it was asked for
+	down           bool
+}
+
+func (s *slowLink) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *slowLink) Read(ctx context.Context, p logstore.Partition, from int64, maxBytes int, wait time.Duration) (logstore.Page, error) {
+	page, err := s.Store.Read(ctx, p, from, maxBytes, wait)
+	if err != nil {
+		return page, err
+	}
+	size := 0
+	for _, r := range page.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return logstore.Page{}, logstore.ErrOutcomeUnknown
+	}
+	begin := time.Now()
+	if s.free.After(begin) {
+		begin = s.free
+	}
+	end := begin.Add(time.Duration(float64(size) / s.bytesPerSecond * float64(time.Second)))
+	if deadline, ok := ctx.Deadline(); ok && end.After(deadline) {
+		if begin.Before(deadline) {
+			s.free = deadline
+		}
+		s.mu.Unlock()
+		<-ctx.Done()
+		return logstore.Page{}, logstore.ErrOutcomeUnknown
+	}
+	s.free = end
+	s.mu.Unlock()
+	time.Sleep(time.Until(end))
+	return page, nil
+}
+
+// Guards against a host that never catches up after an outage because each read asks
+// for more than its link can carry within the timeout of a read, and each retry asks
+// for the same again. Four partitions share a link; the backlog of each takes longer
+// than a read may take.
+func TestFollowersCatchUpOverASlowLink(t *testing.T) {
+	for _, link := range []float64{7.5e6, 2e6, 1e6} { // bytes/s; 60 Mbit/s is 7.5e6
+		synctest.Test(t, func(t *testing.T) {
+			const partitions, records, size = 4, 32, 64 << 10
+			store := &slowLink{Store: memlog.New(partitions), bytesPerSecond: link}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var received [partitions]*collector
+			for n := range partitions {
+				received[n] = &collector{}
+				go logstore.NewFollower(store, logstore.Partition{Topic: "topic", Number: n}, received[n].apply).Run(ctx)
+			}
+			time.Sleep(time.Second)
+			store.setDown(true)
+			for n := range partitions {
+				for i := range records {
+					_, err := store.Append(ctx, logstore.Partition{Topic: "topic", Number: n},
+						[]logstore.Record{{Key: fmt.Sprintf("key-%d", i), Value: make([]byte, size)}}, nil)
+					must.NoError(t, err)
+				}
+			}
+			time.Sleep(9 * time.Second)
+			store.setDown(false)
+			transfer := time.Duration(partitions * records * size / link * float64(time.Second))
+			time.Sleep(2*transfer + 2*time.Second)
+			for n := range partitions {
+				must.EqOp(t, records, received[n].len(), must.Sprintf("partition %d, link of %g bytes/s", n, link))
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
