Serve before all jobs are read, and let owners of partitions list first

Cause: a host refused every request until it had read all jobs of the store. Change: plain requests, streams and submissions need the configuration and the servers only (Host.CanForward); reads of unknown jobs still answer 503 until the jobs are read, and readiness is unchanged. A follower pauses after a slow page of a listing while its host does not own the partition; the first page of a listing has 2.8 s. The group is created before the followers start, because they ask it.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -125,9 +125,6 @@
 // ctx ends.
 func (h *Host) start(ctx context.Context) {
 	h.baseCtx = ctx
-	go h.operatorFollower.Run(ctx)
-	go h.serverFollower.Run(ctx)
-	h.followPartition(ctx, controlPartition)
 	changed := make(chan struct{}, 1)
 	h.group = logstore.NewGroup(h.store, logstore.Membership{
 		Group: partitionGroup, Member: h.member, Topic: topicWork, TTL: h.memberTTL(),
@@ -137,6 +134,9 @@
 		default:
 		}
 	})
+	go h.operatorFollower.Run(ctx)
+	go h.serverFollower.Run(ctx)
+	h.followPartition(ctx, controlPartition)
 	if h.isSmall() {
 		h.group.SetPaused(ctx, true)
 		go h.standBy(ctx)
@@ -164,6 +164,8 @@
 	}
 	klog.InfoS("following partition", "partition", partition)
 	f := logstore.NewFollower(h.store, workPartition(partition), func(b logstore.Batch) { h.applyWork(partition, b) })
+	// Only the owner of a partition needs it to go on with the jobs.
+	f.YieldWhile(func() bool { _, owned := h.group.Owned()[partition]; return !owned })
 	h.followers[partition] = f
 	go f.Run(ctx)
 }
@@ -242,16 +244,19 @@
 	return !h.draining.Load() && h.CaughtUp()
 }
 
-// CaughtUp reports whether the host has read the configuration, the backend
-// servers and the job partitions that it needs to answer requests.
+// CanForward reports whether the host has read the configuration and the backend
+// servers, which plain requests and streams need.
+func (h *Host) CanForward() bool {
+	return h.Config() != nil && h.serverFollower.HasSynced()
+}
+
+// CaughtUp reports whether the host has also read the job partitions, which may take
+// seconds longer when many hosts start at once.
 func (h *Host) CaughtUp() bool {
-	h.mu.Lock()
-	config := h.state.Config
-	h.mu.Unlock()
-	if config == nil || !h.serverFollower.HasSynced() {
+	if !h.CanForward() {
 		return false
 	}
-	for _, p := range h.modelPartitions(config) {
+	for _, p := range h.modelPartitions(h.Config()) {
 		f := h.follower(p)
 		if f == nil || !f.HasSynced() {
 			return false
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -386,3 +388,34 @@
 		must.EqOp(t, cluster.OutcomeNotRun, refusal.Outcome)
 	}
 }
+
+// Guards against a host that refuses plain requests and jobs until it has read all
+// jobs of the store. When all hosts start at once, that takes longer than callers wait.
+func TestStartingHostServesBeforeItHasReadAllJobs(t *testing.T) {
+	c := newTestCluster(t, 2)
+	c.register("app-a", testApp)
+	c.calls = func(string) *backend.Response { return &backend.Response{Status: http.StatusOK} }
+	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
+		if call == memlog.CallNewest && p.Topic == topicWork {
+			return memlog.DropRequest
+		}
+		return memlog.None
+	})
+	h := c.newEntryHost("a")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.start(ctx)
+	c.waitUntil("the host can forward", h.CanForward)
+	must.False(t, h.Ready())
+	response, refusal := h.Forward(ctx, &backend.Request{ID: "r1", Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}, h.Config().Match(testHost, "/pages/x"), time.Now().Add(time.Second))
+	must.Nil(t, refusal)
+	must.EqOp(t, http.StatusOK, response.Status)
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, h.Submit(ctx, job, payloads))
+	page, refusal := h.Results(ctx, "unknown", 0, 0) // may be a job that is not read yet
+	must.Nil(t, page)
+	must.EqOp(t, cluster.OutcomeNotRun, refusal.Outcome)
+	c.store.SetFault(nil)
+	results, outputs := c.collect(h, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+}
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -41,6 +41,7 @@
 	store     Store
 	partition Partition
 	apply     func(Batch)
+	yields    func() bool // see YieldWhile
 
 	mu            sync.Mutex
 	synced        bool      // a listing was delivered; cleared to list again
@@ -59,19 +60,35 @@
 	return &Follower{store: store, partition: p, apply: apply, pacing: newPacing(), advanced: make(chan struct{})}
 }
 
+// YieldWhile makes the follower pause between slow pages of a listing while yields
+// returns true, so that hosts which need the partition sooner get more of the store's
+// bandwidth. It must be called before Run.
+func (f *Follower) YieldWhile(yields func() bool) { f.yields = yields }
+
 // Run follows the partition until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.mu.Lock()
 	f.lastResponse = time.Now()
 	f.mu.Unlock()
 	for ctx.Err() == nil {
-		if err := f.step(ctx, longPollTimeout); err != nil {
+		began, listing := time.Now(), !f.isSynced()
+		err := f.step(ctx, longPollTimeout)
+		switch {
+		case err != nil:
 			f.recordFailure(err)
 			sleep(ctx, readRetryPause)
+		case listing && f.yields != nil && f.yields():
+			sleep(ctx, yieldPause(time.Since(began)))
 		}
 	}
 }
 
+func (f *Follower) isSynced() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.synced
+}
+
 // step reads the next page of a listing that is not complete yet, or else the next
 // records of the log.
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
@@ -81,7 +98,7 @@
 	timeout := wait + longPollMargin
 	switch {
 	case !synced:
-		timeout = pacing.listTimeout()
+		timeout = pacing.pageTimeout()
 	case unavailable:
 		wait, timeout = 0, pacing.outageTimeout()
 	}
--- a/internal/logstore/pacing.go
+++ b/internal/logstore/pacing.go
@@ -14,9 +14,16 @@
 	outageReadTimeout = 400 * time.Millisecond
 	// maxOutageReadTimeout bounds later reads of an outage.
 	maxOutageReadTimeout = 900 * time.Millisecond
-	// maxListTimeout bounds the read of one page of a listing, whose size the follower
-	// cannot choose.
+	// listTimeout bounds the first read of a page of a listing, whose size the follower
+	// cannot choose, and maxListTimeout later ones.
+	listTimeout    = 2800 * time.Millisecond
 	maxListTimeout = 5600 * time.Millisecond
+	// slowPage is the time for a page of a listing from which the store counts as busy.
+	slowPage = 250 * time.Millisecond
+	// yieldFactor is the pause after a slow page in multiples of its time.
+	yieldFactor = 2
+	// maxYieldPause bounds the pause after a slow page.
+	maxYieldPause = 4 * time.Second
 )
 
 // pacing chooses the size and the timeout of a follower's reads, so that every retry
@@ -53,7 +60,15 @@
 	return min(outageReadTimeout<<min(p.failures, 4), maxOutageReadTimeout)
 }
 
-// listTimeout returns the timeout of a page of a listing.
-func (p *pacing) listTimeout() time.Duration {
-	return min((longPollTimeout+longPollMargin)<<min(p.failures, 4), maxListTimeout)
+// pageTimeout returns the timeout of a page of a listing.
+func (p *pacing) pageTimeout() time.Duration {
+	return min(listTimeout<<min(p.failures, 4), maxListTimeout)
+}
+
+// yieldPause returns the pause of a host that is in no hurry after a page of a listing.
+func yieldPause(took time.Duration) time.Duration {
+	if took < slowPage {
+		return 0
+	}
+	return min(yieldFactor*took, maxYieldPause)
 }
--- a/internal/logstore/pacing_test.go
+++ b/internal/logstore/pacing_test.go
@@ -101,3 +101,65 @@
 		})
 	}
 }
+
+// busyLister is a store with the bandwidth for one page of a listing at a time.
+type busyLister struct {
+	*memlog.Store
+	pageTime time.Duration
+	mu       sync.Mutex
+	free     time.Time
+}
+
+func (s *busyLister) ListNewest(ctx context.Context, p logstore.Partition, after string) (logstore.Listing, error) {
+	listing, err := s.Store.ListNewest(ctx, p, after)
+	s.mu.Lock()
+	if now := time.Now(); s.free.Before(now) {
+		s.free = now
+	}
+	s.free = s.free.Add(s.pageTime)
+	end := s.free
+	s.mu.Unlock()
+	select {
+	case <-time.After(time.Until(end)):
+		return listing, err
+	case <-ctx.Done():
+		return logstore.Listing{}, logstore.ErrOutcomeUnknown
+	}
+}
+
+// Guards against an owner of a partition that waits for the bandwidth that all other
+// hosts use to list the same partition, after all have started at once.
+func TestOwnerListsBeforeHostsThatYield(t *testing.T) {
+	const hosts, pages, pageSize = 60, 20, 5
+	for _, yield := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &busyLister{Store: memlog.New(1), pageTime: 12 * time.Millisecond}
+			store.SetPageSize(pageSize)
+			fill(t, store.Store, pages*pageSize)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var synced [hosts]time.Duration
+			var mu sync.Mutex
+			began := time.Now()
+			for n := range hosts {
+				f := logstore.NewFollower(store, testPartition, func(logstore.Batch) {
+					mu.Lock()
+					defer mu.Unlock()
+					synced[n] = time.Since(began)
+				})
+				f.YieldWhile(func() bool { return yield && n > 0 })
+				go f.Run(ctx)
+			}
+			time.Sleep(3 * hosts * pages * store.pageTime)
+			cancel()
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			for n := range hosts {
+				must.Positive(t, synced[n], must.Sprintf("host %d did not list the partition", n))
+			}
+			all := hosts * pages * store.pageTime
+			must.EqOp(t, yield, synced[0] < all/2, must.Sprintf("the owner needed %s, all pages take %s", synced[0], all))
+		})
+	}
+}
