Count only reported failures when an item fails for its reward call

Cause: found while reading the change: after a reported failure, a refused call could fail the item if the route of the call was removed meanwhile or has fewer attempts now. Change: the count is checked only when a server has reported another failure. A host that does not follow a model's partition yet refuses its job as not ready instead of naming the model undeclared; a variable that hid the type pacing has a name of its own. Result: TestItemFailsAfterReportedFailuresOfAllOwners failed with the new refusal before and passes.

--- a/internal/core/schedule/score.go
+++ b/internal/core/schedule/score.go
@@ -73,7 +73,7 @@
 
 // RecordScore records the end of a reward call. It returns the time since the output
 // was complete, and false if the call was stopped or replaced in the meantime. The
-// result of the item is a failure after the given number of reported failures.
+// result of the item is a failure once as many failures as attempts were reported.
 func (s *Scheduler) RecordScore(call int64, end ScoreEnd, attempts int, now time.Time) (time.Duration, bool) {
 	t := s.tasks.Get(s.byScoreCall[call])
 	if t == nil || t.scoring == nil || t.scoring.id != call {
@@ -87,7 +87,7 @@
 	t.partial.ScoreFailures += end.Failures
 	t.partial.ScoreJob = t.job.Job.ID
 	switch {
-	case t.partial.ScoreFailures >= attempts:
+	case end.Failures > 0 && t.partial.ScoreFailures >= attempts:
 		t.markFailed()
 	case end.NotRun:
 		t.scoreNotBefore = now.Add(s.config.RefusalBackoff)
--- a/internal/core/schedule/score_test.go
+++ b/internal/core/schedule/score_test.go
@@ -128,6 +128,9 @@
 		_, counted := s.scheduler.RecordScore(s.oneScore(t).Call, end, testScoreAttempts, s.now)
 		must.True(t, counted)
 	}
+	// A refusal does not fail the item, however few attempts the route has now.
+	s.scheduler.RecordScore(s.oneScore(t).Call, ScoreEnd{NotRun: true}, 1, s.now)
+	must.SliceEmpty(t, s.tick().Commits)
 	stored := s.scheduler.Partials(make(map[string]Progress), 1)
 	must.SliceLen(t, 1, stored)
 
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -67,13 +67,16 @@
 	follower := h.followers[partition]
 	declared := h.state.Config != nil && h.state.Config.ServiceOf(job.Model) != ""
 	h.mu.Unlock()
-	if !declared || follower == nil {
+	if !declared {
 		// No host follows the partition of an undeclared model. A newer configuration
 		// may declare it.
 		refusal := notRunRefusal(cluster.ReasonNoReplica, fmt.Sprintf("no service declares the model %q", job.Model))
 		refusal.RetryAfter = storeRetryAfter
 		return refusal
 	}
+	if follower == nil {
+		return h.RefuseNotReady(job.ID)
+	}
 	if follower.StoreUnavailable() {
 		return storeUnavailableRefusal()
 	}
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -93,14 +93,14 @@
 // records of the log.
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
-	synced, from, unavailable, pacing := f.synced, f.nextOffset, f.unavailable, f.pacing
+	synced, from, unavailable, pace := f.synced, f.nextOffset, f.unavailable, f.pacing
 	f.mu.Unlock()
 	timeout := wait + longPollMargin
 	switch {
 	case !synced:
-		timeout = pacing.pageTimeout()
+		timeout = pace.pageTimeout()
 	case unavailable:
-		wait, timeout = 0, pacing.outageTimeout()
+		wait, timeout = 0, pace.outageTimeout()
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -108,7 +108,7 @@
 		return f.list(ctx)
 	}
 	sent := time.Now()
-	page, err := f.store.Read(ctx, f.partition, from, pacing.readBytes, wait)
+	page, err := f.store.Read(ctx, f.partition, from, pace.readBytes, wait)
 	if errors.Is(err, ErrDeleted) {
 		klog.InfoS("records to read next were deleted, listing the partition again", "partition", f.partition, "offset", from)
 		f.mu.Lock()
