Test that former outputs are used only if their versions are allowed

Cause: changes to the checks of versions in core/schedule left the suite green. Change: a table of versions for results of other jobs, complete and partial stored outputs, with and without a single version. Result: it fails with the check of reuseResult, of reuseOutput or of start taken out. The check in AddJob alone is covered by that in start.

--- a/internal/core/schedule/score_test.go
+++ b/internal/core/schedule/score_test.go
@@ -23,6 +23,7 @@
 	finished map[string]jobs.Result
 	stored   map[string]jobs.Partial
 	expired  bool
+	single   bool // the route demands a single version for each result
 }
 
 func newScoredJob(id string, groups, size int) *scoredJob {
@@ -52,6 +53,7 @@
 		r, ok := s.finished[item]
 		return r, ok
 	}
+	in.SingleVersion = func(*jobs.Entry) bool { return s.single }
 	in.Expired = func(*jobs.Entry) bool { return s.expired }
 	in.ScoreTarget = func(*jobs.Entry, *jobs.Item) (ScoreTarget, bool) { return s.target, true }
 	return s.scheduler.Tick(in)
@@ -226,3 +228,48 @@
 	}
 	must.EqOp(t, groups*size-2, begun)
 }
+
+// Guards against outputs of former runs whose versions the job does not allow: too old
+// ones, and mixed ones or ones of another version than the replica's where a single
+// version is demanded. This holds for results of other jobs, and for stored outputs that
+// are complete or to be resumed.
+func TestFormerOutputsAreUsedOnlyIfTheirVersionsAreAllowed(t *testing.T) {
+	const (
+		asResult   = "result of another job"
+		asComplete = "complete stored output"
+		asPartial  = "partial stored output"
+	)
+	for _, test := range []struct {
+		versions []int64
+		single   bool
+		used     bool
+	}{
+		{[]int64{2}, false, true}, {[]int64{2, 3}, false, true}, {[]int64{1}, false, false}, {[]int64{1, 2}, false, false},
+		{[]int64{2}, true, true}, {[]int64{2, 3}, true, false}, {[]int64{1}, true, false},
+	} {
+		for _, source := range []string{asResult, asComplete, asPartial} {
+			s := newScoredJob("job", 1, 1)
+			s.single = test.single
+			partial := jobs.Partial{Versions: test.versions, Complete: source == asComplete}
+			for range test.versions {
+				partial.Events = append(partial.Events, "event")
+				partial.LastID++
+			}
+			if source == asResult {
+				s.finished["item-000"] = jobs.Result{Item: "item-000", Versions: test.versions}
+			} else {
+				s.stored["item-000"] = partial
+			}
+			actions := s.tick()
+			what := must.Sprintf("%s, versions %v, single %t", source, test.versions, test.single)
+			if source != asPartial {
+				must.EqOp(t, !test.used, len(actions.Starts) == 1, what)
+				must.EqOp(t, test.used, len(actions.Scores) == 1, what)
+			}
+			for _, start := range actions.Starts {
+				resumed := source == asPartial && test.used
+				must.EqOp(t, resumed, len(start.Partial.Events) > 0, what)
+			}
+		}
+	}
+}
