Send nothing new to servers that say that they are leaving

What callers saw: requests, streams and items went to servers that had already said in their responses that they were leaving (Server-Leaving: 1). Such a server may end at any time after its notice period; work on it is then lost.

Cause: only the registry's state was read, which lags, does not arrive while the store is away, and never comes for servers that are removed without it.

Change: platform/leaving.go reads the header at the head of every response, before it is passed on, by the process that was called (ID and incarnation, which Target names now); a response that names another server counts for that one. core/leaving holds the notices, and deployment.State merges them with the registry into Server.Leaving, which balancer, scheduler, rollout and status use already. A request that waited and an order whose intent was appended are checked again. If no other server can take a request, one that is leaving is a last resort for a second; then requests are refused at once as not run with Retry-After. Idle connections to leaving servers are closed.

Why it works: a request that a client sends after a response was passed on is chosen after the notice was applied. The last resort ends before the notice period does.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -22,6 +22,9 @@
 type Target struct {
 	ID   string
 	Addr string
+	// Incarnation distinguishes successive processes with the same ID, so that the idle
+	// connections and the responses of one are not taken for those of another.
+	Incarnation int64
 }
 
 // Request is a caller's request to a backend server.
@@ -164,6 +167,22 @@
 // signed response that names none.
 type LimitObserver func(LimitObservation)
 
+// LeavingNotice is a response in which a server says that it is leaving.
+type LeavingNotice struct {
+	// Target is the server that was called, or the server that the response names if
+	// another one has the address now. The incarnation of the latter is not known.
+	Target Target
+	// Other is set if the response names another server than the one that was called.
+	Other     bool
+	Call      CallKind
+	RequestID string // empty for reports and orders
+	Status    int
+}
+
+// LeavingObserver is called for each response that says that its server is leaving,
+// before the response is passed on.
+type LeavingObserver func(LeavingNotice)
+
 // Client sends requests to backend servers.
 type Client interface {
 	// Call sends a request and reads the complete response. It never sends the
--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/sesamestand/sesamestand/internal/core/leaving"
 	"github.com/sesamestand/sesamestand/internal/core/table"
 )
 
@@ -155,7 +156,12 @@
 	Addr       string
 	DataCentre string
 	Slots      int
-	Leaving    bool
+	// Leaving is set if the server's record or one of its responses says that it is
+	// leaving.
+	Leaving bool
+	// LastResortUntil is the time until which a server that is leaving may get requests
+	// that no other server can take. It is zero if the record says that it is leaving.
+	LastResortUntil time.Time
 	// Incarnation distinguishes successive processes with the same ID.
 	Incarnation int64
 	// ColdUntil is the time at which the server expects to be warm.
@@ -165,6 +171,19 @@
 	Versions map[string]int64
 }
 
+// IsLastResort reports whether the server is leaving, but may still get requests that no
+// other server can take.
+func (s *Server) IsLastResort(now time.Time) bool {
+	return s.Leaving && now.Before(s.LastResortUntil)
+}
+
+// RecordSaysLeaving reports whether the server is leaving according to its record.
+func (s *Server) RecordSaysLeaving() bool { return s.Leaving && s.LastResortUntil.IsZero() }
+
+func (s *Server) instance() leaving.Instance {
+	return leaving.Instance{ID: s.ID, Incarnation: s.Incarnation}
+}
+
 // Change is one change published on the platform. One field is set, except that an
 // unusable report of a backend server sets both Invalid and Server, which removes
 // the server.
@@ -201,6 +220,7 @@
 	// pendingRemovals maps the servers whose removal is deferred to the time at
 	// which it is executed.
 	pendingRemovals map[string]time.Time
+	notices         *leaving.Notices
 }
 
 // NewState returns an empty State.
@@ -209,6 +229,7 @@
 		Versions:        table.New[string, int64](),
 		Servers:         table.New[string, Server](),
 		pendingRemovals: make(map[string]time.Time),
+		notices:         leaving.NewNotices(),
 	}
 }
 
@@ -248,9 +269,34 @@
 // SetServer applies a server's report and cancels its pending removal.
 func (s *State) SetServer(server Server) {
 	delete(s.pendingRemovals, server.ID)
+	s.applyNotice(&server)
 	s.Servers.Put(server.ID, server)
 }
 
+// applyNotice marks a server as leaving if it has said so in a response. A record that
+// says so as well is older by an unknown time, so it allows no use as a last resort.
+func (s *State) applyNotice(server *Server) {
+	if until, known := s.notices.LastResortUntil(server.instance()); known && !server.Leaving {
+		server.Leaving, server.LastResortUntil = true, until
+	}
+}
+
+// LearnLeaving records that a server said in a response that it is leaving. It reports
+// whether that was not known from a response before.
+func (s *State) LearnLeaving(i leaving.Instance, now time.Time) bool {
+	isRegistered := func(i leaving.Instance) bool {
+		server := s.Servers.Get(i.ID)
+		return server != nil && server.Incarnation == i.Incarnation
+	}
+	if !s.notices.Add(i, now, isRegistered) {
+		return false
+	}
+	if isRegistered(i) {
+		s.applyNotice(s.Servers.Get(i.ID))
+	}
+	return true
+}
+
 // RemoveServer removes a server. Within outageGrace after the last outage of the
 // store, the removal is deferred to the end of that time: the entry may have
 // expired only because the store was unavailable, and a server that is alive
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -93,21 +93,41 @@
 	// Slower is set if Server is loaded so much that the first of NeedGrant would be
 	// better if a request to it were granted at once.
 	Slower bool
+	// LastResort is set if only servers that are leaving can take the request.
+	LastResort bool
+	// Leaving is set if the servers that were not tried yet are all leaving and must not
+	// get the request.
+	Leaving bool
 	// NeedGrant are the servers with a rate limit that a request may be sent to only
 	// after it was granted, the best first.
 	NeedGrant []*deployment.Server
 }
 
-// Choose selects the server with the lowest score. It never selects a leaving or
-// excluded server, one with a rate limit only if a request to it is granted, and a
-// blocked one only if there is no other. A nil state means that no server has a limit.
+// Choose selects the server with the lowest score. It never selects an excluded server,
+// one with a rate limit only if a request to it is granted, and a blocked one only if
+// there is no other. A server that is leaving is selected only if no other can take the
+// request and the server is a last resort. A nil state means that no server has a limit.
 func (b *Balancer) Choose(servers []deployment.Server, dataCentre string, exclude map[string]bool, state func(*deployment.Server) ratelimit.State, now time.Time) Selection {
+	staying := func(s *deployment.Server) bool { return !s.Leaving && !exclude[s.ID] }
+	selection := b.choose(servers, dataCentre, staying, state, now)
+	if selection.Server != nil || len(selection.NeedGrant) > 0 {
+		return selection
+	}
+	lastResort := func(s *deployment.Server) bool { return s.IsLastResort(now) && !exclude[s.ID] }
+	selection = b.choose(servers, dataCentre, lastResort, state, now)
+	selection.LastResort = selection.Server != nil || len(selection.NeedGrant) > 0
+	selection.Leaving = !selection.LastResort && slices.ContainsFunc(servers, func(s deployment.Server) bool { return s.Leaving && !exclude[s.ID] })
+	return selection
+}
+
+// choose selects a server from those that are eligible.
+func (b *Balancer) choose(servers []deployment.Server, dataCentre string, eligible func(*deployment.Server) bool, state func(*deployment.Server) ratelimit.State, now time.Time) Selection {
 	var selection Selection
 	bestScore := 0.0
 	for i := range servers {
 		s := &servers[i]
 		switch {
-		case s.Leaving || exclude[s.ID]:
+		case !eligible(s):
 			continue
 		case state != nil && state(s) == ratelimit.Limited:
 			selection.NeedGrant = append(selection.NeedGrant, s)
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -98,3 +98,34 @@
 	must.Nil(t, selection.Server)
 	must.Len(t, 3, selection.NeedGrant)
 }
+
+// Guards against requests to a server that is leaving while another can take them, or
+// after it is no longer a last resort, and against a refusal while it is one.
+func TestLeavingServerIsLastResort(t *testing.T) {
+	balancer := New(Defaults())
+	list := servers("near", "far")
+	list[0].Leaving, list[0].LastResortUntil = true, testTime.Add(time.Second)
+	must.EqOp(t, "b", balancer.Choose(list, "near", nil, nil, testTime).Server.ID)
+	limited := func(s *deployment.Server) ratelimit.State {
+		if s.ID == "b" {
+			return ratelimit.Limited
+		}
+		return ratelimit.Unlimited
+	}
+	selection := balancer.Choose(list, "near", nil, limited, testTime)
+	must.Nil(t, selection.Server)
+	must.SliceLen(t, 1, selection.NeedGrant)
+	must.False(t, selection.LastResort)
+
+	tried := map[string]bool{"b": true}
+	selection = balancer.Choose(list, "near", tried, nil, testTime)
+	must.EqOp(t, "a", selection.Server.ID)
+	must.True(t, selection.LastResort)
+	must.False(t, selection.Leaving)
+	selection = balancer.Choose(list, "near", tried, nil, testTime.Add(time.Second))
+	must.Nil(t, selection.Server)
+	must.True(t, selection.Leaving)
+	selection = balancer.Choose(list, "near", map[string]bool{"a": true, "b": true}, nil, testTime)
+	must.Nil(t, selection.Server)
+	must.False(t, selection.Leaving)
+}
--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -76,7 +76,7 @@
 	switch {
 	case server == nil && known != nil:
 		klog.InfoS("backend server removed from the registry", "server", id, "service", known.Service, "offset", offset)
-	case server != nil && (known == nil || known.Incarnation != server.Incarnation || known.Leaving != server.Leaving):
+	case server != nil && (known == nil || known.Incarnation != server.Incarnation || known.RecordSaysLeaving() != server.Leaving):
 		klog.InfoS("backend server registered or changed", "server", id, "service", server.Service, "addr", server.Addr, "leaving", server.Leaving, "started", server.Incarnation, "offset", offset)
 	}
 }
--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -90,12 +90,16 @@
 	// that other hosts do not reach.
 	hosts       map[string]*Host
 	unreachable map[string]bool
+	// leaving are the servers that say in their responses that they are leaving, and sends
+	// are the targets of all calls by kind.
+	leaving map[backend.Target]bool
+	sends   map[backend.CallKind][]backend.Target
 	// streams handles the streams that hosts send to the servers of testApp.
 	streams func(ctx context.Context, t backend.Target, s *backend.Stream) backend.RunEnd
 }
 
 func newTestCluster(t *testing.T, replicas int) *testCluster {
-	c := &testCluster{t: t, store: memlog.New(4), replicas: make(map[string]*fakeReplica), events: 10, running: make(map[string]int), newest: 1, limits: make(map[string]float64), hosts: make(map[string]*Host), unreachable: make(map[string]bool)}
+	c := &testCluster{t: t, store: memlog.New(4), replicas: make(map[string]*fakeReplica), events: 10, running: make(map[string]int), newest: 1, limits: make(map[string]float64), hosts: make(map[string]*Host), unreachable: make(map[string]bool), leaving: make(map[backend.Target]bool), sends: make(map[backend.CallKind][]backend.Target)}
 	for i := range replicas {
 		id := fmt.Sprintf("replica-%d", i)
 		c.replicas[id] = &fakeReplica{id: id, version: 1, failRuns: make(map[string]int)}
@@ -112,10 +116,16 @@
 	must.NoError(c.t, err)
 }
 
-func (c *testCluster) register(id, service string) {
-	c.put(serverPartition, id, deployment.Server{ID: id, Service: service, Addr: id, Slots: 4, Incarnation: 1, Versions: map[string]int64{testModel: 1}})
+func (c *testCluster) register(id, service string) { c.registerProcess(targetAt(id), service) }
+
+// registerProcess registers one process of a server.
+func (c *testCluster) registerProcess(t backend.Target, service string) {
+	c.put(serverPartition, t.ID, deployment.Server{ID: t.ID, Service: service, Addr: t.Addr, Slots: 4, Incarnation: t.Incarnation, Versions: map[string]int64{testModel: 1}})
 }
 
+// targetAt returns the target of the first process of a server, whose address is its ID.
+func targetAt(id string) backend.Target { return backend.Target{ID: id, Addr: id, Incarnation: 1} }
+
 func (c *testCluster) unregister(id string) {
 	_, err := c.store.Append(context.Background(), serverPartition, []logstore.Record{{Key: id}}, nil)
 	must.NoError(c.t, err)
@@ -279,20 +289,41 @@
 	return h.limits.Acquire(ctx, request)
 }
 
-// CloseUnregistered implements Backends.
-func (c *testCluster) CloseUnregistered(func(backend.Target) bool) {}
+// CloseUnused implements Backends.
+func (c *testCluster) CloseUnused(func(backend.Target) bool) {}
 
 // hostBackends is one host's client for the servers of a test. It reports the limits
 // that the servers name to the host.
 type hostBackends struct {
 	*testCluster
-	host     string
-	observer backend.LimitObserver
+	host            string
+	observer        backend.LimitObserver
+	leavingObserver backend.LeavingObserver
 }
 
 // ObserveLimits implements Backends.
 func (b *hostBackends) ObserveLimits(observer backend.LimitObserver) { b.observer = observer }
 
+// ObserveLeaving implements Backends.
+func (b *hostBackends) ObserveLeaving(observer backend.LeavingObserver) { b.leavingObserver = observer }
+
+// recordSend records a call of a server.
+func (b *hostBackends) recordSend(t backend.Target, call backend.CallKind) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sends[call] = append(b.sends[call], t)
+}
+
+// giveNotice reports to the host that a server is leaving, if it says so.
+func (b *hostBackends) giveNotice(t backend.Target, call backend.CallKind, id string, status int) {
+	b.mu.Lock()
+	leaving := b.leaving[t]
+	b.mu.Unlock()
+	if leaving {
+		b.leavingObserver(backend.LeavingNotice{Target: t, Call: call, RequestID: id, Status: status})
+	}
+}
+
 // recordLimited records a request to a server that names a limit, and reports the
 // limit to the host.
 func (b *hostBackends) recordLimited(t backend.Target, call backend.CallKind) {
@@ -308,8 +339,10 @@
 
 // Call implements backend.Client.
 func (b *hostBackends) Call(ctx context.Context, t backend.Target, r *backend.Request, timeout time.Duration) (*backend.Response, error) {
+	b.recordSend(t, backend.CallRequest)
 	response, err := b.testCluster.Call(ctx, t, r, timeout)
 	if err == nil {
+		b.giveNotice(t, backend.CallRequest, r.ID, response.Status)
 		b.recordLimited(t, backend.CallRequest)
 	}
 	return response, err
@@ -318,9 +351,32 @@
 // Run implements backend.Client.
 func (b *hostBackends) Run(ctx context.Context, t backend.Target, r *backend.Run, onEvent func(backend.Event)) backend.RunEnd {
 	b.recordLimited(t, backend.CallRun)
+	b.recordSend(t, backend.CallRun)
+	b.giveNotice(t, backend.CallRun, r.ID, http.StatusOK)
 	return b.testCluster.Run(ctx, t, r, onEvent)
 }
 
+// Stream implements backend.Client.
+func (b *hostBackends) Stream(ctx context.Context, t backend.Target, s *backend.Stream) backend.RunEnd {
+	b.recordSend(t, backend.CallStream)
+	b.giveNotice(t, backend.CallStream, s.Request.ID, http.StatusOK)
+	return b.testCluster.Stream(ctx, t, s)
+}
+
+// Order implements backend.Client.
+func (b *hostBackends) Order(ctx context.Context, t backend.Target, o backend.Order) (backend.OrderOutcome, error) {
+	b.recordSend(t, backend.CallOrder)
+	b.giveNotice(t, backend.CallOrder, "", http.StatusAccepted)
+	return b.testCluster.Order(ctx, t, o)
+}
+
+// Report implements backend.Client.
+func (b *hostBackends) Report(ctx context.Context, t backend.Target) (backend.Report, error) {
+	b.recordSend(t, backend.CallReport)
+	b.giveNotice(t, backend.CallReport, "", http.StatusOK)
+	return b.testCluster.Report(ctx, t)
+}
+
 // Call implements backend.Client.
 func (c *testCluster) Call(ctx context.Context, t backend.Target, r *backend.Request, _ time.Duration) (*backend.Response, error) {
 	c.mu.Lock()
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -47,6 +47,7 @@
 	request      *backend.Request
 	route        *deployment.Route
 	service      string
+	call         backend.CallKind
 	deadline     time.Time
 	fingerprint  string // identifies content that may crash servers; empty if it cannot
 	results      chan *attempt
@@ -56,6 +57,7 @@
 	refusals     int
 	background   bool                  // the request can be sent later
 	rateLimited  []ratelimit.Candidate // servers for which no request was granted
+	allLeaving   bool                  // the servers that were not tried are all leaving
 	lastFailure  *backend.Response     // last response with a status of 500 or above
 	failures     int                   // responses with status 500: the server ran the request and failed
 }
@@ -73,6 +75,7 @@
 	f := &forwarding{
 		host: h, request: request, route: route, deadline: deadline,
 		service:     serviceOf(route, request.ID),
+		call:        backend.CallRequest,
 		results:     make(chan *attempt, route.MaxAttempts+maxRefusals+1),
 		excluded:    make(map[string]bool),
 		fingerprint: suspect.Fingerprint(route.Name, request.Method+" "+request.URI, string(request.Body), 0, 0),
@@ -193,8 +196,7 @@
 	h := f.host
 	f.inFlight++
 	go func() {
-		target := backend.Target{ID: a.server.ID, Addr: a.server.Addr}
-		a.response, a.err = h.backends.Call(ctx, target, f.request, time.Until(f.deadline))
+		a.response, a.err = h.backends.Call(ctx, targetOf(&a.server), f.request, time.Until(f.deadline))
 		h.recordAttempt(a, ctx.Err() != nil)
 		f.results <- a
 	}()
@@ -281,6 +283,10 @@
 // a service are full: about the service time of one request.
 const busyRetryAfter = 50 * time.Millisecond
 
+// leavingRetryAfter is the delay after which a caller should retry when all servers of a
+// service are leaving: new ones need some time to start and to be registered.
+const leavingRetryAfter = time.Second
+
 // exhausted returns the response to a request that cannot be sent to any further
 // server: the last failure of a server, or a refusal.
 func (f *forwarding) exhausted() (*backend.Response, *Refusal) {
@@ -297,5 +303,11 @@
 	}
 	refusal := notRunRefusal(cluster.ReasonNoReplica, "no backend server can take the request")
 	refusal.RetryAfter = busyRetryAfter
+	if f.allLeaving {
+		f.host.recordTurnedAway(f.request.ID, f.call, "service", f.service)
+		if len(f.excluded) == 0 {
+			refusal.Message, refusal.RetryAfter = "all backend servers are leaving", leavingRetryAfter
+		}
+	}
 	return nil, refusal
 }
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -64,13 +64,15 @@
 	Servers   Feed
 }
 
-// Backends is the client for backend servers. CloseUnregistered closes the
-// connections to servers that are no longer registered.
+// Backends is the client for backend servers. CloseUnused closes the idle connections
+// to servers that are no longer used.
 type Backends interface {
 	backend.Client
 	// ObserveLimits sets the observer of the rate limits that servers name.
 	ObserveLimits(backend.LimitObserver)
-	CloseUnregistered(registered func(backend.Target) bool)
+	// ObserveLeaving sets the observer of servers that say that they are leaving.
+	ObserveLeaving(backend.LeavingObserver)
+	CloseUnused(used func(backend.Target) bool)
 }
 
 // Host is one entry host.
@@ -124,6 +126,7 @@
 	}
 	h.limits = limits.New(h.member, (*limitDirectory)(h), peers, recorder)
 	backends.ObserveLimits(h.observeLimit)
+	backends.ObserveLeaving(h.observeLeaving)
 	h.blobs = newBlobStore(store, s.Platform.Store.RecordBytes, s.Platform.Store.AppendBytes)
 	h.operatorFollower = logstore.NewFollower(store, feeds.Operators.Partition, h.applyOperators)
 	h.serverFollower = logstore.NewFollower(store, feeds.Servers.Partition, h.applyServers)
@@ -234,17 +237,19 @@
 }
 
 // removeServers carries out the removals of backend servers that are due, and releases
-// the balancer state, the limits and the connections of unregistered servers.
+// the balancer state and the limits of unregistered servers, and the idle connections of
+// those that are unregistered or leaving.
 func (h *Host) removeServers() {
 	synced := h.serverFollower.HasSynced()
 	h.mu.Lock()
-	removed := h.state.Expire(time.Now())
+	now := time.Now()
+	removed := h.state.Expire(now)
 	if len(removed) > 0 {
 		h.refreshServers()
 	}
-	registered := make(map[backend.Target]bool, len(h.registeredServers))
+	inUse := make(map[backend.Target]bool, len(h.registeredServers))
 	for _, s := range h.registeredServers {
-		registered[backend.Target{ID: s.ID, Addr: s.Addr}] = true
+		inUse[targetOf(&s)] = !s.Leaving || s.IsLastResort(now)
 	}
 	isRegistered := func(id string) bool { return h.state.Servers.Get(id) != nil }
 	h.forward.RetainServers(isRegistered)
@@ -257,7 +262,7 @@
 	for _, id := range removed {
 		klog.InfoS("backend server removed after a store outage", "server", id, "reason", "not registered again after the outage")
 	}
-	h.backends.CloseUnregistered(func(t backend.Target) bool { return registered[t] })
+	h.backends.CloseUnused(func(t backend.Target) bool { return inUse[t] })
 }
 
 // Ready reports whether the host can serve: it is not draining and has read the
--- a/internal/fronthost/limits.go
+++ b/internal/fronthost/limits.go
@@ -198,6 +198,10 @@
 	h := f.host
 	for range maxSelections {
 		selection := f.choose()
+		if hedge && selection.LastResort {
+			return nil
+		}
+		f.allLeaving = selection.Leaving
 		request := limits.Request{
 			ID: f.request.ID, Service: f.service, Strained: selection.Strained, Slower: selection.Slower, Limited: candidatesOf(selection.NeedGrant),
 			Patience: f.patience(), Hedge: hedge, Failing: selection.Failing, Background: f.background,
@@ -215,17 +219,22 @@
 		if server := f.current(selection, id); server != nil {
 			return server
 		}
+		f.host.recordTurnedAway(f.request.ID, f.call, "server", id)
 	}
 	return nil
 }
 
 // current returns a selected server if it has not left while the request waited.
 func (f *forwarding) current(selection forward.Selection, id string) *deployment.Server {
+	now := time.Now()
 	f.host.mu.Lock()
 	defer f.host.mu.Unlock()
 	registered := f.host.state.Servers.Get(id)
 	for _, s := range append(selection.NeedGrant, selection.Server) {
-		if s != nil && s.ID == id && registered != nil && !registered.Leaving && registered.Incarnation == s.Incarnation {
+		if s == nil || s.ID != id || registered == nil || registered.Incarnation != s.Incarnation {
+			continue
+		}
+		if !registered.Leaving || selection.LastResort && registered.IsLastResort(now) {
 			return s
 		}
 	}
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -271,7 +271,7 @@
 	}
 	rs := o.stateOf(server)
 	rs.busy, rs.loading = true, order.Model
-	go o.executeOrder(ctx, order, backend.Target{ID: server.ID, Addr: server.Addr}, rs)
+	go o.executeOrder(ctx, order, targetOf(server), rs)
 }
 
 // executeOrder sends an order, if it is still needed, and reads reports until the load
@@ -297,6 +297,12 @@
 		o.release(rs, orderRetryDelay)
 		return
 	}
+	if !h.acceptsOrders(target) {
+		h.recordTurnedAway("", backend.CallOrder, "server", target.ID, "model", order.Model, "version", order.Version)
+		o.publishPlacement(target.ID, "")
+		o.release(rs, orderRetryDelay)
+		return
+	}
 	outcome, err := h.backends.Order(ctx, target, backend.Order{
 		Model: order.Model, Version: order.Version, WaitForRuns: order.FinishRuns,
 		OrderOwner: h.member, Fence: o.runner.epoch, ExpectedOrders: expected,
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -282,7 +282,7 @@
 		r.scheduler.RecordEnd(s.Run, schedule.NotRun, 1, time.Now())
 		return
 	}
-	target := backend.Target{ID: server.ID, Addr: server.Addr}
+	target := targetOf(server)
 	runCtx, cancel := context.WithCancel(h.baseCtx)
 	r.cancels[s.Run] = cancel
 	payload := r.payloads[s.Job.Job.ID][s.Job.Index(s.Item.ID)]
--- a/internal/fronthost/streaming.go
+++ b/internal/fronthost/streaming.go
@@ -61,6 +61,7 @@
 	began := time.Now()
 	f, ctx, cancel := h.newForwarding(ctx, request, route, deadline)
 	defer cancel()
+	f.call = backend.CallStream
 	s := &streaming{forwarding: f, writer: writer, lastID: after, resumed: resumed}
 	end := StreamEnd{Refusal: f.crashRefusal()}
 	if end.Refusal == nil {
@@ -109,7 +110,7 @@
 	defer cancel()
 	eventTimer := time.AfterFunc(s.firstEventTimeout(), cancel)
 	defer eventTimer.Stop()
-	end := s.host.backends.Stream(ctx, backend.Target{ID: a.server.ID, Addr: a.server.Addr}, &backend.Stream{
+	end := s.host.backends.Stream(ctx, targetOf(&a.server), &backend.Stream{
 		Request: s.request, LastEventID: s.lastID, Resumed: s.resumed, Timeout: time.Until(s.deadline),
 		OnHeaders: func(response *backend.Response) {
 			if s.head == nil {
