Send no calls to servers that say that they are leaving, without a log store

What callers saw: plain services and engines that said in their responses that they were leaving went on getting calls and completions until the host list showed it.

Cause: only the host list's field was read, which lags by its poll and the platform.

Change: core/leaving is used on this way in, too. services skips a server that gave notice, by ID and address, as on a log store: a last resort for a second, then refusals at once as not run with Retry-After; after the wait for a rate limit it checks again. The owner of an engine marks it as leaving by incarnation, which refuses its queue and shows in its load rows.

Why it works: the header is read before the response is passed on, and each selection reads the notices.

Load orders to engines still follow the host list only.

--- a/internal/core/leaving/leaving.go
+++ b/internal/core/leaving/leaving.go
@@ -3,7 +3,10 @@
 // request. It has no I/O and no clock.
 package leaving
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // LastResortPeriod is how long after its first notice a server may still be used. A
 // server that is leaving goes on serving for longer than that.
@@ -50,6 +53,11 @@
 	return true
 }
 
+// Retain removes the notices of instances that are not listed.
+func (n *Notices) Retain(listed func(Instance) bool) {
+	maps.DeleteFunc(n.first, func(i Instance, _ time.Time) bool { return !listed(i) })
+}
+
 // LastResortUntil returns until when an instance that has given notice may be used if no
 // other server can take a request, and whether it has given notice.
 func (n *Notices) LastResortUntil(i Instance) (time.Time, bool) {
--- a/internal/core/leaving/leaving_test.go
+++ b/internal/core/leaving/leaving_test.go
@@ -42,4 +42,6 @@
 	must.True(t, known)
 	_, known = n.LastResortUntil(Instance{"0", 1})
 	must.False(t, known)
+	n.Retain(listed)
+	must.MapLen(t, 1, n.first)
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -44,7 +44,7 @@
 
 // ResponseObserver is called with the response of an engine to each completion, before
 // its body is read.
-type ResponseObserver func(addr string, response *http.Response, sent time.Time)
+type ResponseObserver func(addr, requestID string, response *http.Response, sent time.Time)
 
 // ObserveResponses sets the observer of responses. It must be called before the first
 // call of Stream.
@@ -129,7 +129,7 @@
 	}
 	defer response.Body.Close()
 	if r.client.observe != nil {
-		r.client.observe(r.addr, response, sent)
+		r.client.observe(r.addr, r.request.RequestID, response, sent)
 	}
 	if response.StatusCode != http.StatusOK {
 		r.status = response.StatusCode
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -17,6 +17,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/admit"
+	"github.com/sesamestand/sesamestand/internal/core/leaving"
 	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/core/route"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
@@ -89,6 +90,7 @@
 	mu                 sync.Mutex
 	admit              *admit.Controller
 	limits             *ratelimit.Limits // rate limits that owned replicas name
+	notices            *leaving.Notices  // engines that have said that they are leaving
 	suspects           *suspect.Table
 	prefixes           *route.PrefixIndex
 	replicas           map[string]cluster.Replica // currently owned
@@ -130,8 +132,9 @@
 		routing:            newRoutingTable(),
 		exchange:           newExchangeState(),
 		limits:             ratelimit.NewLimits(),
+		notices:            leaving.NewNotices(),
 	}
-	engines.ObserveResponses(c.observeLimit)
+	engines.ObserveResponses(c.observeResponse)
 	return c
 }
 
@@ -189,6 +192,7 @@
 	defer c.mu.Unlock()
 	replicas := make(map[string]cluster.Replica, len(owned))
 	for _, r := range owned {
+		r = c.applyNotice(r)
 		replicas[r.ID] = r
 		c.resolveCrash(r, now)
 		_, known := c.admit.Load(r.ID, now)
--- a/internal/services/backends.go
+++ b/internal/services/backends.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/leaving"
 	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/platform"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
 )
 
 // avoidAfterFailure is the time for which a backend server is used only as a last
@@ -23,9 +25,11 @@
 	inventory  cluster.Inventory
 	limits     *limits.Controller
 	dataCentre string
+	recorder   *telemetry.Recorder
 
-	mu     sync.Mutex
-	states map[string]*backendState
+	mu      sync.Mutex
+	states  map[string]*backendState
+	notices *leaving.Notices
 }
 
 type backendState struct {
@@ -34,8 +38,8 @@
 	failedAt   time.Time
 }
 
-func newBackends(inventory cluster.Inventory, limits *limits.Controller, dataCentre string) *backends {
-	return &backends{inventory: inventory, limits: limits, dataCentre: dataCentre, states: make(map[string]*backendState)}
+func newBackends(inventory cluster.Inventory, limits *limits.Controller, dataCentre string, recorder *telemetry.Recorder) *backends {
+	return &backends{inventory: inventory, limits: limits, dataCentre: dataCentre, recorder: recorder, states: make(map[string]*backendState), notices: leaving.NewNotices()}
 }
 
 const (
@@ -52,9 +56,9 @@
 // it as in flight until release. A call to a server with a rate limit waits for its
 // turn. If there is no server, the refusal says why.
 func (b *backends) acquire(ctx context.Context, r *request, tried []string, now time.Time) (platform.BackendServer, *cluster.Refusal) {
-	best, limited := b.candidates(r.service.Name, tried, now)
+	best, limited, anyLeaving := b.candidates(r.service.Name, tried, now)
 	if best == nil && len(limited) == 0 {
-		return platform.BackendServer{}, notRun(cluster.ReasonNoReplica, "no backend server of service "+r.service.Name+" is known")
+		return platform.BackendServer{}, b.refusal(r, anyLeaving, len(tried) > 0)
 	}
 	left := r.deadline.Sub(now)
 	choice := limits.Request{
@@ -68,14 +72,15 @@
 	}
 	id := b.limits.Select(ctx, choice)
 	for _, server := range limited {
-		if server.ID == id {
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			state := b.state(id)
-			state.inFlight++
-			state.totalCalls++
+		if server.ID != id {
+			continue
+		}
+		if b.begin(server, time.Now()) {
 			return server, nil
 		}
+		// The server has begun to leave while the call waited.
+		b.recordTurnedAway(r)
+		return b.acquire(ctx, r, append(slices.Clone(tried), id), time.Now())
 	}
 	refusal := notRun(cluster.ReasonRateLimited, "the backend servers of service "+r.service.Name+" accept no further request now")
 	refusal.RetryAfter = b.limits.RetryAfter(candidatesOf(limited), left)
@@ -97,16 +102,31 @@
 }
 
 // candidates returns the best server that a call may be sent to now, or nil, and those
-// that need a grant, the preferred ones first.
-func (b *backends) candidates(service string, tried []string, now time.Time) (best *platform.BackendServer, limited []platform.BackendServer) {
+// that need a grant, the preferred ones first. Servers that have said that they are leaving
+// are used only as a last resort; anyLeaving is set if there are others that are leaving.
+func (b *backends) candidates(service string, tried []string, now time.Time) (best *platform.BackendServer, limited []platform.BackendServer, anyLeaving bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var candidates []platform.BackendServer
+	var candidates, lastResorts []platform.BackendServer
 	for _, server := range b.inventory.BackendServers() {
-		if server.Kind == platform.KindService && server.Service == service && !server.Leaving && !slices.Contains(tried, server.ID) {
+		if server.Kind != platform.KindService || server.Service != service || slices.Contains(tried, server.ID) {
+			continue
+		}
+		staying, lastResort := b.standing(server, now)
+		switch {
+		case server.Leaving:
+			anyLeaving = true
+		case staying:
 			candidates = append(candidates, server)
+		case lastResort:
+			lastResorts = append(lastResorts, server)
+		default:
+			anyLeaving = true
 		}
 	}
+	if len(candidates) == 0 {
+		candidates = lastResorts
+	}
 	slices.SortFunc(candidates, func(x, y platform.BackendServer) int { return b.compare(x, y, now) })
 	for _, s := range candidates {
 		switch {
@@ -116,7 +136,7 @@
 			best = &s
 		}
 	}
-	return best, limited
+	return best, limited, anyLeaving
 }
 
 // retainLimits removes what is known of the limits of servers that are no longer in the
@@ -129,6 +149,12 @@
 	b.limits.Retain(func(id string) bool { return listed[id] })
 }
 
+// observe records what the header of a server's response says about the server.
+func (b *backends) observe(server platform.BackendServer, requestID string, response *http.Response, sent time.Time) {
+	b.observeLeaving(server, requestID, response, time.Now())
+	b.observeLimit(server, response, sent)
+}
+
 // observeLimit records what a response of a server says about its rate limit.
 func (b *backends) observeLimit(server platform.BackendServer, response *http.Response, sent time.Time) {
 	b.limits.ObserveHeader(server.Service, ratelimit.Candidate{Server: server.ID}, response, sent)
--- a/internal/services/client.go
+++ b/internal/services/client.go
@@ -38,11 +38,11 @@
 type client struct {
 	token string
 	// observe is called with each response before its body is read.
-	observe func(server platform.BackendServer, response *http.Response, sent time.Time)
+	observe func(server platform.BackendServer, requestID string, response *http.Response, sent time.Time)
 	pooled  *http.Client
 }
 
-func newClient(token string, observe func(platform.BackendServer, *http.Response, time.Time)) *client {
+func newClient(token string, observe func(platform.BackendServer, string, *http.Response, time.Time)) *client {
 	return &client{token: token, observe: observe, pooled: &http.Client{
 		Transport:     newTransport(false, nil),
 		CheckRedirect: noRedirect,
@@ -118,7 +118,7 @@
 		return nil, eris.Wrapf(err, "call backend server %s", server.ID)
 	}
 	defer func() { _ = response.Body.Close() }()
-	c.observe(server, response, sent)
+	c.observe(server, r.id, response, sent)
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, eris.Wrapf(err, "read the answer of backend server %s", server.ID)
--- a/internal/services/controller.go
+++ b/internal/services/controller.go
@@ -112,11 +112,11 @@
 	inventory cluster.Inventory, peers peer.Clients, limits *limits.Controller, recorder *telemetry.Recorder) *Controller {
 	c = withDefaults(c)
 	self, now := members.Self(), time.Now()
-	backends := newBackends(inventory, limits, self.DataCentre)
+	backends := newBackends(inventory, limits, self.DataCentre, recorder)
 	return &Controller{
 		config: c, log: log, configs: configs, members: members, peers: peers, recorder: recorder,
 		backends:   backends,
-		client:     newClient(c.BackendToken, backends.observeLimit),
+		client:     newClient(c.BackendToken, backends.observe),
 		budget:     &retryBudget{budget: flight.NewBudget(c.RetryShare, c.RetryReserve)},
 		liveness:   newHostLiveness(members, c.Retention),
 		writerWake: make(chan struct{}, 1),
--- a/internal/services/http_test.go
+++ b/internal/services/http_test.go
@@ -181,7 +181,7 @@
 	view := hostView{env, "a"}
 	recorder, err := telemetry.NewRecorder("a", 0)
 	must.NoError(t, err)
-	b := newBackends(env, limits.NewForMembers(view, env, recorder), "here")
+	b := newBackends(env, limits.NewForMembers(view, env, recorder), "here", recorder)
 	now := time.Unix(100, 0)
 	r := &request{service: &declare.Service{Name: "orders"}, deadline: now.Add(time.Minute)}
 	acquire := func(tried ...string) string {
--- a/internal/services/stream.go
+++ b/internal/services/stream.go
@@ -153,6 +153,7 @@
 		case <-membership.C:
 			c.liveness.update(time.Now())
 			c.backends.retainLimits()
+			c.backends.retainNotices()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
