Let the stand-ins say that they are leaving

What was missing: the stand-in service, scorer and engine could not say in their responses that they were leaving; only the stand-in host list could.

Cause: the header is new.

Change: the fault leaving makes all responses say it, independently of the host list, so before, after or without its word. A restarted engine does not say it.

Why it works: the header is set before a handler writes its response.

--- a/internal/standin/engined/engined.go
+++ b/internal/standin/engined/engined.go
@@ -152,6 +152,7 @@
 				return
 			}
 		}
+		standin.SayLeaving(w, s.faults.Get().Leaving)
 		if standin.Authorized(w, r, s.config.Token) {
 			next(w, r)
 		}
--- a/internal/standin/engined/engined_test.go
+++ b/internal/standin/engined/engined_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/httpapi"
 )
 
 const testTimeout = 20 * time.Second
@@ -310,3 +311,20 @@
 	must.Eq(t, http.StatusNotFound, post(t, addr, "/v1/completions", request).StatusCode)
 	must.Eq(t, OutcomeRefused, server.Journal().Requests[1].Outcome)
 }
+
+// Guards against an engine that still says that it is leaving after it has restarted.
+func TestRestartedEngineIsNotLeaving(t *testing.T) {
+	server, addr := startEngine(t, Config{})
+	server.SetFaults(Faults{Leaving: true})
+	says := func() string {
+		response, err := http.Get("http://" + addr + "/state")
+		if err != nil {
+			return "down"
+		}
+		must.NoError(t, response.Body.Close())
+		return response.Header.Get(httpapi.HeaderLeaving)
+	}
+	must.EqOp(t, httpapi.ValueLeaving, says())
+	server.Crash(time.Millisecond)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return says() == "" }), wait.Timeout(testTimeout), wait.Gap(5*time.Millisecond)))
+}
--- a/internal/standin/engined/faults.go
+++ b/internal/standin/engined/faults.go
@@ -21,6 +21,7 @@
 	CrashDowntimeMS   int      `json:"crash_time_ms"`       // time until a crashed engine restarts; 0 means 1000
 	Lengths           *Lengths `json:"lengths,omitempty"`   // replaces the configured lengths
 	RequestsPerSecond float64  `json:"requests_per_second"` // rate limit named in responses; 0 names none
+	Leaving           bool     `json:"leaving"`             // says in all responses that it is leaving until it restarts, whatever the host list says
 }
 
 func (f Faults) crashDowntime() time.Duration {
@@ -92,6 +93,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.resetStateLocked()
+		s.faults.Update(func(f *Faults) { f.Leaving = false })
 		s.down = false
 		if endpoint != nil {
 			endpoint.SetDown(false)
--- a/internal/standin/scorerd/scorerd.go
+++ b/internal/standin/scorerd/scorerd.go
@@ -25,6 +25,7 @@
 	Silent            bool    `json:"silent"` // never responds
 	DelayMS           int     `json:"delay_ms"`
 	RequestsPerSecond float64 `json:"requests_per_second"` // rate limit named in responses; 0 names none
+	Leaving           bool    `json:"leaving"`             // says in responses that it is leaving, whatever the host list says
 }
 
 // Request is the body of POST /score. Each sample is a list of tokens.
@@ -82,6 +83,7 @@
 	}
 	faults := s.faults.Get()
 	standin.NameLimit(w, faults.RequestsPerSecond)
+	standin.SayLeaving(w, faults.Leaving)
 	if faults.DropConnections {
 		standin.Abort()
 	}
--- a/internal/standin/serviced/serviced.go
+++ b/internal/standin/serviced/serviced.go
@@ -32,6 +32,7 @@
 	Refuse            bool    `json:"refuse"`              // responds 503 without running the call
 	Silent            bool    `json:"silent"`              // runs the call and never responds
 	RequestsPerSecond float64 `json:"requests_per_second"` // rate limit named in responses; 0 names none
+	Leaving           bool    `json:"leaving"`             // says in responses that it is leaving, whatever the host list says
 }
 
 // Call is one recorded call.
@@ -46,6 +47,8 @@
 	Ran       bool      `json:"ran"` // false for refused calls
 	// RequestsPerSecond is the rate limit that the response names, or 0.
 	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
+	// Leaving is set if the response says that the server is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Server is the service.
@@ -117,9 +120,10 @@
 	number := s.record(Call{
 		Time: time.Now(), Server: s.config.ID, Method: r.Method, Path: r.URL.Path,
 		Key: r.Header.Get("Idempotency-Key"), RequestID: r.Header.Get("Request-Id"),
-		Body: string(body), Ran: !faults.Refuse, RequestsPerSecond: faults.RequestsPerSecond,
+		Body: string(body), Ran: !faults.Refuse, RequestsPerSecond: faults.RequestsPerSecond, Leaving: faults.Leaving,
 	})
 	standin.NameLimit(w, faults.RequestsPerSecond)
+	standin.SayLeaving(w, faults.Leaving)
 	if faults.Refuse {
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
