Send no orders to engines that say that they are leaving

What callers saw: nothing directly; an engine that was about to end spent its last seconds on loading a version, without a log store.

Cause: the planner read the host list's field only.

Change: a state read takes the header over as State.Leaving. The planner counts such an engine as leaving, the order that follows the read is not sent, and the owner sends no completions to it either. The header's name moves to internal/platform, which the engine client can import.

Why it works: each order is preceded by a state read, and the planner reads the last state.

--- a/internal/engine/admin.go
+++ b/internal/engine/admin.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/platform"
 )
 
 // ErrFenced is returned if an engine refused an order because it has received
@@ -57,6 +59,7 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, adminBodyLimit)).Decode(&state); err != nil {
 		return state, eris.Wrapf(err, "decode state of engine %s", addr)
 	}
+	state.Leaving = platform.SaysLeaving(response)
 	return state, nil
 }
 
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -48,6 +48,8 @@
 	Waiting     int      `json:"waiting"`
 	Incarnation int64    `json:"incarnation"` // changes whenever the engine restarts
 	LastError   string   `json:"last_error,omitempty"`
+	// Leaving is set if the header of the response says that the engine is leaving.
+	Leaving bool `json:"-"`
 }
 
 // Values of Order.Kind.
--- a/internal/httpapi/refusal.go
+++ b/internal/httpapi/refusal.go
@@ -18,18 +18,6 @@
 // together, as a decimal number.
 const HeaderRequestsPerSecond = "Requests-Per-Second"
 
-// HeaderLeaving is the header, with the value ValueLeaving, of all responses of a backend
-// server that is leaving.
-const (
-	HeaderLeaving = "Leaving"
-	ValueLeaving  = "true"
-)
-
-// SaysLeaving reports whether the server of a response says that it is leaving.
-func SaysLeaving(response *http.Response) bool {
-	return response.Header.Get(HeaderLeaving) == ValueLeaving
-}
-
 // Names of HTTP headers exchanged between callers and entry hosts.
 const (
 	HeaderRequestID      = "Request-Id"
--- a/internal/orders/control.go
+++ b/internal/orders/control.go
@@ -89,16 +89,18 @@
 		c.versions.Announce(configKey, version)
 	}
 	d.ConfigCurrent = version >= c.versions.Newest(configKey)
-	engines := make([]place.Server, 0, len(servers))
-	for _, s := range servers {
-		engines = append(engines, place.Server{ID: s.ID, Addr: s.Addr, Model: s.Model, Leaving: s.Leaving})
-	}
 	var demand map[string]float64
 	if c.cfg.Demand != nil {
 		demand = c.cfg.Demand()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	engines := make([]place.Server, 0, len(servers))
+	for _, s := range servers {
+		p := c.polls[s.ID]
+		saysLeaving := p != nil && p.addr == s.Addr && p.state.Leaving
+		engines = append(engines, place.Server{ID: s.ID, Addr: s.Addr, Model: s.Model, Leaving: s.Leaving || saysLeaving})
+	}
 	c.planner.Update(time.Now(), d, engines, c.versions.Newest, demand)
 	for id := range c.polls {
 		if s, ok := servers[id]; !ok || s.Addr != c.polls[id].addr {
@@ -215,6 +217,11 @@
 	if err != nil || stateChanged(lastState, state) {
 		return // the next run of the control loop plans with the new state
 	}
+	if state.Leaving {
+		c.count("turned_away_total", "call", "order")
+		c.recorder.RecordDecision("turned-away", "", "call", "order", "server", action.Replica, "order", action.Order.Kind)
+		return
+	}
 	permission, refusal := c.authorizeOrder(action.Replica)
 	if refusal != "" || state.Fence > permission.Fence {
 		c.count("orders_held_total", "reason", heldReason(refusal))
--- a/internal/owner/leaving.go
+++ b/internal/owner/leaving.go
@@ -6,7 +6,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/leaving"
-	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/platform"
 )
 
 func instanceOf(r cluster.Replica) leaving.Instance {
@@ -15,7 +15,7 @@
 
 // observeResponse applies what the header of an engine's response says about the engine.
 func (c *Controller) observeResponse(addr, requestID string, response *http.Response, sent time.Time) {
-	if httpapi.SaysLeaving(response) {
+	if platform.SaysLeaving(response) {
 		c.observeLeaving(addr, requestID, response.StatusCode, time.Now())
 	}
 	c.observeLimit(addr, response, sent)
@@ -41,10 +41,10 @@
 	}
 }
 
-// applyNotice returns the replica, marked as leaving if it has said so. The caller holds
-// mu.
+// applyNotice returns the replica, marked as leaving if it has said so, also in its state.
+// The caller holds mu.
 func (c *Controller) applyNotice(r cluster.Replica) cluster.Replica {
 	_, known := c.notices.LastResortUntil(instanceOf(r))
-	r.Leaving = r.Leaving || known
+	r.Leaving = r.Leaving || known || r.State.Leaving
 	return r
 }
--- a/internal/services/leaving.go
+++ b/internal/services/leaving.go
@@ -6,7 +6,6 @@
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/leaving"
-	"github.com/sesamestand/sesamestand/internal/httpapi"
 	"github.com/sesamestand/sesamestand/internal/platform"
 )
 
@@ -31,7 +30,7 @@
 
 // observeLeaving records that a server said in a response that it is leaving.
 func (b *backends) observeLeaving(server platform.BackendServer, requestID string, response *http.Response, now time.Time) {
-	if !httpapi.SaysLeaving(response) {
+	if !platform.SaysLeaving(response) {
 		return
 	}
 	listed := b.listed()
--- a/internal/services/leaving_test.go
+++ b/internal/services/leaving_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/platform"
 )
 
 // leavingServer is a backend server that says that it is leaving and counts its requests.
@@ -17,7 +18,7 @@
 
 func (s *leavingServer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	s.received.Add(1)
-	w.Header().Set(httpapi.HeaderLeaving, httpapi.ValueLeaving)
+	w.Header().Set(platform.HeaderLeaving, platform.ValueLeaving)
 }
 
 func (h *host) order(t *testing.T, path string) (status int, refusal, retryAfter string) {
--- a/internal/standin/engined/engined_test.go
+++ b/internal/standin/engined/engined_test.go
@@ -15,7 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sesamestand/sesamestand/internal/engine"
-	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/platform"
 )
 
 const testTimeout = 20 * time.Second
@@ -322,9 +322,9 @@
 			return "down"
 		}
 		must.NoError(t, response.Body.Close())
-		return response.Header.Get(httpapi.HeaderLeaving)
+		return response.Header.Get(platform.HeaderLeaving)
 	}
-	must.EqOp(t, httpapi.ValueLeaving, says())
+	must.EqOp(t, platform.ValueLeaving, says())
 	server.Crash(time.Millisecond)
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return says() == "" }), wait.Timeout(testTimeout), wait.Gap(5*time.Millisecond)))
 }
--- a/internal/standin/leaving_test.go
+++ b/internal/standin/leaving_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/platform"
 	"github.com/sesamestand/sesamestand/internal/standin/engined"
 	"github.com/sesamestand/sesamestand/internal/standin/scorerd"
 	"github.com/sesamestand/sesamestand/internal/standin/serviced"
@@ -29,7 +29,7 @@
 	for name, handler := range handlers {
 		t.Run(name, func(t *testing.T) {
 			_, url := listen(t, handler)
-			for _, leaving := range []string{"", httpapi.ValueLeaving} {
+			for _, leaving := range []string{"", platform.ValueLeaving} {
 				if leaving != "" {
 					status, _ := post(t, url+"/faults", "", `{"leaving": true}`)
 					must.EqOp(t, http.StatusOK, status)
@@ -38,7 +38,7 @@
 					response, err := http.Post(url+request[0], "application/json", strings.NewReader(request[1]))
 					must.NoError(t, err)
 					must.NoError(t, response.Body.Close())
-					must.EqOp(t, leaving, response.Header.Get(httpapi.HeaderLeaving), must.Sprint(request[0]))
+					must.EqOp(t, leaving, response.Header.Get(platform.HeaderLeaving), must.Sprint(request[0]))
 				}
 			}
 		})
