Keep one writer for each epoch of a partition

Callers saw results that were listed at one host and, seconds later, were not in the job any more or stood at another position: the soak reports "job-6 has two results for job-6-10" and "job-6 has 14 of 12 results at the end".

Cause: a runner that was fenced under a former epoch released the partition that the host had meanwhile been assigned under a newer one. The next renewal listed the partition under the same generation, so the host acquired it a second time under the same epoch, with a new writer that began at sequence number 1, while the last append of the first writer could still arrive. The store answers a sequence number that it knows with its first response and appends nothing: the host took results as committed, and served them, that are not in the log. Class of the fault: an identity that must be unique (producer, epoch) was used by two writers.

Change: a fenced writer releases only the assignment of its own epoch. A runner that acquires a partition again under the same epoch waits for the former one and takes over its writer, which first repeats the append whose outcome is unknown. So each sequence number belongs to one append, and the end of the partition that the runner reads up to includes it.

--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -118,7 +118,7 @@
 		if err := r.writer.Append(ctx, records[:n]); err != nil {
 			klog.InfoS("runner stopped: append failed", "partition", r.partition, "epoch", r.epoch, "records", n, "err", err)
 			if isFenced(err) {
-				r.host.group.ReleaseFenced(r.partition)
+				r.host.group.ReleaseFenced(r.partition, r.epoch)
 			}
 			// The outcome may be unknown, so only a runner of a new epoch may continue.
 			r.cancel()
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -326,7 +326,7 @@
 		backoff = orderRetryDelay
 	case backend.OrderFenced:
 		klog.InfoS("order fenced: replica has seen a higher fencing number", "replica", target.ID, "fence", o.runner.epoch)
-		h.group.ReleaseFenced(controlPartition)
+		h.group.ReleaseFenced(controlPartition, o.runner.epoch)
 		backoff = unknownRetryDelay
 	case backend.OrderRefused:
 		rs.reported = false
--- a/internal/fronthost/ownership.go
+++ b/internal/fronthost/ownership.go
@@ -124,6 +124,10 @@
 		}
 		klog.InfoS("acquiring partition", "partition", p, "epoch", epoch, "goes_on", former != nil)
 		r := newRunner(h, p, epoch)
+		if last := h.lastRunners[p]; last != nil && last.epoch == epoch {
+			r.predecessor = last
+		}
+		h.lastRunners[p] = r
 		if former != nil {
 			r.runState = former.runState
 			former.runState = newRunState()
@@ -167,21 +171,23 @@
 // acquire makes this host the only writer of the partition, and waits until the
 // host has read everything that was written before.
 func (r *runner) acquire(ctx context.Context) error {
+	if err := r.takeOverWriter(ctx); err != nil {
+		return err
+	}
 	for {
 		attemptCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
-		writer, end, err := logstore.OpenFencedWriter(attemptCtx, r.host.store, workPartition(r.partition), writerName, r.epoch)
+		end, err := r.writer.Open(attemptCtx)
 		if err == nil {
 			err = r.host.follower(r.partition).WaitForOffset(attemptCtx, end)
 		}
 		cancel()
 		if err == nil {
-			r.writer = writer
 			klog.InfoS("partition acquired", "partition", r.partition, "epoch", r.epoch, "end", end)
 			return nil
 		}
 		klog.InfoS("partition not acquired", "partition", r.partition, "epoch", r.epoch, "err", err)
 		if isFenced(err) {
-			r.host.group.ReleaseFenced(r.partition)
+			r.host.group.ReleaseFenced(r.partition, r.epoch)
 			return err
 		}
 		if ctx.Err() != nil {
@@ -189,3 +195,23 @@
 		}
 	}
 }
+
+// takeOverWriter waits until the predecessors have stopped and continues with their
+// writer, because its last append may still take effect. Without one, the runner gets a
+// new writer.
+func (r *runner) takeOverWriter(ctx context.Context) error {
+	for former := r.predecessor; former != nil && r.writer == nil; former = former.predecessor {
+		select {
+		case <-former.appenderDone:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		klog.InfoS("partition acquired again under the same epoch", "partition", r.partition, "epoch", r.epoch)
+		r.writer = former.writer
+	}
+	r.predecessor = nil
+	if r.writer == nil {
+		r.writer = logstore.NewFencedWriter(r.host.store, workPartition(r.partition), writerName, r.epoch)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fronthost/ownership_test.go
@@ -0,0 +1,60 @@
+package fronthost
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/logstore"
+	"github.com/sesamestand/sesamestand/internal/logstore/memlog"
+)
+
+// ownerOf returns the runner of the only partition that a host's jobs lie in.
+func ownerOf(h *hostHandle) *runner {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.runners[h.partitionOf(testModel)]
+}
+
+// Guards against results that callers have read and that are not in the log, after a
+// partition was acquired again under the same epoch.
+func TestLateAppendDoesNotReplaceResultsOfTheSameEpoch(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	var runsBreak atomic.Bool
+	c.breaks = func(string, int) bool { return runsBreak.Load() }
+	c.waitUntil("the partition has an owner", func() bool { return ownerOf(a) != nil })
+	former := ownerOf(a)
+	job, payloads := newJob("job-1", 12, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	var appends atomic.Int32
+	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
+		if call == memlog.CallAppend && p == workPartition(former.partition) {
+			appends.Add(1)
+			return memlog.Delay
+		}
+		return memlog.None
+	})
+	c.waitUntil("an append of results is under way", func() bool { return appends.Load() > 0 })
+	runsBreak.Store(true)
+	a.group.ReleaseFenced(former.partition, former.epoch)
+	c.waitUntil("the partition is acquired again", func() bool { r := ownerOf(a); return r != nil && r != former })
+	must.EqOp(t, former.epoch, ownerOf(a).epoch)
+	var opened atomic.Bool
+	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
+		if call == memlog.CallAppend && p == workPartition(former.partition) {
+			opened.Store(true)
+		}
+		return memlog.None
+	})
+	c.waitUntil("the new runner registers its epoch", opened.Load)
+	c.store.ReleaseDelayed()
+	runsBreak.Store(false)
+	results, outputs := c.collect(a, "job-1", 12)
+	checkResults(t, c, job, results, outputs)
+	stored, storedOutputs := c.collect(c.startHost("b"), "job-1", 12)
+	must.Eq(t, results, stored)
+	must.Eq(t, outputs, storedOutputs)
+}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -79,7 +79,10 @@
 	epoch     int64
 	cancel    context.CancelFunc
 	writer    *logstore.FencedWriter
-	wakeups   chan struct{}
+	// predecessor is the former runner of the partition under the same epoch, if there
+	// was one, whose writer this runner takes over.
+	predecessor *runner
+	wakeups     chan struct{}
 
 	*runState
 	orders *orderer // control partition only
--- a/internal/logstore/follower_test.go
+++ b/internal/logstore/follower_test.go
@@ -158,13 +158,15 @@
 		n++
 		return faults[n%len(faults)]
 	})
-	w, _, err := logstore.OpenFencedWriter(ctx, store, testPartition, "writer", 5)
+	w := logstore.NewFencedWriter(store, testPartition, "writer", 5)
+	_, err := w.Open(ctx)
 	must.NoError(t, err)
 	for i := range 10 {
 		must.NoError(t, w.Append(ctx, []logstore.Record{{Key: fmt.Sprint(i), Value: []byte("v")}}))
 	}
 	store.SetFault(nil)
-	next, end, err := logstore.OpenFencedWriter(ctx, store, testPartition, "writer", 6)
+	next := logstore.NewFencedWriter(store, testPartition, "writer", 6)
+	end, err := next.Open(ctx)
 	must.NoError(t, err)
 	store.ReleaseDelayed()
 	must.NoError(t, next.Append(ctx, []logstore.Record{{Key: "next", Value: []byte("v")}}))
--- a/internal/logstore/group.go
+++ b/internal/logstore/group.go
@@ -126,13 +126,21 @@
 	return maps.Clone(g.partitions)
 }
 
-// ReleaseFenced releases a partition that another member was found to own. A later
+// ReleaseFenced releases a partition whose writer was found to be fenced under an
+// epoch, unless the partition was assigned again under a newer one since. A later
 // renewal that still lists the partition acquires it again, under an epoch that is
-// the generation of that renewal's response.
-func (g *Group) ReleaseFenced(partition int) {
+// the generation of that renewal's response; this may be the same epoch.
+func (g *Group) ReleaseFenced(partition int, epoch int64) {
 	g.mu.Lock()
-	delete(g.partitions, partition)
+	current, owned := g.partitions[partition]
+	if owned && current == epoch {
+		delete(g.partitions, partition)
+	}
 	g.mu.Unlock()
+	if owned && current != epoch {
+		klog.InfoS("fenced writer of a former epoch, the present assignment stays", "partition", partition, "fenced", epoch, "epoch", current)
+		return
+	}
 	g.onChange()
 }
 
--- a/internal/logstore/lost_test.go
+++ b/internal/logstore/lost_test.go
@@ -54,7 +54,8 @@
 func TestLostAnswerDelaysAnAppendBriefly(t *testing.T) {
 	store := &lossyStore{Store: memlog.New(2), lose: func(call int64) bool { return call == 2 }}
 	ctx := context.Background()
-	writer, _, err := logstore.OpenFencedWriter(ctx, store, testPartition, "writer", 1)
+	writer := logstore.NewFencedWriter(store, testPartition, "writer", 1)
+	_, err := writer.Open(ctx)
 	must.NoError(t, err)
 	began := time.Now()
 	must.NoError(t, writer.Append(ctx, []logstore.Record{{Key: "key", Value: []byte("value")}}))
--- a/internal/logstore/writer.go
+++ b/internal/logstore/writer.go
@@ -23,31 +23,49 @@
 )
 
 // FencedWriter appends to a partition as its only writer, under one epoch. It is
-// not safe for concurrent use.
+// not safe for concurrent use. There must be one FencedWriter for each epoch: the
+// store answers a sequence number that it knows with the response to the first append
+// of that number, whatever the records are.
 type FencedWriter struct {
 	store     Store
 	partition Partition
 	writer    Writer
-	appended  bool // an append under this epoch succeeded
+	appended  bool     // an append under this epoch succeeded
+	unsettled []Record // records of an append whose outcome is unknown
 }
 
-// OpenFencedWriter registers the epoch of a new writer and returns the end of the
-// partition at that time: no writer with a lower epoch can append at or after it.
-func OpenFencedWriter(ctx context.Context, store Store, p Partition, name string, epoch int64) (*FencedWriter, int64, error) {
-	w := &FencedWriter{store: store, partition: p, writer: Writer{Name: name, Epoch: epoch}}
-	var end int64
-	err := w.retry(ctx, func(ctx context.Context) (err error) {
-		end, err = store.Append(ctx, p, nil, &w.writer)
+// NewFencedWriter returns a writer that must be opened before its first append.
+func NewFencedWriter(store Store, p Partition, name string, epoch int64) *FencedWriter {
+	return &FencedWriter{store: store, partition: p, writer: Writer{Name: name, Epoch: epoch}}
+}
+
+// Open registers the epoch and returns the end of the partition at that time: no
+// writer with a lower epoch can append at or after it. Open repeats an append whose
+// outcome is unknown first, so that the end includes its records. It may be called
+// again after an append that failed with ErrOutcomeUnknown.
+func (w *FencedWriter) Open(ctx context.Context) (end int64, err error) {
+	if w.unsettled != nil {
+		if err := w.send(ctx, w.unsettled); err != nil {
+			return 0, err
+		}
+	}
+	err = w.retry(ctx, func(ctx context.Context) (err error) {
+		end, err = w.store.Append(ctx, w.partition, nil, &w.writer)
 		return err
 	})
-	return w, end, err
+	return end, err
 }
 
 // Append appends records, retrying until the store answers, ctx ends or another
-// writer takes over. When ctx ends, the outcome is unknown and the writer must
-// not be used again.
+// writer takes over. When ctx ends, the outcome is unknown and the writer must be
+// opened again before the next append.
 func (w *FencedWriter) Append(ctx context.Context, records []Record) error {
 	w.writer.Sequence++
+	return w.send(ctx, records)
+}
+
+// send appends records under the current sequence number.
+func (w *FencedWriter) send(ctx context.Context, records []Record) error {
 	err := w.retry(ctx, func(ctx context.Context) error {
 		_, err := w.store.Append(ctx, w.partition, records, &w.writer)
 		var sequence *SequenceError
@@ -63,6 +81,14 @@
 		return err
 	})
 	w.appended = w.appended || err == nil
+	w.unsettled = nil
+	var sequence *SequenceError
+	switch {
+	case errors.Is(err, ErrOutcomeUnknown):
+		w.unsettled = records
+	case errors.As(err, &sequence):
+		w.writer.Sequence = sequence.Expected - 1 // for the next append, once opened again
+	}
 	return err
 }
 
