Log how far partitions were read when a job is denied

Callers of a deployment with 58 hosts could not read an accepted job. Nothing that a host logs or counts said whether a 404 had been answered, nor on which knowledge, so a gap in the proof behind 404 could not be told from a store that does not answer.

Each 404 for a job now has a decision "job-denied" with the configuration and, for each followed partition, the offset read and its staleness, and is counted in jobs_denied_total. A test checks the decision.

--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -212,9 +213,26 @@
 		h.recorder.RecordDecision("job-uncertain", id, "err", failed.Error())
 		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say whether the job exists")
 	}
+	h.recordDenied(id)
 	return nil, nil
 }
 
+// recordDenied logs how far the partitions were read when the host found that a job
+// does not exist.
+func (h *Host) recordDenied(id string) {
+	h.mu.Lock()
+	followers := maps.Clone(h.followers)
+	config := h.state.Config.Version
+	h.mu.Unlock()
+	details := []any{"config", config}
+	for _, n := range slices.Sorted(maps.Keys(followers)) {
+		offset, staleness := followers[n].Progress()
+		details = append(details, fmt.Sprintf("partition_%d", n), fmt.Sprintf("read to offset %d, %d ms ago", offset, staleness.Milliseconds()))
+	}
+	h.recorder.RecordDecision("job-denied", id, details...)
+	h.recorder.Count("jobs_denied_total")
+}
+
 // Results is one page of a job's results.
 type Results struct {
 	Total   int
--- a/internal/fronthost/status_test.go
+++ b/internal/fronthost/status_test.go
@@ -54,6 +54,19 @@
 	})
 }
 
+// Guards against a 404 for a job whose reason cannot be found out afterwards.
+func TestDeniedJobIsExplained(t *testing.T) {
+	c := newTestCluster(t, 1)
+	h := c.startHost("a")
+	page, refusal := h.Results(context.Background(), "no-such-job", 0, 0)
+	must.Nil(t, page)
+	must.Nil(t, refusal)
+	decisions := h.recorder.Explain("no-such-job")
+	must.SliceLen(t, 1, decisions)
+	must.EqOp(t, "job-denied", decisions[0].Kind)
+	must.SliceContains(t, decisions[0].Details, any(fmt.Sprintf("partition_%d", modelPartition(h))))
+}
+
 // Guards against a deadlock between a status request, which reads the state of the
 // followers, and a follower that applies records.
 func TestStatusBesideAppends(t *testing.T) {
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -242,6 +242,14 @@
 	return time.Since(f.completeAsOf)
 }
 
+// Progress returns the offset to read next, and the time since the delivered records
+// were known to be complete.
+func (f *Follower) Progress() (nextOffset int64, staleness time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nextOffset, time.Since(f.completeAsOf)
+}
+
 // CatchUp reads until every record that the store held at the time of the call
 // has been delivered.
 func (f *Follower) CatchUp(ctx context.Context) error {
