Deny a job only after reading all partitions that may hold it

Callers got 404 for an accepted job from every host that had started after a configuration that moved the job's model.

Cause: the partition of a job follows from the service that declares its model, and a host followed, and read to their end before a 404, only the partitions that the present configuration selects. A configuration that moves or drops a model, or adds a service that sorts before and declares the model too, makes the former partition unknown to hosts that start after it.

Evidence: TestJobIsReadableAfterItsModelMoved failed before in all three cases: "moved_test.go:57: the host denies that the job exists".

It follows those that were ever written, then reads all followed partitions to their end. Followers are listed after that, so a configuration that is applied meanwhile cannot leave one out.

Why it works: each of the partitions is now either read to its end after the request arrived, or was empty after the request arrived. The set of followed partitions only grows, and it grows only by partitions with records.

Result: the test passes, with the race detector, in all three cases.

--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -122,20 +122,27 @@
 }
 
 func (c *testCluster) configure(version int64) {
+	c.configureModels(version, testService, map[string][]string{testService: {testModel}})
+}
+
+// configureModels writes a configuration in which jobs run on jobService, and services
+// declare the given models.
+func (c *testCluster) configureModels(version int64, jobService string, models map[string][]string) {
+	services := map[string]deployment.Service{testApp: {Name: testApp}}
+	for name, declared := range models {
+		services[name] = deployment.Service{Name: name, Slots: 4, Models: declared}
+	}
 	c.put(operatorPartition, "config", deployment.Config{
 		Version: version,
 		Routes: []deployment.Route{
-			{Name: "jobs", Host: testHost, Prefix: "/jobs/", Kind: deployment.Jobs, Shares: []deployment.Share{{Service: testService, Weight: 1}}, MaxAttempts: 3, Retention: time.Minute},
+			{Name: "jobs", Host: testHost, Prefix: "/jobs/", Kind: deployment.Jobs, Shares: []deployment.Share{{Service: jobService, Weight: 1}}, MaxAttempts: 3, Retention: time.Minute},
 			{Name: "pages", Host: testHost, Prefix: "/pages/", Kind: deployment.Idempotent, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond},
 			{Name: "score", Host: testHost, Prefix: "/score/", Kind: deployment.Idempotent, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 3, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond},
 			{Name: "live", Host: testHost, Prefix: "/live/", Kind: deployment.Stream, Resumable: true, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 3, Timeout: 10 * time.Second, Objective: 200 * time.Millisecond},
 			{Name: "live-once", Host: testHost, Prefix: "/live-once/", Kind: deployment.Stream, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 3, Timeout: 10 * time.Second, Objective: 200 * time.Millisecond},
 			{Name: "once", Host: testHost, Prefix: "/once/", Kind: deployment.NonIdempotent, Shares: []deployment.Share{{Service: testApp, Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond},
 		},
-		Services: map[string]deployment.Service{
-			testService: {Name: testService, Slots: 4, Models: []string{testModel}},
-			testApp:     {Name: testApp},
-		},
+		Services: services,
 	})
 }
 
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -19,6 +19,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
@@ -218,6 +219,27 @@
 	}
 }
 
+// followWritten follows the job partitions that hold records. A partition holds jobs that
+// no model of the present configuration selects if another configuration selected it
+// when they were submitted.
+func (h *Host) followWritten(ctx context.Context) error {
+	var reads errgroup.Group
+	for p := controlPartition + 1; p < h.settings.Platform.Store.Partitions; p++ {
+		if h.follower(p) == nil {
+			reads.Go(func() error { return h.followIfWritten(ctx, p) })
+		}
+	}
+	return reads.Wait()
+}
+
+func (h *Host) followIfWritten(ctx context.Context, partition int) error {
+	written, err := logstore.HasRecords(ctx, h.store, workPartition(partition))
+	if err == nil && written {
+		h.followPartition(h.baseCtx, partition)
+	}
+	return err
+}
+
 // housekeep periodically carries out the removals of backend servers that are due,
 // and releases what is kept for unregistered servers.
 func (h *Host) housekeep(ctx context.Context) {
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
@@ -180,32 +181,15 @@
 	if e := h.jobEntry(id); e != nil {
 		return e, nil
 	}
-	h.mu.Lock()
-	followers := make([]*logstore.Follower, 0, len(h.followers))
-	for _, f := range h.followers {
-		followers = append(followers, f)
-	}
-	h.mu.Unlock()
 	if !h.CaughtUp() {
 		// The job may be in a partition that this host has not read yet.
 		return nil, h.RefuseNotReady(id)
 	}
-	if slices.ContainsFunc(followers, (*logstore.Follower).StoreUnavailable) {
+	if slices.ContainsFunc(h.allFollowers(), (*logstore.Follower).StoreUnavailable) {
 		h.recorder.RecordDecision("job-uncertain", id, "err", "the store does not answer")
 		return nil, storeUnavailableRefusal()
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	errs := make(chan error, len(followers))
-	for _, f := range followers {
-		go func() { errs <- f.CatchUp(ctx) }()
-	}
-	var failed error
-	for range followers {
-		if err := <-errs; err != nil {
-			failed = err
-		}
-	}
+	failed := h.catchUp(ctx)
 	if e := h.jobEntry(id); e != nil {
 		return e, nil
 	}
@@ -217,6 +201,26 @@
 	return nil, nil
 }
 
+// catchUp reads all partitions that hold jobs up to their end.
+func (h *Host) catchUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := h.followWritten(ctx); err != nil {
+		return err
+	}
+	var reads errgroup.Group
+	for _, f := range h.allFollowers() {
+		reads.Go(func() error { return f.CatchUp(ctx) })
+	}
+	return reads.Wait()
+}
+
+func (h *Host) allFollowers() []*logstore.Follower {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Values(h.followers))
+}
+
 // recordDenied logs how far the partitions were read when the host found that a job
 // does not exist.
 func (h *Host) recordDenied(id string) {
--- /dev/null
+++ b/internal/fronthost/moved_test.go
@@ -0,0 +1,67 @@
+package fronthost
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
+)
+
+// serviceElsewhere returns the name of a service whose jobs lie in another partition
+// than those of testService and whose name sorts before it.
+func serviceElsewhere(h *hostHandle) string {
+	partition := func(service string) int {
+		config := &deployment.Config{Services: map[string]deployment.Service{service: {Name: service, Models: []string{testModel}}}}
+		config.Index()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		current := h.state.Config
+		h.state.Config = config
+		defer func() { h.state.Config = current }()
+		return h.partitionOf(testModel)
+	}
+	for i := 0; ; i++ {
+		if name := fmt.Sprintf("a-%d", i); partition(name) != partition(testService) {
+			return name
+		}
+	}
+}
+
+// Guards against 404 for an accepted job in a partition that the present configuration
+// does not select for its model, by a host that started after the change.
+func TestJobIsReadableAfterItsModelMoved(t *testing.T) {
+	for _, change := range []string{"moved", "dropped", "declared by a service that sorts before"} {
+		t.Run(change, func(t *testing.T) {
+			c := newTestCluster(t, 2)
+			a := c.startHost("a")
+			job, payloads := newJob("job-1", 4, 1)
+			must.Nil(t, a.Submit(context.Background(), job, payloads))
+			results, outputs := c.collect(a, "job-1", 4)
+			elsewhere := serviceElsewhere(a)
+			a.kill()
+			switch change {
+			case "moved":
+				c.configureModels(2, testService, map[string][]string{elsewhere: {testModel}, testService: nil})
+			case "dropped":
+				c.configureModels(2, testService, map[string][]string{testService: nil})
+			default:
+				c.configureModels(2, testService, map[string][]string{elsewhere: {testModel}, testService: {testModel}})
+			}
+			b := c.startHost("b")
+			c.waitUntil("the job is read", func() bool {
+				page, refusal := b.Results(context.Background(), "job-1", 0, 0)
+				must.True(t, page != nil || refusal != nil, must.Sprint("the host denies that the job exists"))
+				return page != nil
+			})
+			same, sameOutputs := c.collect(b, "job-1", 4)
+			must.Eq(t, results, same)
+			must.Eq(t, outputs, sameOutputs)
+			page, refusal := b.Results(context.Background(), "no-such-job", 0, 0)
+			must.Nil(t, page)
+			must.Nil(t, refusal)
+		})
+	}
+}
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -122,3 +122,12 @@
 	// Leave removes a member from a group and releases its partitions.
 	Leave(ctx context.Context, group, member string) error
 }
+
+// HasRecords reports whether records were ever appended to a partition.
+func HasRecords(ctx context.Context, store Store, p Partition) (bool, error) {
+	page, err := store.Read(ctx, p, 0, 1, 0)
+	if errors.Is(err, ErrDeleted) {
+		return true, nil
+	}
+	return page.End > 0, err
+}
