Run open jobs in partitions that no model selects any more

Trainers waited in vain for the results of a job that was open when a configuration moved its model and all hosts started again.

Cause: a runner needs a follower of its partition, and hosts followed only the partitions that the present configuration selects. The owner of the former partition had none, whichever host was asked for the job.

Evidence: TestOpenJobRunsAfterItsModelMoved failed before: "condition not met within 20s: all results of job-1". It reads the job at a host that does not own the partition.

Change: an owner checks its assigned partitions that it does not follow for records every 2 s, and follows those that have some. The runner starts at the next reconciliation, within a second. Each partition has one owner, so the checks cost half a call a second for each empty partition of the whole deployment.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -53,6 +53,11 @@
 // carried out.
 const housekeepingInterval = 250 * time.Millisecond
 
+// assignedCheckInterval is the interval at which an owner checks the partitions that it
+// does not follow for records. With the second at which runners are reconciled, it is
+// below the 5 s within which an item of an open job must run.
+const assignedCheckInterval = 2 * time.Second
+
 // Feed is a partition that other systems write to, with the decoder of its records.
 type Feed struct {
 	Partition logstore.Partition
@@ -153,6 +158,7 @@
 	}
 	go h.group.Run(ctx)
 	go h.watchAssignments(ctx, changed)
+	go h.followAssigned(ctx)
 	go h.housekeep(ctx)
 }
 
@@ -240,6 +246,31 @@
 	return err
 }
 
+// followAssigned periodically follows the assigned partitions that hold records, so that
+// open jobs run even if no model of the present configuration selects their partition.
+func (h *Host) followAssigned(ctx context.Context) {
+	ticker := time.NewTicker(assignedCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for p := range h.group.Owned() {
+			if h.follower(p) != nil {
+				continue
+			}
+			checkCtx, cancel := context.WithTimeout(ctx, assignedCheckInterval)
+			err := h.followIfWritten(checkCtx, p)
+			cancel()
+			if err != nil {
+				klog.V(1).InfoS("could not check an assigned partition for records", "partition", p, "err", err)
+			}
+		}
+	}
+}
+
 // housekeep periodically carries out the removals of backend servers that are due,
 // and releases what is kept for unregistered servers.
 func (h *Host) housekeep(ctx context.Context) {
--- a/internal/fronthost/moved_test.go
+++ b/internal/fronthost/moved_test.go
@@ -65,3 +65,33 @@
 		})
 	}
 }
+
+// Guards against an open job that no host runs, because its partition is not that of
+// any model of the present configuration when the hosts start.
+func TestOpenJobRunsAfterItsModelMoved(t *testing.T) {
+	c := newTestCluster(t, 2)
+	c.events = 200
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	elsewhere := serviceElsewhere(a)
+	former := modelPartition(a)
+	a.kill()
+	c.configureModels(2, testService, map[string][]string{elsewhere: {testModel}, testService: nil})
+	hosts := []*hostHandle{c.startHost("b"), c.startHost("c")}
+	var reader *hostHandle
+	c.waitUntil("a host owns the former partition", func() bool {
+		reader = nil
+		owned := false
+		for _, h := range hosts {
+			if _, owns := h.group.Owned()[former]; owns {
+				owned = true
+			} else {
+				reader = h
+			}
+		}
+		return owned && reader != nil
+	})
+	results, outputs := c.collect(reader, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+}
