Accept a job once when its model moved between two submissions

A submission that a client repeated after a configuration had moved the model, at a host that had started after the change, was accepted a second time, into another partition. By reading, hosts can then list results of two runners under the same positions; the test shows the second acceptance.

Cause: a submission looked for the job in the host's tables, which lacked the former partition.

Evidence: TestRepeatedSubmissionAfterItsModelMovedIsOneJob failed before: the job's partition was the new one ("moved_test.go: expected equality via ==").

Change: before its first acceptance, a host checks all job partitions for records and follows those that have some. It refuses submissions as not ready until the partitions that no model selects are listed. Partitions of the present configuration need not be read first, as before.

Open: two hosts that hold different configurations at the same time, and of which one never followed the other's partition, can still accept one job twice.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -98,6 +98,7 @@
 
 	baseCtx  context.Context // cancelled when the process ends; runs derive from it
 	draining atomic.Bool
+	surveyed atomic.Bool // all job partitions were checked for records
 	inFlight atomic.Int64
 
 	// mu is locked after the lock of a Follower, and before those of a runner and of
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -82,6 +82,10 @@
 	if follower.StoreUnavailable() {
 		return storeUnavailableRefusal()
 	}
+	known, refusal := h.isInFormerPartition(ctx, job.ID)
+	if known || refusal != nil {
+		return refusal
+	}
 	refs, err := h.blobs.put(ctx, partition, []blob{{key: "b/" + job.ID, data: data}})
 	if err != nil {
 		// No record of the job itself was sent yet, so none of its items can run.
@@ -101,6 +105,33 @@
 	return nil
 }
 
+// isInFormerPartition reports whether a job lies in a partition that the present
+// configuration selects for none of its models. A submission that is repeated after a
+// change of the configuration must not be accepted a second time.
+func (h *Host) isInFormerPartition(ctx context.Context, id string) (bool, *Refusal) {
+	if !h.surveyed.Load() {
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		if err := h.followWritten(ctx); err != nil {
+			h.recorder.RecordDecision("job-uncertain", id, "err", err.Error())
+			refusal := notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say which partitions hold jobs")
+			refusal.RetryAfter = storeRetryAfter
+			return false, refusal
+		}
+		h.surveyed.Store(true)
+	}
+	present := h.modelPartitions(h.Config())
+	h.mu.Lock()
+	followers := maps.Clone(h.followers)
+	h.mu.Unlock()
+	for p, f := range followers {
+		if p != controlPartition && !slices.Contains(present, p) && !f.HasSynced() {
+			return false, h.RefuseNotReady(id)
+		}
+	}
+	return h.jobEntry(id) != nil, nil
+}
+
 // storeUnavailableRefusal refuses a call immediately while the store is unavailable
 // to this host. Other hosts may reach the store.
 func storeUnavailableRefusal() *Refusal {
--- a/internal/fronthost/moved_test.go
+++ b/internal/fronthost/moved_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
 )
 
 // serviceElsewhere returns the name of a service whose jobs lie in another partition
@@ -95,3 +96,37 @@
 	results, outputs := c.collect(reader, "job-1", 4)
 	checkResults(t, c, job, results, outputs)
 }
+
+// Guards against a job that is accepted into two partitions: results of both would be
+// listed under the same positions.
+func TestRepeatedSubmissionAfterItsModelMovedIsOneJob(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	elsewhere := serviceElsewhere(a)
+	former := modelPartition(a)
+	a.kill()
+	c.configureModels(2, testService, map[string][]string{elsewhere: {testModel}, testService: nil})
+	b := c.startHost("b")
+	repeated, samePayloads := newJob("job-1", 4, 1)
+	c.waitUntil("the submission is accepted", func() bool {
+		refusal := b.Submit(context.Background(), repeated, samePayloads)
+		return refusal == nil
+	})
+	fresh := c.startHost("c")
+	for _, h := range []*hostHandle{b, fresh} {
+		var e *jobs.Entry
+		c.waitUntil("the job is read", func() bool {
+			page, _ := h.Results(context.Background(), "job-1", 0, 0)
+			e = h.jobEntry("job-1")
+			return page != nil && e != nil
+		})
+		must.EqOp(t, former, e.Partition)
+	}
+	listing, err := c.store.ListNewest(context.Background(), workPartition(modelPartition(b)), "")
+	must.NoError(t, err)
+	for _, r := range listing.Records {
+		must.False(t, jobs.IsJobKey(r.Key), must.Sprintf("record %s in the second partition", r.Key))
+	}
+}
