--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -19,6 +19,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
@@ -52,6 +53,11 @@
 // carried out.
 const housekeepingInterval = 250 * time.Millisecond
 
+// assignedCheckInterval is the interval at which an owner checks the partitions that it
+// does not follow for records. With the second at which runners are reconciled, it is
+// below the 5 s within which an item of an open job must run.
+const assignedCheckInterval = 2 * time.Second
+
 // Feed is a partition that other systems write to, with the decoder of its records.
 type Feed struct {
 	Partition logstore.Partition
@@ -92,6 +98,7 @@
 
 	baseCtx  context.Context // cancelled when the process ends; runs derive from it
 	draining atomic.Bool
+	surveyed atomic.Bool // all job partitions were checked for records
 	inFlight atomic.Int64
 
 	// mu is locked after the lock of a Follower, and before those of a runner and of
@@ -153,6 +160,7 @@
 	}
 	go h.group.Run(ctx)
 	go h.watchAssignments(ctx, changed)
+	go h.followAssigned(ctx)
 	go h.housekeep(ctx)
 }
 
@@ -219,6 +227,52 @@
 	}
 }
 
+// followWritten follows the job partitions that hold records. A partition holds jobs that
+// no model of the present configuration selects if another configuration selected it
+// when they were submitted.
+func (h *Host) followWritten(ctx context.Context) error {
+	var reads errgroup.Group
+	for p := controlPartition + 1; p < h.settings.Platform.Store.Partitions; p++ {
+		if h.follower(p) == nil {
+			reads.Go(func() error { return h.followIfWritten(ctx, p) })
+		}
+	}
+	return reads.Wait()
+}
+
+func (h *Host) followIfWritten(ctx context.Context, partition int) error {
+	written, err := logstore.HasRecords(ctx, h.store, workPartition(partition))
+	if err == nil && written {
+		h.followPartition(h.baseCtx, partition)
+	}
+	return err
+}
+
+// followAssigned periodically follows the assigned partitions that hold records, so that
+// open jobs run even if no model of the present configuration selects their partition.
+func (h *Host) followAssigned(ctx context.Context) {
+	ticker := time.NewTicker(assignedCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for p := range h.group.Owned() {
+			if h.follower(p) != nil {
+				continue
+			}
+			checkCtx, cancel := context.WithTimeout(ctx, assignedCheckInterval)
+			err := h.followIfWritten(checkCtx, p)
+			cancel()
+			if err != nil {
+				klog.V(1).InfoS("could not check an assigned partition for records", "partition", p, "err", err)
+			}
+		}
+	}
+}
+
 // housekeep periodically carries out the removals of backend servers that are due,
 // and releases what is kept for unregistered servers.
 func (h *Host) housekeep(ctx context.Context) {
