--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -266,6 +266,13 @@
 	s.Servers.Delete(id)
 }
 
+// DiscardServer removes a server at once, also shortly after an outage: its entry did
+// not expire, but was replaced by one that names no server.
+func (s *State) DiscardServer(id string) {
+	delete(s.pendingRemovals, id)
+	s.Servers.Delete(id)
+}
+
 // Expire executes the deferred removals that are due, and returns the sorted IDs
 // of the removed servers.
 func (s *State) Expire(now time.Time) []string {
--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -16,6 +16,9 @@
 		change := h.feeds.Operators.Decode(r)
 		var applied *deployment.Config
 		h.mu.Lock()
+		if change.Invalid == nil {
+			h.skipped.clear("operators", r.Key)
+		}
 		switch {
 		case change.Config != nil:
 			if h.state.SetConfig(change.Config) {
@@ -48,13 +51,19 @@
 		change := h.feeds.Servers.Decode(r)
 		if change.Invalid != nil {
 			h.recordSkipped("servers", change.Invalid)
+		} else {
+			h.skipped.clear("servers", r.Key)
 		}
 		if change.Server == nil {
 			continue
 		}
 		if change.Server.Server == nil {
 			h.logServer(change.Server.ID, nil, r.Offset)
-			h.state.RemoveServer(change.Server.ID, b.LastOutageEnd, now)
+			if change.Invalid != nil {
+				h.state.DiscardServer(change.Server.ID)
+			} else {
+				h.state.RemoveServer(change.Server.ID, b.LastOutageEnd, now)
+			}
 			continue
 		}
 		present[change.Server.ID] = true
@@ -126,7 +135,34 @@
 	return errUnknownKey
 }
 
+// recordSkipped counts a record that cannot be used, and logs it unless the record of
+// the same key before it was skipped for the same reason. The caller holds mu.
 func (h *Host) recordSkipped(source string, invalid *deployment.InvalidChange) {
 	h.recorder.Count("records_skipped_total", "source", source)
-	klog.InfoS("record skipped", "source", source, "key", invalid.Key, "reason", invalid.Reason)
+	if h.skipped.record(source, invalid) {
+		klog.InfoS("record skipped", "source", source, "key", invalid.Key, "reason", invalid.Reason)
+	}
+}
+
+// maxSkippedKeys bounds the number of keys whose reason is retained. Beyond it, skipped
+// records may be logged again.
+const maxSkippedKeys = 1000
+
+// skippedRecords holds why the last record of a key was skipped, by source and key.
+type skippedRecords map[[2]string]string
+
+// record reports whether the reason is new for the key.
+func (s skippedRecords) record(source string, invalid *deployment.InvalidChange) bool {
+	id := [2]string{source, invalid.Key}
+	if s[id] == invalid.Reason {
+		return false
+	}
+	if len(s) >= maxSkippedKeys {
+		clear(s)
+	}
+	s[id] = invalid.Reason
+	return true
 }
+
+// clear records that a key has a record that is used, or none.
+func (s skippedRecords) clear(source, key string) { delete(s, [2]string{source, key}) }
