End a false weight version of a replica with the entry that named it

What callers saw: after one entry named a version that a replica does not have (a number too large, another writer), the replica was sent no order to load the versions that trainers published, and each run sent to it was answered 421. Jobs whose minimum version it did not really have waited until they were given up.

Cause: the versions of registry entries were merged into the placement, whose versions only grow and which the order owner publishes to all hosts. A good entry after the false one changed nothing, nor did a restart of a host.

Evidence before the change: TestFalseVersionOfAnEntryEndsWithTheEntry failed with "condition not met within 20s: all results of job-1".

Change: the placement holds only what replicas answered and what the order owner wrote. The versions of the present entry are compared with it where they are used, so they end with the entry. An entry that lags behind still does no harm, because the higher of both counts.

--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -69,7 +69,6 @@
 		present[change.Server.ID] = true
 		h.logServer(change.Server.ID, change.Server.Server, r.Offset)
 		h.state.SetServer(*change.Server.Server)
-		h.observeVersions(change.Server.Server)
 	}
 	if b.Complete {
 		h.state.RemoveAbsent(present, b.LastOutageEnd, now)
--- a/internal/fronthost/apply_test.go
+++ b/internal/fronthost/apply_test.go
@@ -1,6 +1,7 @@
 package fronthost
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -25,3 +26,20 @@
 	}
 	must.LessEq(t, maxSkippedKeys, len(skipped))
 }
+
+// Guards against a replica that counts as loaded for ever after one entry named a version
+// that it does not have.
+func TestFalseVersionOfAnEntryEndsWithTheEntry(t *testing.T) {
+	c := newTestCluster(t, 1)
+	h := c.startHost("host-1")
+	c.put(serverPartition, "replica-0", deployment.Server{ID: "replica-0", Service: testService, Addr: "replica-0", Slots: 4, Incarnation: 1, Versions: map[string]int64{testModel: 1000}})
+	c.waitUntil("the false version is read", func() bool { return h.Status().Servers[0].Versions[testModel] == 1000 })
+	c.register("replica-0", testService)
+	c.announceVersion(2)
+	job, payloads := newJob("job-1", 2, 2)
+	must.Nil(t, h.Submit(context.Background(), job, payloads))
+	results, _ := c.collect(h, "job-1", len(job.Items))
+	for _, r := range results {
+		must.Eq(t, []int64{2}, r.Versions)
+	}
+}
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -158,7 +158,7 @@
 	}
 	return &rollout.Replica{
 		ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Leaving: s.Leaving,
-		Versions: p.Versions, Serves: serves, Busy: rs.busy, Loading: rs.loading, NotBefore: o.earliestOrder(rs, p),
+		Versions: o.runner.host.versionsOf(s), Serves: serves, Busy: rs.busy, Loading: rs.loading, NotBefore: o.earliestOrder(rs, p),
 		AwaitingReport: o.minLoadTime > 0 && !rs.acceptedAt.IsZero() && time.Since(rs.acceptedAt) >= o.minLoadTime,
 	}
 }
@@ -191,7 +191,7 @@
 					p.Serves = append(p.Serves, m)
 				}
 			}
-			h.recorder.RecordDecision("place", "", "replica", id, "serves", p.Serves, "versions", p.Versions)
+			h.recorder.RecordDecision("place", "", "replica", id, "serves", p.Serves, "versions", r.Versions)
 			records = append(records, o.record(id, p)...)
 		}
 	}
@@ -283,7 +283,7 @@
 		return
 	}
 	h.mu.Lock()
-	needed := h.placement(target.ID).Versions[order.Model] < order.Version
+	needed := h.versionOf(target.ID, order.Model) < order.Version
 	expected := rs.orderCount
 	h.mu.Unlock()
 	if !needed {
--- a/internal/fronthost/placement.go
+++ b/internal/fronthost/placement.go
@@ -26,7 +26,8 @@
 
 // placement is the state of a replica's models: those assigned to it, their weight
 // versions and the last load order. The order owner writes it to the log; the
-// versions also come from the replica's own reports.
+// versions also come from the replica's own reports. Those of its entry in the registry
+// are not part of it, because other writers may write there too.
 type placement struct {
 	Serves     []string         `json:"serves,omitempty"`
 	Versions   map[string]int64 `json:"versions,omitempty"`
@@ -93,9 +94,6 @@
 	}
 }
 
-// copyVersions returns a copy of the versions that may be used without the lock.
-func (p *placement) copyVersions() map[string]int64 { return maps.Clone(p.Versions) }
-
 func (p *placement) serves(model string) bool {
 	for _, m := range p.Serves {
 		if m == model {
@@ -105,15 +103,24 @@
 	return false
 }
 
-// observeVersions records the versions of a server's own report. The caller holds mu.
-func (h *Host) observeVersions(s *deployment.Server) {
-	if len(s.Versions) == 0 {
-		return
+// versionOf returns the weight version of a replica's model: the higher one of its
+// placement and of its present entry in the registry. The caller holds mu.
+func (h *Host) versionOf(id, model string) int64 {
+	version := h.placement(id).Versions[model]
+	if s := h.state.Servers.Get(id); s != nil {
+		version = max(version, s.Versions[model])
 	}
-	p := h.placement(s.ID)
+	return version
+}
+
+// versionsOf returns a copy of the weight versions of a registered replica's models. The
+// caller holds mu.
+func (h *Host) versionsOf(s *deployment.Server) map[string]int64 {
+	versions := maps.Clone(h.placement(s.ID).Versions)
 	for model, version := range s.Versions {
-		p.observeVersion(model, version)
+		versions[model] = max(versions[model], version)
 	}
+	return versions
 }
 
 func isSuspicionKey(key string) bool { return strings.HasPrefix(key, suspicionKeyPrefix) }
--- a/internal/fronthost/status.go
+++ b/internal/fronthost/status.go
@@ -91,7 +91,7 @@
 		p := h.placement(server.ID)
 		s.Servers = append(s.Servers, ServerStatus{
 			ID: server.ID, Service: server.Service, DataCentre: server.DataCentre, Leaving: server.Leaving,
-			Serves: slices.Clone(p.Serves), Versions: p.copyVersions(), Loading: p.Loading, OrderOwner: p.OrderOwner,
+			Serves: slices.Clone(p.Serves), Versions: h.versionsOf(server), Loading: p.Loading, OrderOwner: p.OrderOwner,
 		})
 	}
 	slices.SortFunc(s.Servers, func(a, b ServerStatus) int { return strings.Compare(a.ID, b.ID) })
