Prove that a job does not exist by a read sent after the question

A host could answer 404, or "no results yet" beyond the time within which results must be visible, on the word of a read from before the request.

Cause: after an empty long poll a follower counted its records as complete until the time at which the poll was to end. If the store answered early, that time lay in the future: CatchUp returned without a read, and staleness was negative. The steady clock, on which both rest, also stands still while a machine is suspended.

Change: reads are numbered. CatchUp returns after a complete read with a higher number than any sent before the call. An empty long poll extends completeness only if it lasted as long as it was to.

Why it works: the order of reads does not depend on a clock.

--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -47,6 +47,8 @@
 	synced        bool      // a listing was delivered; cleared to list again
 	listing       Listing   // pages read so far
 	nextOffset    int64     // offset to read next
+	reads         int64     // number of reads sent
+	completeRead  int64     // newest read after which all records that it could see were delivered
 	completeAsOf  time.Time // time up to which the delivered records are complete
 	lastResponse  time.Time
 	lastOutageEnd time.Time
@@ -94,6 +96,8 @@
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
 	synced, from, unavailable, pace := f.synced, f.nextOffset, f.unavailable, f.pacing
+	f.reads++
+	read := f.reads
 	f.mu.Unlock()
 	timeout := wait + longPollMargin
 	switch {
@@ -105,7 +109,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !synced {
-		return f.list(ctx)
+		return f.list(ctx, read)
 	}
 	sent := time.Now()
 	page, err := f.store.Read(ctx, f.partition, from, pace.readBytes, wait)
@@ -119,13 +123,13 @@
 	if err != nil {
 		return err
 	}
-	f.applyPage(page, sent, wait)
+	f.applyPage(page, read, sent, wait)
 	return nil
 }
 
 // list reads the next page of the listing and, after the last one, delivers the
 // listing. Pages already read are retained when a later one fails.
-func (f *Follower) list(ctx context.Context) error {
+func (f *Follower) list(ctx context.Context, read int64) error {
 	sent := time.Now()
 	f.mu.Lock()
 	after := f.listing.lastKey()
@@ -155,13 +159,13 @@
 	f.apply(Batch{Records: complete.Records, Complete: true, LastOutageEnd: f.lastOutageEnd})
 	f.advanceTo(max(complete.End, f.nextOffset))
 	if len(complete.Records) == len(page.Records) {
-		f.completeAsOf = sent
+		f.completeAsOf, f.completeRead = sent, max(f.completeRead, read)
 	}
 	return nil
 }
 
 // applyPage delivers the records of a page that were not delivered yet.
-func (f *Follower) applyPage(page Page, sent time.Time, wait time.Duration) {
+func (f *Follower) applyPage(page Page, read int64, sent time.Time, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
@@ -179,8 +183,8 @@
 		f.advanceTo(records[len(records)-1].Offset + 1)
 	}
 	if f.nextOffset >= page.End {
-		f.completeAsOf = sent
-		if len(page.Records) == 0 {
+		f.completeAsOf, f.completeRead = sent, max(f.completeRead, read)
+		if len(page.Records) == 0 && time.Since(sent) >= wait {
 			// The store held the read open and nothing was appended meanwhile.
 			f.completeAsOf = sent.Add(wait)
 		}
@@ -253,10 +257,14 @@
 // CatchUp reads until every record that the store held at the time of the call
 // has been delivered.
 func (f *Follower) CatchUp(ctx context.Context) error {
-	start := time.Now()
+	f.mu.Lock()
+	before := f.reads
+	f.mu.Unlock()
 	for {
 		f.mu.Lock()
-		done := f.synced && f.completeAsOf.After(start)
+		// Times prove nothing: a read may be answered early, and the clock stands still
+		// while the machine is suspended.
+		done := f.synced && f.completeRead > before
 		f.mu.Unlock()
 		if done {
 			return nil
--- a/internal/logstore/follower_test.go
+++ b/internal/logstore/follower_test.go
@@ -192,3 +192,24 @@
 	must.False(t, errors.Is(err, logstore.ErrUnavailable))
 	must.ErrorIs(t, err, logstore.ErrOutcomeUnknown)
 }
+
+// earlyStore answers every read immediately, however long the caller lets it wait.
+type earlyStore struct{ *memlog.Store }
+
+func (s earlyStore) Read(ctx context.Context, p logstore.Partition, from int64, maxBytes int, _ time.Duration) (logstore.Page, error) {
+	return s.Store.Read(ctx, p, from, maxBytes, 0)
+}
+
+// Guards against a CatchUp that trusts a read from before the call: the store answered
+// a long poll early, and a record was appended after that.
+func TestCatchUpReadsAfterTheCall(t *testing.T) {
+	store := earlyStore{memlog.New(2)}
+	var received collector
+	f := logstore.NewFollower(store, testPartition, received.apply)
+	must.NoError(t, f.CatchUp(t.Context()))
+	must.NoError(t, f.LongPoll(t.Context()))
+	must.GreaterEq(t, 0, f.Staleness())
+	fill(t, store, 1)
+	must.NoError(t, f.CatchUp(t.Context()))
+	must.EqOp(t, 1, received.len())
+}
