--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -79,7 +79,10 @@
 	epoch     int64
 	cancel    context.CancelFunc
 	writer    *logstore.FencedWriter
-	wakeups   chan struct{}
+	// predecessor is the former runner of the partition under the same epoch, if there
+	// was one, whose writer this runner takes over.
+	predecessor *runner
+	wakeups     chan struct{}
 
 	*runState
 	orders *orderer // control partition only
@@ -255,7 +258,7 @@
 	anyAssigned := false
 	for _, s := range servers {
 		p := h.placement(s.ID)
-		candidate := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, MemoryTokens: memory, Version: p.Versions[e.Job.Model]}
+		candidate := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, MemoryTokens: memory, Version: h.versionOf(s.ID, e.Job.Model)}
 		candidate.Grants, candidate.RateLimited = h.limits.Available(candidateOf(&s), now)
 		candidate.Usable = !s.Leaving && p.Loading != e.Job.Model
 		if p.serves(e.Job.Model) {
