Let chunks of two submissions of a job fit together

A job that was submitted twice, as clients do when an answer is lost, could stay unreadable at hosts that list the newest records, although it had been accepted.

Cause: a job's record names the offset at which its payloads were stored, which differs between submissions. A job in several chunks has one record for each, and their newest records come from both submissions if two calls of each interleave, or if a page of a listing is read between the two. If the number that differs lies across the end of a chunk, or changes the number of chunks, the mix is no JSON.

Evidence: TestChunksOfTwoSubmissionsFitTogether failed before: "decode job: invalid character 'r' after object key".

Change: a job in several chunks omits the offset; its payloads are read by key, as they are when the store has deleted them from the log. Jobs in one record keep the offset.

Why it works: all submissions of a job have the same chunks, whatever the order.

Result: the test passes for 50 chunk sizes and each split; a job in several records is run and read by a host that starts afterwards (TestJobInSeveralRecordsIsReadable).

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -19,11 +19,14 @@
 // refer to it.
 type BlobRef struct {
 	Key     string `json:"key"`
-	Offset  int64  `json:"offset"`
+	Offset  int64  `json:"offset"` // or UnknownOffset
 	Records int    `json:"records"`
 	Bytes   int    `json:"bytes"`
 }
 
+// UnknownOffset is the offset of a blob that can be read by its key only.
+const UnknownOffset = -1
+
 // Payload is the request that is sent to a replica for an item.
 type Payload struct {
 	Path    string            `json:"path"`
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -23,11 +23,16 @@
 	kindPartial = "c"
 )
 
+// maxOffsetDigits bounds the difference in length between two encodings of a job that
+// differ in the offset of the payloads.
+const maxOffsetDigits = 20
+
 // recordOverhead is the space reserved in a record for the key and framing.
 const recordOverhead = 512
 
 // EncodeJob returns the records of a job, split into chunks so that no record
-// exceeds maxRecord bytes.
+// exceeds maxRecord bytes. The newest chunks of a job may come from several
+// submissions, so chunks omit the offset of the payloads, in which these differ.
 func EncodeJob(job *Job, maxRecord int) ([]logstore.Record, error) {
 	data, err := json.Marshal(job)
 	if err != nil {
@@ -37,6 +42,13 @@
 	if size <= 0 {
 		return nil, fmt.Errorf("maximum record size of %d bytes leaves no space for a job chunk", maxRecord)
 	}
+	if len(data)+maxOffsetDigits > size {
+		chunked := *job
+		chunked.Payloads.Offset = UnknownOffset
+		if data, err = json.Marshal(chunked); err != nil {
+			return nil, eris.Wrap(err, "encode job")
+		}
+	}
 	total := (len(data) + size - 1) / size
 	records := make([]logstore.Record, 0, total)
 	for i := range total {
--- a/internal/core/jobs/records_test.go
+++ b/internal/core/jobs/records_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +33,34 @@
 	must.NoError(t, table.Apply(1, chunkRecord("j/x/0", 1, `{"id":"x"}`), now))
 }
 
+// Guards against an accepted job that never becomes readable because its newest chunks
+// come from two submissions, whose payloads lie at different offsets.
+func TestChunksOfTwoSubmissionsFitTogether(t *testing.T) {
+	encode := func(offset int64, maxRecord int) []logstore.Record {
+		job := &Job{ID: "x", Model: "m", Payloads: BlobRef{Key: "b/x", Offset: offset, Records: 1, Bytes: 10}}
+		for i := range 50 {
+			job.Items = append(job.Items, Item{ID: fmt.Sprintf("item-%d", i), Group: "g"})
+		}
+		records, err := EncodeJob(job, maxRecord)
+		must.NoError(t, err)
+		return records
+	}
+	length := len(encode(9, 1<<20)[0].Value)
+	for size := length/2 - 40; size < length/2+10; size++ {
+		first, second := encode(9, recordOverhead+size), encode(12345, recordOverhead+size)
+		for split := range max(len(first), len(second)) {
+			table := NewTable()
+			newest := append(slices.Clone(first[:min(split, len(first))]), second[min(split, len(second)):]...)
+			for _, r := range newest {
+				must.NoError(t, table.Apply(1, r, time.Unix(1000, 0)))
+			}
+			e := table.Get("x")
+			must.NotNil(t, e, must.Sprintf("chunks of %d bytes, the first %d of one submission", size, split))
+			must.SliceLen(t, 50, e.Job.Items)
+		}
+	}
+}
+
 // Guards against a host that fails on records from outside.
 func FuzzApply(f *testing.F) {
 	f.Add("j/x/0", []byte("\x00\x00\x00\x01{}"), "j/x/0", []byte("\x00\x00\x00\x02{}"))
--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -140,6 +140,9 @@
 // can return.
 func contiguousCount(refs []jobs.BlobRef, sorted []int) int {
 	first := refs[sorted[0]]
+	if first.Offset == jobs.UnknownOffset {
+		return 1
+	}
 	size, end := first.Bytes, first.Offset+int64(first.Records)
 	for n := 1; n < len(sorted); n++ {
 		next := refs[sorted[n]]
@@ -161,9 +164,11 @@
 	for _, i := range indexes {
 		size += refs[i].Bytes + refs[i].Records*blobOverhead
 	}
-	err := b.readRange(ctx, partition, first.Offset, last.Offset+int64(last.Records), size, values)
-	if err != nil && !errors.Is(err, logstore.ErrDeleted) {
-		return err
+	if first.Offset != jobs.UnknownOffset {
+		err := b.readRange(ctx, partition, first.Offset, last.Offset+int64(last.Records), size, values)
+		if err != nil && !errors.Is(err, logstore.ErrDeleted) {
+			return err
+		}
 	}
 	for _, i := range indexes {
 		ref := refs[i]
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -419,3 +419,22 @@
 	results, outputs := c.collect(h, "job-1", 4)
 	checkResults(t, c, job, results, outputs)
 }
+
+// Guards against a job in several records that hosts cannot run or read, because its
+// records do not say at which offset its payloads lie.
+func TestJobInSeveralRecordsIsReadable(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	a.settings.Platform.Store.RecordBytes = 2048
+	job, payloads := newJob("job-1", 40, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	a.kill()
+	b := c.startHost("b")
+	must.EqOp(t, jobs.UnknownOffset, b.jobEntry("job-1").Job.Payloads.Offset)
+	body, found, refusal := b.ItemBody(context.Background(), "job-1", "job-1-39")
+	must.Nil(t, refusal)
+	must.True(t, found)
+	must.EqOp(t, "body of job-1-39", string(body))
+	results, outputs := c.collect(b, "job-1", 40)
+	checkResults(t, c, job, results, outputs)
+}
