Refuse a read of a job whose records cannot be decoded

A host answered 404 for a job of which it had read records that it then skipped as invalid or incomplete. A 404 tells the client that the job does not exist.

Cause: findJob asked only for accepted jobs in the tables.

Evidence: TestJobWithInvalidRecordsIsNotDenied failed before: "expected to not be nil; is nil", that is, no refusal.

Change: a job with a chunk, a result or an end, but without all chunks that can be decoded, is refused with 503 and a decision "job-uncertain". Partial outputs alone do not count: they may outlive their job.

Result: the test and TestJobWithoutReadableChunksIsKnown pass.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -178,6 +178,13 @@
 	return e
 }
 
+// Unreadable reports whether records of a job were read, but not all chunks of it that
+// can be decoded. Such a job may have been accepted.
+func (t *Table) Unreadable(id string) bool {
+	e := t.entries.Get(id)
+	return e != nil && e.Job == nil && !e.Removed
+}
+
 // Each calls f for every accepted job until f returns false.
 func (t *Table) Each(f func(*Entry) bool) {
 	t.entries.Each(func(_ string, e *Entry) bool {
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -143,6 +143,14 @@
 		t.remove(kind, id, rest)
 		return nil
 	}
+	if kind == kindPartial {
+		var output BlobRef
+		if err := json.Unmarshal(r.Value, &output); err != nil {
+			return eris.Wrapf(err, "decode location of the partial output of item %q", rest)
+		}
+		t.partials[rest] = output
+		return nil
+	}
 	e := t.entries.Get(id)
 	if e == nil {
 		e = t.entries.Put(id, Entry{
@@ -158,12 +166,6 @@
 	case kindEnd:
 		e.Ended = true
 		e.notify()
-	case kindPartial:
-		var output BlobRef
-		if err := json.Unmarshal(r.Value, &output); err != nil {
-			return eris.Wrapf(err, "decode location of the partial output of item %q", rest)
-		}
-		t.partials[rest] = output
 	}
 	return nil
 }
--- a/internal/core/jobs/records_test.go
+++ b/internal/core/jobs/records_test.go
@@ -61,6 +61,23 @@
 	}
 }
 
+// Guards against "no such job" for a job whose records were read and cannot be decoded.
+func TestJobWithoutReadableChunksIsKnown(t *testing.T) {
+	table := NewTable()
+	now := time.Unix(1000, 0)
+	must.False(t, table.Unreadable("x"))
+	must.Error(t, table.Apply(1, chunkRecord("j/x/0", 1, "not JSON"), now))
+	must.True(t, table.Unreadable("x"))
+	must.NoError(t, table.Apply(1, logstore.Record{Key: "e/y/", Value: []byte("{}")}, now))
+	must.True(t, table.Unreadable("y"))
+	must.NoError(t, table.Apply(1, logstore.Record{Key: "c/z/item", Value: []byte("{}")}, now))
+	must.False(t, table.Unreadable("z"))
+	must.NoError(t, table.Apply(1, chunkRecord("j/x/0", 1, `{"id":"x"}`), now))
+	must.False(t, table.Unreadable("x"))
+	must.NoError(t, table.Apply(1, logstore.Record{Key: "j/x/0"}, now))
+	must.False(t, table.Unreadable("x"))
+}
+
 // Guards against a host that fails on records from outside.
 func FuzzApply(f *testing.F) {
 	f.Add("j/x/0", []byte("\x00\x00\x00\x01{}"), "j/x/0", []byte("\x00\x00\x00\x02{}"))
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -228,6 +228,13 @@
 		h.recorder.RecordDecision("job-uncertain", id, "err", failed.Error())
 		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say whether the job exists")
 	}
+	h.mu.Lock()
+	unreadable := h.jobs.Unreadable(id)
+	h.mu.Unlock()
+	if unreadable {
+		h.recorder.RecordDecision("job-uncertain", id, "err", "records of the job are missing or invalid")
+		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store has no complete records of the job")
+	}
 	h.recordDenied(id)
 	return nil, nil
 }
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -420,6 +420,17 @@
 	checkResults(t, c, job, results, outputs)
 }
 
+// Guards against "no such job" for a job whose records were skipped as invalid.
+func TestJobWithInvalidRecordsIsNotDenied(t *testing.T) {
+	c := newTestCluster(t, 1)
+	h := c.startHost("a")
+	c.put(workPartition(modelPartition(h)), "j/job-1/0", "not a chunk")
+	page, refusal := h.Results(context.Background(), "job-1", 0, 0)
+	must.Nil(t, page)
+	must.NotNil(t, refusal)
+	must.EqOp(t, cluster.OutcomeNotRun, refusal.Outcome)
+}
+
 // Guards against a job in several records that hosts cannot run or read, because its
 // records do not say at which offset its payloads lie.
 func TestJobInSeveralRecordsIsReadable(t *testing.T) {
