Serve a blob only with the bytes that its reference names

A page of results could hold an empty output as finished, without an error, when the record after a blob in the log was of the same key, such as the tombstone of a removed job's output that another job still refers to.

Cause: a read by offset returned more records than the reference covers, the newest of a key won, and the length was not compared with the reference.

Evidence: TestLaterRecordsOfABlobKeyAreNotMixedIn failed before: output "" instead of "text".

Change: records after the referenced ones are dropped, and the joined length must be that of the reference; otherwise the blob is read by key, and without the right length there it counts as not found, which is answered 503.

Result: the test passes. A partial output whose newest record is longer than its reference is no longer used when the log around it was deleted; its item starts again.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -198,8 +198,10 @@
 		if len(page.Records) == 0 {
 			return nil
 		}
-		for _, r := range page.Records {
-			values[r.Key] = r.Value
+		for i, r := range page.Records {
+			if from+int64(i) < to {
+				values[r.Key] = r.Value
+			}
 		}
 		from += int64(len(page.Records))
 	}
@@ -230,10 +232,12 @@
 	}
 }
 
+// assemble joins the records of a blob. It reports false if some are missing or are not
+// those that the reference was made for.
 func assemble(ref jobs.BlobRef, values map[string][]byte) ([]byte, bool) {
 	if ref.Records == 1 {
 		data, ok := values[ref.ChunkKey(0)]
-		return data, ok
+		return data, ok && len(data) == ref.Bytes
 	}
 	var data []byte
 	for i := range ref.Records {
@@ -243,7 +247,7 @@
 		}
 		data = append(data, chunk...)
 	}
-	return data, true
+	return data, len(data) == ref.Bytes
 }
 
 // fromCache returns a blob from the cache, or nil. The output of an unfinished run
--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -98,3 +98,22 @@
 		}
 	}
 }
+
+// Guards against an output that is served empty or with other bytes, because a later
+// record of its key was read together with it.
+func TestLaterRecordsOfABlobKeyAreNotMixedIn(t *testing.T) {
+	ctx := context.Background()
+	for _, later := range []string{"", "longer than the first"} {
+		store := memlog.New(4)
+		refs, err := newBlobStore(store, testRecordBytes, testAppendBytes).put(ctx, 1, []blob{{key: "t/a", data: []byte("text")}})
+		must.NoError(t, err)
+		_, err = store.Append(ctx, blobPartition(1), []logstore.Record{{Key: refs[0].ChunkKey(0), Value: []byte(later)}}, nil)
+		must.NoError(t, err)
+		outputs, err := newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+		must.NoError(t, err)
+		must.EqOp(t, "text", string(outputs[0]))
+		store.Delete(blobPartition(1))
+		_, err = newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+		must.ErrorIs(t, err, errNoBlob)
+	}
+}
