Keep outputs that the results of other jobs reuse

A result that reused the output of an earlier job could not be read any more (503 for ever) once the earlier job was removed and the store had deleted the output's record from the log.

Cause: the removal of a job removed the outputs of all its results, and forgot its items for reuse, although results of other jobs may refer to the same outputs. The outputs were removed before the job, so a result could be reused in between, too.

Change: the table counts the jobs with a successful result of each item. The blobs of a job are removed at the clean-up after its records, except outputs of items that have a result in another job. Items stay reusable until the last such job is removed.

Remains: blobs of a job whose runner stops between the two clean-ups are not removed, nor are outputs of an item that has different ones in several jobs until the last of these jobs is removed, which removes only its own.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -154,17 +154,23 @@
 // Table holds the state of all jobs.
 type Table struct {
 	entries *table.Table[string, Entry]
-	// finished holds the successful results by item ID, for reuse when a later job
+	// finished holds the newest successful result by item ID, for reuse when a later job
 	// contains the same item.
-	finished map[string]Result
+	finished map[string]finishedItem
 	// partials holds the locations of partial outputs by item ID.
 	partials map[string]BlobRef
 }
 
+// finishedItem is an item with a successful result.
+type finishedItem struct {
+	result Result
+	jobs   int // number of jobs with a successful result of the item
+}
+
 // NewTable returns an empty Table.
 func NewTable() *Table {
 	return &Table{
-		entries: table.New[string, Entry](), finished: make(map[string]Result), partials: make(map[string]BlobRef),
+		entries: table.New[string, Entry](), finished: make(map[string]finishedItem), partials: make(map[string]BlobRef),
 	}
 }
 
@@ -197,8 +203,8 @@
 
 // Finished returns the successful result of an item from any job.
 func (t *Table) Finished(item string) (Result, bool) {
-	r, ok := t.finished[item]
-	return r, ok
+	f, ok := t.finished[item]
+	return f.result, ok
 }
 
 // Partial returns the location of the partial output of an item.
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -82,11 +82,15 @@
 	return logstore.Record{Key: recordKey(kindPartial, job, item), Value: data}, nil
 }
 
-// BlobTombstones returns the tombstones for the payloads and outputs of a job.
-func BlobTombstones(e *Entry) []logstore.Record {
-	refs := []BlobRef{e.Job.Payloads}
-	for _, r := range e.Results {
-		refs = append(refs, r.Output)
+// BlobTombstones returns the tombstones for the payloads and outputs of a job that was
+// removed, except for outputs of items that have a result in another job: it may be the
+// same output.
+func (t *Table) BlobTombstones(removed *Entry) []logstore.Record {
+	refs := []BlobRef{removed.Job.Payloads}
+	for _, r := range removed.Results {
+		if t.finished[r.Item].jobs == 0 {
+			refs = append(refs, r.Output)
+		}
 	}
 	var records []logstore.Record
 	for _, ref := range refs {
@@ -184,13 +188,27 @@
 	case kindEnd:
 		if e != nil && e.Removed {
 			for _, r := range e.Results {
-				delete(t.finished, r.Item)
+				t.removeFinished(r)
 			}
 			t.entries.Delete(id)
 		}
 	}
 }
 
+// removeFinished forgets the result of an item in a removed job. The item can be reused
+// as long as another job has a successful result of it.
+func (t *Table) removeFinished(r Result) {
+	item, ok := t.finished[r.Item]
+	if r.Failed || !ok {
+		return
+	}
+	if item.jobs--; item.jobs == 0 {
+		delete(t.finished, r.Item)
+		return
+	}
+	t.finished[r.Item] = item
+}
+
 // addChunk stores a chunk, and decodes the job once all chunks have been read.
 func (e *Entry) addChunk(index string, value []byte, now time.Time) error {
 	if e.Job != nil {
@@ -246,7 +264,7 @@
 		e.Results = append(e.Results, next)
 		delete(t.partials, next.Item)
 		if !next.Failed {
-			t.finished[next.Item] = next
+			t.finished[next.Item] = finishedItem{result: next, jobs: t.finished[next.Item].jobs + 1}
 		}
 		e.notify()
 	}
--- a/internal/core/jobs/records_test.go
+++ b/internal/core/jobs/records_test.go
@@ -78,6 +78,41 @@
 	must.False(t, table.Unreadable("x"))
 }
 
+// Guards against a result without its output, because the job that generated the output
+// was removed before the job that reused it.
+func TestRemovalRetainsOutputsThatAnotherJobReuses(t *testing.T) {
+	table := NewTable()
+	now := time.Unix(1000, 0)
+	output := BlobRef{Key: "t/a/item/1", Records: 1, Bytes: 4}
+	apply := func(records ...logstore.Record) {
+		for _, r := range records {
+			must.NoError(t, table.Apply(1, r, now))
+		}
+	}
+	for _, id := range []string{"a", "b"} {
+		job, err := EncodeJob(&Job{ID: id, Items: []Item{{ID: "item"}}, Payloads: BlobRef{Key: "b/" + id, Records: 1}}, 1<<20)
+		must.NoError(t, err)
+		result, err := EncodeResult(id, 0, Result{Item: "item", Output: output})
+		must.NoError(t, err)
+		apply(append(job, result)...)
+	}
+	a, b := table.Get("a"), table.Get("b")
+	keys := func(records []logstore.Record) (keys []string) {
+		for _, r := range records {
+			keys = append(keys, r.Key)
+		}
+		return keys
+	}
+	apply(Tombstones(a)...)
+	must.Eq(t, []string{"b/a/0000"}, keys(table.BlobTombstones(a)))
+	_, found := table.Finished("item")
+	must.True(t, found)
+	apply(Tombstones(b)...)
+	must.Eq(t, []string{"b/b/0000", "t/a/item/1/0000"}, keys(table.BlobTombstones(b)))
+	_, found = table.Finished("item")
+	must.False(t, found)
+}
+
 // Guards against a host that fails on records from outside.
 func FuzzApply(f *testing.F) {
 	f.Add("j/x/0", []byte("\x00\x00\x00\x01{}"), "j/x/0", []byte("\x00\x00\x00\x02{}"))
@@ -95,7 +130,7 @@
 		table.Each(func(e *Entry) bool {
 			e.Page(0, 1)
 			_ = Tombstones(e)
-			_ = BlobTombstones(e)
+			_ = table.BlobTombstones(e)
 			return true
 		})
 	})
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -449,3 +450,31 @@
 	results, outputs := c.collect(b, "job-1", 40)
 	checkResults(t, c, job, results, outputs)
 }
+
+// Guards against results whose outputs are gone, because the job that generated them was
+// removed while a job that reuses them is open.
+func TestReusedOutputsOutliveTheirFirstJob(t *testing.T) {
+	c := newTestCluster(t, 2)
+	c.breaks = func(id string, _ int) bool { return id == "job-2-0" }
+	a := c.startHost("a")
+	a.settings.Timing.JobRetention = 100 * time.Millisecond
+	first, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), first, payloads))
+	results, outputs := c.collect(a, "job-1", 4)
+	second, more := newJob("job-2", 1, 1)
+	second.Items, more = append(first.Items, second.Items...), append(payloads, more...)
+	must.Nil(t, a.Submit(context.Background(), second, more))
+	reused, _ := c.collect(a, "job-2", 4)
+	must.EqOp(t, results[0].Output, reused[slices.IndexFunc(reused, func(r jobs.Result) bool { return r.Item == results[0].Item })].Output)
+	payload := jobs.BlobRef{Key: "b/job-1"}.ChunkKey(0)
+	c.waitUntil("the blobs of the first job are removed", func() bool {
+		listing, err := c.store.ListNewest(context.Background(), blobPartition(modelPartition(a)), "")
+		must.NoError(t, err)
+		return !slices.ContainsFunc(listing.Records, func(r logstore.Record) bool { return r.Key == payload })
+	})
+	c.store.Delete(blobPartition(modelPartition(a)))
+	b := c.startHost("b")
+	same, sameOutputs := c.collect(b, "job-2", 4)
+	must.Eq(t, reused, same)
+	must.SliceContainsAll(t, outputs, sameOutputs)
+}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -86,6 +86,9 @@
 
 	*runState
 	orders *orderer // control partition only
+	// removed holds the jobs whose removal was queued and whose blobs are not removed yet:
+	// until their results are forgotten, items of other jobs may reuse these.
+	removed map[string]*jobs.Entry
 
 	mu              sync.Mutex
 	pendingCommits  []schedule.Commit
@@ -101,7 +104,7 @@
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
 		host: h, partition: partition, epoch: epoch, wakeups: make(chan struct{}, 1), runState: newRunState(),
-		queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1), appenderDone: make(chan struct{}),
+		removed: make(map[string]*jobs.Entry), queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1), appenderDone: make(chan struct{}),
 	}
 }
 
@@ -394,15 +397,21 @@
 }
 
 // removeExpiredJobs removes ended or completed jobs that this host read more than
-// twice the job retention ago.
+// twice the job retention ago, and the blobs of jobs that it removed before.
 func (r *runner) removeExpiredJobs(now time.Time) {
 	h := r.host
 	h.mu.Lock()
 	var records, blobTombstones []logstore.Record
+	for id, e := range r.removed {
+		if h.jobs.Get(id) == nil {
+			blobTombstones = append(blobTombstones, h.jobs.BlobTombstones(e)...)
+			delete(r.removed, id)
+		}
+	}
 	h.jobs.Each(func(e *jobs.Entry) bool {
 		if e.Partition == r.partition && now.Sub(e.ReadAt) > 2*h.settings.Timing.JobRetention && (e.Ended || len(e.Results) == len(e.Job.Items)) {
 			records = append(records, jobs.Tombstones(e)...)
-			blobTombstones = append(blobTombstones, jobs.BlobTombstones(e)...)
+			r.removed[e.Job.ID] = e
 			klog.InfoS("job removed", "job", e.Job.ID, "age", now.Sub(e.ReadAt))
 		}
 		return len(records) < maxRemovals
