--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -23,11 +23,16 @@
 	kindPartial = "c"
 )
 
+// maxOffsetDigits bounds the difference in length between two encodings of a job that
+// differ in the offset of the payloads.
+const maxOffsetDigits = 20
+
 // recordOverhead is the space reserved in a record for the key and framing.
 const recordOverhead = 512
 
 // EncodeJob returns the records of a job, split into chunks so that no record
-// exceeds maxRecord bytes.
+// exceeds maxRecord bytes. The newest chunks of a job may come from several
+// submissions, so chunks omit the offset of the payloads, in which these differ.
 func EncodeJob(job *Job, maxRecord int) ([]logstore.Record, error) {
 	data, err := json.Marshal(job)
 	if err != nil {
@@ -37,6 +42,13 @@
 	if size <= 0 {
 		return nil, fmt.Errorf("maximum record size of %d bytes leaves no space for a job chunk", maxRecord)
 	}
+	if len(data)+maxOffsetDigits > size {
+		chunked := *job
+		chunked.Payloads.Offset = UnknownOffset
+		if data, err = json.Marshal(chunked); err != nil {
+			return nil, eris.Wrap(err, "encode job")
+		}
+	}
 	total := (len(data) + size - 1) / size
 	records := make([]logstore.Record, 0, total)
 	for i := range total {
@@ -70,11 +82,15 @@
 	return logstore.Record{Key: recordKey(kindPartial, job, item), Value: data}, nil
 }
 
-// BlobTombstones returns the tombstones for the payloads and outputs of a job.
-func BlobTombstones(e *Entry) []logstore.Record {
-	refs := []BlobRef{e.Job.Payloads}
-	for _, r := range e.Results {
-		refs = append(refs, r.Output)
+// BlobTombstones returns the tombstones for the payloads and outputs of a job that was
+// removed, except for outputs of items that have a result in another job: it may be the
+// same output.
+func (t *Table) BlobTombstones(removed *Entry) []logstore.Record {
+	refs := []BlobRef{removed.Job.Payloads}
+	for _, r := range removed.Results {
+		if t.finished[r.Item].jobs == 0 {
+			refs = append(refs, r.Output)
+		}
 	}
 	var records []logstore.Record
 	for _, ref := range refs {
@@ -131,6 +147,14 @@
 		t.remove(kind, id, rest)
 		return nil
 	}
+	if kind == kindPartial {
+		var output BlobRef
+		if err := json.Unmarshal(r.Value, &output); err != nil {
+			return eris.Wrapf(err, "decode location of the partial output of item %q", rest)
+		}
+		t.partials[rest] = output
+		return nil
+	}
 	e := t.entries.Get(id)
 	if e == nil {
 		e = t.entries.Put(id, Entry{
@@ -146,12 +170,6 @@
 	case kindEnd:
 		e.Ended = true
 		e.notify()
-	case kindPartial:
-		var output BlobRef
-		if err := json.Unmarshal(r.Value, &output); err != nil {
-			return eris.Wrapf(err, "decode location of the partial output of item %q", rest)
-		}
-		t.partials[rest] = output
 	}
 	return nil
 }
@@ -170,13 +188,27 @@
 	case kindEnd:
 		if e != nil && e.Removed {
 			for _, r := range e.Results {
-				delete(t.finished, r.Item)
+				t.removeFinished(r)
 			}
 			t.entries.Delete(id)
 		}
 	}
 }
 
+// removeFinished forgets the result of an item in a removed job. The item can be reused
+// as long as another job has a successful result of it.
+func (t *Table) removeFinished(r Result) {
+	item, ok := t.finished[r.Item]
+	if r.Failed || !ok {
+		return
+	}
+	if item.jobs--; item.jobs == 0 {
+		delete(t.finished, r.Item)
+		return
+	}
+	t.finished[r.Item] = item
+}
+
 // addChunk stores a chunk, and decodes the job once all chunks have been read.
 func (e *Entry) addChunk(index string, value []byte, now time.Time) error {
 	if e.Job != nil {
@@ -232,7 +264,7 @@
 		e.Results = append(e.Results, next)
 		delete(t.partials, next.Item)
 		if !next.Failed {
-			t.finished[next.Item] = next
+			t.finished[next.Item] = finishedItem{result: next, jobs: t.finished[next.Item].jobs + 1}
 		}
 		e.notify()
 	}
