Reject answers of services that show no end

What callers saw: a backend server of a service ended after the head of its answer, and the caller got its status with an empty body of length 0; or the caller got a 101 with the bytes that followed it as a body.

Cause: as for the platform's servers, in internal/services: a body with neither a length nor chunks ends with the connection, and net/http's transport returns a 101 as a final response.

Evidence: TestAnswerWithoutLengthAndBodyIsLost failed before: "neither" got 201 and "switches protocols" got 101 instead of 502, for calls that may and that may not be repeated. TestCutAnswersOfServersAreNotTakenForWhole, which ends an answer at each byte with each framing, passed before and after.

Change: both are lost answers: a request that may be repeated goes to another server, a call that may not has an unknown outcome.

Why it works: an answer is delivered only if its length, its last chunk or a body with an orderly end shows that it is whole.

Measured: go test -race ./internal/services ./internal/httpapi passes.

--- a/internal/httpapi/refusal.go
+++ b/internal/httpapi/refusal.go
@@ -1,5 +1,6 @@
 // Package httpapi defines what the HTTP APIs for callers have in common: header
-// names and the representation of refusals (status, headers and JSON body).
+// names and the representation of refusals (status, headers and JSON body), and what
+// makes a response of a backend server whole.
 package httpapi
 
 import (
--- a/internal/services/client.go
+++ b/internal/services/client.go
@@ -118,6 +118,9 @@
 		return nil, eris.Wrapf(err, "call backend server %s", server.ID)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return nil, eris.Wrapf(httpapi.ErrUpgraded, "call backend server %s", server.ID)
+	}
 	c.observe(server, response, sent)
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
@@ -126,6 +129,9 @@
 	if len(data) > maxResponseBytes {
 		return nil, errResponseTooLarge
 	}
+	if err := httpapi.CheckBody(response, data); err != nil {
+		return nil, eris.Wrapf(err, "read the answer of backend server %s", server.ID)
+	}
 	return &bufferedResponse{status: response.StatusCode, header: endToEndHeaders(response.Header), body: data}, nil
 }
 
