Count the time of a suspension in memberships and staleness

A host that had been suspended for seconds went on as the owner of its partitions, and took its tables as current, until the next answers of the store: it could send orders beside the next order owner, and answer "no results yet" for results that other hosts had long listed.

Cause: both were measured with the monotonic clock, which stands still while the machine is suspended.

Evidence, with the clock replaced and the code as before: TestSuspendedMemberOwnsNothing failed with 2 partitions instead of 0, TestRecordsAreStaleAfterASuspension with a staleness of 12 us instead of 5 s.

Change: boottime.Now reads CLOCK_BOOTTIME. The last renewal of a membership, and the time up to which the records of a partition are complete, are measured with it.

Result: both tests pass, on arm64, and so do the packages logstore and fronthost with the race detector. Not tried on a machine that was suspended. Still on the monotonic clock: outages of the store, the time between an intent and its order, grants of limited requests, and timeouts of calls.

--- a/internal/fronthost/ownership.go
+++ b/internal/fronthost/ownership.go
@@ -105,7 +105,7 @@
 // changed, the new runner takes over the running items of the former one.
 func (h *Host) reconcileRunners(ctx context.Context) {
 	assigned := h.group.Assigned()
-	if time.Since(h.group.LastRenewal()) > renewalGrace {
+	if h.group.SinceRenewal() > renewalGrace {
 		assigned = nil
 	}
 	h.mu.Lock()
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/boottime"
 )
 
 // Timeouts and limits of a follower.
@@ -41,7 +43,8 @@
 	store     Store
 	partition Partition
 	apply     func(Batch)
-	yields    func() bool // see YieldWhile
+	yields    func() bool      // see YieldWhile
+	now       func() time.Time // runs while the machine is suspended
 
 	mu            sync.Mutex
 	synced        bool      // a listing was delivered; cleared to list again
@@ -59,7 +62,7 @@
 
 // NewFollower returns a follower that calls apply for each batch, one at a time.
 func NewFollower(store Store, p Partition, apply func(Batch)) *Follower {
-	return &Follower{store: store, partition: p, apply: apply, pacing: newPacing(), advanced: make(chan struct{})}
+	return &Follower{store: store, partition: p, apply: apply, now: boottime.Now, pacing: newPacing(), advanced: make(chan struct{})}
 }
 
 // YieldWhile makes the follower pause between slow pages of a listing while yields
@@ -111,7 +114,7 @@
 	if !synced {
 		return f.list(ctx, read)
 	}
-	sent := time.Now()
+	sent := f.now()
 	page, err := f.store.Read(ctx, f.partition, from, pace.readBytes, wait)
 	if errors.Is(err, ErrDeleted) {
 		klog.InfoS("records to read next were deleted, listing the partition again", "partition", f.partition, "offset", from)
@@ -130,7 +133,7 @@
 // list reads the next page of the listing and, after the last one, delivers the
 // listing. Pages already read are retained when a later one fails.
 func (f *Follower) list(ctx context.Context, read int64) error {
-	sent := time.Now()
+	sent := f.now()
 	f.mu.Lock()
 	after := f.listing.lastKey()
 	f.mu.Unlock()
@@ -184,7 +187,7 @@
 	}
 	if f.nextOffset >= page.End {
 		f.completeAsOf, f.completeRead = sent, max(f.completeRead, read)
-		if len(page.Records) == 0 && time.Since(sent) >= wait {
+		if len(page.Records) == 0 && f.now().Sub(sent) >= wait {
 			// The store held the read open and nothing was appended meanwhile.
 			f.completeAsOf = sent.Add(wait)
 		}
@@ -243,7 +246,7 @@
 func (f *Follower) Staleness() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.completeAsOf)
+	return f.now().Sub(f.completeAsOf)
 }
 
 // Progress returns the offset to read next, and the time since the delivered records
@@ -251,7 +254,7 @@
 func (f *Follower) Progress() (nextOffset int64, staleness time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.nextOffset, time.Since(f.completeAsOf)
+	return f.nextOffset, f.now().Sub(f.completeAsOf)
 }
 
 // CatchUp reads until every record that the store held at the time of the call
@@ -262,8 +265,7 @@
 	f.mu.Unlock()
 	for {
 		f.mu.Lock()
-		// Times prove nothing: a read may be answered early, and the clock stands still
-		// while the machine is suspended.
+		// Times prove nothing: a read may be answered early.
 		done := f.synced && f.completeRead > before
 		f.mu.Unlock()
 		if done {
--- a/internal/logstore/group.go
+++ b/internal/logstore/group.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/boottime"
 )
 
 // Group maintains one membership in a consumer group and tracks the partitions
@@ -16,6 +18,7 @@
 	store      Store
 	membership Membership
 	onChange   func()
+	now        func() time.Time // runs while the machine is suspended
 
 	mu          sync.Mutex
 	partitions  map[int]int64 // epoch at which each partition was acquired
@@ -29,7 +32,7 @@
 
 // NewGroup returns a member that calls onChange when the partitions it owns change.
 func NewGroup(store Store, m Membership, onChange func()) *Group {
-	return &Group{store: store, membership: m, onChange: onChange, partitions: make(map[int]int64)}
+	return &Group{store: store, membership: m, onChange: onChange, now: boottime.Now, partitions: make(map[int]int64)}
 }
 
 // Run renews the membership until ctx ends.
@@ -57,7 +60,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	sent := time.Now()
+	sent := g.now()
 	assignment, err := g.store.Join(ctx, m)
 	if err != nil {
 		klog.V(1).InfoS("could not renew group membership", "group", m.Group, "err", err)
@@ -75,7 +78,7 @@
 		g.mu.Unlock()
 		return
 	}
-	lapsed := time.Since(g.lastRenewal) >= g.membership.TTL
+	lapsed := g.now().Sub(g.lastRenewal) >= g.membership.TTL
 	if sent.After(g.lastRenewal) {
 		g.lastRenewal = sent
 	}
@@ -104,7 +107,7 @@
 func (g *Group) valid() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.stopped && time.Since(g.lastRenewal) < g.membership.TTL
+	return !g.stopped && g.now().Sub(g.lastRenewal) < g.membership.TTL
 }
 
 // Owned returns the partitions that the member owns now, with their epochs.
@@ -144,11 +147,11 @@
 	g.onChange()
 }
 
-// LastRenewal returns the time at which the last answered renewal was sent.
-func (g *Group) LastRenewal() time.Time {
+// SinceRenewal returns the time since the last answered renewal was sent.
+func (g *Group) SinceRenewal() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.lastRenewal
+	return g.now().Sub(g.lastRenewal)
 }
 
 // SetPaused leaves the group, or lets the next renewal join it again.
