Return the results whose outputs arrive in time

A page of results was refused with 503 whenever not all of its outputs, up to 900 KB, arrived from the store within 700 ms. Outputs that were stored at different times need a read each, eight at a time, and every host starts with an empty cache. So after a start of all hosts, while the store is slow, a long job could be refused by each host in turn for as long as that lasted.

Cause: one output that is late failed the whole page.

Evidence: TestPageHoldsTheOutputsThatArriveInTime failed before: a refusal instead of a page ("expected to be nil; is not nil").

Change: the page ends before the first output that did not arrive. It is refused only if the first one is missing. The decision "texts-unavailable" says how many outputs were wanted and read.

Why it works: each call returns at least one result as soon as the store returns one output in time, so the caller makes progress at any host. The protocol allows pages of any size of at least one result.

Result: the test passes with the race detector.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -112,7 +112,8 @@
 	return nil
 }
 
-// get returns blobs in the order of refs.
+// get returns blobs in the order of refs. With an error it returns those that it read,
+// and nil for the others.
 func (b *blobStore) get(ctx context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
 	found := make([][]byte, len(refs))
 	var missing []int
@@ -130,10 +131,7 @@
 		reads.Go(func() error { return b.readContiguous(ctx, partition, refs, indexes, found) })
 		missing = missing[n:]
 	}
-	if err := reads.Wait(); err != nil {
-		return nil, err
-	}
-	return found, nil
+	return found, reads.Wait()
 }
 
 // contiguousCount returns how many of the blobs, sorted by offset, a single read
--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -197,6 +197,14 @@
 	*memlog.Store
 	mu  sync.Mutex
 	cut bool
+	// slow returns how long a read takes in addition; nil adds nothing.
+	slow func(p logstore.Partition, from int64) time.Duration
+}
+
+func (v *storeView) setSlow(slow func(p logstore.Partition, from int64) time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.slow = slow
 }
 
 func (v *storeView) setCut(cut bool) {
@@ -229,6 +237,16 @@
 	if err := v.waitIfCut(ctx); err != nil {
 		return logstore.Page{}, err
 	}
+	v.mu.Lock()
+	slow := v.slow
+	v.mu.Unlock()
+	if slow != nil {
+		select {
+		case <-time.After(slow(p, from)):
+		case <-ctx.Done():
+			return logstore.Page{}, logstore.ErrOutcomeUnknown
+		}
+	}
 	return v.Store.Read(ctx, p, from, maxBytes, wait)
 }
 
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -333,7 +333,8 @@
 	}
 }
 
-// withOutputs adds the outputs of a page's results.
+// withOutputs adds the outputs of a page's results. The page ends before the first output
+// that does not arrive in time.
 func (h *Host) withOutputs(ctx context.Context, e *jobs.Entry, page *Results) (*Results, *Refusal) {
 	refs := make([]jobs.BlobRef, len(page.Results))
 	for i, r := range page.Results {
@@ -342,14 +343,20 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	outputs, err := h.blobs.get(ctx, e.Partition, refs)
+	for i, output := range outputs {
+		if output == nil && refs[i].Bytes > 0 {
+			break
+		}
+		page.Outputs = append(page.Outputs, string(output))
+	}
 	if err != nil {
-		h.recorder.RecordDecision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "err", err.Error())
-		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not return the texts")
+		h.recorder.RecordDecision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "wanted", len(refs), "read", len(page.Outputs), "err", err.Error())
 	}
-	page.Outputs = make([]string, len(outputs))
-	for i, output := range outputs {
-		page.Outputs[i] = string(output)
+	if len(page.Outputs) == 0 {
+		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not return the texts")
 	}
+	page.Next -= len(refs) - len(page.Outputs)
+	page.Results = page.Results[:len(page.Outputs)]
 	return page, nil
 }
 
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -478,3 +478,37 @@
 	must.Eq(t, reused, same)
 	must.SliceContainsAll(t, outputs, sameOutputs)
 }
+
+// Guards against a job that cannot be read while the store is too slow to return all
+// outputs of a page in time.
+func TestPageHoldsTheOutputsThatArriveInTime(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 24, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	outputs := blobPartition(modelPartition(a))
+	var results []jobs.Result
+	for i := 0; len(results) < 24; i++ {
+		c.put(outputs, fmt.Sprintf("other-%d", i), "between two outputs")
+		page, _ := a.Results(context.Background(), "job-1", len(results), 10*time.Millisecond)
+		if page != nil {
+			results = append(results, page.Results...)
+		}
+	}
+	b := c.startHost("b")
+	b.view.setSlow(func(p logstore.Partition, from int64) time.Duration {
+		if p == outputs && from > results[0].Output.Offset {
+			return waitTimeout
+		}
+		return 0
+	})
+	page, refusal := b.Results(context.Background(), "job-1", 0, 0)
+	must.Nil(t, refusal)
+	must.Between(t, 1, len(page.Results), 23)
+	must.EqOp(t, len(page.Results), page.Next)
+	must.EqOp(t, len(page.Results), len(page.Outputs))
+	for i, r := range page.Results {
+		must.EqOp(t, results[i].Item, r.Item)
+		must.EqOp(t, c.fullOutput(r.Item), page.Outputs[i])
+	}
+}
