End a read without results while the store is slow

A caller that read a job from its last position got no answer until it left, if each read of the store took longer than 600 ms and less than 700 ms.

Cause: before it says that there are no more results, a host reads the partition to its end if its copy is older than 600 ms. The copy was as old again when that read returned, so the host read again, without an end.

Change: the host reads the partition at most once after each wait. Such a read was sent after the call arrived, so it proves what the call claims, whatever its age.

--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -296,6 +296,7 @@
 		return nil, notRunRefusal(cluster.ReasonNotReady, fmt.Sprintf("the host does not follow partition %d", e.Partition))
 	}
 	deadline := time.Now().Add(wait)
+	confirmed := false // the partition was read to its end since the last wait
 	for {
 		h.mu.Lock()
 		page := e.Page(after, maxPageBytes)
@@ -304,16 +305,18 @@
 		if len(page) > 0 {
 			return h.withOutputs(ctx, e, &Results{Total: total, Next: after + len(page), Results: page})
 		}
-		if f.Staleness() > maxReadStaleness && f.StoreUnavailable() {
+		stale := !confirmed && f.Staleness() > maxReadStaleness
+		if stale && f.StoreUnavailable() {
 			return nil, storeUnavailableRefusal()
 		}
-		if f.Staleness() > maxReadStaleness {
+		if stale {
 			catchUpCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 			err := f.CatchUp(catchUpCtx)
 			cancel()
 			if err != nil {
 				return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say whether there are more results")
 			}
+			confirmed = true
 			continue
 		}
 		left := time.Until(deadline)
@@ -330,6 +333,7 @@
 			return nil, notRunRefusal(cluster.ReasonDeadline, "the caller left")
 		}
 		timer.Stop()
+		confirmed = false
 	}
 }
 
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -512,3 +512,22 @@
 		must.EqOp(t, c.fullOutput(r.Item), page.Outputs[i])
 	}
 }
+
+// Guards against a read that never ends, because each read of the store takes longer
+// than the staleness up to which the host says that there are no more results.
+func TestReadWithoutResultsEndsWhileTheStoreIsSlow(t *testing.T) {
+	c := newTestCluster(t, 1)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 2, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 2)
+	a.view.setSlow(func(logstore.Partition, int64) time.Duration { return maxReadStaleness + 20*time.Millisecond })
+	c.waitUntil("the host's copy is stale", func() bool { return a.follower(modelPartition(a)).Staleness() > maxReadStaleness })
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	c.waitUntil("the page without results arrives", func() bool {
+		page, _ := a.Results(ctx, "job-1", 2, 0)
+		must.NoError(t, ctx.Err())
+		return page != nil && len(page.Results) == 0
+	})
+}
