Break the connection when a handler panics within a response

What callers saw: an error's text, "500 Internal Server Error", in the middle of their stream, which then ended as complete; a body that was partly written was completed with the same text.

Cause: the recovery of panics wrote its response whatever had been written, and returned, so that the server ended the response in order. It also caught http.ErrAbortHandler, by which a handler breaks a response.

Evidence: TestPanicWithinAResponseBreaksTheConnection failed before, e.g. "within a stream": the body was "data: {}\n\n500 Internal Server Error", without an error.

Change: once the response has begun, the connection is broken; status 500 is sent only before that. The log line names the request. The other entry host (platform, internal/fronthost) has no recovery of its own; there net/http breaks the connection.

Why it works: a response that breaks off before its length or last chunk can't be taken for whole.

Measured: go test -race ./internal/entry passes.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -40,19 +41,36 @@
 	mux.Handle("GET /status", h.operatorOnly(http.HandlerFunc(h.serveStatus)))
 	mux.Handle("GET /explain/{id}", h.operatorOnly(http.HandlerFunc(h.serveExplain)))
 
-	recovery := negroni.NewRecovery()
-	recovery.PrintStack = false
-	recovery.Logger = panicLogger{}
-	outer := negroni.New(recovery)
-	outer.UseHandler(mux)
-	return outer
+	return withRecovery(mux)
 }
 
-// panicLogger logs panics recovered from handlers.
-type panicLogger struct{}
+// withRecovery responds with status 500 if a handler panics. If the response has begun,
+// the connection is broken instead: added text and an orderly end would make the
+// response appear complete.
+func withRecovery(next http.Handler) http.Handler {
+	outer := negroni.New(negroni.HandlerFunc(recoverPanic))
+	outer.UseHandler(next)
+	return outer
+}
 
-func (panicLogger) Println(v ...any)               { klog.ErrorS(nil, "handler panicked", "detail", v) }
-func (panicLogger) Printf(format string, v ...any) { klog.Errorf("handler panicked: "+format, v...) }
+func recoverPanic(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if cause != http.ErrAbortHandler {
+			klog.ErrorS(nil, "handler panicked", "method", r.Method, "path", r.URL.Path,
+				"request_id", r.Header.Get(httpapi.HeaderRequestID), "cause", cause, "stack", string(debug.Stack()))
+		}
+		response, ok := w.(negroni.ResponseWriter)
+		if cause == http.ErrAbortHandler || !ok || response.Written() {
+			panic(http.ErrAbortHandler)
+		}
+		writeText(w, http.StatusInternalServerError, http.StatusText(http.StatusInternalServerError))
+	}()
+	next(w, r)
+}
 
 // inFlight counts in-flight API requests, so that a drain can wait for them.
 type inFlight struct{ n atomic.Int64 }
