Discard unsent bytes of completions, orders and calls that are given up

What callers saw: nothing directly. A completion, a load order or a call of a service that was given up could still arrive at its server, e.g. when a network partition ended, and run there after its caller had an answer.

Cause: as in platform: a plain Close leaves the send buffer to the kernel. These connections have no TCP_USER_TIMEOUT, so the kernel goes on for many minutes.

Load orders use the same dialer and have no test of their own.

Change: the transports dial connections whose linger time is 0. Unlike in platform, where only a failed exchange resets its connection, net/http leaves no hook for that, so idle connections and those of complete exchanges are reset, too.

Why it works: when the transport closes a connection, it has either read the whole answer, so that the server has read the request, or given the exchange up. A server's read fails on a reset as it does on an end.

--- a/internal/engine/admin.go
+++ b/internal/engine/admin.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/netdial"
 )
 
 // ErrFenced is returned if an engine refused an order because it has received
@@ -38,6 +41,7 @@
 // is empty.
 func NewAdminClient(backendToken string) *AdminClient {
 	return &AdminClient{token: backendToken, client: &http.Client{Transport: &http.Transport{
+		DialContext:         netdial.DiscardUnsent(new(net.Dialer).DialContext),
 		MaxIdleConnsPerHost: adminIdleConns,
 		IdleConnTimeout:     adminIdleTimeout,
 	}}}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/netdial"
 )
 
 const (
@@ -226,7 +228,7 @@
 	}
 	dialer := &net.Dialer{Timeout: c.config.ConnectTimeout, KeepAlive: 5 * time.Second}
 	transport = &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         netdial.DiscardUnsent(dialer.DialContext),
 		MaxIdleConnsPerHost: 32,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
--- a/internal/services/client.go
+++ b/internal/services/client.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/netdial"
 	"github.com/sesamestand/sesamestand/internal/platform"
 )
 
@@ -52,10 +53,10 @@
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func newTransport(singleUse bool, connected *atomic.Bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := netdial.DiscardUnsent((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
+			conn, err := dial(ctx, network, addr)
 			if err == nil && connected != nil {
 				connected.Store(true)
 			}
