Give cut answers of engines a progress timeout that load does not reach

Cause: TestAnswersCutAtEachByteAreIncomplete failed once beside a load of 20: 'broken' expected, 'silent' got, because the close of a connection was read later than the progress timeout of 200 ms. The test is about answers that end, not about silence. Change: its client waits 20 s for progress; it demands the same failure as before at each byte. Result: passes with -race.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -26,7 +26,11 @@
 }
 
 func runStream(addr string, delivered []string) ([]int, error) {
-	client := NewClient(Config{ProgressTimeout: 200 * time.Millisecond})
+	return runStreamWithin(addr, delivered, 200*time.Millisecond)
+}
+
+func runStreamWithin(addr string, delivered []string, progressTimeout time.Duration) ([]int, error) {
+	client := NewClient(Config{ProgressTimeout: progressTimeout})
 	var indexes []int
 	err := client.Stream(context.Background(), addr, GenerateRequest{RequestID: "r", Delivered: delivered},
 		func(chunk Chunk) error {
--- a/internal/engine/cuts_test.go
+++ b/internal/engine/cuts_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -37,7 +38,7 @@
 				defer func() { _ = server.Close() }()
 				for n := range len(text) {
 					cut.Store(int64(n))
-					indexes, err := runStream(server.Addr(), nil)
+					indexes, err := runStreamWithin(server.Addr(), nil, 20*time.Second)
 					for i, index := range indexes {
 						must.EqOp(t, i, index)
 					}
