Ignore results of a job in another partition

If hosts with different configurations accept one job into two partitions, each has a runner that assigns positions. Hosts merged the results of both, so an item could stand at two positions and a position could hold different results at two hosts.

Cause: the table keeps one entry for a job and did not compare the partition of a record with that of the entry.

Change: records of another partition than that of the accepted job are skipped and logged, except its end. Chunks of a submission that was not completed give way.

--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -143,6 +143,10 @@
 	if err != nil {
 		return fmt.Errorf("record key %q: invalid job ID: %w", r.Key, err)
 	}
+	e := t.entries.Get(id)
+	if e != nil && e.Partition != partition && e.excludes(kind, r) {
+		return fmt.Errorf("job %q lies in partition %d, its record in partition %d is not used", id, e.Partition, partition)
+	}
 	if r.IsTombstone() {
 		t.remove(kind, id, rest)
 		return nil
@@ -155,10 +159,10 @@
 		t.partials[rest] = output
 		return nil
 	}
-	e := t.entries.Get(id)
-	if e == nil {
+	if e == nil || e.Partition != partition && kind == kindChunk {
+		ended := e != nil && e.Ended
 		e = t.entries.Put(id, Entry{
-			Partition: partition, Committed: make(map[string]int), chunks: make(map[int][]byte),
+			Partition: partition, Ended: ended, Committed: make(map[string]int), chunks: make(map[int][]byte),
 			outOfOrder: make(map[int]Result), changed: make(chan struct{}),
 		})
 	}
@@ -174,6 +178,19 @@
 	return nil
 }
 
+// excludes reports whether a record of a partition other than the entry's must not be
+// applied. Hosts with different configurations may submit a job to two partitions, each
+// with a runner of its own. The end holds for both.
+func (e *Entry) excludes(kind string, r logstore.Record) bool {
+	switch {
+	case kind == kindPartial, kind == kindEnd && !r.IsTombstone():
+		return false
+	case kind == kindChunk && !r.IsTombstone():
+		return e.Job != nil // chunks of a submission that was not completed give way
+	}
+	return true
+}
+
 // remove applies a tombstone. The tombstone of a chunk hides the job; that of the
 // end record, the last of a removed job, deletes it with its results.
 func (t *Table) remove(kind, id, rest string) {
--- a/internal/core/jobs/records_test.go
+++ b/internal/core/jobs/records_test.go
@@ -113,6 +113,33 @@
 	must.False(t, found)
 }
 
+// Guards against positions that hold results of two runners, because a job was accepted
+// into two partitions by hosts with different configurations.
+func TestResultsOfAnotherPartitionAreIgnored(t *testing.T) {
+	table := NewTable()
+	now := time.Unix(1000, 0)
+	job, err := EncodeJob(&Job{ID: "x", Items: []Item{{ID: "a"}, {ID: "b"}}}, 1<<20)
+	must.NoError(t, err)
+	result := func(position int, item string) logstore.Record {
+		r, err := EncodeResult("x", position, Result{Item: item})
+		must.NoError(t, err)
+		return r
+	}
+	must.NoError(t, table.Apply(2, chunkRecord("j/x/0", 2, "of a submission that was not completed"), now))
+	must.NoError(t, table.Apply(1, job[0], now))
+	must.Error(t, table.Apply(2, job[0], now))
+	must.NoError(t, table.Apply(1, result(0, "a"), now))
+	must.Error(t, table.Apply(2, result(1, "a"), now))
+	must.NoError(t, table.Apply(1, result(1, "b"), now))
+	must.Error(t, table.Apply(2, logstore.Record{Key: "j/x/0"}, now))
+	must.NoError(t, table.Apply(2, EncodeEnd("x"), now))
+	e := table.Get("x")
+	must.NotNil(t, e)
+	must.True(t, e.Ended)
+	must.EqOp(t, 1, e.Partition)
+	must.Eq(t, []Result{{Item: "a"}, {Item: "b"}}, e.Results)
+}
+
 // Guards against a host that fails on records from outside.
 func FuzzApply(f *testing.F) {
 	f.Add("j/x/0", []byte("\x00\x00\x00\x01{}"), "j/x/0", []byte("\x00\x00\x00\x02{}"))
