--- a/internal/services/client.go
+++ b/internal/services/client.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/netdial"
 	"github.com/sesamestand/sesamestand/internal/platform"
 )
 
@@ -52,10 +53,10 @@
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func newTransport(singleUse bool, connected *atomic.Bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := netdial.DiscardUnsent((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
+			conn, err := dial(ctx, network, addr)
 			if err == nil && connected != nil {
 				connected.Store(true)
 			}
@@ -118,6 +119,9 @@
 		return nil, eris.Wrapf(err, "call backend server %s", server.ID)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return nil, eris.Wrapf(httpapi.ErrUpgraded, "call backend server %s", server.ID)
+	}
 	c.observe(server, response, sent)
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
@@ -126,6 +130,9 @@
 	if len(data) > maxResponseBytes {
 		return nil, errResponseTooLarge
 	}
+	if err := httpapi.CheckBody(response, data); err != nil {
+		return nil, eris.Wrapf(err, "read the answer of backend server %s", server.ID)
+	}
 	return &bufferedResponse{status: response.StatusCode, header: endToEndHeaders(response.Header), body: data}, nil
 }
 
