Use each connection to a service for one request

What callers saw: the answer to another request. When a server sent bytes after an answer, such as a second answer, the next request on the connection could get them as its own answer, with a success status.

Cause: requests that may be repeated went over net/http's pooled connections. The transport returns a connection to its pool before it looks for unread bytes, so a request that takes it at once reads them. Answers of services carry nothing that names their request.

Ruled out: looking for unread bytes before a connection is used again, as platform's pool does; the transport doesn't show its buffer. Completions are not affected, since each chunk names its request.

Change: these requests use a connection of their own, as calls that must not be repeated already did. The pool and its settings go.

Why it works: bytes after an answer stay on a connection that no other request uses.

Open: reads of an engine's state and load orders share pooled connections with the same transport; a stray answer of that engine could be taken for the result of an order.

--- a/internal/services/client.go
+++ b/internal/services/client.go
@@ -18,9 +18,6 @@
 
 const (
 	dialTimeout = 2 * time.Second
-	// idleTimeout is short, because an open connection can stop responding while
-	// new connections to the same server work.
-	idleTimeout = 30 * time.Second
 	// maxResponseBytes bounds the body of a response, which is held in memory.
 	maxResponseBytes = 16 << 20
 )
@@ -30,42 +27,38 @@
 
 // client sends calls to backend servers and does not retry them.
 //
-// When a pooled connection breaks before the response, Go's HTTP transport resends
-// the request on its own, including a POST that carries an Idempotency-Key and
-// whose body can be rewound. Calls that must not be repeated therefore use a new
-// connection, on which the transport does not retry, and a body that cannot be
-// rewound. Redirects are returned to the caller, because following one would
-// repeat the call.
+// Each call has a connection of its own. On a connection that is used again, Go's HTTP
+// transport may take bytes after one answer for the answer to the next call, and when it
+// breaks before the response, the transport resends the request on its own, including a
+// POST that carries an Idempotency-Key and whose body can be rewound. The body cannot be
+// rewound here. Redirects are returned to the caller, because following one would repeat
+// the call.
 type client struct {
 	token string
 	// observe is called with each response before its body is read.
 	observe func(server platform.BackendServer, response *http.Response, sent time.Time)
-	pooled  *http.Client
 }
 
 func newClient(token string, observe func(platform.BackendServer, *http.Response, time.Time)) *client {
-	return &client{token: token, observe: observe, pooled: &http.Client{
-		Transport:     newTransport(false, nil),
-		CheckRedirect: noRedirect,
-	}}
+	return &client{token: token, observe: observe}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-func newTransport(singleUse bool, connected *atomic.Bool) *http.Transport {
+// newTransport returns a transport that uses each connection once, and that sets
+// connected when one was established.
+func newTransport(connected *atomic.Bool) *http.Transport {
 	dial := netdial.DiscardUnsent((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dial(ctx, network, addr)
-			if err == nil && connected != nil {
+			if err == nil {
 				connected.Store(true)
 			}
 			return conn, err
 		},
-		DisableKeepAlives:   singleUse,
-		DisableCompression:  true, // responses are forwarded unchanged
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     idleTimeout,
+		DisableKeepAlives:  true,
+		DisableCompression: true, // responses are forwarded unchanged
 	}
 }
 
@@ -74,26 +67,12 @@
 // the call even if an error is returned.
 func (c *client) sendOnce(ctx context.Context, server platform.BackendServer, r *request, key string) (a *bufferedResponse, reached bool, err error) {
 	var connected atomic.Bool
-	transport := newTransport(true, &connected)
+	transport := newTransport(&connected)
 	defer transport.CloseIdleConnections()
 	a, err = c.send(ctx, &http.Client{Transport: transport, CheckRedirect: noRedirect}, server, r, key)
 	return a, connected.Load(), err
 }
 
-// sendRepeatable sends a request that may run more than once. A retry uses a new
-// connection, because the pooled ones may have stopped responding.
-func (c *client) sendRepeatable(ctx context.Context, server platform.BackendServer, r *request, retry bool) (*bufferedResponse, error) {
-	if retry {
-		a, _, err := c.sendOnce(ctx, server, r, "")
-		return a, err
-	}
-	a, err := c.send(ctx, c.pooled, server, r, "")
-	if err != nil {
-		c.pooled.CloseIdleConnections()
-	}
-	return a, err
-}
-
 func (c *client) send(ctx context.Context, client *http.Client, server platform.BackendServer, r *request, key string) (*bufferedResponse, error) {
 	var body io.Reader
 	if len(r.body) > 0 {
--- a/internal/services/retry.go
+++ b/internal/services/retry.go
@@ -55,7 +55,7 @@
 		}
 		server, refusal := c.backends.acquire(ctx, r, tried, time.Now())
 		if refusal != nil && timedOut {
-			// The pooled connection may have stopped responding; a retry opens a new one.
+			// The connection may have stopped responding; a retry opens a new one.
 			server, refusal = c.backends.acquire(ctx, r, nil, time.Now())
 		}
 		if refusal != nil {
@@ -65,7 +65,7 @@
 		c.recorder.RecordDecision("service-route", r.id, "service", r.service.Name, "backend_server", server.ID, "attempt", attempt+1)
 		tried = append(tried, server.ID)
 		attemptCtx, cancel := context.WithTimeout(ctx, r.service.Timeout)
-		a, err := c.client.sendRepeatable(attemptCtx, server, r, attempt > 0)
+		a, _, err := c.client.sendOnce(attemptCtx, server, r, "")
 		cancel()
 		c.backends.release(server.ID, err != nil && ctx.Err() == nil, time.Now())
 		switch {
