Share the stand-ins of the tests of heads and given-up requests

Three tests of requests that are given up had the same server, and two tests of bytes after an answer had one of their own. rawserver now has both: an answer that ends by a close, a reset or not at all, and Abandon, which gives up a request that a server does not read.

The checks are the same.

--- a/internal/callers/cuts_test.go
+++ b/internal/callers/cuts_test.go
@@ -48,15 +48,15 @@
 	var mu sync.Mutex
 	sends := make(map[string]int) // by prompt
 	longest := 0
-	answer := func(r *http.Request) (string, bool) {
+	answer := func(r *http.Request) (string, rawserver.End) {
 		var req engine.GenerateRequest
 		if json.NewDecoder(r.Body).Decode(&req) != nil || req.RequestID == "" {
-			return "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", false
+			return "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", rawserver.Close
 		}
 		var framing string
 		var cut, stream int
 		if _, err := fmt.Sscanf(req.Prompt, "%s %d %d", &framing, &cut, &stream); err != nil {
-			return "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", false
+			return "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", rawserver.Close
 		}
 		mu.Lock()
 		defer mu.Unlock()
@@ -65,12 +65,12 @@
 		longest = max(longest, len(text))
 		switch {
 		case sends[req.Prompt] == 1 && cut < len(text):
-			return text[:cut], false
+			return text[:cut], rawserver.Close
 		case sends[req.Prompt] == 2 && cut%2 == 0:
 			const body = "failed\n\nHTTP/1.1 500 Internal Server Error\r\n\r\n"
-			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(body), body), false
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(body), body), rawserver.Close
 		}
-		return text, false
+		return text, rawserver.Close
 	}
 	f := newFixture(t, 0, PolicyBaseline)
 	for i := range 4 {
--- a/internal/engine/cuts_test.go
+++ b/internal/engine/cuts_test.go
@@ -29,10 +29,10 @@
 		"informational": "HTTP/1.1 103 Early Hints\r\n\r\n" + head + fmt.Sprintf("Content-Length: %d\r\n\r\n", body.Len()) + body.String(),
 	}
 	for framing, text := range whole {
-		for _, reset := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s, reset %t", framing, reset), func(t *testing.T) {
+		for end, how := range map[rawserver.End]string{rawserver.Close: "closed", rawserver.Reset: "reset"} {
+			t.Run(framing+", "+how, func(t *testing.T) {
 				var cut atomic.Int64
-				server, err := rawserver.Listen(func(*http.Request) (string, bool) { return text[:cut.Load()], reset })
+				server, err := rawserver.Listen(func(*http.Request) (string, rawserver.End) { return text[:cut.Load()], end })
 				must.NoError(t, err)
 				defer func() { _ = server.Close() }()
 				for n := range len(text) {
@@ -57,8 +57,8 @@
 		"head":        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			server, err := rawserver.Listen(func(*http.Request) (string, bool) {
-				return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text), false
+			server, err := rawserver.Listen(func(*http.Request) (string, rawserver.End) {
+				return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text), rawserver.Close
 			})
 			must.NoError(t, err)
 			defer func() { _ = server.Close() }()
--- a/internal/services/cuts_test.go
+++ b/internal/services/cuts_test.go
@@ -22,7 +22,7 @@
 }
 
 // startRaw adds backend servers of the service orders that answer with text.
-func (env *testEnv) startRaw(n int, answer func(r *http.Request) (text string, reset bool)) {
+func (env *testEnv) startRaw(n int, answer func(r *http.Request) (text string, end rawserver.End)) {
 	for i := range n {
 		server, err := rawserver.Listen(answer)
 		must.NoError(env.t, err)
@@ -45,14 +45,16 @@
 				env := newTestEnv(t)
 				var mu sync.Mutex
 				sent, cut := 0, 0
-				env.startRaw(4, func(*http.Request) (string, bool) {
+				env.startRaw(4, func(*http.Request) (string, rawserver.End) {
 					mu.Lock()
 					defer mu.Unlock()
 					if sent++; sent > 1 {
-						return text, false
+						return text, rawserver.Close
 					}
-					// Without a length only a reset shows that a body is cut.
-					return text[:cut], framing == "none"
+					if framing == "none" {
+						return text[:cut], rawserver.Reset // without a length only a reset shows that a body is cut
+					}
+					return text[:cut], rawserver.Close
 				})
 				h := env.start("a")
 				answered := 0
@@ -98,7 +100,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			env := newTestEnv(t)
-			env.startRaw(1, func(*http.Request) (string, bool) { return test.text, false })
+			env.startRaw(1, func(*http.Request) (string, rawserver.End) { return test.text, rawserver.Close })
 			h := env.start("a")
 			for _, status := range []int{h.do(http.MethodGet, "/search").Code, h.post(newKey(t)).Code} {
 				must.EqOp(t, test.status, status)
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -1,9 +1,11 @@
-// Package rawserver is a stand-in for servers whose answers are malformed or end early.
+// Package rawserver is a stand-in for servers whose answers are malformed or end early,
+// and for servers that do not read a request.
 package rawserver
 
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,15 +13,24 @@
 	"github.com/rotisserie/eris"
 )
 
+// End says what a server does with a connection after an answer.
+type End int
+
+// Values of End.
+const (
+	Close    End = iota // close it in order
+	Reset               // reset it
+	KeepOpen            // answer further requests on it
+)
+
 // Server answers requests with text that need not be a valid response.
 type Server struct {
 	listener net.Listener
-	answer   func(*http.Request) (text string, reset bool)
+	answer   func(*http.Request) (text string, end End)
 }
 
-// Listen starts a server that answers one request on each connection with the text
-// that answer returns, and then closes the connection, or resets it.
-func Listen(answer func(*http.Request) (text string, reset bool)) (*Server, error) {
+// Listen starts a server that answers requests with the text that answer returns.
+func Listen(answer func(*http.Request) (text string, end End)) (*Server, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
@@ -45,20 +56,56 @@
 
 func (s *Server) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		text, end := s.answer(r)
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		if tcp, ok := c.(*net.TCPConn); ok && end == Reset {
+			_ = tcp.SetLinger(0)
+		}
+		if end != KeepOpen {
+			return
+		}
 	}
-	body, err := io.ReadAll(r.Body)
+}
+
+// Abandon calls send with the address of a server that does not read, cancels its context
+// when the first bytes have arrived, and reads what arrives after send has returned. It
+// returns the error that ends the connection, or nil if it is closed in order.
+func Abandon(send func(ctx context.Context, addr string)) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return
+		return eris.Wrap(err, "listen")
 	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	text, reset := s.answer(r)
-	if _, err := io.WriteString(c, text); err != nil {
-		return
+	defer func() { _ = listener.Close() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		send(ctx, listener.Addr().String())
+	}()
+	c, err := listener.Accept()
+	if err != nil {
+		return eris.Wrap(err, "accept")
 	}
-	if tcp, ok := c.(*net.TCPConn); ok && reset {
-		_ = tcp.SetLinger(0)
+	defer func() { _ = c.Close() }()
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		return eris.Wrap(err, "read the first byte")
 	}
+	cancel()
+	<-ended
+	_, err = io.Copy(io.Discard, c)
+	return err
 }
