--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -296,6 +296,7 @@
 		return nil, notRunRefusal(cluster.ReasonNotReady, fmt.Sprintf("the host does not follow partition %d", e.Partition))
 	}
 	deadline := time.Now().Add(wait)
+	confirmed := false // the partition was read to its end since the last wait
 	for {
 		h.mu.Lock()
 		page := e.Page(after, maxPageBytes)
@@ -304,16 +305,18 @@
 		if len(page) > 0 {
 			return h.withOutputs(ctx, e, &Results{Total: total, Next: after + len(page), Results: page})
 		}
-		if f.Staleness() > maxReadStaleness && f.StoreUnavailable() {
+		stale := !confirmed && f.Staleness() > maxReadStaleness
+		if stale && f.StoreUnavailable() {
 			return nil, storeUnavailableRefusal()
 		}
-		if f.Staleness() > maxReadStaleness {
+		if stale {
 			catchUpCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 			err := f.CatchUp(catchUpCtx)
 			cancel()
 			if err != nil {
 				return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say whether there are more results")
 			}
+			confirmed = true
 			continue
 		}
 		left := time.Until(deadline)
@@ -330,10 +333,12 @@
 			return nil, notRunRefusal(cluster.ReasonDeadline, "the caller left")
 		}
 		timer.Stop()
+		confirmed = false
 	}
 }
 
-// withOutputs adds the outputs of a page's results.
+// withOutputs adds the outputs of a page's results. The page ends before the first output
+// that does not arrive in time.
 func (h *Host) withOutputs(ctx context.Context, e *jobs.Entry, page *Results) (*Results, *Refusal) {
 	refs := make([]jobs.BlobRef, len(page.Results))
 	for i, r := range page.Results {
@@ -342,14 +347,20 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	outputs, err := h.blobs.get(ctx, e.Partition, refs)
+	for i, output := range outputs {
+		if output == nil && refs[i].Bytes > 0 {
+			break
+		}
+		page.Outputs = append(page.Outputs, string(output))
+	}
 	if err != nil {
-		h.recorder.RecordDecision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "err", err.Error())
-		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not return the texts")
+		h.recorder.RecordDecision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "wanted", len(refs), "read", len(page.Outputs), "err", err.Error())
 	}
-	page.Outputs = make([]string, len(outputs))
-	for i, output := range outputs {
-		page.Outputs[i] = string(output)
+	if len(page.Outputs) == 0 {
+		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not return the texts")
 	}
+	page.Next -= len(refs) - len(page.Outputs)
+	page.Results = page.Results[:len(page.Outputs)]
 	return page, nil
 }
 
