--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
@@ -80,6 +82,10 @@
 	if follower.StoreUnavailable() {
 		return storeUnavailableRefusal()
 	}
+	known, refusal := h.isInFormerPartition(ctx, job.ID)
+	if known || refusal != nil {
+		return refusal
+	}
 	refs, err := h.blobs.put(ctx, partition, []blob{{key: "b/" + job.ID, data: data}})
 	if err != nil {
 		// No record of the job itself was sent yet, so none of its items can run.
@@ -99,6 +105,33 @@
 	return nil
 }
 
+// isInFormerPartition reports whether a job lies in a partition that the present
+// configuration selects for none of its models. A submission that is repeated after a
+// change of the configuration must not be accepted a second time.
+func (h *Host) isInFormerPartition(ctx context.Context, id string) (bool, *Refusal) {
+	if !h.surveyed.Load() {
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		if err := h.followWritten(ctx); err != nil {
+			h.recorder.RecordDecision("job-uncertain", id, "err", err.Error())
+			refusal := notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say which partitions hold jobs")
+			refusal.RetryAfter = storeRetryAfter
+			return false, refusal
+		}
+		h.surveyed.Store(true)
+	}
+	present := h.modelPartitions(h.Config())
+	h.mu.Lock()
+	followers := maps.Clone(h.followers)
+	h.mu.Unlock()
+	for p, f := range followers {
+		if p != controlPartition && !slices.Contains(present, p) && !f.HasSynced() {
+			return false, h.RefuseNotReady(id)
+		}
+	}
+	return h.jobEntry(id) != nil, nil
+}
+
 // storeUnavailableRefusal refuses a call immediately while the store is unavailable
 // to this host. Other hosts may reach the store.
 func storeUnavailableRefusal() *Refusal {
@@ -179,32 +212,15 @@
 	if e := h.jobEntry(id); e != nil {
 		return e, nil
 	}
-	h.mu.Lock()
-	followers := make([]*logstore.Follower, 0, len(h.followers))
-	for _, f := range h.followers {
-		followers = append(followers, f)
-	}
-	h.mu.Unlock()
 	if !h.CaughtUp() {
 		// The job may be in a partition that this host has not read yet.
 		return nil, h.RefuseNotReady(id)
 	}
-	if slices.ContainsFunc(followers, (*logstore.Follower).StoreUnavailable) {
+	if slices.ContainsFunc(h.allFollowers(), (*logstore.Follower).StoreUnavailable) {
 		h.recorder.RecordDecision("job-uncertain", id, "err", "the store does not answer")
 		return nil, storeUnavailableRefusal()
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	errs := make(chan error, len(followers))
-	for _, f := range followers {
-		go func() { errs <- f.CatchUp(ctx) }()
-	}
-	var failed error
-	for range followers {
-		if err := <-errs; err != nil {
-			failed = err
-		}
-	}
+	failed := h.catchUp(ctx)
 	if e := h.jobEntry(id); e != nil {
 		return e, nil
 	}
@@ -212,9 +228,53 @@
 		h.recorder.RecordDecision("job-uncertain", id, "err", failed.Error())
 		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say whether the job exists")
 	}
+	h.mu.Lock()
+	unreadable := h.jobs.Unreadable(id)
+	h.mu.Unlock()
+	if unreadable {
+		h.recorder.RecordDecision("job-uncertain", id, "err", "records of the job are missing or invalid")
+		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store has no complete records of the job")
+	}
+	h.recordDenied(id)
 	return nil, nil
 }
 
+// catchUp reads all partitions that hold jobs up to their end.
+func (h *Host) catchUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := h.followWritten(ctx); err != nil {
+		return err
+	}
+	var reads errgroup.Group
+	for _, f := range h.allFollowers() {
+		reads.Go(func() error { return f.CatchUp(ctx) })
+	}
+	return reads.Wait()
+}
+
+func (h *Host) allFollowers() []*logstore.Follower {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Values(h.followers))
+}
+
+// recordDenied logs how far the partitions were read when the host found that a job
+// does not exist.
+func (h *Host) recordDenied(id string) {
+	h.mu.Lock()
+	followers := maps.Clone(h.followers)
+	config := h.state.Config.Version
+	h.mu.Unlock()
+	details := []any{"config", config}
+	for _, n := range slices.Sorted(maps.Keys(followers)) {
+		offset, staleness := followers[n].Progress()
+		details = append(details, fmt.Sprintf("partition_%d", n), fmt.Sprintf("read to offset %d, %d ms ago", offset, staleness.Milliseconds()))
+	}
+	h.recorder.RecordDecision("job-denied", id, details...)
+	h.recorder.Count("jobs_denied_total")
+}
+
 // Results is one page of a job's results.
 type Results struct {
 	Total   int
@@ -236,6 +296,7 @@
 		return nil, notRunRefusal(cluster.ReasonNotReady, fmt.Sprintf("the host does not follow partition %d", e.Partition))
 	}
 	deadline := time.Now().Add(wait)
+	confirmed := false // the partition was read to its end since the last wait
 	for {
 		h.mu.Lock()
 		page := e.Page(after, maxPageBytes)
@@ -244,16 +305,18 @@
 		if len(page) > 0 {
 			return h.withOutputs(ctx, e, &Results{Total: total, Next: after + len(page), Results: page})
 		}
-		if f.Staleness() > maxReadStaleness && f.StoreUnavailable() {
+		stale := !confirmed && f.Staleness() > maxReadStaleness
+		if stale && f.StoreUnavailable() {
 			return nil, storeUnavailableRefusal()
 		}
-		if f.Staleness() > maxReadStaleness {
+		if stale {
 			catchUpCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 			err := f.CatchUp(catchUpCtx)
 			cancel()
 			if err != nil {
 				return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say whether there are more results")
 			}
+			confirmed = true
 			continue
 		}
 		left := time.Until(deadline)
@@ -270,10 +333,12 @@
 			return nil, notRunRefusal(cluster.ReasonDeadline, "the caller left")
 		}
 		timer.Stop()
+		confirmed = false
 	}
 }
 
-// withOutputs adds the outputs of a page's results.
+// withOutputs adds the outputs of a page's results. The page ends before the first output
+// that does not arrive in time.
 func (h *Host) withOutputs(ctx context.Context, e *jobs.Entry, page *Results) (*Results, *Refusal) {
 	refs := make([]jobs.BlobRef, len(page.Results))
 	for i, r := range page.Results {
@@ -282,14 +347,20 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	outputs, err := h.blobs.get(ctx, e.Partition, refs)
+	for i, output := range outputs {
+		if output == nil && refs[i].Bytes > 0 {
+			break
+		}
+		page.Outputs = append(page.Outputs, string(output))
+	}
 	if err != nil {
-		h.recorder.RecordDecision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "err", err.Error())
-		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not return the texts")
+		h.recorder.RecordDecision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "wanted", len(refs), "read", len(page.Outputs), "err", err.Error())
 	}
-	page.Outputs = make([]string, len(outputs))
-	for i, output := range outputs {
-		page.Outputs[i] = string(output)
+	if len(page.Outputs) == 0 {
+		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not return the texts")
 	}
+	page.Next -= len(refs) - len(page.Outputs)
+	page.Results = page.Results[:len(page.Outputs)]
 	return page, nil
 }
 
