Keep the outputs that arrived before a read of several broke off

Outputs that were stored together are read by one call, of up to 900 KB. If it did not return all of them within 700 ms, as on a slow link after a start of all hosts, those that had arrived were dropped, and the next call began again.

Cause: the error of the read was returned before its records were used.

Evidence: TestOutputsThatArrivedAreKept failed before: the first output was "" instead of "text 0".

Change: outputs whose records arrived are returned and cached; the others keep the error.

Result: the test passes with the race detector.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -162,15 +162,19 @@
 	for _, i := range indexes {
 		size += refs[i].Bytes + refs[i].Records*blobOverhead
 	}
+	var broken error
 	if first.Offset != jobs.UnknownOffset {
 		err := b.readRange(ctx, partition, first.Offset, last.Offset+int64(last.Records), size, values)
 		if err != nil && !errors.Is(err, logstore.ErrDeleted) {
-			return err
+			broken = err // what arrived before is kept
 		}
 	}
 	for _, i := range indexes {
 		ref := refs[i]
 		data, ok := assemble(ref, values)
+		if !ok && broken != nil {
+			continue
+		}
 		if !ok {
 			if err := b.readByKey(ctx, partition, ref, values); err != nil {
 				return err
@@ -182,7 +186,7 @@
 		found[i] = data
 		b.addToCache(ref.Key, data)
 	}
-	return nil
+	return broken
 }
 
 func (b *blobStore) readRange(ctx context.Context, partition int, from, to int64, size int, values map[string][]byte) error {
--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -117,3 +117,36 @@
 		must.ErrorIs(t, err, errNoBlob)
 	}
 }
+
+// brokenStore returns two records for each read and fails from the second read on.
+type brokenStore struct {
+	*memlog.Store
+	reads int
+}
+
+func (s *brokenStore) Read(ctx context.Context, p logstore.Partition, from int64, maxBytes int, wait time.Duration) (logstore.Page, error) {
+	if s.reads++; s.reads > 1 {
+		return logstore.Page{}, logstore.ErrOutcomeUnknown
+	}
+	page, err := s.Store.Read(ctx, p, from, maxBytes, wait)
+	page.Records = page.Records[:2]
+	return page, err
+}
+
+// Guards against outputs that arrived and are dropped, because a read of several ended
+// early: on a slow link, no read would ever return an output.
+func TestOutputsThatArrivedAreKept(t *testing.T) {
+	ctx := context.Background()
+	store := memlog.New(4)
+	var items []blob
+	for i := range 5 {
+		items = append(items, blob{key: fmt.Sprintf("t/%d", i), data: fmt.Appendf(nil, "text %d", i)})
+	}
+	refs, err := newBlobStore(store, testRecordBytes, testAppendBytes).put(ctx, 1, items)
+	must.NoError(t, err)
+	outputs, err := newBlobStore(&brokenStore{Store: store}, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+	must.ErrorIs(t, err, logstore.ErrOutcomeUnknown)
+	must.EqOp(t, "text 0", string(outputs[0]))
+	must.EqOp(t, "text 1", string(outputs[1]))
+	must.Nil(t, outputs[2])
+}
