Clean up when a partition is reassigned to the same host

Jobs and their outputs stayed in the store, whose space is limited, on a host that got its partition under a new epoch more often than every 5 s.

Cause: the time of the last clean-up, and the jobs whose blobs are still to be removed, belonged to the runner of one epoch.

Evidence: TestReusedOutputsOutliveTheirFirstJob failed once beside other load ("condition not met within 20s: the blobs of the first job are removed"); its log shows six epochs of the partition within 16 s. TestCleanUpGoesOnWhenPartitionIsReassigned failed before: "condition not met within 20s: the blobs of the job are removed".

Change: both move to the state that the next runner on the same host takes over.

--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -531,3 +531,29 @@
 		return page != nil && len(page.Results) == 0
 	})
 }
+
+// Guards against removed jobs whose records or blobs stay in the store, because their
+// partition is reassigned to the same host more often than jobs are cleaned up.
+func TestCleanUpGoesOnWhenPartitionIsReassigned(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	a.settings.Timing.JobRetention = 100 * time.Millisecond
+	partition := modelPartition(a)
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	reassigned := time.Now()
+	for _, topic := range []string{topicWork, topicBlobs} {
+		c.waitUntil("the records of the job are removed from "+topic, func() bool {
+			if time.Since(reassigned) > cleanUpInterval/4 {
+				a.view.setCut(true)
+				time.Sleep(2 * a.memberTTL())
+				a.view.setCut(false)
+				reassigned = time.Now()
+			}
+			listing, err := c.store.ListNewest(context.Background(), logstore.Partition{Topic: topic, Number: partition}, "")
+			must.NoError(t, err)
+			return len(listing.Records) == 0
+		})
+	}
+}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -55,6 +55,10 @@
 	payloads map[string][]jobs.Payload
 	// partials holds the partial outputs of items that are not running.
 	partials map[string]retainedPartial
+	// removed holds the jobs whose removal was queued and whose blobs are not removed yet:
+	// until their results are forgotten, items of other jobs may reuse these.
+	removed     map[string]*jobs.Entry
+	lastCleanUp time.Time
 }
 
 // retainedPartial is a partial output and when its retention began.
@@ -67,6 +71,7 @@
 	return &runState{
 		scheduler: schedule.NewScheduler(schedule.Defaults()), cancels: make(map[int64]func()), loggedProgress: make(map[string]schedule.Progress),
 		payloads: make(map[string][]jobs.Payload), partials: make(map[string]retainedPartial),
+		removed: make(map[string]*jobs.Entry), lastCleanUp: time.Now(),
 	}
 }
 
@@ -86,9 +91,6 @@
 
 	*runState
 	orders *orderer // control partition only
-	// removed holds the jobs whose removal was queued and whose blobs are not removed yet:
-	// until their results are forgotten, items of other jobs may reuse these.
-	removed map[string]*jobs.Entry
 
 	mu              sync.Mutex
 	pendingCommits  []schedule.Commit
@@ -104,7 +106,7 @@
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
 		host: h, partition: partition, epoch: epoch, wakeups: make(chan struct{}, 1), runState: newRunState(),
-		removed: make(map[string]*jobs.Entry), queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1), appenderDone: make(chan struct{}),
+		queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1), appenderDone: make(chan struct{}),
 	}
 }
 
@@ -129,7 +131,7 @@
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	lastPartials, lastCleanUp := time.Now(), time.Now()
+	lastPartials := time.Now()
 	var lastTick time.Time
 	for {
 		select {
@@ -150,11 +152,21 @@
 			lastPartials = now
 			r.queuePartials(partialEvents)
 		}
-		if now := time.Now(); now.Sub(lastCleanUp) >= cleanUpInterval {
-			lastCleanUp = now
-			r.evictStale(now)
-			r.removeExpiredJobs(now)
-		}
+		r.cleanUp(time.Now())
+	}
+}
+
+// cleanUp releases stale state and removes expired jobs every cleanUpInterval.
+func (r *runner) cleanUp(now time.Time) {
+	r.host.mu.Lock()
+	due := now.Sub(r.lastCleanUp) >= cleanUpInterval
+	if due {
+		r.lastCleanUp = now
+	}
+	r.host.mu.Unlock()
+	if due {
+		r.evictStale(now)
+		r.removeExpiredJobs(now)
 	}
 }
 
