Run periodic tasks of a host by one loop

The checks of assigned partitions and the removals of servers each had a copy of the same ticker loop. Both now use every; no change of behaviour.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -161,8 +161,8 @@
 	}
 	go h.group.Run(ctx)
 	go h.watchAssignments(ctx, changed)
-	go h.followAssigned(ctx)
-	go h.housekeep(ctx)
+	go every(ctx, assignedCheckInterval, func() { h.followAssigned(ctx) })
+	go every(ctx, housekeepingInterval, h.removeServers)
 }
 
 // memberTTL returns the time after which the partitions of a host that does not
@@ -249,35 +249,25 @@
 	return err
 }
 
-// followAssigned periodically follows the assigned partitions that hold records, so that
+// followAssigned follows the assigned partitions that hold records, so that
 // open jobs run even if no model of the present configuration selects their partition.
 func (h *Host) followAssigned(ctx context.Context) {
-	ticker := time.NewTicker(assignedCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	for p := range h.group.Owned() {
+		if h.follower(p) != nil {
+			continue
 		}
-		for p := range h.group.Owned() {
-			if h.follower(p) != nil {
-				continue
-			}
-			checkCtx, cancel := context.WithTimeout(ctx, assignedCheckInterval)
-			err := h.followIfWritten(checkCtx, p)
-			cancel()
-			if err != nil {
-				klog.V(1).InfoS("could not check an assigned partition for records", "partition", p, "err", err)
-			}
+		checkCtx, cancel := context.WithTimeout(ctx, assignedCheckInterval)
+		err := h.followIfWritten(checkCtx, p)
+		cancel()
+		if err != nil {
+			klog.V(1).InfoS("could not check an assigned partition for records", "partition", p, "err", err)
 		}
 	}
 }
 
-// housekeep periodically carries out the removals of backend servers that are due,
-// and releases what is kept for unregistered servers.
-func (h *Host) housekeep(ctx context.Context) {
-	ticker := time.NewTicker(housekeepingInterval)
+// every calls f at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -285,7 +275,7 @@
 			return
 		case <-ticker.C:
 		}
-		h.removeServers()
+		f()
 	}
 }
 
