Give a runner more time with each attempt to read payloads

A job did not run, and its trainer waited in vain, while the store took longer than 700 ms to return the job's payloads to the runner.

Cause: each attempt had the same time and kept nothing of what had arrived.

Evidence: TestJobRunsWhenPayloadsArriveSlowly failed before: "condition not met within 20s: all results of job-1", with reads of payloads that took 1 s.

Change: the time doubles with each attempt up to 8 s, and a read gets half of the time that its call has left, at least the 800 ms of before.

Result: the test passes with the race detector. A caller that asks for the body of an item still gets 503 when the payloads of its job take longer than 700 ms.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -32,7 +32,8 @@
 	// parallelReads bounds the concurrent reads of one call. Outputs that were
 	// stored at different times need one read each, which takes about 5 ms.
 	parallelReads = 8
-	// blobReadTimeout bounds one read, which usually takes a few milliseconds.
+	// blobReadTimeout bounds one read, which usually takes a few milliseconds. Calls with
+	// more time give half of it to a read.
 	blobReadTimeout = 800 * time.Millisecond
 )
 
@@ -189,9 +190,17 @@
 	return broken
 }
 
+// readTimeout returns the timeout of one read of a call.
+func readTimeout(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return max(blobReadTimeout, time.Until(deadline)/2)
+	}
+	return blobReadTimeout
+}
+
 func (b *blobStore) readRange(ctx context.Context, partition int, from, to int64, size int, values map[string][]byte) error {
 	for from < to {
-		attemptCtx, cancel := context.WithTimeout(ctx, blobReadTimeout)
+		attemptCtx, cancel := context.WithTimeout(ctx, readTimeout(ctx))
 		page, err := b.store.Read(attemptCtx, blobPartition(partition), from, size, 0)
 		cancel()
 		if err != nil {
@@ -215,7 +224,7 @@
 func (b *blobStore) readByKey(ctx context.Context, partition int, ref jobs.BlobRef, values map[string][]byte) error {
 	after := ref.Key + "/"
 	for {
-		attemptCtx, cancel := context.WithTimeout(ctx, blobReadTimeout)
+		attemptCtx, cancel := context.WithTimeout(ctx, readTimeout(ctx))
 		listing, err := b.store.ListNewest(attemptCtx, blobPartition(partition), after)
 		cancel()
 		if err != nil {
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -374,7 +374,7 @@
 	if i < 0 {
 		return nil, false, nil
 	}
-	payloads, err := h.readPayloads(ctx, e)
+	payloads, err := h.readPayloads(ctx, e, confirmTimeout)
 	if err != nil {
 		h.recorder.RecordDecision("body-unavailable", item, "job", job, "err", err.Error())
 		return nil, false, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not return the item")
@@ -383,8 +383,8 @@
 }
 
 // readPayloads reads the payloads of a job's items.
-func (h *Host) readPayloads(ctx context.Context, e *jobs.Entry) ([]jobs.Payload, error) {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+func (h *Host) readPayloads(ctx context.Context, e *jobs.Entry, timeout time.Duration) ([]jobs.Payload, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	data, err := h.blobs.get(ctx, e.Partition, []jobs.BlobRef{e.Job.Payloads})
 	if err != nil {
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -557,3 +557,34 @@
 		})
 	}
 }
+
+// Guards against a job that never runs, because each attempt of its runner to read the
+// payloads has the same time, and the store takes longer.
+func TestJobRunsWhenPayloadsArriveSlowly(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	partition := modelPartition(a)
+	job, payloads := newJob("job-1", 4, 1)
+	c.mu.Lock()
+	for _, r := range c.replicas {
+		r.busy = true
+	}
+	c.mu.Unlock()
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	a.kill()
+	c.mu.Lock()
+	for _, r := range c.replicas {
+		r.busy = false
+	}
+	c.mu.Unlock()
+	b := c.newEntryHost("b")
+	b.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p == blobPartition(partition) {
+			return confirmTimeout + 300*time.Millisecond
+		}
+		return 0
+	})
+	b.start(t.Context())
+	results, outputs := c.collect(b, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+}
--- a/internal/fronthost/load.go
+++ b/internal/fronthost/load.go
@@ -18,6 +18,10 @@
 // loadRetry is the pause between two attempts to read a job's payloads.
 const loadRetry = 100 * time.Millisecond
 
+// maxLoadTimeout bounds an attempt of a runner to read a job's payloads. The timeout
+// doubles with each attempt, so that large payloads arrive on slow links, too.
+const maxLoadTimeout = 8 * time.Second
+
 // loadPayloads reports whether a job's payloads are loaded. The first call starts to
 // read them, and the stored partial outputs of the job's items, in the background.
 // The caller holds host.mu.
@@ -46,8 +50,8 @@
 func (h *Host) loadJob(e *jobs.Entry, state *runState, refs map[string]jobs.BlobRef) {
 	ctx := h.baseCtx
 	partials := h.readPartials(ctx, e.Partition, refs)
-	for ctx.Err() == nil {
-		payloads, err := h.readPayloads(ctx, e)
+	for timeout := confirmTimeout; ctx.Err() == nil; timeout = min(2*timeout, maxLoadTimeout) {
+		payloads, err := h.readPayloads(ctx, e, timeout)
 		if err != nil {
 			klog.InfoS("payloads not read, retrying", "job", e.Job.ID, "err", err)
 			select {
