Fall back to the monotonic clock where the boot clock cannot be read

The time of day, the fallback so far, may jump by seconds, which would end or extend memberships. The monotonic clock only omits suspensions, as before the boot clock was used. Not covered by a test: the clock can be read on every machine tried.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -17,8 +17,8 @@
 func Now() time.Time {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		logFailure.Do(func() { klog.ErrorS(err, "boot clock could not be read, using the time of day") })
-		return time.Now().Round(0)
+		logFailure.Do(func() { klog.ErrorS(err, "boot clock could not be read, using the monotonic clock") })
+		return time.Now()
 	}
 	return time.Unix(t.Unix())
 }
