--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -16,6 +16,9 @@
 		change := h.feeds.Operators.Decode(r)
 		var applied *deployment.Config
 		h.mu.Lock()
+		if change.Invalid == nil {
+			h.skipped.clear("operators", r.Key)
+		}
 		switch {
 		case change.Config != nil:
 			if h.state.SetConfig(change.Config) {
@@ -48,19 +51,24 @@
 		change := h.feeds.Servers.Decode(r)
 		if change.Invalid != nil {
 			h.recordSkipped("servers", change.Invalid)
+		} else {
+			h.skipped.clear("servers", r.Key)
 		}
 		if change.Server == nil {
 			continue
 		}
 		if change.Server.Server == nil {
 			h.logServer(change.Server.ID, nil, r.Offset)
-			h.state.RemoveServer(change.Server.ID, b.LastOutageEnd, now)
+			if change.Invalid != nil {
+				h.state.DiscardServer(change.Server.ID)
+			} else {
+				h.state.RemoveServer(change.Server.ID, b.LastOutageEnd, now)
+			}
 			continue
 		}
 		present[change.Server.ID] = true
 		h.logServer(change.Server.ID, change.Server.Server, r.Offset)
 		h.state.SetServer(*change.Server.Server)
-		h.observeVersions(change.Server.Server)
 	}
 	if b.Complete {
 		h.state.RemoveAbsent(present, b.LastOutageEnd, now)
@@ -76,7 +84,7 @@
 	switch {
 	case server == nil && known != nil:
 		klog.InfoS("backend server removed from the registry", "server", id, "service", known.Service, "offset", offset)
-	case server != nil && (known == nil || known.Incarnation != server.Incarnation || known.Leaving != server.Leaving):
+	case server != nil && (known == nil || known.Incarnation != server.Incarnation || known.RecordSaysLeaving() != server.Leaving):
 		klog.InfoS("backend server registered or changed", "server", id, "service", server.Service, "addr", server.Addr, "leaving", server.Leaving, "started", server.Incarnation, "offset", offset)
 	}
 }
@@ -126,7 +134,34 @@
 	return errUnknownKey
 }
 
+// recordSkipped counts a record that cannot be used, and logs it unless the record of
+// the same key before it was skipped for the same reason. The caller holds mu.
 func (h *Host) recordSkipped(source string, invalid *deployment.InvalidChange) {
 	h.recorder.Count("records_skipped_total", "source", source)
-	klog.InfoS("record skipped", "source", source, "key", invalid.Key, "reason", invalid.Reason)
+	if h.skipped.record(source, invalid) {
+		klog.InfoS("record skipped", "source", source, "key", invalid.Key, "reason", invalid.Reason)
+	}
+}
+
+// maxSkippedKeys bounds the number of keys whose reason is retained. Beyond it, skipped
+// records may be logged again.
+const maxSkippedKeys = 1000
+
+// skippedRecords holds why the last record of a key was skipped, by source and key.
+type skippedRecords map[[2]string]string
+
+// record reports whether the reason is new for the key.
+func (s skippedRecords) record(source string, invalid *deployment.InvalidChange) bool {
+	id := [2]string{source, invalid.Key}
+	if s[id] == invalid.Reason {
+		return false
+	}
+	if len(s) >= maxSkippedKeys {
+		clear(s)
+	}
+	s[id] = invalid.Reason
+	return true
 }
+
+// clear records that a key has a record that is used, or none.
+func (s skippedRecords) clear(source, key string) { delete(s, [2]string{source, key}) }
--- /dev/null
+++ b/internal/fronthost/apply_test.go
@@ -0,0 +1,45 @@
+package fronthost
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
+)
+
+// Guards against a log line for each heartbeat of a record that cannot be used, and
+// against tables that grow with the keys of other writers.
+func TestSkippedRecordIsLoggedOncePerReason(t *testing.T) {
+	skipped := make(skippedRecords)
+	port := &deployment.InvalidChange{Key: "i-1", Reason: "port"}
+	must.True(t, skipped.record("servers", port))
+	must.False(t, skipped.record("servers", port))
+	must.True(t, skipped.record("operators", port))
+	must.True(t, skipped.record("servers", &deployment.InvalidChange{Key: "i-1", Reason: "slots"}))
+	skipped.clear("servers", "i-1")
+	must.True(t, skipped.record("servers", port))
+	for i := range 3 * maxSkippedKeys {
+		skipped.record("servers", &deployment.InvalidChange{Key: fmt.Sprint(i), Reason: "port"})
+	}
+	must.LessEq(t, maxSkippedKeys, len(skipped))
+}
+
+// Guards against a replica that counts as loaded for ever after one entry named a version
+// that it does not have.
+func TestFalseVersionOfAnEntryEndsWithTheEntry(t *testing.T) {
+	c := newTestCluster(t, 1)
+	h := c.startHost("host-1")
+	c.put(serverPartition, "replica-0", deployment.Server{ID: "replica-0", Service: testService, Addr: "replica-0", Slots: 4, Incarnation: 1, Versions: map[string]int64{testModel: 1000}})
+	c.waitUntil("the false version is read", func() bool { return h.Status().Servers[0].Versions[testModel] == 1000 })
+	c.register("replica-0", testService)
+	c.announceVersion(2)
+	job, payloads := newJob("job-1", 2, 2)
+	must.Nil(t, h.Submit(context.Background(), job, payloads))
+	results, _ := c.collect(h, "job-1", len(job.Items))
+	for _, r := range results {
+		must.Eq(t, []int64{2}, r.Versions)
+	}
+}
--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -112,7 +112,8 @@
 	return nil
 }
 
-// get returns blobs in the order of refs.
+// get returns blobs in the order of refs. With an error it returns those that it read,
+// and nil for the others.
 func (b *blobStore) get(ctx context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
 	found := make([][]byte, len(refs))
 	var missing []int
@@ -130,16 +131,16 @@
 		reads.Go(func() error { return b.readContiguous(ctx, partition, refs, indexes, found) })
 		missing = missing[n:]
 	}
-	if err := reads.Wait(); err != nil {
-		return nil, err
-	}
-	return found, nil
+	return found, reads.Wait()
 }
 
 // contiguousCount returns how many of the blobs, sorted by offset, a single read
 // can return.
 func contiguousCount(refs []jobs.BlobRef, sorted []int) int {
 	first := refs[sorted[0]]
+	if first.Offset == jobs.UnknownOffset {
+		return 1
+	}
 	size, end := first.Bytes, first.Offset+int64(first.Records)
 	for n := 1; n < len(sorted); n++ {
 		next := refs[sorted[n]]
@@ -161,9 +162,11 @@
 	for _, i := range indexes {
 		size += refs[i].Bytes + refs[i].Records*blobOverhead
 	}
-	err := b.readRange(ctx, partition, first.Offset, last.Offset+int64(last.Records), size, values)
-	if err != nil && !errors.Is(err, logstore.ErrDeleted) {
-		return err
+	if first.Offset != jobs.UnknownOffset {
+		err := b.readRange(ctx, partition, first.Offset, last.Offset+int64(last.Records), size, values)
+		if err != nil && !errors.Is(err, logstore.ErrDeleted) {
+			return err
+		}
 	}
 	for _, i := range indexes {
 		ref := refs[i]
@@ -193,8 +196,10 @@
 		if len(page.Records) == 0 {
 			return nil
 		}
-		for _, r := range page.Records {
-			values[r.Key] = r.Value
+		for i, r := range page.Records {
+			if from+int64(i) < to {
+				values[r.Key] = r.Value
+			}
 		}
 		from += int64(len(page.Records))
 	}
@@ -225,10 +230,12 @@
 	}
 }
 
+// assemble joins the records of a blob. It reports false if some are missing or are not
+// those that the reference was made for.
 func assemble(ref jobs.BlobRef, values map[string][]byte) ([]byte, bool) {
 	if ref.Records == 1 {
 		data, ok := values[ref.ChunkKey(0)]
-		return data, ok
+		return data, ok && len(data) == ref.Bytes
 	}
 	var data []byte
 	for i := range ref.Records {
@@ -238,7 +245,7 @@
 		}
 		data = append(data, chunk...)
 	}
-	return data, true
+	return data, len(data) == ref.Bytes
 }
 
 // fromCache returns a blob from the cache, or nil. The output of an unfinished run
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -158,7 +158,7 @@
 	}
 	return &rollout.Replica{
 		ID: s.ID, Service: s.Service, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Leaving: s.Leaving,
-		Versions: p.Versions, Serves: serves, Busy: rs.busy, Loading: rs.loading, NotBefore: o.earliestOrder(rs, p),
+		Versions: o.runner.host.versionsOf(s), Serves: serves, Busy: rs.busy, Loading: rs.loading, NotBefore: o.earliestOrder(rs, p),
 		AwaitingReport: o.minLoadTime > 0 && !rs.acceptedAt.IsZero() && time.Since(rs.acceptedAt) >= o.minLoadTime,
 	}
 }
@@ -191,7 +191,7 @@
 					p.Serves = append(p.Serves, m)
 				}
 			}
-			h.recorder.RecordDecision("place", "", "replica", id, "serves", p.Serves, "versions", p.Versions)
+			h.recorder.RecordDecision("place", "", "replica", id, "serves", p.Serves, "versions", r.Versions)
 			records = append(records, o.record(id, p)...)
 		}
 	}
@@ -271,7 +271,7 @@
 	}
 	rs := o.stateOf(server)
 	rs.busy, rs.loading = true, order.Model
-	go o.executeOrder(ctx, order, backend.Target{ID: server.ID, Addr: server.Addr}, rs)
+	go o.executeOrder(ctx, order, targetOf(server), rs)
 }
 
 // executeOrder sends an order, if it is still needed, and reads reports until the load
@@ -283,7 +283,7 @@
 		return
 	}
 	h.mu.Lock()
-	needed := h.placement(target.ID).Versions[order.Model] < order.Version
+	needed := h.versionOf(target.ID, order.Model) < order.Version
 	expected := rs.orderCount
 	h.mu.Unlock()
 	if !needed {
@@ -297,6 +297,12 @@
 		o.release(rs, orderRetryDelay)
 		return
 	}
+	if !h.acceptsOrders(target) {
+		h.recordTurnedAway("", backend.CallOrder, "server", target.ID, "model", order.Model, "version", order.Version)
+		o.publishPlacement(target.ID, "")
+		o.release(rs, orderRetryDelay)
+		return
+	}
 	outcome, err := h.backends.Order(ctx, target, backend.Order{
 		Model: order.Model, Version: order.Version, WaitForRuns: order.FinishRuns,
 		OrderOwner: h.member, Fence: o.runner.epoch, ExpectedOrders: expected,
@@ -326,7 +332,7 @@
 		backoff = orderRetryDelay
 	case backend.OrderFenced:
 		klog.InfoS("order fenced: replica has seen a higher fencing number", "replica", target.ID, "fence", o.runner.epoch)
-		h.group.ReleaseFenced(controlPartition)
+		h.group.ReleaseFenced(controlPartition, o.runner.epoch)
 		backoff = unknownRetryDelay
 	case backend.OrderRefused:
 		rs.reported = false
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -79,10 +79,16 @@
 	epoch     int64
 	cancel    context.CancelFunc
 	writer    *logstore.FencedWriter
-	wakeups   chan struct{}
+	// predecessor is the former runner of the partition under the same epoch, if there
+	// was one, whose writer this runner takes over.
+	predecessor *runner
+	wakeups     chan struct{}
 
 	*runState
 	orders *orderer // control partition only
+	// removed holds the jobs whose removal was queued and whose blobs are not removed yet:
+	// until their results are forgotten, items of other jobs may reuse these.
+	removed map[string]*jobs.Entry
 
 	mu              sync.Mutex
 	pendingCommits  []schedule.Commit
@@ -98,7 +104,7 @@
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
 		host: h, partition: partition, epoch: epoch, wakeups: make(chan struct{}, 1), runState: newRunState(),
-		queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1), appenderDone: make(chan struct{}),
+		removed: make(map[string]*jobs.Entry), queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1), appenderDone: make(chan struct{}),
 	}
 }
 
@@ -255,7 +261,7 @@
 	anyAssigned := false
 	for _, s := range servers {
 		p := h.placement(s.ID)
-		candidate := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, MemoryTokens: memory, Version: p.Versions[e.Job.Model]}
+		candidate := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, MemoryTokens: memory, Version: h.versionOf(s.ID, e.Job.Model)}
 		candidate.Grants, candidate.RateLimited = h.limits.Available(candidateOf(&s), now)
 		candidate.Usable = !s.Leaving && p.Loading != e.Job.Model
 		if p.serves(e.Job.Model) {
@@ -282,7 +288,7 @@
 		r.scheduler.RecordEnd(s.Run, schedule.NotRun, 1, time.Now())
 		return
 	}
-	target := backend.Target{ID: server.ID, Addr: server.Addr}
+	target := targetOf(server)
 	runCtx, cancel := context.WithCancel(h.baseCtx)
 	r.cancels[s.Run] = cancel
 	payload := r.payloads[s.Job.Job.ID][s.Job.Index(s.Item.ID)]
@@ -391,15 +397,21 @@
 }
 
 // removeExpiredJobs removes ended or completed jobs that this host read more than
-// twice the job retention ago.
+// twice the job retention ago, and the blobs of jobs that it removed before.
 func (r *runner) removeExpiredJobs(now time.Time) {
 	h := r.host
 	h.mu.Lock()
 	var records, blobTombstones []logstore.Record
+	for id, e := range r.removed {
+		if h.jobs.Get(id) == nil {
+			blobTombstones = append(blobTombstones, h.jobs.BlobTombstones(e)...)
+			delete(r.removed, id)
+		}
+	}
 	h.jobs.Each(func(e *jobs.Entry) bool {
 		if e.Partition == r.partition && now.Sub(e.ReadAt) > 2*h.settings.Timing.JobRetention && (e.Ended || len(e.Results) == len(e.Job.Items)) {
 			records = append(records, jobs.Tombstones(e)...)
-			blobTombstones = append(blobTombstones, jobs.BlobTombstones(e)...)
+			r.removed[e.Job.ID] = e
 			klog.InfoS("job removed", "job", e.Job.ID, "age", now.Sub(e.ReadAt))
 		}
 		return len(records) < maxRemovals
--- a/internal/logstore/follower_test.go
+++ b/internal/logstore/follower_test.go
@@ -158,13 +158,15 @@
 		n++
 		return faults[n%len(faults)]
 	})
-	w, _, err := logstore.OpenFencedWriter(ctx, store, testPartition, "writer", 5)
+	w := logstore.NewFencedWriter(store, testPartition, "writer", 5)
+	_, err := w.Open(ctx)
 	must.NoError(t, err)
 	for i := range 10 {
 		must.NoError(t, w.Append(ctx, []logstore.Record{{Key: fmt.Sprint(i), Value: []byte("v")}}))
 	}
 	store.SetFault(nil)
-	next, end, err := logstore.OpenFencedWriter(ctx, store, testPartition, "writer", 6)
+	next := logstore.NewFencedWriter(store, testPartition, "writer", 6)
+	end, err := next.Open(ctx)
 	must.NoError(t, err)
 	store.ReleaseDelayed()
 	must.NoError(t, next.Append(ctx, []logstore.Record{{Key: "next", Value: []byte("v")}}))
@@ -192,3 +194,24 @@
 	must.False(t, errors.Is(err, logstore.ErrUnavailable))
 	must.ErrorIs(t, err, logstore.ErrOutcomeUnknown)
 }
+
+// earlyStore answers every read immediately, however long the caller lets it wait.
+type earlyStore struct{ *memlog.Store }
+
+func (s earlyStore) Read(ctx context.Context, p logstore.Partition, from int64, maxBytes int, _ time.Duration) (logstore.Page, error) {
+	return s.Store.Read(ctx, p, from, maxBytes, 0)
+}
+
+// Guards against a CatchUp that trusts a read from before the call: the store answered
+// a long poll early, and a record was appended after that.
+func TestCatchUpReadsAfterTheCall(t *testing.T) {
+	store := earlyStore{memlog.New(2)}
+	var received collector
+	f := logstore.NewFollower(store, testPartition, received.apply)
+	must.NoError(t, f.CatchUp(t.Context()))
+	must.NoError(t, f.LongPoll(t.Context()))
+	must.GreaterEq(t, 0, f.Staleness())
+	fill(t, store, 1)
+	must.NoError(t, f.CatchUp(t.Context()))
+	must.EqOp(t, 1, received.len())
+}
