Send each load order over a connection of its own

What callers saw: nothing directly. When an engine sent bytes after a report of its state, the next order on the connection could get them as its own answer: an order that the engine refused for its fencing number counted as accepted, so that a host that had lost its lease did not notice.

Change: orders have a transport without reuse. Reads of the state still share connections: a stray answer there is one of the same engine, and the next read replaces it.

Why it works: bytes after an answer stay on a connection that no order uses.

Orders are rare, so the cost of a connection each was not measured.

--- a/internal/engine/admin.go
+++ b/internal/engine/admin.go
@@ -29,28 +29,33 @@
 	adminBodyLimit = 1 << 20
 )
 
-// AdminClient reads the state of engines and sends them orders. It has its own
-// connection pool, separate from that of completions, so that orders do not
-// queue behind streams. It is safe for concurrent use.
+// AdminClient reads the state of engines and sends them orders. Its connections are
+// separate from those of completions, so that orders do not queue behind streams.
+// An order has a connection of its own: the pool may take bytes after one answer for
+// the answer to the next request. It is safe for concurrent use.
 type AdminClient struct {
-	client *http.Client
+	states *http.Client
+	orders *http.Client
 	token  string
 }
 
 // NewAdminClient returns a client that authenticates with backendToken unless it
 // is empty.
 func NewAdminClient(backendToken string) *AdminClient {
-	return &AdminClient{token: backendToken, client: &http.Client{Transport: &http.Transport{
-		DialContext:         netdial.DiscardUnsent(new(net.Dialer).DialContext),
-		MaxIdleConnsPerHost: adminIdleConns,
-		IdleConnTimeout:     adminIdleTimeout,
-	}}}
+	dial := netdial.DiscardUnsent(new(net.Dialer).DialContext)
+	return &AdminClient{
+		token: backendToken,
+		states: &http.Client{Transport: &http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: adminIdleConns, IdleConnTimeout: adminIdleTimeout,
+		}},
+		orders: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+	}
 }
 
 // State reads the state of the engine at addr.
 func (a *AdminClient) State(ctx context.Context, addr string) (State, error) {
 	var state State
-	response, err := a.do(ctx, http.MethodGet, "http://"+addr+"/state", nil)
+	response, err := a.do(ctx, a.states, http.MethodGet, "http://"+addr+"/state", nil)
 	if err != nil {
 		return state, eris.Wrapf(err, "read state of engine %s", addr)
 	}
@@ -73,7 +78,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode order")
 	}
-	response, err := a.do(ctx, http.MethodPost, "http://"+addr+"/orders", body)
+	response, err := a.do(ctx, a.orders, http.MethodPost, "http://"+addr+"/orders", body)
 	if err != nil {
 		return eris.Wrapf(err, "send order %s to engine %s", order.Kind, addr)
 	}
@@ -88,9 +93,9 @@
 }
 
 // CloseIdle closes all idle connections, including any that stopped responding.
-func (a *AdminClient) CloseIdle() { a.client.CloseIdleConnections() }
+func (a *AdminClient) CloseIdle() { a.states.CloseIdleConnections() }
 
-func (a *AdminClient) do(ctx context.Context, method, url string, body []byte) (*http.Response, error) {
+func (a *AdminClient) do(ctx context.Context, client *http.Client, method, url string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -101,7 +106,7 @@
 	if a.token != "" {
 		request.Header.Set("Authorization", "Bearer "+a.token)
 	}
-	return a.client.Do(request)
+	return client.Do(request)
 }
 
 // drainAndClose reads the rest of the body, so that the connection can be
