Read states and cache events of engines to their end

What callers saw: nothing directly. A state or a list of cache events that ended early, or that was followed by something else, counted as that of the engine.

Evidence: TestStatesAndCacheEventsAreReadToTheirEnd failed before in its cases "shorter than its length", "no last chunk" and "followed by another document", whose reads returned no error.

Change: both bodies are read to their end within the same bounds and then decoded as a whole.

Why it works: the reader of the body returns an error when it ends before its length or last chunk.

--- a/internal/engine/admin.go
+++ b/internal/engine/admin.go
@@ -63,12 +63,24 @@
 	if response.StatusCode != http.StatusOK {
 		return state, eris.Errorf("engine %s responded %s to a state read", addr, response.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, adminBodyLimit)).Decode(&state); err != nil {
-		return state, eris.Wrapf(err, "decode state of engine %s", addr)
+	if err := decodeBody(response, adminBodyLimit, &state); err != nil {
+		return State{}, eris.Wrapf(err, "decode state of engine %s", addr)
 	}
 	return state, nil
 }
 
+// decodeBody reads a JSON body to its end, so that one that ends early is an error.
+func decodeBody(response *http.Response, limit int64, value any) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > limit {
+		return eris.Errorf("body exceeds %d bytes", limit)
+	}
+	return json.Unmarshal(data, value)
+}
+
 // SendOrder sends one order. It returns nil if the engine accepted the order,
 // which it then executes asynchronously, and ErrFenced if the engine refused the
 // order's fencing number. After any other error the outcome is unknown: the order
--- a/internal/engine/admin_test.go
+++ b/internal/engine/admin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -45,3 +46,40 @@
 	must.EqOp(t, 0, accepted.Load())
 	must.Greater(t, 0, fenced.Load())
 }
+
+// Guards against the state or the cache events of an engine that are taken for whole
+// although they ended early.
+func TestStatesAndCacheEventsAreReadToTheirEnd(t *testing.T) {
+	const state, events = `{"model":"m","version":3}`, `{"events":[{"seq":1,"stored":true,"prefix":"a"}]}`
+	for name, test := range map[string]struct {
+		format string // of the length and the body
+		extra  int    // added to the length
+		valid  bool
+	}{
+		"whole":                        {"Content-Length: %d\r\n\r\n%s", 0, true},
+		"whole, in chunks":             {"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", 0, true},
+		"shorter than its length":      {"Content-Length: %d\r\n\r\n%s", 8, false},
+		"no last chunk":                {"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", 0, false},
+		"followed by another document": {"Content-Length: %d\r\n\r\n%s{}", 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, err := rawserver.Listen(func(r *http.Request) (string, rawserver.End) {
+				body := state
+				if r.URL.Path == "/cache/events" {
+					body = events
+				}
+				return "HTTP/1.1 200 OK\r\n" + fmt.Sprintf(test.format, len(body)+test.extra, body), rawserver.Close
+			})
+			must.NoError(t, err)
+			defer func() { _ = server.Close() }()
+			got, err := NewAdminClient("").State(t.Context(), server.Addr())
+			must.EqOp(t, test.valid, err == nil, must.Sprint(err))
+			if test.valid {
+				must.EqOp(t, 3, got.Version)
+			}
+			list, err := NewClient(Config{}).CacheEvents(t.Context(), server.Addr(), 0)
+			must.EqOp(t, test.valid, err == nil, must.Sprint(err))
+			must.EqOp(t, test.valid, len(list) == 1)
+		})
+	}
+}
--- a/internal/engine/caches.go
+++ b/internal/engine/caches.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -35,7 +33,7 @@
 	var body struct {
 		Events []CacheEvent `json:"events"`
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxCacheEventsBody)).Decode(&body); err != nil {
+	if err := decodeBody(response, maxCacheEventsBody, &body); err != nil {
 		return nil, eris.Wrapf(err, "decode cache events of engine %s", addr)
 	}
 	return body.Events, nil
