Let a listing with odd keys come to an end

What callers saw: a host that starts while a page of a listing ends with an empty key, or with a key that is not UTF-8, is never ready: it reads the same page again and again, and its memory grows with each.

Cause: the follower takes the last key of a page as the start of the next one. An empty key means the first page, and a key that is not UTF-8 is listed with U+FFFD, which may sort before the key itself. It takes a page of that one record (a page has at most 500 records or 1 MB), so one large record of another writer is enough.

Change: the start of the next page is kept apart from the records read, and lies behind such a key. A page that does not advance for another reason is an error, which counts as a store that does not answer: a listing must not count as complete then, because a host would answer 404 for jobs that it did not read.

Whether the store accepts such keys is not known. The page that it takes has to be that large, so this is not a likely cause of the lost jobs.

--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -46,6 +46,7 @@
 	mu            sync.Mutex
 	synced        bool      // a listing was delivered; cleared to list again
 	listing       Listing   // pages read so far
+	listAfter     string    // key after which the next page begins
 	nextOffset    int64     // offset to read next
 	completeAsOf  time.Time // time up to which the delivered records are complete
 	lastResponse  time.Time
@@ -128,17 +129,23 @@
 func (f *Follower) list(ctx context.Context) error {
 	sent := time.Now()
 	f.mu.Lock()
-	after := f.listing.lastKey()
+	after := f.listAfter
 	f.mu.Unlock()
 	page, err := f.store.ListNewest(ctx, f.partition, after)
 	if err != nil {
 		return err
 	}
+	next := ""
+	if page.More && len(page.Records) > 0 {
+		if next, err = page.next(after); err != nil {
+			return err
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
 	f.pacing.succeeded()
-	if f.synced || after != f.listing.lastKey() {
+	if f.synced || after != f.listAfter {
 		return nil // a concurrent call has already read this page
 	}
 	if after == "" {
@@ -147,11 +154,12 @@
 		f.listing = Listing{End: page.End}
 	}
 	f.listing.Records = append(f.listing.Records, page.Records...)
-	if page.More && len(page.Records) > 0 {
+	if next != "" {
+		f.listAfter = next
 		return nil
 	}
 	complete := f.listing
-	f.listing, f.synced = Listing{}, true
+	f.listing, f.listAfter, f.synced = Listing{}, "", true
 	f.apply(Batch{Records: complete.Records, Complete: true, LastOutageEnd: f.lastOutageEnd})
 	f.advanceTo(max(complete.End, f.nextOffset))
 	if len(complete.Records) == len(page.Records) {
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -71,12 +72,22 @@
 	More    bool // further pages follow, starting after the last record's key
 }
 
-// lastKey returns the key of the last record, or an empty string if there is none.
-func (l Listing) lastKey() string {
-	if len(l.Records) == 0 {
-		return ""
+// next returns the key after which the next page of a listing begins. The page itself
+// began after the given key, and has records.
+func (l Listing) next(after string) (string, error) {
+	last := l.Records[len(l.Records)-1].Key
+	if last > after {
+		return last, nil
 	}
-	return l.Records[len(l.Records)-1].Key
+	// The empty key sorts first, and an empty parameter means the first page. Keys that
+	// are not UTF-8 are listed with U+FFFD in place of bytes that may sort after it.
+	switch prefix, _, replaced := strings.Cut(last, "\uFFFD"); {
+	case last == "" && after == "":
+		return "\x00", nil
+	case replaced && prefix+"\xff\xff" > after:
+		return prefix + "\xff\xff", nil
+	}
+	return "", fmt.Errorf("listing makes no progress: page after key %q ends with key %q", after, last)
 }
 
 // Writer identifies a fenced writer and the sequence number of one of its appends. The
