Skip odd rows of the host list instead of the whole list

What callers saw: one row of another type, e.g. a number for an ID, made the whole answer of the host list invalid. Hosts kept the last list that they had read for as long as the row was there, and a host that started had none and was never ready.

Cause: the list was decoded in one piece, and the rows were not checked.

Evidence before the change: TestOddRowOfTheHostListIsSkipped failed with "json: cannot unmarshal number into Go struct field .hosts of type platform.BackendServer".

Change: each row is decoded for itself. A row that cannot be decoded, or whose ID or address is invalid, is skipped and logged once; the others hold. A row without an address stays, as a server that is not reached.

--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -4,6 +4,8 @@
 package deployment
 
 import (
+	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -165,6 +167,15 @@
 	Versions map[string]int64
 }
 
+// CheckAddr checks that an address is an IP and a port that can be dialled.
+func CheckAddr(addr string) error {
+	parsed, err := netip.ParseAddrPort(addr)
+	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() || parsed.Addr().IsMulticast() {
+		return fmt.Errorf("address %q is not IP:PORT", addr)
+	}
+	return nil
+}
+
 // Change is one change published on the platform. One field is set, except that an
 // unusable report of a backend server sets both Invalid and Server, which removes
 // the server.
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -16,6 +16,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
 )
 
 // callTimeout bounds each call to the platform, in addition to the wait of a
@@ -162,6 +165,7 @@
 	mu      sync.Mutex
 	etag    string
 	servers []BackendServer
+	skipped string // last row that was skipped, with the reason
 }
 
 // NewHTTPHostList returns a client of the host list at addr (IP:port).
@@ -174,19 +178,57 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var answer struct {
-		Hosts *[]BackendServer `json:"hosts"`
+		Hosts *[]json.RawMessage `json:"hosts"`
 	}
 	etag, err := h.callIfNoneMatch(ctx, http.MethodGet, "/hosts", callTimeout, nil, h.etag, &answer)
 	if err != nil {
 		return nil, err
 	}
 	if answer.Hosts != nil {
-		h.servers = *answer.Hosts
+		h.servers = h.decodeRows(*answer.Hosts)
 	}
 	h.etag = etag
 	return h.servers, nil
 }
 
+// decodeRows decodes the rows of the list and skips those that name no server to use.
+// The caller holds mu.
+func (h *httpHostList) decodeRows(rows []json.RawMessage) []BackendServer {
+	servers := make([]BackendServer, 0, len(rows))
+	skipped, last := 0, ""
+	for _, row := range rows {
+		server, err := DecodeBackendServer(row)
+		if err != nil {
+			skipped, last = skipped+1, fmt.Sprintf("%.100s: %.200v", row, err)
+			continue
+		}
+		servers = append(servers, server)
+	}
+	if last != h.skipped && last != "" {
+		klog.InfoS("rows of the host list skipped", "rows", skipped, "last", last)
+	}
+	h.skipped = last
+	return servers
+}
+
+// maxIDBytes bounds the ID of a backend server.
+const maxIDBytes = 100
+
+// DecodeBackendServer decodes and checks one row of the host list.
+func DecodeBackendServer(row []byte) (BackendServer, error) {
+	var server BackendServer
+	if err := json.Unmarshal(row, &server); err != nil {
+		return server, eris.Wrap(err, "decode row of the host list")
+	}
+	if server.ID == "" || len(server.ID) > maxIDBytes {
+		return server, eris.Errorf("ID has %d bytes, want 1 to %d", len(server.ID), maxIDBytes)
+	}
+	if server.Addr == "" {
+		return server, nil // counts as unreachable
+	}
+	return server, deployment.CheckAddr(server.Addr)
+}
+
 type httpWeightStore struct{ httpClient }
 
 // NewHTTPWeightStore returns a client of the weight store at addr (IP:port).
