--- a/internal/fronthost/apply_test.go
+++ b/internal/fronthost/apply_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/logstore"
 )
 
 // Guards against a log line for each heartbeat of a record that cannot be used, and
@@ -43,3 +44,29 @@
 		must.Eq(t, []int64{2}, r.Versions)
 	}
 }
+
+// FuzzApplyWorkRecord applies records of the topic that the hosts write, from a listing and
+// from the log, to a host that is not running.
+func FuzzApplyWorkRecord(f *testing.F) {
+	f.Add("r/i-1", []byte(`{"serves":["m"],"versions":{"m":9000000000000000000}}`))
+	f.Add("r/i-1", []byte("null"))
+	f.Add("s/fingerprint/crash", []byte("{}"))
+	f.Add("l/i-1", []byte(`{"incarnation":-1,"per_second":-1e300}`))
+	f.Add(limitAllocatorKey, []byte(`{"addr":"a","epoch":9000000000000000000}`))
+	f.Add("j/job/0", append([]byte{0, 0, 0, 1}, `{"id":"job","items":[{"id":"a"}]}`...))
+	f.Add("j/job/0", append([]byte{255, 255, 255, 255}, "null"...))
+	f.Add("p/job/0", []byte(`{"item":"a","text":{"records":9000000000000000000,"bytes":-1}}`))
+	f.Add("c/job/a", []byte(`{"records":-1}`))
+	f.Add("e/job/", []byte("{}"))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		c := newTestCluster(t, 1)
+		h := c.newEntryHost("host-1")
+		for _, complete := range []bool{true, false} {
+			h.applyWork(1, logstore.Batch{Complete: complete, Records: []logstore.Record{{Key: key, Value: value}, {Key: "e/job/", Value: []byte("{}")}}})
+		}
+		h.applyServers(logstore.Batch{Records: []logstore.Record{{Key: "replica-0", Value: []byte(`{"ID":"replica-0"}`)}}})
+		_ = h.Status()
+		h.applyWork(1, logstore.Batch{Records: []logstore.Record{{Key: key}}})
+		_ = h.Status()
+	})
+}
