Give the outputs of each runner keys of their own

What callers saw: by a test, an accepted job whose results could not be read any more. Each host answered 503, "the store does not return the texts", for ever.

Cause: an output's blob key named the job, the item and the epoch. A host can acquire a partition again under the same epoch, e.g. after an outage of the store that is longer than the renewal grace and changes no generation. The former runner's outputs, whose append was not answered, may be stored late, under the keys of the outputs that the new runner committed. Once the log is compacted, outputs are read by key, and the newest record of the key is the wrong one: it has another length than the reference, or, with the same length, other bytes.

Change: the key names the runner, by the epoch and a random part, instead of the epoch. TestOutputsOfTwoRunnersUseSeparateKeys now compares two runners of the same epoch, which includes those of two epochs.

Why it works: no two runners share a key, and a runner commits an output of an item once. References hold whole keys, so outputs that are stored already are read as before.

--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -28,9 +28,9 @@
 	result := jobs.Result{Item: "item-1"}
 	var refs []jobs.BlobRef
 	var writers []*blobStore
-	for epoch, text := range []string{"text of the first run", "text of the later run"} {
+	for _, text := range []string{"text of the first run", "text of the later run"} {
 		b := newBlobStore(store, testRecordBytes, testAppendBytes)
-		key := outputKey(schedule.Commit{Job: "job-1", Result: result}, int64(epoch+1))
+		key := outputKey(schedule.Commit{Job: "job-1", Result: result}, newRunner(nil, 1, 1).id)
 		got, err := b.put(ctx, 1, []blob{{key: key, data: []byte(text)}})
 		must.NoError(t, err)
 		refs, writers = append(refs, got...), append(writers, b)
--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -143,7 +143,7 @@
 	var indexes []int
 	for i, commit := range commits {
 		if commit.Output != "" {
-			items = append(items, blob{key: outputKey(commit, r.epoch), data: []byte(commit.Output)})
+			items = append(items, blob{key: outputKey(commit, r.id), data: []byte(commit.Output)})
 			indexes = append(indexes, i)
 		}
 	}
@@ -154,11 +154,11 @@
 	return err
 }
 
-// outputKey returns the blob key of a result's output. Runners of different epochs
-// may both run an item, and only one of their outputs is committed, so each epoch
+// outputKey returns the blob key of a result's output. Several runners may run an item,
+// also under the same epoch, and only one of their outputs is committed, so each runner
 // has its own key.
-func outputKey(commit schedule.Commit, epoch int64) string {
-	return fmt.Sprintf("t/%s/%s/%d", commit.Job, commit.Result.Item, epoch)
+func outputKey(commit schedule.Commit, runnerID string) string {
+	return fmt.Sprintf("t/%s/%s/%s", commit.Job, commit.Result.Item, runnerID)
 }
 
 // putWithRetry stores blobs and retries until the store accepts them or ctx ends.
--- a/internal/fronthost/ownership_test.go
+++ b/internal/fronthost/ownership_test.go
@@ -58,3 +58,37 @@
 	must.Eq(t, results, stored)
 	must.Eq(t, outputs, storedOutputs)
 }
+
+// Guards against an accepted job that cannot be read: the output of a former runner of
+// the same epoch replaced a committed one, and the log was compacted.
+func TestLateOutputDoesNotReplaceACommittedOneOfTheSameEpoch(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	c.waitUntil("the partition has an owner", func() bool { return ownerOf(a) != nil })
+	former := ownerOf(a)
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	var delayed atomic.Int32
+	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
+		if call == memlog.CallAppend && p == blobPartition(former.partition) {
+			delayed.Add(1)
+			return memlog.Delay
+		}
+		return memlog.None
+	})
+	c.waitUntil("outputs are being stored", func() bool { return delayed.Load() > 0 })
+	c.mu.Lock()
+	c.events += 4
+	c.mu.Unlock()
+	a.group.ReleaseFenced(former.partition, former.epoch)
+	c.waitUntil("the partition is acquired again", func() bool { r := ownerOf(a); return r != nil && r != former })
+	must.EqOp(t, former.epoch, ownerOf(a).epoch)
+	<-former.appenderDone
+	c.store.SetFault(nil)
+	results, outputs := c.collect(a, "job-1", 4)
+	c.store.ReleaseDelayed()
+	c.store.Delete(blobPartition(former.partition))
+	stored, storedOutputs := c.collect(c.startHost("b"), "job-1", 4)
+	must.Eq(t, results, stored)
+	must.Eq(t, outputs, storedOutputs)
+}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
@@ -77,6 +79,7 @@
 	host      *Host
 	partition int
 	epoch     int64
+	id        string // unique among all runners
 	cancel    context.CancelFunc
 	writer    *logstore.FencedWriter
 	// predecessor is the former runner of the partition under the same epoch, if there
@@ -103,7 +106,7 @@
 
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
-		host: h, partition: partition, epoch: epoch, wakeups: make(chan struct{}, 1), runState: newRunState(),
+		host: h, partition: partition, epoch: epoch, id: fmt.Sprintf("%d-%s", epoch, uuid.NewString()[:8]), wakeups: make(chan struct{}, 1), runState: newRunState(),
 		removed: make(map[string]*jobs.Entry), queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1), appenderDone: make(chan struct{}),
 	}
 }
