Read the compacted outputs of a page with shared listings

What callers saw: nothing directly; found in the review of the cause of unreadable jobs. After the log is compacted or its records expire, each output of a page is read by key, and each such read transfers a page of the store's listing of up to 500 records or 1 MB, of which one output was used. Eight were under way at once, for at most 700 ms per call, over a bandwidth that all hosts share, and what a call had not completed was lost for the next call. By calculation, at 80 MB/s for all readers, seven such calls at once ask for the 56 MB that arrive in 700 ms; with more of them no listing arrives in time, and each host refuses the read with 503 for as long as the others read, too.

Cause: each output was read by itself.

Evidence: TestCompactedOutputsOfAPageShareListings failed before: 200 listings for 200 outputs that two pages of a listing hold ("expected 200 <= 10").

Change: the outputs of a page that are not at their offsets are read after the others, in the order of their positions, and each listing serves all outputs of the page that it holds. Listings of a call are sent one after the other.

Why it works: the first position is requested first and alone, so a call returns at least one result whenever the store returns one page of a listing within 700 ms.

Result: the test passes, and so do those of blobs and outputs with the race detector. The refusals of many hosts at once were not reproduced.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -123,15 +123,20 @@
 		}
 	}
 	slices.SortFunc(missing, func(x, y int) int { return int(refs[x].Offset - refs[y].Offset) })
+	byKey := make([]bool, len(refs)) // blobs that are not at the offsets of their references
 	var reads errgroup.Group
 	reads.SetLimit(parallelReads)
 	for len(missing) > 0 {
 		n := contiguousCount(refs, missing)
 		indexes := missing[:n]
-		reads.Go(func() error { return b.readContiguous(ctx, partition, refs, indexes, found) })
+		reads.Go(func() error { return b.readContiguous(ctx, partition, refs, indexes, found, byKey) })
 		missing = missing[n:]
 	}
-	return found, reads.Wait()
+	err := reads.Wait()
+	if keyErr := b.readByKey(ctx, partition, refs, found, byKey); err == nil {
+		err = keyErr
+	}
+	return found, err
 }
 
 // contiguousCount returns how many of the blobs, sorted by offset, a single read
@@ -153,9 +158,9 @@
 	return len(sorted)
 }
 
-// readContiguous reads contiguous blobs by offset, or by key if their records are not
-// at these offsets or were deleted.
-func (b *blobStore) readContiguous(ctx context.Context, partition int, refs []jobs.BlobRef, indexes []int, found [][]byte) error {
+// readContiguous reads contiguous blobs by offset. It sets byKey for those whose records
+// are not at these offsets or were deleted.
+func (b *blobStore) readContiguous(ctx context.Context, partition int, refs []jobs.BlobRef, indexes []int, found [][]byte, byKey []bool) error {
 	values := make(map[string][]byte)
 	first, last := refs[indexes[0]], refs[indexes[len(indexes)-1]]
 	size := 0
@@ -169,18 +174,13 @@
 		}
 	}
 	for _, i := range indexes {
-		ref := refs[i]
-		data, ok := assemble(ref, values)
+		data, ok := assemble(refs[i], values)
 		if !ok {
-			if err := b.readByKey(ctx, partition, ref, values); err != nil {
-				return err
-			}
-			if data, ok = assemble(ref, values); !ok {
-				return fmt.Errorf("%w: %s", errNoBlob, ref.Key)
-			}
+			byKey[i] = true
+			continue
 		}
 		found[i] = data
-		b.addToCache(ref.Key, data)
+		b.addToCache(refs[i].Key, data)
 	}
 	return nil
 }
@@ -206,11 +206,48 @@
 	return nil
 }
 
-// readByKey reads a blob that cannot be read by offset. The store retains the newest
-// record of each key, even if it has deleted that record from the log.
-func (b *blobStore) readByKey(ctx context.Context, partition int, ref jobs.BlobRef, values map[string][]byte) error {
-	after := ref.Key + "/"
-	for {
+// readByKey reads the blobs that cannot be read by offset, in the order of refs. The store
+// retains the newest record of each key, even if it has deleted that record from the log.
+// A page of a listing holds up to 1 MB of records, so each serves all blobs that it holds,
+// and they are read one after the other: parallel ones would share the bandwidth, and none
+// might arrive in time.
+func (b *blobStore) readByKey(ctx context.Context, partition int, refs []jobs.BlobRef, found [][]byte, byKey []bool) error {
+	wanted := make(map[string]bool)
+	for i, ref := range refs {
+		for n := range ref.Records {
+			if byKey[i] {
+				wanted[ref.ChunkKey(n)] = true
+			}
+		}
+	}
+	values := make(map[string][]byte)
+	var missing error
+	for i, ref := range refs {
+		if !byKey[i] {
+			continue
+		}
+		data, ok := assemble(ref, values)
+		if !ok {
+			if err := b.listFrom(ctx, partition, ref.Key, wanted, values); err != nil {
+				return err
+			}
+			data, ok = assemble(ref, values)
+		}
+		if !ok {
+			missing = fmt.Errorf("%w: %s", errNoBlob, ref.Key)
+			continue
+		}
+		found[i] = data
+		b.addToCache(ref.Key, data)
+	}
+	return missing
+}
+
+// listFrom lists the newest records from those of a blob on, until all records of that
+// blob were listed, and adds the wanted ones to values.
+func (b *blobStore) listFrom(ctx context.Context, partition int, key string, wanted map[string]bool, values map[string][]byte) error {
+	after := key + "/"
+	for strings.HasPrefix(after, key+"/") {
 		attemptCtx, cancel := context.WithTimeout(ctx, blobReadTimeout)
 		listing, err := b.store.ListNewest(attemptCtx, blobPartition(partition), after)
 		cancel()
@@ -218,16 +255,16 @@
 			return err
 		}
 		for _, r := range listing.Records {
-			if !strings.HasPrefix(r.Key, ref.Key+"/") {
-				return nil
+			if wanted[r.Key] {
+				values[r.Key] = r.Value
 			}
-			values[r.Key] = r.Value
 			after = r.Key
 		}
 		if !listing.More || len(listing.Records) == 0 {
 			return nil
 		}
 	}
+	return nil
 }
 
 // assemble joins the records of a blob. It reports false if some are missing or are not
--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,3 +118,39 @@
 		must.ErrorIs(t, err, errNoBlob)
 	}
 }
+
+// Guards against a listing of the store for each output of a page after the log was
+// compacted: each returns many records, and all hosts share the store's bandwidth.
+func TestCompactedOutputsOfAPageShareListings(t *testing.T) {
+	ctx := context.Background()
+	store := memlog.New(4)
+	writer := newBlobStore(store, testRecordBytes, testAppendBytes)
+	const outputs = 200
+	var refs []jobs.BlobRef
+	for i := range outputs {
+		got, err := writer.put(ctx, 1, []blob{
+			{key: fmt.Sprintf("t/job-1/item-%d/1", i), data: bytes.Repeat([]byte{'a' + byte(i%26)}, 1+11*i)},
+			{key: fmt.Sprintf("t/job-1/other-%d/1", i), data: []byte("other")},
+		})
+		must.NoError(t, err)
+		refs = append(refs, got[0])
+	}
+	store.Delete(blobPartition(1))
+	store.SetPageSize(500) // a blob may be cut at the end of a page
+	all, err := store.ListNewest(ctx, blobPartition(1), "")
+	must.NoError(t, err)
+	must.True(t, all.More)
+	var listings atomic.Int32
+	store.SetFault(func(call memlog.Call, _ logstore.Partition) memlog.Fault {
+		if call == memlog.CallNewest {
+			listings.Add(1)
+		}
+		return memlog.None
+	})
+	found, err := newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+	must.NoError(t, err)
+	for i := range refs {
+		must.Eq(t, bytes.Repeat([]byte{'a' + byte(i%26)}, 1+11*i), found[i])
+	}
+	must.LessEq(t, int32(10), listings.Load())
+}
