Replace a runner that ended while its partition is assigned

What callers saw: nothing reported; found in the review. Jobs of a partition could be accepted and get no results until the partition moved to another host.

Cause: a fenced runner releases its partition and ends. A renewal that was answered before that, and whose response is applied before the runners are reconciled, lists the partition again under the same generation. The ended runner then counted as that of the assignment. Later renewals keep the epoch of an assigned partition, so it stayed.

Evidence: TestEndedRunnerOfAnAssignedPartitionIsReplaced, which ends the runner of an assigned partition, failed before: "condition not met within 20s: all results of job-1". The order of events that leads there was found by reading and not played.

Change: reconciliation replaces a runner that appends nothing any more.

Why it works: the new runner takes over the writer if the epoch is the same, so the number of runners of an epoch does not matter. If it is fenced again, the partition is released as before and acquired under the generation of a later renewal.

--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -120,7 +120,7 @@
 			if isFenced(err) {
 				r.host.group.ReleaseFenced(r.partition, r.epoch)
 			}
-			// The outcome may be unknown, so only a runner of a new epoch may continue.
+			// The outcome may be unknown, so only a new runner, which settles it, may continue.
 			r.cancel()
 			return false
 		}
--- a/internal/fronthost/ownership.go
+++ b/internal/fronthost/ownership.go
@@ -102,7 +102,9 @@
 
 // reconcileRunners starts a runner for each newly assigned partition and stops the
 // runners of partitions that are no longer assigned. If the epoch of a partition
-// changed, the new runner takes over the running items of the former one.
+// changed, the new runner takes over the running items of the former one. A runner that
+// ended by itself, e.g. because it was fenced, is replaced: a renewal may list its
+// partition again before it is released.
 func (h *Host) reconcileRunners(ctx context.Context) {
 	assigned := h.group.Assigned()
 	if h.group.SinceRenewal() > renewalGrace {
@@ -119,6 +121,11 @@
 	}
 	for p, epoch := range assigned {
 		former := h.runners[p]
+		if former != nil && former.hasEnded() {
+			klog.InfoS("runner ended while its partition is assigned", "partition", p, "epoch", former.epoch, "assigned", epoch)
+			delete(h.runners, p)
+			former = nil
+		}
 		if (former != nil && former.epoch == epoch) || h.followers[p] == nil || h.draining.Load() {
 			continue
 		}
@@ -140,6 +147,16 @@
 	}
 }
 
+// hasEnded reports whether the runner appends nothing any more.
+func (r *runner) hasEnded() bool {
+	select {
+	case <-r.appenderDone:
+		return true
+	default:
+		return false
+	}
+}
+
 // release stops the runner of a partition that is being reassigned. The store does
 // not reassign the partition before this member's next renewal, so there is time
 // to store the results and partial outputs of the runs.
--- a/internal/fronthost/ownership_test.go
+++ b/internal/fronthost/ownership_test.go
@@ -92,3 +92,19 @@
 	must.Eq(t, results, stored)
 	must.Eq(t, outputs, storedOutputs)
 }
+
+// Guards against a partition without a runner: the runner ended because it was fenced,
+// and a renewal listed the partition again before the runners were reconciled.
+func TestEndedRunnerOfAnAssignedPartitionIsReplaced(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	c.waitUntil("the partition has an owner", func() bool { return ownerOf(a) != nil })
+	former := ownerOf(a)
+	former.cancel()
+	<-former.appenderDone
+	must.EqOp(t, former.epoch, a.group.Assigned()[former.partition])
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	results, outputs := c.collect(a, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+}
