Retain only the writer of a released partition

What callers saw: nothing; memory of a host that released partitions. It is priced, and a host that exceeds its memory is killed.

Cause: since one writer is kept for each epoch, the newest runner of each partition was kept after its release, with the payloads, partial outputs and queued results of all its jobs, until the host acquired the partition again.

Evidence: TestReleasedPartitionsAreNotRetained failed before: "condition not met within 20s: all runners are freed".

Change: the epoch, the writer, the end of its use and the former tenure under the same epoch are a type of their own, and only that is kept.

Why it works: a later runner needs nothing else of a former one. The writer holds at most the records of one append whose outcome is unknown.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -112,7 +112,7 @@
 	suspects          *suspect.Table
 	followers         map[int]*logstore.Follower // of topicWork
 	runners           map[int]*runner
-	lastRunners       map[int]*runner // newest runner of each partition, also after its release
+	lastTenures       map[int]*tenure // newest tenure of each partition, also after its release
 	skipped           skippedRecords
 	registeredServers []deployment.Server // copy of the registry for server selection
 	serversByService  map[string][]deployment.Server
@@ -126,7 +126,7 @@
 		member: s.Host.ID + "-" + uuid.NewString()[:8],
 		state:  deployment.NewState(), jobs: jobs.NewTable(), placements: make(map[string]*placement),
 		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()),
-		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastRunners: make(map[int]*runner), skipped: make(skippedRecords),
+		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastTenures: make(map[int]*tenure), skipped: make(skippedRecords),
 	}
 	if h.isSmall() {
 		h.member = s.Host.ID + smallMarker + uuid.NewString()[:8]
--- a/internal/fronthost/ownership.go
+++ b/internal/fronthost/ownership.go
@@ -131,10 +131,10 @@
 		}
 		klog.InfoS("acquiring partition", "partition", p, "epoch", epoch, "goes_on", former != nil)
 		r := newRunner(h, p, epoch)
-		if last := h.lastRunners[p]; last != nil && last.epoch == epoch {
-			r.predecessor = last
+		if last := h.lastTenures[p]; last != nil && last.epoch == epoch {
+			r.tenure.former = last
 		}
-		h.lastRunners[p] = r
+		h.lastTenures[p] = r.tenure
 		if former != nil {
 			r.runState = former.runState
 			former.runState = newRunState()
@@ -213,11 +213,11 @@
 	}
 }
 
-// takeOverWriter waits until the predecessors have stopped and continues with their
+// takeOverWriter waits until the former runners have stopped and continues with their
 // writer, because its last append may still take effect. Without one, the runner gets a
 // new writer.
 func (r *runner) takeOverWriter(ctx context.Context) error {
-	for former := r.predecessor; former != nil && r.writer == nil; former = former.predecessor {
+	for former := r.former; former != nil && r.writer == nil; former = former.former {
 		select {
 		case <-former.appenderDone:
 		case <-ctx.Done():
@@ -226,7 +226,7 @@
 		klog.InfoS("partition acquired again under the same epoch", "partition", r.partition, "epoch", r.epoch)
 		r.writer = former.writer
 	}
-	r.predecessor = nil
+	r.former = nil
 	if r.writer == nil {
 		r.writer = logstore.NewFencedWriter(r.host.store, workPartition(r.partition), writerName, r.epoch)
 	}
--- a/internal/fronthost/ownership_test.go
+++ b/internal/fronthost/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync/atomic"
 	"testing"
 
@@ -108,3 +109,31 @@
 	results, outputs := c.collect(a, "job-1", 4)
 	checkResults(t, c, job, results, outputs)
 }
+
+// Guards against a host that retains the payloads and outputs of partitions that it
+// released until it acquires them again.
+func TestReleasedPartitionsAreNotRetained(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	c.waitUntil("the partition has an owner", func() bool { return ownerOf(a) != nil })
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	var freed atomic.Int32
+	watch := func() int32 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, r := range a.runners {
+			runtime.AddCleanup(r, func(n *atomic.Int32) { n.Add(1) }, &freed)
+			runtime.AddCleanup(r.runState, func(n *atomic.Int32) { n.Add(1) }, &freed)
+		}
+		return 2 * int32(len(a.runners))
+	}
+	watched := watch()
+	must.Positive(t, watched)
+	a.group.SetPaused(context.Background(), true)
+	c.waitUntil("all runners are freed", func() bool {
+		runtime.GC()
+		return freed.Load() == watched
+	})
+}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -78,15 +78,11 @@
 type runner struct {
 	host      *Host
 	partition int
-	epoch     int64
 	id        string // unique among all runners
 	cancel    context.CancelFunc
-	writer    *logstore.FencedWriter
-	// predecessor is the former runner of the partition under the same epoch, if there
-	// was one, whose writer this runner takes over.
-	predecessor *runner
-	wakeups     chan struct{}
+	wakeups   chan struct{}
 
+	*tenure
 	*runState
 	orders *orderer // control partition only
 	// removed holds the jobs whose removal was queued and whose blobs are not removed yet:
@@ -101,13 +97,22 @@
 	pendingPartials []schedule.ItemPartial // partial outputs to be stored
 	appendSignal    chan struct{}
 	stopping        bool
-	appenderDone    chan struct{} // closed when appendLoop has returned
+}
+
+// tenure is the use of the writer of a partition by one runner.
+type tenure struct {
+	epoch        int64
+	writer       *logstore.FencedWriter
+	appenderDone chan struct{} // closed when the runner does not use the writer any more
+	// former is the tenure of the former runner under the same epoch, if there was one,
+	// whose writer this runner takes over.
+	former *tenure
 }
 
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
-		host: h, partition: partition, epoch: epoch, id: fmt.Sprintf("%d-%s", epoch, uuid.NewString()[:8]), wakeups: make(chan struct{}, 1), runState: newRunState(),
-		removed: make(map[string]*jobs.Entry), queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1), appenderDone: make(chan struct{}),
+		host: h, partition: partition, tenure: &tenure{epoch: epoch, appenderDone: make(chan struct{})}, id: fmt.Sprintf("%d-%s", epoch, uuid.NewString()[:8]), wakeups: make(chan struct{}, 1), runState: newRunState(),
+		removed: make(map[string]*jobs.Entry), queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1),
 	}
 }
 
