Tell results apart whose IDs contain slashes

What callers saw: nothing reported; found in the review. Of two jobs "a" and "a/b" with the items "b/c" and "c", one runner stored both outputs under one key, and queued only one of two results that ended at the same time.

Cause: job and item were joined with a slash, which both may contain, in the keys of outputs and of the results that are being committed. After a compaction of the log, the newest record of an output's key is one of the two: the other result cannot be read, or has other bytes.

Evidence: TestOutputKeysOfIDsWithSlashesDiffer ("expected inequality") and TestResultsOfIDsWithSlashesAreQueued ("len(slice): 1, expected: 2") failed before.

Change: the job ID is escaped in an output's key, as in the keys of records, and a queued result is identified by its job and its item.

Why it works: an escaped job ID has no slash, and the runner's part has none.

Result: the tests pass, and those of outputs with the race detector.

--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -154,3 +154,19 @@
 	}
 	must.LessEq(t, int32(10), listings.Load())
 }
+
+// Guards against one key for the outputs of two items whose IDs contain slashes.
+func TestOutputKeysOfIDsWithSlashesDiffer(t *testing.T) {
+	key := func(job, item string) string {
+		return outputKey(schedule.Commit{Job: job, Result: jobs.Result{Item: item}}, "1-a")
+	}
+	must.NotEq(t, key("a", "b/c"), key("a/b", "c"))
+}
+
+// Guards against a result that is dropped because its job and item, joined by a slash,
+// read like those of another one that is being committed.
+func TestResultsOfIDsWithSlashesAreQueued(t *testing.T) {
+	r := newRunner(nil, 1, 1)
+	r.queueCommits([]schedule.Commit{{Job: "a", Result: jobs.Result{Item: "b/c"}}, {Job: "a/b", Result: jobs.Result{Item: "c"}}})
+	must.SliceLen(t, 2, r.pendingCommits)
+}
--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,12 +14,19 @@
 	"github.com/sesamestand/sesamestand/internal/logstore"
 )
 
+// resultKey identifies a result.
+type resultKey struct{ job, item string }
+
+func keyOf(commit schedule.Commit) resultKey {
+	return resultKey{job: commit.Job, item: commit.Result.Item}
+}
+
 // queueCommits queues results for the next append unless they are queued already.
 func (r *runner) queueCommits(commits []schedule.Commit) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, commit := range commits {
-		key := commit.Job + "/" + commit.Result.Item
+		key := keyOf(commit)
 		if !r.queuedResults[key] {
 			r.queuedResults[key] = true
 			r.pendingCommits = append(r.pendingCommits, commit)
@@ -131,7 +139,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, commit := range commits {
-		delete(r.queuedResults, commit.Job+"/"+commit.Result.Item)
+		delete(r.queuedResults, keyOf(commit))
 	}
 	return len(r.pendingCommits) > 0 || len(r.pendingRecords) > 0 || len(r.pendingPartials) > 0
 }
@@ -156,9 +164,9 @@
 
 // outputKey returns the blob key of a result's output. Several runners may run an item,
 // also under the same epoch, and only one of their outputs is committed, so each runner
-// has its own key.
+// has its own key. The job ID is escaped because IDs may contain slashes.
 func outputKey(commit schedule.Commit, runnerID string) string {
-	return fmt.Sprintf("t/%s/%s/%s", commit.Job, commit.Result.Item, runnerID)
+	return fmt.Sprintf("t/%s/%s/%s", url.PathEscape(commit.Job), commit.Result.Item, runnerID)
 }
 
 // putWithRetry stores blobs and retries until the store accepts them or ctx ends.
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -91,8 +91,8 @@
 
 	mu              sync.Mutex
 	pendingCommits  []schedule.Commit
-	waiters         []chan bool     // receive whether the queued records were appended
-	queuedResults   map[string]bool // results that are being committed, by job and item
+	waiters         []chan bool        // receive whether the queued records were appended
+	queuedResults   map[resultKey]bool // results that are being committed
 	pendingRecords  []logstore.Record
 	pendingPartials []schedule.ItemPartial // partial outputs to be stored
 	appendSignal    chan struct{}
@@ -112,7 +112,7 @@
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
 		host: h, partition: partition, tenure: &tenure{epoch: epoch, appenderDone: make(chan struct{})}, id: fmt.Sprintf("%d-%s", epoch, uuid.NewString()[:8]), wakeups: make(chan struct{}, 1), runState: newRunState(),
-		removed: make(map[string]*jobs.Entry), queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1),
+		removed: make(map[string]*jobs.Entry), queuedResults: make(map[resultKey]bool), appendSignal: make(chan struct{}, 1),
 	}
 }
 
