--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,12 +14,19 @@
 	"github.com/sesamestand/sesamestand/internal/logstore"
 )
 
+// resultKey identifies a result.
+type resultKey struct{ job, item string }
+
+func keyOf(commit schedule.Commit) resultKey {
+	return resultKey{job: commit.Job, item: commit.Result.Item}
+}
+
 // queueCommits queues results for the next append unless they are queued already.
 func (r *runner) queueCommits(commits []schedule.Commit) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, commit := range commits {
-		key := commit.Job + "/" + commit.Result.Item
+		key := keyOf(commit)
 		if !r.queuedResults[key] {
 			r.queuedResults[key] = true
 			r.pendingCommits = append(r.pendingCommits, commit)
@@ -120,7 +128,7 @@
 			if isFenced(err) {
 				r.host.group.ReleaseFenced(r.partition, r.epoch)
 			}
-			// The outcome may be unknown, so only a runner of a new epoch may continue.
+			// The outcome may be unknown, so only a new runner, which settles it, may continue.
 			r.cancel()
 			return false
 		}
@@ -131,7 +139,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, commit := range commits {
-		delete(r.queuedResults, commit.Job+"/"+commit.Result.Item)
+		delete(r.queuedResults, keyOf(commit))
 	}
 	return len(r.pendingCommits) > 0 || len(r.pendingRecords) > 0 || len(r.pendingPartials) > 0
 }
@@ -143,7 +151,7 @@
 	var indexes []int
 	for i, commit := range commits {
 		if commit.Output != "" {
-			items = append(items, blob{key: outputKey(commit, r.epoch), data: []byte(commit.Output)})
+			items = append(items, blob{key: outputKey(commit, r.id), data: []byte(commit.Output)})
 			indexes = append(indexes, i)
 		}
 	}
@@ -154,11 +162,11 @@
 	return err
 }
 
-// outputKey returns the blob key of a result's output. Runners of different epochs
-// may both run an item, and only one of their outputs is committed, so each epoch
-// has its own key.
-func outputKey(commit schedule.Commit, epoch int64) string {
-	return fmt.Sprintf("t/%s/%s/%d", commit.Job, commit.Result.Item, epoch)
+// outputKey returns the blob key of a result's output. Several runners may run an item,
+// also under the same epoch, and only one of their outputs is committed, so each runner
+// has its own key. The job ID is escaped because IDs may contain slashes.
+func outputKey(commit schedule.Commit, runnerID string) string {
+	return fmt.Sprintf("t/%s/%s/%s", url.PathEscape(commit.Job), commit.Result.Item, runnerID)
 }
 
 // putWithRetry stores blobs and retries until the store accepts them or ctx ends.
--- a/internal/fronthost/ownership.go
+++ b/internal/fronthost/ownership.go
@@ -102,7 +102,9 @@
 
 // reconcileRunners starts a runner for each newly assigned partition and stops the
 // runners of partitions that are no longer assigned. If the epoch of a partition
-// changed, the new runner takes over the running items of the former one.
+// changed, the new runner takes over the running items of the former one. A runner that
+// ended by itself, e.g. because it was fenced, is replaced: a renewal may list its
+// partition again before it is released.
 func (h *Host) reconcileRunners(ctx context.Context) {
 	assigned := h.group.Assigned()
 	if h.group.SinceRenewal() > renewalGrace {
@@ -119,15 +121,20 @@
 	}
 	for p, epoch := range assigned {
 		former := h.runners[p]
+		if former != nil && former.hasEnded() {
+			klog.InfoS("runner ended while its partition is assigned", "partition", p, "epoch", former.epoch, "assigned", epoch)
+			delete(h.runners, p)
+			former = nil
+		}
 		if (former != nil && former.epoch == epoch) || h.followers[p] == nil || h.draining.Load() {
 			continue
 		}
 		klog.InfoS("acquiring partition", "partition", p, "epoch", epoch, "goes_on", former != nil)
 		r := newRunner(h, p, epoch)
-		if last := h.lastRunners[p]; last != nil && last.epoch == epoch {
-			r.predecessor = last
+		if last := h.lastTenures[p]; last != nil && last.epoch == epoch {
+			r.tenure.former = last
 		}
-		h.lastRunners[p] = r
+		h.lastTenures[p] = r.tenure
 		if former != nil {
 			r.runState = former.runState
 			former.runState = newRunState()
@@ -140,6 +147,16 @@
 	}
 }
 
+// hasEnded reports whether the runner appends nothing any more.
+func (r *runner) hasEnded() bool {
+	select {
+	case <-r.appenderDone:
+		return true
+	default:
+		return false
+	}
+}
+
 // release stops the runner of a partition that is being reassigned. The store does
 // not reassign the partition before this member's next renewal, so there is time
 // to store the results and partial outputs of the runs.
@@ -196,11 +213,11 @@
 	}
 }
 
-// takeOverWriter waits until the predecessors have stopped and continues with their
+// takeOverWriter waits until the former runners have stopped and continues with their
 // writer, because its last append may still take effect. Without one, the runner gets a
 // new writer.
 func (r *runner) takeOverWriter(ctx context.Context) error {
-	for former := r.predecessor; former != nil && r.writer == nil; former = former.predecessor {
+	for former := r.former; former != nil && r.writer == nil; former = former.former {
 		select {
 		case <-former.appenderDone:
 		case <-ctx.Done():
@@ -209,7 +226,7 @@
 		klog.InfoS("partition acquired again under the same epoch", "partition", r.partition, "epoch", r.epoch)
 		r.writer = former.writer
 	}
-	r.predecessor = nil
+	r.former = nil
 	if r.writer == nil {
 		r.writer = logstore.NewFencedWriter(r.host.store, workPartition(r.partition), writerName, r.epoch)
 	}
