--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
@@ -55,6 +57,10 @@
 	payloads map[string][]jobs.Payload
 	// partials holds the partial outputs of items that are not running.
 	partials map[string]retainedPartial
+	// removed holds the jobs whose removal was queued and whose blobs are not removed yet:
+	// until their results are forgotten, items of other jobs may reuse these.
+	removed     map[string]*jobs.Entry
+	lastCleanUp time.Time
 }
 
 // retainedPartial is a partial output and when its retention began.
@@ -67,6 +73,7 @@
 	return &runState{
 		scheduler: schedule.NewScheduler(schedule.Defaults()), cancels: make(map[int64]func()), loggedProgress: make(map[string]schedule.Progress),
 		payloads: make(map[string][]jobs.Payload), partials: make(map[string]retainedPartial),
+		removed: make(map[string]*jobs.Entry), lastCleanUp: time.Now(),
 	}
 }
 
@@ -76,35 +83,38 @@
 type runner struct {
 	host      *Host
 	partition int
-	epoch     int64
+	id        string // unique among all runners
 	cancel    context.CancelFunc
-	writer    *logstore.FencedWriter
-	// predecessor is the former runner of the partition under the same epoch, if there
-	// was one, whose writer this runner takes over.
-	predecessor *runner
-	wakeups     chan struct{}
+	wakeups   chan struct{}
 
+	*tenure
 	*runState
 	orders *orderer // control partition only
-	// removed holds the jobs whose removal was queued and whose blobs are not removed yet:
-	// until their results are forgotten, items of other jobs may reuse these.
-	removed map[string]*jobs.Entry
 
 	mu              sync.Mutex
 	pendingCommits  []schedule.Commit
-	waiters         []chan bool     // receive whether the queued records were appended
-	queuedResults   map[string]bool // results that are being committed, by job and item
+	waiters         []chan bool        // receive whether the queued records were appended
+	queuedResults   map[resultKey]bool // results that are being committed
 	pendingRecords  []logstore.Record
 	pendingPartials []schedule.ItemPartial // partial outputs to be stored
 	appendSignal    chan struct{}
 	stopping        bool
-	appenderDone    chan struct{} // closed when appendLoop has returned
+}
+
+// tenure is the use of the writer of a partition by one runner.
+type tenure struct {
+	epoch        int64
+	writer       *logstore.FencedWriter
+	appenderDone chan struct{} // closed when the runner does not use the writer any more
+	// former is the tenure of the former runner under the same epoch, if there was one,
+	// whose writer this runner takes over.
+	former *tenure
 }
 
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
-		host: h, partition: partition, epoch: epoch, wakeups: make(chan struct{}, 1), runState: newRunState(),
-		removed: make(map[string]*jobs.Entry), queuedResults: make(map[string]bool), appendSignal: make(chan struct{}, 1), appenderDone: make(chan struct{}),
+		host: h, partition: partition, tenure: &tenure{epoch: epoch, appenderDone: make(chan struct{})}, id: fmt.Sprintf("%d-%s", epoch, uuid.NewString()[:8]), wakeups: make(chan struct{}, 1),
+		runState: newRunState(), queuedResults: make(map[resultKey]bool), appendSignal: make(chan struct{}, 1),
 	}
 }
 
@@ -129,7 +139,7 @@
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	lastPartials, lastCleanUp := time.Now(), time.Now()
+	lastPartials := time.Now()
 	var lastTick time.Time
 	for {
 		select {
@@ -150,11 +160,21 @@
 			lastPartials = now
 			r.queuePartials(partialEvents)
 		}
-		if now := time.Now(); now.Sub(lastCleanUp) >= cleanUpInterval {
-			lastCleanUp = now
-			r.evictStale(now)
-			r.removeExpiredJobs(now)
-		}
+		r.cleanUp(time.Now())
+	}
+}
+
+// cleanUp releases stale state and removes expired jobs every cleanUpInterval.
+func (r *runner) cleanUp(now time.Time) {
+	r.host.mu.Lock()
+	due := now.Sub(r.lastCleanUp) >= cleanUpInterval
+	if due {
+		r.lastCleanUp = now
+	}
+	r.host.mu.Unlock()
+	if due {
+		r.evictStale(now)
+		r.removeExpiredJobs(now)
 	}
 }
 
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -49,6 +49,7 @@
 	mu            sync.Mutex
 	synced        bool      // a listing was delivered; cleared to list again
 	listing       Listing   // pages read so far
+	listAfter     string    // key after which the next page begins
 	nextOffset    int64     // offset to read next
 	reads         int64     // number of reads sent
 	completeRead  int64     // newest read after which all records that it could see were delivered
@@ -135,17 +136,23 @@
 func (f *Follower) list(ctx context.Context, read int64) error {
 	sent := f.now()
 	f.mu.Lock()
-	after := f.listing.lastKey()
+	after := f.listAfter
 	f.mu.Unlock()
 	page, err := f.store.ListNewest(ctx, f.partition, after)
 	if err != nil {
 		return err
 	}
+	next := ""
+	if page.More && len(page.Records) > 0 {
+		if next, err = page.next(after); err != nil {
+			return err
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
 	f.pacing.succeeded()
-	if f.synced || after != f.listing.lastKey() {
+	if f.synced || after != f.listAfter {
 		return nil // a concurrent call has already read this page
 	}
 	if after == "" {
@@ -154,11 +161,12 @@
 		f.listing = Listing{End: page.End}
 	}
 	f.listing.Records = append(f.listing.Records, page.Records...)
-	if page.More && len(page.Records) > 0 {
+	if next != "" {
+		f.listAfter = next
 		return nil
 	}
 	complete := f.listing
-	f.listing, f.synced = Listing{}, true
+	f.listing, f.listAfter, f.synced = Listing{}, "", true
 	f.apply(Batch{Records: complete.Records, Complete: true, LastOutageEnd: f.lastOutageEnd})
 	f.advanceTo(max(complete.End, f.nextOffset))
 	if len(complete.Records) == len(page.Records) {
