Keep what is known of a server while its entry is invalid

What callers saw: after an invalid entry had replaced that of a server with a rate limit for 250 ms, the limit was forgotten by all hosts and removed from the store. When the good entry was back, each host sent requests beyond the limit until an answer named it again.

Cause: housekeeping drops the limits and the balancer's state of all servers that are not registered, and runners drop their paces; an invalid entry counted as one that was removed.

Change: the state remembers the servers that were registered until their entry became invalid, until the entry is good again or is gone. What is known of these is retained; no request is sent to them. The number of such servers is bounded by that of servers that were registered and still have an entry. The test's decoder reports invalid records as the platform's does.

--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -212,6 +213,8 @@
 	// pendingRemovals maps the servers whose removal is deferred to the time at
 	// which it is executed.
 	pendingRemovals map[string]time.Time
+	// discarded holds the servers whose entry was replaced by an invalid one.
+	discarded map[string]bool
 }
 
 // NewState returns an empty State.
@@ -220,6 +223,7 @@
 		Versions:        table.New[string, int64](),
 		Servers:         table.New[string, Server](),
 		pendingRemovals: make(map[string]time.Time),
+		discarded:       make(map[string]bool),
 	}
 }
 
@@ -259,6 +263,7 @@
 // SetServer applies a server's report and cancels its pending removal.
 func (s *State) SetServer(server Server) {
 	delete(s.pendingRemovals, server.ID)
+	delete(s.discarded, server.ID)
 	s.Servers.Put(server.ID, server)
 }
 
@@ -267,6 +272,7 @@
 // expired only because the store was unavailable, and a server that is alive
 // renews it by then.
 func (s *State) RemoveServer(id string, lastOutageEnd, now time.Time) {
+	delete(s.discarded, id)
 	if s.Servers.Get(id) == nil {
 		return
 	}
@@ -280,10 +286,18 @@
 // DiscardServer removes a server at once, also shortly after an outage: its entry did
 // not expire, but was replaced by one that names no server.
 func (s *State) DiscardServer(id string) {
+	if s.Servers.Get(id) == nil {
+		return
+	}
 	delete(s.pendingRemovals, id)
 	s.Servers.Delete(id)
+	s.discarded[id] = true
 }
 
+// MayReturn reports whether a server is registered, or was until its entry was replaced
+// by an invalid one. What is known of it is retained.
+func (s *State) MayReturn(id string) bool { return s.Servers.Get(id) != nil || s.discarded[id] }
+
 // Expire executes the deferred removals that are due, and returns the sorted IDs
 // of the removed servers.
 func (s *State) Expire(now time.Time) []string {
@@ -300,11 +314,12 @@
 }
 
 // RemoveAbsent calls RemoveServer for every server that is missing from a complete
-// listing.
+// listing. The listing also has the servers whose entry is invalid.
 func (s *State) RemoveAbsent(present map[string]bool, lastOutageEnd, now time.Time) {
 	for _, id := range s.Servers.Keys() {
 		if !present[id] {
 			s.RemoveServer(id, lastOutageEnd, now)
 		}
 	}
+	maps.DeleteFunc(s.discarded, func(id string, _ bool) bool { return !present[id] })
 }
--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -60,6 +60,7 @@
 		if change.Server.Server == nil {
 			h.logServer(change.Server.ID, nil, r.Offset)
 			if change.Invalid != nil {
+				present[change.Server.ID] = true
 				h.state.DiscardServer(change.Server.ID)
 			} else {
 				h.state.RemoveServer(change.Server.ID, b.LastOutageEnd, now)
--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -259,7 +259,9 @@
 	change := deployment.Change{Server: &deployment.ServerChange{ID: r.Key}}
 	if !r.IsTombstone() {
 		s := &deployment.Server{}
-		if err := json.Unmarshal(r.Value, s); err == nil {
+		if err := json.Unmarshal(r.Value, s); err != nil {
+			change.Invalid = &deployment.InvalidChange{Key: r.Key, Reason: err.Error()}
+		} else {
 			change.Server.Server = s
 		}
 	}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -235,7 +235,8 @@
 }
 
 // removeServers carries out the removals of backend servers that are due, and releases
-// the balancer state, the limits and the connections of unregistered servers.
+// the balancer state and the limits of servers that are gone, and the connections of
+// unregistered ones.
 func (h *Host) removeServers() {
 	synced := h.serverFollower.HasSynced()
 	h.mu.Lock()
@@ -247,11 +248,10 @@
 	for _, s := range h.registeredServers {
 		registered[backend.Target{ID: s.ID, Addr: s.Addr}] = true
 	}
-	isRegistered := func(id string) bool { return h.state.Servers.Get(id) != nil }
-	h.forward.RetainServers(isRegistered)
+	h.forward.RetainServers(h.state.MayReturn)
 	var unlimited []string
 	if synced {
-		unlimited = h.limits.Retain(isRegistered)
+		unlimited = h.limits.Retain(h.state.MayReturn)
 	}
 	h.mu.Unlock()
 	h.removePublishedLimits(unlimited)
--- a/internal/fronthost/limits_test.go
+++ b/internal/fronthost/limits_test.go
@@ -227,6 +227,37 @@
 	c.waitUntil("the limits are removed", func() bool { return published() == 0 })
 }
 
+// Guards against a limit that is forgotten because the entry of its server was invalid for
+// a while.
+func TestLimitOutlastsAnInvalidEntry(t *testing.T) {
+	c, hosts := newLimitedCluster(t)
+	callPages(hosts[:1], 20, 500*time.Millisecond)
+	registered := func(want int) bool {
+		h := hosts[0]
+		h.removeServers()
+		n := 0
+		for _, s := range h.Status().Servers {
+			if slices.Contains(limitedServers, s.ID) {
+				n++
+			}
+		}
+		return n == want
+	}
+	c.waitUntil("the limits are known", func() bool { return hosts[0].knowsLimits(true) })
+	for _, id := range limitedServers {
+		c.put(serverPartition, id, 7)
+	}
+	c.waitUntil("the servers are not used", func() bool { return registered(0) })
+	for range 3 {
+		hosts[0].removeServers()
+	}
+	for _, id := range limitedServers {
+		c.register(id, testApp)
+	}
+	c.waitUntil("the servers are used again", func() bool { return registered(len(limitedServers)) })
+	must.True(t, hosts[0].knowsLimits(true))
+}
+
 // Guards against a limit that is exceeded, or left unused for long, when the allocator
 // dies: the other hosts neither know what it granted nor reach it.
 func TestLimitIsKeptWhenAllocatorDies(t *testing.T) {
--- a/internal/fronthost/load.go
+++ b/internal/fronthost/load.go
@@ -115,12 +115,12 @@
 }
 
 // evictStale evicts partial outputs that no job requested within partialRetention,
-// the scheduler's state of unregistered replicas, and the logged progress of jobs
+// the scheduler's state of replicas that are gone, and the logged progress of jobs
 // that ended or were removed.
 func (r *runner) evictStale(now time.Time) {
 	r.host.mu.Lock()
 	defer r.host.mu.Unlock()
-	r.scheduler.RetainReplicas(func(replica string) bool { return r.host.state.Servers.Get(replica) != nil })
+	r.scheduler.RetainReplicas(r.host.state.MayReturn)
 	for id, retained := range r.partials {
 		if now.Sub(retained.since) > partialRetention {
 			delete(r.partials, id)
