--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/sesamestand/sesamestand/internal/core/leaving"
 	"github.com/sesamestand/sesamestand/internal/core/table"
 )
 
@@ -158,7 +159,12 @@
 	Addr       string
 	DataCentre string
 	Slots      int
-	Leaving    bool
+	// Leaving is set if the server's record or one of its responses says that it is
+	// leaving.
+	Leaving bool
+	// LastResortUntil is the time until which a server that is leaving may get requests
+	// that no other server can take. It is zero if the record says that it is leaving.
+	LastResortUntil time.Time
 	// Incarnation distinguishes successive processes with the same ID.
 	Incarnation int64
 	// ColdUntil is the time at which the server expects to be warm.
@@ -168,6 +174,19 @@
 	Versions map[string]int64
 }
 
+// IsLastResort reports whether the server is leaving, but may still get requests that no
+// other server can take.
+func (s *Server) IsLastResort(now time.Time) bool {
+	return s.Leaving && now.Before(s.LastResortUntil)
+}
+
+// RecordSaysLeaving reports whether the server is leaving according to its record.
+func (s *Server) RecordSaysLeaving() bool { return s.Leaving && s.LastResortUntil.IsZero() }
+
+func (s *Server) instance() leaving.Instance {
+	return leaving.Instance{ID: s.ID, Incarnation: s.Incarnation}
+}
+
 // CheckAddr checks that an address is an IP and a port that can be dialled.
 func CheckAddr(addr string) error {
 	parsed, err := netip.ParseAddrPort(addr)
@@ -215,6 +234,7 @@
 	pendingRemovals map[string]time.Time
 	// discarded holds the servers whose entry was replaced by an invalid one.
 	discarded map[string]bool
+	notices   *leaving.Notices
 }
 
 // NewState returns an empty State.
@@ -224,6 +244,7 @@
 		Servers:         table.New[string, Server](),
 		pendingRemovals: make(map[string]time.Time),
 		discarded:       make(map[string]bool),
+		notices:         leaving.NewNotices(),
 	}
 }
 
@@ -264,9 +285,34 @@
 func (s *State) SetServer(server Server) {
 	delete(s.pendingRemovals, server.ID)
 	delete(s.discarded, server.ID)
+	s.applyNotice(&server)
 	s.Servers.Put(server.ID, server)
 }
 
+// applyNotice marks a server as leaving if it has said so in a response. A record that
+// says so as well is older by an unknown time, so it allows no use as a last resort.
+func (s *State) applyNotice(server *Server) {
+	if until, known := s.notices.LastResortUntil(server.instance()); known && !server.Leaving {
+		server.Leaving, server.LastResortUntil = true, until
+	}
+}
+
+// LearnLeaving records that a server said in a response that it is leaving. It reports
+// whether that was not known from a response before.
+func (s *State) LearnLeaving(i leaving.Instance, now time.Time) bool {
+	isRegistered := func(i leaving.Instance) bool {
+		server := s.Servers.Get(i.ID)
+		return server != nil && server.Incarnation == i.Incarnation
+	}
+	if !s.notices.Add(i, now, isRegistered) {
+		return false
+	}
+	if isRegistered(i) {
+		s.applyNotice(s.Servers.Get(i.ID))
+	}
+	return true
+}
+
 // RemoveServer removes a server. Within outageGrace after the last outage of the
 // store, the removal is deferred to the end of that time: the entry may have
 // expired only because the store was unavailable, and a server that is alive
--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -19,11 +19,14 @@
 // refer to it.
 type BlobRef struct {
 	Key     string `json:"key"`
-	Offset  int64  `json:"offset"`
+	Offset  int64  `json:"offset"` // or UnknownOffset
 	Records int    `json:"records"`
 	Bytes   int    `json:"bytes"`
 }
 
+// UnknownOffset is the offset of a blob that can be read by its key only.
+const UnknownOffset = -1
+
 // Payload is the request that is sent to a replica for an item.
 type Payload struct {
 	Path    string            `json:"path"`
@@ -151,17 +154,23 @@
 // Table holds the state of all jobs.
 type Table struct {
 	entries *table.Table[string, Entry]
-	// finished holds the successful results by item ID, for reuse when a later job
+	// finished holds the newest successful result by item ID, for reuse when a later job
 	// contains the same item.
-	finished map[string]Result
+	finished map[string]finishedItem
 	// partials holds the locations of partial outputs by item ID.
 	partials map[string]BlobRef
 }
 
+// finishedItem is an item with a successful result.
+type finishedItem struct {
+	result Result
+	jobs   int // number of jobs with a successful result of the item
+}
+
 // NewTable returns an empty Table.
 func NewTable() *Table {
 	return &Table{
-		entries: table.New[string, Entry](), finished: make(map[string]Result), partials: make(map[string]BlobRef),
+		entries: table.New[string, Entry](), finished: make(map[string]finishedItem), partials: make(map[string]BlobRef),
 	}
 }
 
@@ -175,6 +184,13 @@
 	return e
 }
 
+// Unreadable reports whether records of a job were read, but not all chunks of it that
+// can be decoded. Such a job may have been accepted.
+func (t *Table) Unreadable(id string) bool {
+	e := t.entries.Get(id)
+	return e != nil && e.Job == nil && !e.Removed
+}
+
 // Each calls f for every accepted job until f returns false.
 func (t *Table) Each(f func(*Entry) bool) {
 	t.entries.Each(func(_ string, e *Entry) bool {
@@ -187,8 +203,8 @@
 
 // Finished returns the successful result of an item from any job.
 func (t *Table) Finished(item string) (Result, bool) {
-	r, ok := t.finished[item]
-	return r, ok
+	f, ok := t.finished[item]
+	return f.result, ok
 }
 
 // Partial returns the location of the partial output of an item.
--- a/internal/engine/admin.go
+++ b/internal/engine/admin.go
@@ -6,10 +6,14 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/netdial"
+	"github.com/sesamestand/sesamestand/internal/platform"
 )
 
 // ErrFenced is returned if an engine refused an order because it has received
@@ -26,27 +30,33 @@
 	adminBodyLimit = 1 << 20
 )
 
-// AdminClient reads the state of engines and sends them orders. It has its own
-// connection pool, separate from that of completions, so that orders do not
-// queue behind streams. It is safe for concurrent use.
+// AdminClient reads the state of engines and sends them orders. Its connections are
+// separate from those of completions, so that orders do not queue behind streams.
+// An order has a connection of its own: the pool may take bytes after one answer for
+// the answer to the next request. It is safe for concurrent use.
 type AdminClient struct {
-	client *http.Client
+	states *http.Client
+	orders *http.Client
 	token  string
 }
 
 // NewAdminClient returns a client that authenticates with backendToken unless it
 // is empty.
 func NewAdminClient(backendToken string) *AdminClient {
-	return &AdminClient{token: backendToken, client: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: adminIdleConns,
-		IdleConnTimeout:     adminIdleTimeout,
-	}}}
+	dial := netdial.DiscardUnsent(new(net.Dialer).DialContext)
+	return &AdminClient{
+		token: backendToken,
+		states: &http.Client{Transport: &http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: adminIdleConns, IdleConnTimeout: adminIdleTimeout,
+		}},
+		orders: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+	}
 }
 
 // State reads the state of the engine at addr.
 func (a *AdminClient) State(ctx context.Context, addr string) (State, error) {
 	var state State
-	response, err := a.do(ctx, http.MethodGet, "http://"+addr+"/state", nil)
+	response, err := a.do(ctx, a.states, http.MethodGet, "http://"+addr+"/state", nil)
 	if err != nil {
 		return state, eris.Wrapf(err, "read state of engine %s", addr)
 	}
@@ -54,12 +64,25 @@
 	if response.StatusCode != http.StatusOK {
 		return state, eris.Errorf("engine %s responded %s to a state read", addr, response.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, adminBodyLimit)).Decode(&state); err != nil {
-		return state, eris.Wrapf(err, "decode state of engine %s", addr)
+	if err := decodeBody(response, adminBodyLimit, &state); err != nil {
+		return State{}, eris.Wrapf(err, "decode state of engine %s", addr)
 	}
+	state.Leaving = platform.SaysLeaving(response)
 	return state, nil
 }
 
+// decodeBody reads a JSON body to its end, so that one that ends early is an error.
+func decodeBody(response *http.Response, limit int64, value any) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(data)) > limit {
+		return eris.Errorf("body exceeds %d bytes", limit)
+	}
+	return json.Unmarshal(data, value)
+}
+
 // SendOrder sends one order. It returns nil if the engine accepted the order,
 // which it then executes asynchronously, and ErrFenced if the engine refused the
 // order's fencing number. After any other error the outcome is unknown: the order
@@ -69,7 +92,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode order")
 	}
-	response, err := a.do(ctx, http.MethodPost, "http://"+addr+"/orders", body)
+	response, err := a.do(ctx, a.orders, http.MethodPost, "http://"+addr+"/orders", body)
 	if err != nil {
 		return eris.Wrapf(err, "send order %s to engine %s", order.Kind, addr)
 	}
@@ -84,9 +107,9 @@
 }
 
 // CloseIdle closes all idle connections, including any that stopped responding.
-func (a *AdminClient) CloseIdle() { a.client.CloseIdleConnections() }
+func (a *AdminClient) CloseIdle() { a.states.CloseIdleConnections() }
 
-func (a *AdminClient) do(ctx context.Context, method, url string, body []byte) (*http.Response, error) {
+func (a *AdminClient) do(ctx context.Context, client *http.Client, method, url string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -97,7 +120,7 @@
 	if a.token != "" {
 		request.Header.Set("Authorization", "Bearer "+a.token)
 	}
-	return a.client.Do(request)
+	return client.Do(request)
 }
 
 // drainAndClose reads the rest of the body, so that the connection can be
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesamestand/sesamestand/internal/netdial"
 )
 
 const (
@@ -44,7 +46,7 @@
 
 // ResponseObserver is called with the response of an engine to each completion, before
 // its body is read.
-type ResponseObserver func(addr string, response *http.Response, sent time.Time)
+type ResponseObserver func(addr, requestID string, response *http.Response, sent time.Time)
 
 // ObserveResponses sets the observer of responses. It must be called before the first
 // call of Stream.
@@ -129,7 +131,7 @@
 	}
 	defer response.Body.Close()
 	if r.client.observe != nil {
-		r.client.observe(r.addr, response, sent)
+		r.client.observe(r.addr, r.request.RequestID, response, sent)
 	}
 	if response.StatusCode != http.StatusOK {
 		r.status = response.StatusCode
@@ -226,7 +228,7 @@
 	}
 	dialer := &net.Dialer{Timeout: c.config.ConnectTimeout, KeepAlive: 5 * time.Second}
 	transport = &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         netdial.DiscardUnsent(dialer.DialContext),
 		MaxIdleConnsPerHost: 32,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -19,6 +19,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
@@ -52,6 +53,11 @@
 // carried out.
 const housekeepingInterval = 250 * time.Millisecond
 
+// assignedCheckInterval is the interval at which an owner checks the partitions that it
+// does not follow for records. With the second at which runners are reconciled, it is
+// below the 5 s within which an item of an open job must run.
+const assignedCheckInterval = 2 * time.Second
+
 // Feed is a partition that other systems write to, with the decoder of its records.
 type Feed struct {
 	Partition logstore.Partition
@@ -64,13 +70,15 @@
 	Servers   Feed
 }
 
-// Backends is the client for backend servers. CloseUnregistered closes the
-// connections to servers that are no longer registered.
+// Backends is the client for backend servers. CloseUnused closes the idle connections
+// to servers that are no longer used.
 type Backends interface {
 	backend.Client
 	// ObserveLimits sets the observer of the rate limits that servers name.
 	ObserveLimits(backend.LimitObserver)
-	CloseUnregistered(registered func(backend.Target) bool)
+	// ObserveLeaving sets the observer of servers that say that they are leaving.
+	ObserveLeaving(backend.LeavingObserver)
+	CloseUnused(used func(backend.Target) bool)
 }
 
 // Host is one entry host.
@@ -92,6 +100,7 @@
 
 	baseCtx  context.Context // cancelled when the process ends; runs derive from it
 	draining atomic.Bool
+	surveyed atomic.Bool // all job partitions were checked for records
 	inFlight atomic.Int64
 
 	// mu is locked after the lock of a Follower, and before those of a runner and of
@@ -105,6 +114,7 @@
 	suspects          *suspect.Table
 	followers         map[int]*logstore.Follower // of topicWork
 	runners           map[int]*runner
+	lastTenures       map[int]*tenure // newest tenure of each partition, also after its release
 	skipped           skippedRecords
 	registeredServers []deployment.Server // copy of the registry for server selection
 	serversByService  map[string][]deployment.Server
@@ -118,13 +128,14 @@
 		member: s.Host.ID + "-" + uuid.NewString()[:8],
 		state:  deployment.NewState(), jobs: jobs.NewTable(), placements: make(map[string]*placement),
 		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()),
-		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), skipped: make(skippedRecords),
+		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastTenures: make(map[int]*tenure), skipped: make(skippedRecords),
 	}
 	if h.isSmall() {
 		h.member = s.Host.ID + smallMarker + uuid.NewString()[:8]
 	}
 	h.limits = limits.New(h.member, (*limitDirectory)(h), peers, recorder)
 	backends.ObserveLimits(h.observeLimit)
+	backends.ObserveLeaving(h.observeLeaving)
 	h.blobs = newBlobStore(store, s.Platform.Store.RecordBytes, s.Platform.Store.AppendBytes)
 	h.operatorFollower = logstore.NewFollower(store, feeds.Operators.Partition, h.applyOperators)
 	h.serverFollower = logstore.NewFollower(store, feeds.Servers.Partition, h.applyServers)
@@ -153,7 +164,8 @@
 	}
 	go h.group.Run(ctx)
 	go h.watchAssignments(ctx, changed)
-	go h.housekeep(ctx)
+	go every(ctx, assignedCheckInterval, func() { h.followAssigned(ctx) })
+	go every(ctx, housekeepingInterval, h.removeServers)
 }
 
 // memberTTL returns the time after which the partitions of a host that does not
@@ -219,10 +231,46 @@
 	}
 }
 
-// housekeep periodically carries out the removals of backend servers that are due,
-// and releases what is kept for unregistered servers.
-func (h *Host) housekeep(ctx context.Context) {
-	ticker := time.NewTicker(housekeepingInterval)
+// followWritten follows the job partitions that hold records. A partition holds jobs that
+// no model of the present configuration selects if another configuration selected it
+// when they were submitted.
+func (h *Host) followWritten(ctx context.Context) error {
+	var reads errgroup.Group
+	for p := controlPartition + 1; p < h.settings.Platform.Store.Partitions; p++ {
+		if h.follower(p) == nil {
+			reads.Go(func() error { return h.followIfWritten(ctx, p) })
+		}
+	}
+	return reads.Wait()
+}
+
+func (h *Host) followIfWritten(ctx context.Context, partition int) error {
+	written, err := logstore.HasRecords(ctx, h.store, workPartition(partition))
+	if err == nil && written {
+		h.followPartition(h.baseCtx, partition)
+	}
+	return err
+}
+
+// followAssigned follows the assigned partitions that hold records, so that
+// open jobs run even if no model of the present configuration selects their partition.
+func (h *Host) followAssigned(ctx context.Context) {
+	for p := range h.group.Owned() {
+		if h.follower(p) != nil {
+			continue
+		}
+		checkCtx, cancel := context.WithTimeout(ctx, assignedCheckInterval)
+		err := h.followIfWritten(checkCtx, p)
+		cancel()
+		if err != nil {
+			klog.V(1).InfoS("could not check an assigned partition for records", "partition", p, "err", err)
+		}
+	}
+}
+
+// every calls f at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -230,23 +278,24 @@
 			return
 		case <-ticker.C:
 		}
-		h.removeServers()
+		f()
 	}
 }
 
 // removeServers carries out the removals of backend servers that are due, and releases
-// the balancer state and the limits of servers that are gone, and the connections of
-// unregistered ones.
+// the balancer state and the limits of servers that are gone, and the idle connections of
+// those that are unregistered or leaving.
 func (h *Host) removeServers() {
 	synced := h.serverFollower.HasSynced()
 	h.mu.Lock()
-	removed := h.state.Expire(time.Now())
+	now := time.Now()
+	removed := h.state.Expire(now)
 	if len(removed) > 0 {
 		h.refreshServers()
 	}
-	registered := make(map[backend.Target]bool, len(h.registeredServers))
+	inUse := make(map[backend.Target]bool, len(h.registeredServers))
 	for _, s := range h.registeredServers {
-		registered[backend.Target{ID: s.ID, Addr: s.Addr}] = true
+		inUse[targetOf(&s)] = !s.Leaving || s.IsLastResort(now)
 	}
 	h.forward.RetainServers(h.state.MayReturn)
 	var unlimited []string
@@ -258,7 +307,7 @@
 	for _, id := range removed {
 		klog.InfoS("backend server removed after a store outage", "server", id, "reason", "not registered again after the outage")
 	}
-	h.backends.CloseUnregistered(func(t backend.Target) bool { return registered[t] })
+	h.backends.CloseUnused(func(t backend.Target) bool { return inUse[t] })
 }
 
 // Ready reports whether the host can serve: it is not draining and has read the
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -419,3 +420,171 @@
 	results, outputs := c.collect(h, "job-1", 4)
 	checkResults(t, c, job, results, outputs)
 }
+
+// Guards against "no such job" for a job whose records were skipped as invalid.
+func TestJobWithInvalidRecordsIsNotDenied(t *testing.T) {
+	c := newTestCluster(t, 1)
+	h := c.startHost("a")
+	c.put(workPartition(modelPartition(h)), "j/job-1/0", "not a chunk")
+	page, refusal := h.Results(context.Background(), "job-1", 0, 0)
+	must.Nil(t, page)
+	must.NotNil(t, refusal)
+	must.EqOp(t, cluster.OutcomeNotRun, refusal.Outcome)
+}
+
+// Guards against a job in several records that hosts cannot run or read, because its
+// records do not say at which offset its payloads lie.
+func TestJobInSeveralRecordsIsReadable(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	a.settings.Platform.Store.RecordBytes = 2048
+	job, payloads := newJob("job-1", 40, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	a.kill()
+	b := c.startHost("b")
+	must.EqOp(t, jobs.UnknownOffset, b.jobEntry("job-1").Job.Payloads.Offset)
+	body, found, refusal := b.ItemBody(context.Background(), "job-1", "job-1-39")
+	must.Nil(t, refusal)
+	must.True(t, found)
+	must.EqOp(t, "body of job-1-39", string(body))
+	results, outputs := c.collect(b, "job-1", 40)
+	checkResults(t, c, job, results, outputs)
+}
+
+// Guards against results whose outputs are gone, because the job that generated them was
+// removed while a job that reuses them is open.
+func TestReusedOutputsOutliveTheirFirstJob(t *testing.T) {
+	c := newTestCluster(t, 2)
+	c.breaks = func(id string, _ int) bool { return id == "job-2-0" }
+	a := c.startHost("a")
+	a.settings.Timing.JobRetention = 100 * time.Millisecond
+	first, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), first, payloads))
+	results, outputs := c.collect(a, "job-1", 4)
+	second, more := newJob("job-2", 1, 1)
+	second.Items, more = append(first.Items, second.Items...), append(payloads, more...)
+	must.Nil(t, a.Submit(context.Background(), second, more))
+	reused, _ := c.collect(a, "job-2", 4)
+	must.EqOp(t, results[0].Output, reused[slices.IndexFunc(reused, func(r jobs.Result) bool { return r.Item == results[0].Item })].Output)
+	payload := jobs.BlobRef{Key: "b/job-1"}.ChunkKey(0)
+	c.waitUntil("the blobs of the first job are removed", func() bool {
+		listing, err := c.store.ListNewest(context.Background(), blobPartition(modelPartition(a)), "")
+		must.NoError(t, err)
+		return !slices.ContainsFunc(listing.Records, func(r logstore.Record) bool { return r.Key == payload })
+	})
+	c.store.Delete(blobPartition(modelPartition(a)))
+	b := c.startHost("b")
+	same, sameOutputs := c.collect(b, "job-2", 4)
+	must.Eq(t, reused, same)
+	must.SliceContainsAll(t, outputs, sameOutputs)
+}
+
+// Guards against a job that cannot be read while the store is too slow to return all
+// outputs of a page in time.
+func TestPageHoldsTheOutputsThatArriveInTime(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 24, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	outputs := blobPartition(modelPartition(a))
+	var results []jobs.Result
+	for i := 0; len(results) < 24; i++ {
+		c.put(outputs, fmt.Sprintf("other-%d", i), "between two outputs")
+		page, _ := a.Results(context.Background(), "job-1", len(results), 10*time.Millisecond)
+		if page != nil {
+			results = append(results, page.Results...)
+		}
+	}
+	b := c.startHost("b")
+	b.view.setSlow(func(p logstore.Partition, from int64) time.Duration {
+		if p == outputs && from > results[0].Output.Offset {
+			return waitTimeout
+		}
+		return 0
+	})
+	page, refusal := b.Results(context.Background(), "job-1", 0, 0)
+	must.Nil(t, refusal)
+	must.Between(t, 1, len(page.Results), 23)
+	must.EqOp(t, len(page.Results), page.Next)
+	must.EqOp(t, len(page.Results), len(page.Outputs))
+	for i, r := range page.Results {
+		must.EqOp(t, results[i].Item, r.Item)
+		must.EqOp(t, c.fullOutput(r.Item), page.Outputs[i])
+	}
+}
+
+// Guards against a read that never ends, because each read of the store takes longer
+// than the staleness up to which the host says that there are no more results.
+func TestReadWithoutResultsEndsWhileTheStoreIsSlow(t *testing.T) {
+	c := newTestCluster(t, 1)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 2, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 2)
+	a.view.setSlow(func(logstore.Partition, int64) time.Duration { return maxReadStaleness + 20*time.Millisecond })
+	c.waitUntil("the host's copy is stale", func() bool { return a.follower(modelPartition(a)).Staleness() > maxReadStaleness })
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	c.waitUntil("the page without results arrives", func() bool {
+		page, _ := a.Results(ctx, "job-1", 2, 0)
+		must.NoError(t, ctx.Err())
+		return page != nil && len(page.Results) == 0
+	})
+}
+
+// Guards against removed jobs whose records or blobs stay in the store, because their
+// partition is reassigned to the same host more often than jobs are cleaned up.
+func TestCleanUpGoesOnWhenPartitionIsReassigned(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	a.settings.Timing.JobRetention = 100 * time.Millisecond
+	partition := modelPartition(a)
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	reassigned := time.Now()
+	for _, topic := range []string{topicWork, topicBlobs} {
+		c.waitUntil("the records of the job are removed from "+topic, func() bool {
+			if time.Since(reassigned) > cleanUpInterval/4 {
+				a.view.setCut(true)
+				time.Sleep(2 * a.memberTTL())
+				a.view.setCut(false)
+				reassigned = time.Now()
+			}
+			listing, err := c.store.ListNewest(context.Background(), logstore.Partition{Topic: topic, Number: partition}, "")
+			must.NoError(t, err)
+			return len(listing.Records) == 0
+		})
+	}
+}
+
+// Guards against a job that never runs, because each attempt of its runner to read the
+// payloads has the same time, and the store takes longer.
+func TestJobRunsWhenPayloadsArriveSlowly(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	partition := modelPartition(a)
+	job, payloads := newJob("job-1", 4, 1)
+	c.mu.Lock()
+	for _, r := range c.replicas {
+		r.busy = true
+	}
+	c.mu.Unlock()
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	a.kill()
+	c.mu.Lock()
+	for _, r := range c.replicas {
+		r.busy = false
+	}
+	c.mu.Unlock()
+	b := c.newEntryHost("b")
+	b.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p == blobPartition(partition) {
+			return confirmTimeout + 300*time.Millisecond
+		}
+		return 0
+	})
+	b.start(t.Context())
+	results, outputs := c.collect(b, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+}
--- a/internal/fronthost/ownership.go
+++ b/internal/fronthost/ownership.go
@@ -102,10 +102,12 @@
 
 // reconcileRunners starts a runner for each newly assigned partition and stops the
 // runners of partitions that are no longer assigned. If the epoch of a partition
-// changed, the new runner takes over the running items of the former one.
+// changed, the new runner takes over the running items of the former one. A runner that
+// ended by itself, e.g. because it was fenced, is replaced: a renewal may list its
+// partition again before it is released.
 func (h *Host) reconcileRunners(ctx context.Context) {
 	assigned := h.group.Assigned()
-	if time.Since(h.group.LastRenewal()) > renewalGrace {
+	if h.group.SinceRenewal() > renewalGrace {
 		assigned = nil
 	}
 	h.mu.Lock()
@@ -119,11 +121,20 @@
 	}
 	for p, epoch := range assigned {
 		former := h.runners[p]
+		if former != nil && former.hasEnded() {
+			klog.InfoS("runner ended while its partition is assigned", "partition", p, "epoch", former.epoch, "assigned", epoch)
+			delete(h.runners, p)
+			former = nil
+		}
 		if (former != nil && former.epoch == epoch) || h.followers[p] == nil || h.draining.Load() {
 			continue
 		}
 		klog.InfoS("acquiring partition", "partition", p, "epoch", epoch, "goes_on", former != nil)
 		r := newRunner(h, p, epoch)
+		if last := h.lastTenures[p]; last != nil && last.epoch == epoch {
+			r.tenure.former = last
+		}
+		h.lastTenures[p] = r.tenure
 		if former != nil {
 			r.runState = former.runState
 			former.runState = newRunState()
@@ -136,6 +147,16 @@
 	}
 }
 
+// hasEnded reports whether the runner appends nothing any more.
+func (r *runner) hasEnded() bool {
+	select {
+	case <-r.appenderDone:
+		return true
+	default:
+		return false
+	}
+}
+
 // release stops the runner of a partition that is being reassigned. The store does
 // not reassign the partition before this member's next renewal, so there is time
 // to store the results and partial outputs of the runs.
@@ -167,21 +188,23 @@
 // acquire makes this host the only writer of the partition, and waits until the
 // host has read everything that was written before.
 func (r *runner) acquire(ctx context.Context) error {
+	if err := r.takeOverWriter(ctx); err != nil {
+		return err
+	}
 	for {
 		attemptCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
-		writer, end, err := logstore.OpenFencedWriter(attemptCtx, r.host.store, workPartition(r.partition), writerName, r.epoch)
+		end, err := r.writer.Open(attemptCtx)
 		if err == nil {
 			err = r.host.follower(r.partition).WaitForOffset(attemptCtx, end)
 		}
 		cancel()
 		if err == nil {
-			r.writer = writer
 			klog.InfoS("partition acquired", "partition", r.partition, "epoch", r.epoch, "end", end)
 			return nil
 		}
 		klog.InfoS("partition not acquired", "partition", r.partition, "epoch", r.epoch, "err", err)
 		if isFenced(err) {
-			r.host.group.ReleaseFenced(r.partition)
+			r.host.group.ReleaseFenced(r.partition, r.epoch)
 			return err
 		}
 		if ctx.Err() != nil {
@@ -189,3 +212,23 @@
 		}
 	}
 }
+
+// takeOverWriter waits until the former runners have stopped and continues with their
+// writer, because its last append may still take effect. Without one, the runner gets a
+// new writer.
+func (r *runner) takeOverWriter(ctx context.Context) error {
+	for former := r.former; former != nil && r.writer == nil; former = former.former {
+		select {
+		case <-former.appenderDone:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		klog.InfoS("partition acquired again under the same epoch", "partition", r.partition, "epoch", r.epoch)
+		r.writer = former.writer
+	}
+	r.former = nil
+	if r.writer == nil {
+		r.writer = logstore.NewFencedWriter(r.host.store, workPartition(r.partition), writerName, r.epoch)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fronthost/ownership_test.go
@@ -0,0 +1,139 @@
+package fronthost
+
+import (
+	"context"
+	"runtime"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/logstore"
+	"github.com/sesamestand/sesamestand/internal/logstore/memlog"
+)
+
+// ownerOf returns the runner of the only partition that a host's jobs lie in.
+func ownerOf(h *hostHandle) *runner {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.runners[h.partitionOf(testModel)]
+}
+
+// Guards against results that callers have read and that are not in the log, after a
+// partition was acquired again under the same epoch.
+func TestLateAppendDoesNotReplaceResultsOfTheSameEpoch(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	var runsBreak atomic.Bool
+	c.breaks = func(string, int) bool { return runsBreak.Load() }
+	c.waitUntil("the partition has an owner", func() bool { return ownerOf(a) != nil })
+	former := ownerOf(a)
+	job, payloads := newJob("job-1", 12, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	var appends atomic.Int32
+	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
+		if call == memlog.CallAppend && p == workPartition(former.partition) {
+			appends.Add(1)
+			return memlog.Delay
+		}
+		return memlog.None
+	})
+	c.waitUntil("an append of results is under way", func() bool { return appends.Load() > 0 })
+	runsBreak.Store(true)
+	a.group.ReleaseFenced(former.partition, former.epoch)
+	c.waitUntil("the partition is acquired again", func() bool { r := ownerOf(a); return r != nil && r != former })
+	must.EqOp(t, former.epoch, ownerOf(a).epoch)
+	var opened atomic.Bool
+	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
+		if call == memlog.CallAppend && p == workPartition(former.partition) {
+			opened.Store(true)
+		}
+		return memlog.None
+	})
+	c.waitUntil("the new runner registers its epoch", opened.Load)
+	c.store.ReleaseDelayed()
+	runsBreak.Store(false)
+	results, outputs := c.collect(a, "job-1", 12)
+	checkResults(t, c, job, results, outputs)
+	stored, storedOutputs := c.collect(c.startHost("b"), "job-1", 12)
+	must.Eq(t, results, stored)
+	must.Eq(t, outputs, storedOutputs)
+}
+
+// Guards against an accepted job that cannot be read: the output of a former runner of
+// the same epoch replaced a committed one, and the log was compacted.
+func TestLateOutputDoesNotReplaceACommittedOneOfTheSameEpoch(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	c.waitUntil("the partition has an owner", func() bool { return ownerOf(a) != nil })
+	former := ownerOf(a)
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	var delayed atomic.Int32
+	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
+		if call == memlog.CallAppend && p == blobPartition(former.partition) {
+			delayed.Add(1)
+			return memlog.Delay
+		}
+		return memlog.None
+	})
+	c.waitUntil("outputs are being stored", func() bool { return delayed.Load() > 0 })
+	c.mu.Lock()
+	c.events += 4
+	c.mu.Unlock()
+	a.group.ReleaseFenced(former.partition, former.epoch)
+	c.waitUntil("the partition is acquired again", func() bool { r := ownerOf(a); return r != nil && r != former })
+	must.EqOp(t, former.epoch, ownerOf(a).epoch)
+	<-former.appenderDone
+	c.store.SetFault(nil)
+	results, outputs := c.collect(a, "job-1", 4)
+	c.store.ReleaseDelayed()
+	c.store.Delete(blobPartition(former.partition))
+	stored, storedOutputs := c.collect(c.startHost("b"), "job-1", 4)
+	must.Eq(t, results, stored)
+	must.Eq(t, outputs, storedOutputs)
+}
+
+// Guards against a partition without a runner: the runner ended because it was fenced,
+// and a renewal listed the partition again before the runners were reconciled.
+func TestEndedRunnerOfAnAssignedPartitionIsReplaced(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	c.waitUntil("the partition has an owner", func() bool { return ownerOf(a) != nil })
+	former := ownerOf(a)
+	former.cancel()
+	<-former.appenderDone
+	must.EqOp(t, former.epoch, a.group.Assigned()[former.partition])
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	results, outputs := c.collect(a, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+}
+
+// Guards against a host that retains the payloads and outputs of partitions that it
+// released until it acquires them again.
+func TestReleasedPartitionsAreNotRetained(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	c.waitUntil("the partition has an owner", func() bool { return ownerOf(a) != nil })
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	var freed atomic.Int32
+	watch := func() int32 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, r := range a.runners {
+			runtime.AddCleanup(r, func(n *atomic.Int32) { n.Add(1) }, &freed)
+			runtime.AddCleanup(r.runState, func(n *atomic.Int32) { n.Add(1) }, &freed)
+		}
+		return 2 * int32(len(a.runners))
+	}
+	watched := watch()
+	must.Positive(t, watched)
+	a.group.SetPaused(context.Background(), true)
+	c.waitUntil("all runners are freed", func() bool {
+		runtime.GC()
+		return freed.Load() == watched
+	})
+}
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/boottime"
 )
 
 // Timeouts and limits of a follower.
@@ -41,13 +43,16 @@
 	store     Store
 	partition Partition
 	apply     func(Batch)
-	yields    func() bool // see YieldWhile
+	yields    func() bool      // see YieldWhile
+	now       func() time.Time // runs while the machine is suspended
 
 	mu            sync.Mutex
 	synced        bool      // a listing was delivered; cleared to list again
 	listing       Listing   // pages read so far
 	listAfter     string    // key after which the next page begins
 	nextOffset    int64     // offset to read next
+	reads         int64     // number of reads sent
+	completeRead  int64     // newest read after which all records that it could see were delivered
 	completeAsOf  time.Time // time up to which the delivered records are complete
 	lastResponse  time.Time
 	lastOutageEnd time.Time
@@ -58,7 +63,7 @@
 
 // NewFollower returns a follower that calls apply for each batch, one at a time.
 func NewFollower(store Store, p Partition, apply func(Batch)) *Follower {
-	return &Follower{store: store, partition: p, apply: apply, pacing: newPacing(), advanced: make(chan struct{})}
+	return &Follower{store: store, partition: p, apply: apply, now: boottime.Now, pacing: newPacing(), advanced: make(chan struct{})}
 }
 
 // YieldWhile makes the follower pause between slow pages of a listing while yields
@@ -95,6 +100,8 @@
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
 	synced, from, unavailable, pace := f.synced, f.nextOffset, f.unavailable, f.pacing
+	f.reads++
+	read := f.reads
 	f.mu.Unlock()
 	timeout := wait + longPollMargin
 	switch {
@@ -106,9 +113,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !synced {
-		return f.list(ctx)
+		return f.list(ctx, read)
 	}
-	sent := time.Now()
+	sent := f.now()
 	page, err := f.store.Read(ctx, f.partition, from, pace.readBytes, wait)
 	if errors.Is(err, ErrDeleted) {
 		klog.InfoS("records to read next were deleted, listing the partition again", "partition", f.partition, "offset", from)
@@ -120,14 +127,14 @@
 	if err != nil {
 		return err
 	}
-	f.applyPage(page, sent, wait)
+	f.applyPage(page, read, sent, wait)
 	return nil
 }
 
 // list reads the next page of the listing and, after the last one, delivers the
 // listing. Pages already read are retained when a later one fails.
-func (f *Follower) list(ctx context.Context) error {
-	sent := time.Now()
+func (f *Follower) list(ctx context.Context, read int64) error {
+	sent := f.now()
 	f.mu.Lock()
 	after := f.listAfter
 	f.mu.Unlock()
@@ -163,13 +170,13 @@
 	f.apply(Batch{Records: complete.Records, Complete: true, LastOutageEnd: f.lastOutageEnd})
 	f.advanceTo(max(complete.End, f.nextOffset))
 	if len(complete.Records) == len(page.Records) {
-		f.completeAsOf = sent
+		f.completeAsOf, f.completeRead = sent, max(f.completeRead, read)
 	}
 	return nil
 }
 
 // applyPage delivers the records of a page that were not delivered yet.
-func (f *Follower) applyPage(page Page, sent time.Time, wait time.Duration) {
+func (f *Follower) applyPage(page Page, read int64, sent time.Time, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
@@ -187,8 +194,8 @@
 		f.advanceTo(records[len(records)-1].Offset + 1)
 	}
 	if f.nextOffset >= page.End {
-		f.completeAsOf = sent
-		if len(page.Records) == 0 {
+		f.completeAsOf, f.completeRead = sent, max(f.completeRead, read)
+		if len(page.Records) == 0 && f.now().Sub(sent) >= wait {
 			// The store held the read open and nothing was appended meanwhile.
 			f.completeAsOf = sent.Add(wait)
 		}
@@ -247,16 +254,27 @@
 func (f *Follower) Staleness() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.completeAsOf)
+	return f.now().Sub(f.completeAsOf)
+}
+
+// Progress returns the offset to read next, and the time since the delivered records
+// were known to be complete.
+func (f *Follower) Progress() (nextOffset int64, staleness time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nextOffset, f.now().Sub(f.completeAsOf)
 }
 
 // CatchUp reads until every record that the store held at the time of the call
 // has been delivered.
 func (f *Follower) CatchUp(ctx context.Context) error {
-	start := time.Now()
+	f.mu.Lock()
+	before := f.reads
+	f.mu.Unlock()
 	for {
 		f.mu.Lock()
-		done := f.synced && f.completeAsOf.After(start)
+		// Times prove nothing: a read may be answered early.
+		done := f.synced && f.completeRead > before
 		f.mu.Unlock()
 		if done {
 			return nil
