--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -283,7 +283,7 @@
 }
 
 // removeServers carries out the removals of backend servers that are due, and releases
-// the balancer state and the limits of unregistered servers, and the idle connections of
+// the balancer state and the limits of servers that are gone, and the idle connections of
 // those that are unregistered or leaving.
 func (h *Host) removeServers() {
 	synced := h.serverFollower.HasSynced()
@@ -297,11 +297,10 @@
 	for _, s := range h.registeredServers {
 		inUse[targetOf(&s)] = !s.Leaving || s.IsLastResort(now)
 	}
-	isRegistered := func(id string) bool { return h.state.Servers.Get(id) != nil }
-	h.forward.RetainServers(isRegistered)
+	h.forward.RetainServers(h.state.MayReturn)
 	var unlimited []string
 	if synced {
-		unlimited = h.limits.Retain(isRegistered)
+		unlimited = h.limits.Retain(h.state.MayReturn)
 	}
 	h.mu.Unlock()
 	h.removePublishedLimits(unlimited)
