Read scores to their end

What callers saw: nothing directly. Scores whose answer ended early, or was followed by something else, became the rewards of a group.

Evidence: TestCutScoresAreNotTakenForWhole, which ends an answer after each byte, failed before: cut after 92 bytes, i.e. one byte before its length, the scores counted. Cuts within the document were errors before, too.

Change: the body is read to its end within the same bound and then decoded as a whole.

Why it works: the reader of the body returns an error when it ends before its length or last chunk.

Measured: the test passes.

--- a/internal/trainers/actions.go
+++ b/internal/trainers/actions.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -215,8 +216,13 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("scorer %s answered status %d", server.ID, response.StatusCode)
 	}
+	// The body is read to its end, so that one that ends early is an error.
+	data, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, c.config.MaxBodyBytes))
+	if err != nil {
+		return nil, eris.Wrapf(err, "read the scores from %s", server.ID)
+	}
 	var reply ScoreReply
-	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, c.config.MaxBodyBytes)).Decode(&reply); err != nil {
+	if err := json.Unmarshal(data, &reply); err != nil {
 		return nil, eris.Wrapf(err, "decode the scores from %s", server.ID)
 	}
 	return reply.Scores, nil
