Use each connection to a scorer for one call

What callers saw: the rewards of another group. When a scorer sent bytes after its scores, the next call on the connection could get them as its own scores.

Scores carry nothing that names their group.

Evidence: TestBytesAfterScoresAreNoScores, 4000 calls of 8 workers, failed before: 23 calls got the stray scores. Now none does.

Change: the client of scorers has a transport of its own without reuse, which also discards unsent bytes of a call that is given up. Unlike the default one it uses no proxy of the environment, as the other clients of backend servers.

Why it works: bytes after an answer stay on a connection that no other call uses.

Measured: go test -race ./internal/trainers passes; the new tests pass 3 times.

--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/sample"
 	"github.com/sesamestand/sesamestand/internal/limits"
+	"github.com/sesamestand/sesamestand/internal/netdial"
 	"github.com/sesamestand/sesamestand/internal/peer"
 	"github.com/sesamestand/sesamestand/internal/telemetry"
 )
@@ -141,7 +143,7 @@
 	return &Controller{
 		config: config, generator: generator, members: members, configs: configs,
 		versions: versions, inventory: inventory, clients: clients, limits: limits, recorder: recorder,
-		scorers: &http.Client{Timeout: config.ScoreTimeout},
+		scorers: newScorerClient(config.ScoreTimeout),
 		started: time.Now(), ctx: ctx, stop: stop, draining: make(chan struct{}),
 		coordinator: sample.New(sample.Config{
 			NewEpoch: newEpoch, MaxRunning: config.MaxRunning,
@@ -159,6 +161,14 @@
 	}
 }
 
+// newScorerClient returns a client that uses each connection for one call: the pool may
+// take bytes after the scores of one group for those of another.
+func newScorerClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{
+		DialContext: netdial.DiscardUnsent(new(net.Dialer).DialContext), DisableKeepAlives: true,
+	}}
+}
+
 // newEpoch returns a random epoch name. With 64 bits the probability of a
 // collision is negligible.
 func newEpoch() string {
--- a/internal/trainers/scorer_test.go
+++ b/internal/trainers/scorer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -49,3 +50,32 @@
 	_, err := call(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s{}", head, len(body)+2, body))
 	must.Error(t, err)
 }
+
+// Guards against bytes after the scores of one group that are taken for the scores of
+// another.
+func TestBytesAfterScoresAreNoScores(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
+	host := newTestNet(t, "a").host("a")
+	server := startRawScorer(t, func(*http.Request) (string, rawserver.End) {
+		return head + `{"scores":[1]}` + head + `{"scores":[9]}`, rawserver.KeepOpen
+	})
+	var right, stray atomic.Int64
+	var workers sync.WaitGroup
+	for range 8 {
+		workers.Go(func() {
+			for range 500 {
+				scores, err := host.callScorer(context.Background(), server, []byte("{}"))
+				switch {
+				case err != nil:
+				case scores[0] == 1:
+					right.Add(1)
+				default:
+					stray.Add(1)
+				}
+			}
+		})
+	}
+	workers.Wait()
+	must.EqOp(t, 0, stray.Load())
+	must.Greater(t, 0, right.Load())
+}
