--- a/internal/engine/admin.go
+++ b/internal/engine/admin.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesamestand/sesamestand/internal/netdial"
+	"github.com/sesamestand/sesamestand/internal/platform"
 )
 
 // ErrFenced is returned if an engine refused an order because it has received
@@ -66,6 +67,7 @@
 	if err := decodeBody(response, adminBodyLimit, &state); err != nil {
 		return State{}, eris.Wrapf(err, "decode state of engine %s", addr)
 	}
+	state.Leaving = platform.SaysLeaving(response)
 	return state, nil
 }
 
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -531,3 +531,60 @@
 		return page != nil && len(page.Results) == 0
 	})
 }
+
+// Guards against removed jobs whose records or blobs stay in the store, because their
+// partition is reassigned to the same host more often than jobs are cleaned up.
+func TestCleanUpGoesOnWhenPartitionIsReassigned(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	a.settings.Timing.JobRetention = 100 * time.Millisecond
+	partition := modelPartition(a)
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	reassigned := time.Now()
+	for _, topic := range []string{topicWork, topicBlobs} {
+		c.waitUntil("the records of the job are removed from "+topic, func() bool {
+			if time.Since(reassigned) > cleanUpInterval/4 {
+				a.view.setCut(true)
+				time.Sleep(2 * a.memberTTL())
+				a.view.setCut(false)
+				reassigned = time.Now()
+			}
+			listing, err := c.store.ListNewest(context.Background(), logstore.Partition{Topic: topic, Number: partition}, "")
+			must.NoError(t, err)
+			return len(listing.Records) == 0
+		})
+	}
+}
+
+// Guards against a job that never runs, because each attempt of its runner to read the
+// payloads has the same time, and the store takes longer.
+func TestJobRunsWhenPayloadsArriveSlowly(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	partition := modelPartition(a)
+	job, payloads := newJob("job-1", 4, 1)
+	c.mu.Lock()
+	for _, r := range c.replicas {
+		r.busy = true
+	}
+	c.mu.Unlock()
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	a.kill()
+	c.mu.Lock()
+	for _, r := range c.replicas {
+		r.busy = false
+	}
+	c.mu.Unlock()
+	b := c.newEntryHost("b")
+	b.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p == blobPartition(partition) {
+			return confirmTimeout + 300*time.Millisecond
+		}
+		return 0
+	})
+	b.start(t.Context())
+	results, outputs := c.collect(b, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+}
