--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -4,6 +4,8 @@
 package deployment
 
 import (
+	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -184,6 +186,15 @@
 	return leaving.Instance{ID: s.ID, Incarnation: s.Incarnation}
 }
 
+// CheckAddr checks that an address is an IP and a port that can be dialled.
+func CheckAddr(addr string) error {
+	parsed, err := netip.ParseAddrPort(addr)
+	if err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() || parsed.Addr().IsMulticast() {
+		return fmt.Errorf("address %q is not IP:PORT", addr)
+	}
+	return nil
+}
+
 // Change is one change published on the platform. One field is set, except that an
 // unusable report of a backend server sets both Invalid and Server, which removes
 // the server.
