Reuse outputs only within the partition that stores them

What callers saw: by a test, a job that had been accepted, and whose results had been read at one host, could not be read at others, nor at any host after a start of all: each read was answered 503, "the store does not return the texts", for ever.

Cause: an item that a job repeats gets the result of the earlier job, with the reference to its output. Outputs are stored in the blobs of the job's partition and read there, but finished items were known by ID over all partitions. After a configuration moved the model, the repeated item's result referred to an output in the former partition. Only hosts that had the output in memory could return it.

Evidence: TestItemsOfAJobInTheFormerPartitionRunAgain failed before at a host that started later: "condition not met within 20s: all results of job-2".

Change: finished items are known by partition and ID, for reuse as well as for the outputs that the removal of a job retains. After a move, a repeated item runs again.

Why it works: a result is only ever committed with an output of its own partition. The runner reuses no result that it cannot read itself.

Open: jobs with such results that are in the log already stay unreadable. Partial outputs have the same property, but one that is not found is generated again.

Result: the test passes, and those of reuse and moved jobs with the race detector.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -154,13 +154,20 @@
 // Table holds the state of all jobs.
 type Table struct {
 	entries *table.Table[string, Entry]
-	// finished holds the newest successful result by item ID, for reuse when a later job
-	// contains the same item.
-	finished map[string]finishedItem
+	// finished holds the newest successful result of each item, for reuse when a later job
+	// of the same partition contains the item.
+	finished map[itemKey]finishedItem
 	// partials holds the locations of partial outputs by item ID.
 	partials map[string]BlobRef
 }
 
+// itemKey identifies an item among the jobs of a partition. Outputs are stored by
+// partition, so a result cannot refer to that of a job in another one.
+type itemKey struct {
+	partition int
+	item      string
+}
+
 // finishedItem is an item with a successful result.
 type finishedItem struct {
 	result Result
@@ -170,7 +177,7 @@
 // NewTable returns an empty Table.
 func NewTable() *Table {
 	return &Table{
-		entries: table.New[string, Entry](), finished: make(map[string]finishedItem), partials: make(map[string]BlobRef),
+		entries: table.New[string, Entry](), finished: make(map[itemKey]finishedItem), partials: make(map[string]BlobRef),
 	}
 }
 
@@ -201,9 +208,9 @@
 	})
 }
 
-// Finished returns the successful result of an item from any job.
-func (t *Table) Finished(item string) (Result, bool) {
-	f, ok := t.finished[item]
+// Finished returns the successful result of an item from any job of a partition.
+func (t *Table) Finished(partition int, item string) (Result, bool) {
+	f, ok := t.finished[itemKey{partition, item}]
 	return f.result, ok
 }
 
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -83,12 +83,12 @@
 }
 
 // BlobTombstones returns the tombstones for the payloads and outputs of a job that was
-// removed, except for outputs of items that have a result in another job: it may be the
-// same output.
+// removed, except for outputs of items that have a result in another job of the
+// partition: it may be the same output.
 func (t *Table) BlobTombstones(removed *Entry) []logstore.Record {
 	refs := []BlobRef{removed.Job.Payloads}
 	for _, r := range removed.Results {
-		if t.finished[r.Item].jobs == 0 {
+		if t.finished[itemKey{removed.Partition, r.Item}].jobs == 0 {
 			refs = append(refs, r.Output)
 		}
 	}
@@ -188,7 +188,7 @@
 	case kindEnd:
 		if e != nil && e.Removed {
 			for _, r := range e.Results {
-				t.removeFinished(r)
+				t.removeFinished(itemKey{e.Partition, r.Item}, r)
 			}
 			t.entries.Delete(id)
 		}
@@ -197,16 +197,16 @@
 
 // removeFinished forgets the result of an item in a removed job. The item can be reused
 // as long as another job has a successful result of it.
-func (t *Table) removeFinished(r Result) {
-	item, ok := t.finished[r.Item]
+func (t *Table) removeFinished(key itemKey, r Result) {
+	item, ok := t.finished[key]
 	if r.Failed || !ok {
 		return
 	}
 	if item.jobs--; item.jobs == 0 {
-		delete(t.finished, r.Item)
+		delete(t.finished, key)
 		return
 	}
-	t.finished[r.Item] = item
+	t.finished[key] = item
 }
 
 // addChunk stores a chunk, and decodes the job once all chunks have been read.
@@ -264,7 +264,8 @@
 		e.Results = append(e.Results, next)
 		delete(t.partials, next.Item)
 		if !next.Failed {
-			t.finished[next.Item] = finishedItem{result: next, jobs: t.finished[next.Item].jobs + 1}
+			key := itemKey{e.Partition, next.Item}
+			t.finished[key] = finishedItem{result: next, jobs: t.finished[key].jobs + 1}
 		}
 		e.notify()
 	}
--- a/internal/core/jobs/records_test.go
+++ b/internal/core/jobs/records_test.go
@@ -105,11 +105,11 @@
 	}
 	apply(Tombstones(a)...)
 	must.Eq(t, []string{"b/a/0000"}, keys(table.BlobTombstones(a)))
-	_, found := table.Finished("item")
+	_, found := table.Finished(1, "item")
 	must.True(t, found)
 	apply(Tombstones(b)...)
 	must.Eq(t, []string{"b/b/0000", "t/a/item/1/0000"}, keys(table.BlobTombstones(b)))
-	_, found = table.Finished("item")
+	_, found = table.Finished(1, "item")
 	must.False(t, found)
 }
 
--- a/internal/fronthost/moved_test.go
+++ b/internal/fronthost/moved_test.go
@@ -130,3 +130,23 @@
 		must.False(t, jobs.IsJobKey(r.Key), must.Sprintf("record %s in the second partition", r.Key))
 	}
 }
+
+// Guards against a result that cannot be read, because it reuses the output of a job in
+// another partition, where its model's jobs were before.
+func TestItemsOfAJobInTheFormerPartitionRunAgain(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	first, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), first, payloads))
+	c.collect(a, "job-1", 4)
+	elsewhere, former := serviceElsewhere(a), modelPartition(a)
+	c.configureModels(2, testService, map[string][]string{elsewhere: {testModel}, testService: nil})
+	c.waitUntil("the model has moved", func() bool { return modelPartition(a) != former && a.CaughtUp() })
+	later, _ := newJob("job-2", 4, 1)
+	later.Items = first.Items
+	must.Nil(t, a.Submit(context.Background(), later, payloads))
+	results, outputs := c.collect(a, "job-2", 4)
+	stored, storedOutputs := c.collect(c.startHost("b"), "job-2", 4)
+	must.Eq(t, results, stored)
+	must.Eq(t, outputs, storedOutputs)
+}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -213,7 +213,7 @@
 			route := h.routeOf(e)
 			return route != nil && route.SingleVersion
 		},
-		Finished: h.jobs.Finished,
+		Finished: func(item string) (jobs.Result, bool) { return h.jobs.Finished(r.partition, item) },
 		DueAfter: func(e *jobs.Entry) time.Duration {
 			if route := h.routeOf(e); route != nil {
 				return route.Due
