Share the steps of the tests of runners under the same epoch

Cause: two tests delay appends to a partition and make a host acquire it again under the same epoch with the same lines (duplicates).

--- a/internal/fronthost/ownership_test.go
+++ b/internal/fronthost/ownership_test.go
@@ -19,6 +19,28 @@
 	return h.runners[h.partitionOf(testModel)]
 }
 
+// delayAppends delays the appends to a partition, and returns when one is under way.
+func (c *testCluster) delayAppends(partition logstore.Partition) {
+	c.t.Helper()
+	var delayed atomic.Int32
+	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
+		if call == memlog.CallAppend && p == partition {
+			delayed.Add(1)
+			return memlog.Delay
+		}
+		return memlog.None
+	})
+	c.waitUntil("an append is under way", func() bool { return delayed.Load() > 0 })
+}
+
+// reacquire makes a host release a partition and acquire it again under the same epoch.
+func (c *testCluster) reacquire(h *hostHandle, former *runner) {
+	c.t.Helper()
+	h.group.ReleaseFenced(former.partition, former.epoch)
+	c.waitUntil("the partition is acquired again", func() bool { r := ownerOf(h); return r != nil && r != former })
+	must.EqOp(c.t, former.epoch, ownerOf(h).epoch)
+}
+
 // Guards against results that callers have read and that are not in the log, after a
 // partition was acquired again under the same epoch.
 func TestLateAppendDoesNotReplaceResultsOfTheSameEpoch(t *testing.T) {
@@ -30,19 +52,9 @@
 	former := ownerOf(a)
 	job, payloads := newJob("job-1", 12, 1)
 	must.Nil(t, a.Submit(context.Background(), job, payloads))
-	var appends atomic.Int32
-	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
-		if call == memlog.CallAppend && p == workPartition(former.partition) {
-			appends.Add(1)
-			return memlog.Delay
-		}
-		return memlog.None
-	})
-	c.waitUntil("an append of results is under way", func() bool { return appends.Load() > 0 })
+	c.delayAppends(workPartition(former.partition))
 	runsBreak.Store(true)
-	a.group.ReleaseFenced(former.partition, former.epoch)
-	c.waitUntil("the partition is acquired again", func() bool { r := ownerOf(a); return r != nil && r != former })
-	must.EqOp(t, former.epoch, ownerOf(a).epoch)
+	c.reacquire(a, former)
 	var opened atomic.Bool
 	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
 		if call == memlog.CallAppend && p == workPartition(former.partition) {
@@ -69,21 +81,11 @@
 	former := ownerOf(a)
 	job, payloads := newJob("job-1", 4, 1)
 	must.Nil(t, a.Submit(context.Background(), job, payloads))
-	var delayed atomic.Int32
-	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
-		if call == memlog.CallAppend && p == blobPartition(former.partition) {
-			delayed.Add(1)
-			return memlog.Delay
-		}
-		return memlog.None
-	})
-	c.waitUntil("outputs are being stored", func() bool { return delayed.Load() > 0 })
+	c.delayAppends(blobPartition(former.partition))
 	c.mu.Lock()
 	c.events += 4
 	c.mu.Unlock()
-	a.group.ReleaseFenced(former.partition, former.epoch)
-	c.waitUntil("the partition is acquired again", func() bool { r := ownerOf(a); return r != nil && r != former })
-	must.EqOp(t, former.epoch, ownerOf(a).epoch)
+	c.reacquire(a, former)
 	<-former.appenderDone
 	c.store.SetFault(nil)
 	results, outputs := c.collect(a, "job-1", 4)
