Test that a read to the end of a partition covers all pages

On a scratch copy in which each page counts as the last one, all tests of logstore still passed.

Change: a test only, with records of which a page holds one.

Evidence that it bites: on that copy it fails, with 1 of 4 records read. Result: passes with the race detector; no fault was found in CatchUp.

--- a/internal/logstore/follower_test.go
+++ b/internal/logstore/follower_test.go
@@ -215,3 +215,19 @@
 	must.NoError(t, f.CatchUp(t.Context()))
 	must.EqOp(t, 1, received.len())
 }
+
+// Guards against a CatchUp that returns after the first of several pages.
+func TestCatchUpReadsAllPages(t *testing.T) {
+	store := memlog.New(2)
+	var received collector
+	f := logstore.NewFollower(store, testPartition, received.apply)
+	must.NoError(t, f.CatchUp(t.Context()))
+	const records = 4
+	value := make([]byte, 700<<10) // a page holds one
+	for i := range records {
+		_, err := store.Append(t.Context(), testPartition, []logstore.Record{{Key: fmt.Sprint(i), Value: value}}, nil)
+		must.NoError(t, err)
+	}
+	must.NoError(t, f.CatchUp(t.Context()))
+	must.EqOp(t, records, received.len())
+}
