--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// removeFinished forgets the result of an item in a removed job. The item can be reused
+// removeFinished removes the result of an item in a removed job. The item can be reused
 // as long as another job has a successful result of it.
 func (t *Table) removeFinished(key itemKey, r Result) {
 	item, ok := t.finished[key]
--- a/internal/core/leaving/leaving.go
+++ b/internal/core/leaving/leaving.go
@@ -23,7 +23,7 @@
 }
 
 // Notices holds when this host first learned from an instance that it is leaving. An
-// instance does not take its word back. Notices is not safe for concurrent use.
+// instance does not withdraw its notice. Notices is not safe for concurrent use.
 type Notices struct{ first map[Instance]time.Time }
 
 // NewNotices returns Notices without any.
--- a/internal/core/leaving/leaving_test.go
+++ b/internal/core/leaving/leaving_test.go
@@ -12,7 +12,7 @@
 
 func listedNone(Instance) bool { return false }
 
-// Guards against a new process that is barred by the word of the former one with the
+// Guards against a new process that is barred by the notice of the former one with the
 // same ID, and against a period that later notices prolong.
 func TestNoticeHoldsForItsInstanceSinceItsFirstResponse(t *testing.T) {
 	n := NewNotices()
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -232,7 +232,7 @@
 }
 
 // followWritten follows the job partitions that hold records. A partition holds jobs that
-// no model of the present configuration selects if another configuration selected it
+// no model of the current configuration selects if another configuration selected it
 // when they were submitted.
 func (h *Host) followWritten(ctx context.Context) error {
 	var reads errgroup.Group
@@ -253,7 +253,7 @@
 }
 
 // followAssigned follows the assigned partitions that hold records, so that
-// open jobs run even if no model of the present configuration selects their partition.
+// open jobs run even if no model of the current configuration selects their partition.
 func (h *Host) followAssigned(ctx context.Context) {
 	for p := range h.group.Owned() {
 		if h.follower(p) != nil {
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -105,7 +105,7 @@
 	return nil
 }
 
-// isInFormerPartition reports whether a job lies in a partition that the present
+// isInFormerPartition reports whether a job lies in a partition that the current
 // configuration selects for none of its models. A submission that is repeated after a
 // change of the configuration must not be accepted a second time.
 func (h *Host) isInFormerPartition(ctx context.Context, id string) (bool, *Refusal) {
--- a/internal/fronthost/leaving_test.go
+++ b/internal/fronthost/leaving_test.go
@@ -90,7 +90,7 @@
 }
 
 // Guards against each kind of call of a caller to a server that has said that it is
-// leaving, and against a notice that the server's next record makes forgotten.
+// leaving, and against a notice that the server's next record removes.
 func TestServerThatSaysItLeavesGetsNoFurtherCall(t *testing.T) {
 	leaving := targetAt("app-a")
 	sends := map[string]func(h *hostHandle, n int){
--- a/internal/fronthost/limits_test.go
+++ b/internal/fronthost/limits_test.go
@@ -227,7 +227,7 @@
 	c.waitUntil("the limits are removed", func() bool { return published() == 0 })
 }
 
-// Guards against a limit that is forgotten because the entry of its server was invalid for
+// Guards against a limit that is lost because the entry of its server was invalid for
 // a while.
 func TestLimitOutlastsAnInvalidEntry(t *testing.T) {
 	c, hosts := newLimitedCluster(t)
--- a/internal/fronthost/moved_test.go
+++ b/internal/fronthost/moved_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// Guards against 404 for an accepted job in a partition that the present configuration
+// Guards against 404 for an accepted job in a partition that the current configuration
 // does not select for its model, by a host that started after the change.
 func TestJobIsReadableAfterItsModelMoved(t *testing.T) {
 	for _, change := range []string{"moved", "dropped", "declared by a service that sorts before"} {
@@ -68,7 +68,7 @@
 }
 
 // Guards against an open job that no host runs, because its partition is not that of
-// any model of the present configuration when the hosts start.
+// any model of the current configuration when the hosts start.
 func TestOpenJobRunsAfterItsModelMoved(t *testing.T) {
 	c := newTestCluster(t, 2)
 	c.events = 200
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -58,7 +58,7 @@
 	// partials holds the partial outputs of items that are not running.
 	partials map[string]retainedPartial
 	// removed holds the jobs whose removal was queued and whose blobs are not removed yet:
-	// until their results are forgotten, items of other jobs may reuse these.
+	// until their results are removed, items of other jobs may reuse these.
 	removed     map[string]*jobs.Entry
 	lastCleanUp time.Time
 }
--- a/internal/logstore/group.go
+++ b/internal/logstore/group.go
@@ -141,7 +141,7 @@
 	}
 	g.mu.Unlock()
 	if owned && current != epoch {
-		klog.InfoS("fenced writer of a former epoch, the present assignment stays", "partition", partition, "fenced", epoch, "epoch", current)
+		klog.InfoS("fenced writer of a former epoch, keeping the current assignment", "partition", partition, "fenced", epoch, "epoch", current)
 		return
 	}
 	g.onChange()
--- a/internal/logstore/group_test.go
+++ b/internal/logstore/group_test.go
@@ -12,7 +12,7 @@
 	"github.com/sesamestand/sesamestand/internal/logstore/memlog"
 )
 
-// Guards against a fenced writer of a former epoch that ends the present assignment.
+// Guards against a fenced writer of a former epoch that ends the current assignment.
 func TestFencedFormerWriterLeavesNewerAssignment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const ttl = time.Second
--- a/internal/standin/leaving_test.go
+++ b/internal/standin/leaving_test.go
@@ -14,7 +14,7 @@
 )
 
 // Guards against stand-ins that leave and do not say so in each response, or say so
-// without being told to.
+// without a fault that was set.
 func TestServersSayInAllResponsesThatTheyLeave(t *testing.T) {
 	handlers := map[string]http.Handler{
 		"service": serviced.New(serviced.Config{ID: "desk1"}).Handler(),
