--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -122,10 +123,26 @@
 	return command, nil
 }
 
+// starts hands processes to a goroutine that keeps its thread: the kernel ends a process
+// when the thread that started it ends, so that none is left behind if this program dies.
+var starts = func() chan func() {
+	calls := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for call := range calls {
+			call()
+		}
+	}()
+	return calls
+}()
+
 func (h *host) start() error {
 	process := exec.Command(h.command[0], h.command[1:]...)
 	process.Stdout, process.Stderr = h.log, h.log
-	if err := process.Start(); err != nil {
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts <- func() { started <- process.Start() }
+	if err := <-started; err != nil {
 		return err
 	}
 	ended := make(chan struct{})
