Show requests to a leaving server after an entry without its start

An entry of the registry that another writer has written without the field born is used as one of the server, and the notice that the server is leaving does not apply to its incarnation 0.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -64,6 +64,7 @@
 func run() int {
 	cases := map[string]func(*world) error{
 		"single-version": singleVersion, "kept-connections": keptConnections, "nested-route": nestedRoute, "silent-stream": silentStream,
+		"missing-field": missingField,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER, in the root of the repository")
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,7 @@
 	headerTokens         = "X-Sesamestand-Tokens"
 	headerWait           = "X-Sesamestand-Wait-Ms"
 	headerLastEventID    = "Last-Event-Id"
+	headerServerLeaving  = "Server-Leaving"
 )
 
 // Parameters of replicas, as in the site file of asam-proofs.
@@ -59,6 +61,9 @@
 	// onRun is called for each request that begins to run. It may be nil.
 	onRun func(requestID, server string)
 
+	// leaving is set if the server says in all its answers that it is leaving.
+	leaving atomic.Bool
+
 	mu       sync.Mutex
 	models   map[string]int64 // weight version by model
 	named    func(model string) int64
@@ -134,6 +139,12 @@
 }
 
 func (r *replica) register(seq int) {
+	data, _ := json.Marshal(r.entry(seq))
+	r.store.put("servers", r.id, data)
+}
+
+// entry returns the server's entry in the registry.
+func (r *replica) entry(seq int) map[string]any {
 	entry := map[string]any{
 		"service": r.service, "addr": r.addr, "zone": r.zone, "version": "1.0", "slots": r.slots, "state": "ready",
 		"cold_left_ms": 0, "seq": seq, "born": r.born,
@@ -141,13 +152,15 @@
 	if r.models != nil {
 		entry["stage"], entry["models"] = "both", r.reported().modelStates()
 	}
-	data, _ := json.Marshal(entry)
-	r.store.put("servers", r.id, data)
+	return entry
 }
 
 func (r *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get(headerRequestID)
 	w.Header().Set(headerInstance, r.id)
+	if r.leaving.Load() {
+		w.Header().Set(headerServerLeaving, "1")
+	}
 	if id != "" {
 		w.Header().Set(headerRequestID, id)
 	}
