Refuse what a stopping host could not finish, and cut no answer at its end

Callers saw: a host that got SIGTERM took requests on kept connections as long as any request was in flight, passed them on, and cut them when its grace period ended. Among them were streams that cannot be resumed and calls that may run once.

Cause: nothing compared the time that a request may take with the time that was left, on either way in. At the end the HTTP server closed all connections, also those of requests that could still be answered. A request between the last check for requests in flight and the close was passed on and cut; a response counted as sent when its handler returned. On the way in without a log store, the drain closed idle connections while requests crossed.

Change: core/drain decides on each request of a stopping host: it is served if it must have ended in time, or, while balancers may not have noticed, if the longest recent request of its route would. Others are refused at once as not run. Requests in flight at the end are answered with an unknown outcome. Connections are active until their response was written (httpapi.ActiveConns), and are closed after the host refuses everything.

Ruled out: closing idle connections when the drain begins (requests that cross the close have no answer), and serving everything (the fault).

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -101,6 +101,7 @@
 	owner     *owner.Controller
 	peers     peer.Clients
 	recorder  *telemetry.Recorder
+	refuser   cluster.Refuser
 
 	mu       sync.Mutex // guards budget, rotation and pending
 	budget   *flight.Budget
@@ -122,6 +123,10 @@
 	_ peer.ClaimHandler = (*Controller)(nil)
 )
 
+// RefuseBy sets what refuses requests that this host may not take any more. It must be
+// called before the first request.
+func (c *Controller) RefuseBy(r cluster.Refuser) { c.refuser = r }
+
 // New returns the Controller of this host.
 func New(config Config, members cluster.Members, ownership cluster.Ownership, configs cluster.Configs,
 	versions cluster.Versions, inventory cluster.Inventory, ownerController *owner.Controller, peers peer.Clients,
--- a/internal/callers/completions.go
+++ b/internal/callers/completions.go
@@ -92,7 +92,7 @@
 			}
 		}()
 	}
-	err := c.generate(ctx, gen, reached, response.addChunk)
+	err := c.generateUnlessRefused(ctx, gen, reached, response.addChunk)
 	if err == nil && claimed != nil && !claimed.complete(ctx, response.encodeRecord()) {
 		err = errSuperseded
 	}
@@ -115,6 +115,23 @@
 	response.refuse(refusal)
 }
 
+// generateUnlessRefused runs the generation if this host still takes it.
+func (c *Controller) generateUnlessRefused(ctx context.Context, gen cluster.Generation, reached bool, sink func(engine.Chunk) error) error {
+	limit, limited := ctx.Deadline()
+	if !limited {
+		limit = time.Now().Add(c.config.RequestTimeout)
+	}
+	refusal := c.refuser.Refuse(gen.RequestID, limit)
+	switch {
+	case refusal != nil && reached:
+		// An earlier attempt may have run.
+		return &cluster.Refusal{Outcome: cluster.OutcomeUnknown, Reason: refusal.Reason, Message: refusal.Message}
+	case refusal != nil:
+		return refusal
+	}
+	return c.generate(ctx, gen, reached, sink)
+}
+
 var errSuperseded = eris.New("a newer attempt of the request superseded this one")
 
 var errMayHaveReached = eris.New("an attempt may have reached a backend server in another data centre")
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -171,3 +171,15 @@
 func (r *Refusal) Error() string {
 	return string(r.Outcome) + ": " + string(r.Reason) + ": " + r.Message
 }
+
+// Refuser returns a refusal of a request that may take until limit, or nil if the
+// request is served. A nil Refuser serves all requests.
+type Refuser func(requestID string, limit time.Time) *Refusal
+
+// Refuse calls f unless it is nil.
+func (f Refuser) Refuse(requestID string, limit time.Time) *Refusal {
+	if f == nil {
+		return nil
+	}
+	return f(requestID, limit)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -19,6 +19,8 @@
 
 	"github.com/sesamestand/sesamestand/internal/callers"
 	"github.com/sesamestand/sesamestand/internal/configs"
+	"github.com/sesamestand/sesamestand/internal/core/drain"
+	"github.com/sesamestand/sesamestand/internal/httpapi"
 	"github.com/sesamestand/sesamestand/internal/inventory"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/members"
@@ -34,16 +36,9 @@
 	"github.com/sesamestand/sesamestand/internal/versions"
 )
 
-const (
-	// stopTimeout limits the shutdown of the HTTP server after a drain.
-	stopTimeout = 5 * time.Second
-	// idleCheckInterval is the interval at which a drain checks whether requests
-	// are still in flight.
-	idleCheckInterval = 20 * time.Millisecond
-	// readHeaderTimeout prevents requests with incomplete headers from occupying
-	// connections.
-	readHeaderTimeout = 10 * time.Second
-)
+// readHeaderTimeout prevents requests with incomplete headers from occupying
+// connections.
+const readHeaderTimeout = 10 * time.Second
 
 // Host is one entry host with all its roles.
 type Host struct {
@@ -62,8 +57,15 @@
 	versions  *versions.Watcher
 	limits    *limits.Controller
 
-	draining  atomic.Bool
-	inFlight  inFlight
+	draining atomic.Bool
+	active   httpapi.ActiveConns
+	// window is the time that the host has for requests, or nil while it is not stopping.
+	window atomic.Pointer[drain.Window]
+	// serving ends, by stopServing, when requests must be given up so that they are
+	// answered before the process ends.
+	serving     context.Context
+	stopServing context.CancelFunc
+
 	aborted   chan struct{} // closed by Abort
 	abortOnce sync.Once
 }
@@ -84,7 +86,7 @@
 		_ = httpListener.Close()
 		return eris.Wrap(err, "listen for entry hosts")
 	}
-	httpServer := &http.Server{Handler: h.routes(), ReadHeaderTimeout: readHeaderTimeout}
+	httpServer := &http.Server{Handler: h.routes(), ReadHeaderTimeout: readHeaderTimeout, ConnState: h.active.Observe}
 	grpcServer := h.grpcServer()
 
 	// The roles must outlive ctx, because the drain needs them.
@@ -147,50 +149,3 @@
 	peerpb.RegisterLimitsServer(server, &peer.LimitsServer{LimitsHandler: h.limits})
 	return server
 }
-
-// drain waits for in-flight requests to finish and then stops the servers.
-// The readiness check fails first, and the listeners stay open meanwhile, because
-// the balancer and other entry hosts continue to send requests until they detect
-// the change.
-func (h *Host) drain(httpServer *http.Server, grpcServer *grpc.Server) {
-	klog.InfoS("drain started", "host", h.settings.Host.ID, "in_flight", h.inFlight.n.Load())
-	h.draining.Store(true)
-	httpServer.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Timing.DrainDelay+h.settings.Timing.DrainTimeout)
-	defer cancel()
-	if err := h.members.Leave(ctx); err != nil {
-		klog.ErrorS(err, "failed to announce that this host is leaving")
-	}
-	h.trainers.Drain()
-	time.Sleep(h.settings.Timing.DrainDelay)
-	for h.inFlight.n.Load() > 0 && ctx.Err() == nil {
-		time.Sleep(idleCheckInterval)
-	}
-	if left := h.inFlight.n.Load(); left > 0 {
-		h.recorder.Add("drain_cut_off_total", left)
-		klog.ErrorS(nil, "drain timed out with requests in flight", "in_flight", left)
-	}
-	h.stopServers(ctx, httpServer, grpcServer)
-	klog.InfoS("drain finished", "host", h.settings.Host.ID)
-}
-
-// stopServers stops the gRPC server and the HTTP server. It waits for the streams
-// of other entry hosts until ctx, which ends with the drain timeout, and then
-// closes the remaining connections.
-func (h *Host) stopServers(ctx context.Context, httpServer *http.Server, grpcServer *grpc.Server) {
-	stopped := make(chan struct{})
-	go func() {
-		grpcServer.GracefulStop()
-		close(stopped)
-	}()
-	select {
-	case <-stopped:
-	case <-ctx.Done():
-		grpcServer.Stop()
-	}
-	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	if err := httpServer.Shutdown(stopCtx); err != nil {
-		_ = httpServer.Close()
-	}
-}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"runtime/debug"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/urfave/negroni/v3"
@@ -26,7 +25,7 @@
 	api.Handle("/v1/trainers/", h.trainers)
 
 	limited := negroni.New(
-		negroni.HandlerFunc(h.trackInFlight),
+		negroni.HandlerFunc(h.answerBeforeStop),
 		negroni.HandlerFunc(h.authenticate),
 		negroni.HandlerFunc(h.awaitConfiguration),
 		negroni.HandlerFunc(h.limitBody),
@@ -72,15 +71,6 @@
 	next(w, r)
 }
 
-// inFlight counts in-flight API requests, so that a drain can wait for them.
-type inFlight struct{ n atomic.Int64 }
-
-func (h *Host) trackInFlight(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
-	h.inFlight.n.Add(1)
-	defer h.inFlight.n.Add(-1)
-	next(w, r)
-}
-
 const (
 	// configurationWaitTimeout is how long a request waits until a host that has
 	// just started has a configuration.
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -3,6 +3,7 @@
 //go:generate go tool wire .
 
 import (
+	"context"
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/callers"
@@ -120,9 +121,14 @@
 ) *Host {
 	ownerRole.ShareVersions(memberRole)
 	trainerRole.SetRefresher(watcher)
-	return &Host{
+	h := &Host{
 		settings: s, recorder: recorder, tls: source, pool: pool, members: memberRole, orders: orderRole,
 		inventory: hostList, configs: configRole, owner: ownerRole, callers: callerRole,
 		services: serviceRole, trainers: trainerRole, versions: watcher, limits: limitRole, aborted: make(chan struct{}),
 	}
+	h.serving, h.stopServing = context.WithCancel(context.Background())
+	callerRole.RefuseBy(h.refuseStopping)
+	serviceRole.RefuseBy(h.refuseStopping)
+	trainerRole.RefuseBy(h.refuseStopping)
+	return h
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -52,7 +52,7 @@
 	set, version := h.configs.Current()
 	status := Status{
 		Host: self.ID, DataCentre: self.DataCentre, Ready: h.ready(), Draining: h.draining.Load(),
-		InFlight: h.inFlight.n.Load(), ConfigVersion: version,
+		InFlight: int64(h.active.Count()), ConfigVersion: version,
 		Versions: make(map[string]int64), Counters: h.recorder.Totals(),
 	}
 	for _, m := range h.members.All() {
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -80,8 +80,29 @@
 		excluded:    make(map[string]bool),
 		fingerprint: suspect.Fingerprint(route.Name, request.Method+" "+request.URI, string(request.Body), 0, 0),
 	}
+	ctx, release := h.withStop(ctx)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	return f, ctx, cancel
+	return f, ctx, func() {
+		cancel()
+		release()
+	}
+}
+
+// refuseUnsent returns a refusal of a caller's request that must not be sent to any
+// server: its content has crashed too many of them, or the host is stopping.
+func (f *forwarding) refuseUnsent() *Refusal {
+	if refusal := f.crashRefusal(); refusal != nil {
+		return refusal
+	}
+	return f.host.refuseStopping(f.request.ID, f.route.Name, f.deadline)
+}
+
+// givenUp is the refusal of a request that ended without a response.
+func (f *forwarding) givenUp() *Refusal {
+	if f.host.serving.Err() != nil {
+		return unknownRefusal(cluster.ReasonDraining, "the host stopped before a backend server answered")
+	}
+	return unknownRefusal(cluster.ReasonDeadline, "no backend server answered in time")
 }
 
 // crashRefusal returns a refusal if the request's content has crashed too many
@@ -101,7 +122,7 @@
 	began := time.Now()
 	f, ctx, cancel := h.newForwarding(ctx, request, route, deadline)
 	defer cancel()
-	if refusal := f.crashRefusal(); refusal != nil {
+	if refusal := f.refuseUnsent(); refusal != nil {
 		f.recordOutcome(nil, refusal, 0)
 		return nil, refusal
 	}
@@ -114,6 +135,9 @@
 	outcome, status := "refused", 0
 	if response != nil {
 		outcome, status = "answered", response.Status
+		f.host.mu.Lock()
+		f.host.durations.Record(f.route.Name, took, time.Now())
+		f.host.mu.Unlock()
 	}
 	details := []any{"route", f.route.Name, "service", f.service, "outcome", outcome, "status", status, "sends", f.possibleRuns, "refusals", f.refusals, "took_ms", took.Milliseconds(), "left_ms", time.Until(f.deadline).Milliseconds()}
 	if refusal != nil {
@@ -146,7 +170,7 @@
 				f.send(ctx, true)
 			}
 		case <-ctx.Done():
-			return nil, unknownRefusal(cluster.ReasonDeadline, "no backend server answered in time")
+			return nil, f.givenUp()
 		}
 	}
 }
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -25,9 +25,11 @@
 	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/drain"
 	"github.com/sesamestand/sesamestand/internal/core/forward"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/httpapi"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 	"github.com/sesamestand/sesamestand/internal/settings"
@@ -101,7 +103,13 @@
 	baseCtx  context.Context // cancelled when the process ends; runs derive from it
 	draining atomic.Bool
 	surveyed atomic.Bool // all job partitions were checked for records
-	inFlight atomic.Int64
+	active   httpapi.ActiveConns
+	// window is the time that the host has for requests, or nil while it is not stopping.
+	window atomic.Pointer[drain.Window]
+	// serving ends, by stopServing, when callers' requests must be given up so that they
+	// are answered before the process ends.
+	serving     context.Context
+	stopServing context.CancelFunc
 
 	// mu is locked after the lock of a Follower, and before those of a runner and of
 	// limits. No method of a Follower is called under it.
@@ -112,6 +120,7 @@
 	lags              map[string]int64 // number of versions behind the newest that a model's trainer allows
 	forward           *forward.Balancer
 	suspects          *suspect.Table
+	durations         *drain.Durations           // of the requests of each route
 	followers         map[int]*logstore.Follower // of topicWork
 	runners           map[int]*runner
 	lastTenures       map[int]*tenure // newest tenure of each partition, also after its release
@@ -127,9 +136,10 @@
 		settings: s, store: store, backends: backends, feeds: feeds, recorder: recorder,
 		member: s.Host.ID + "-" + uuid.NewString()[:8],
 		state:  deployment.NewState(), jobs: jobs.NewTable(), placements: make(map[string]*placement),
-		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()),
+		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), durations: drain.NewDurations(),
 		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastTenures: make(map[int]*tenure), skipped: make(skippedRecords),
 	}
+	h.serving, h.stopServing = context.WithCancel(context.Background())
 	if h.isSmall() {
 		h.member = s.Host.ID + smallMarker + uuid.NewString()[:8]
 	}
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -60,6 +60,9 @@
 	if h.jobEntry(job.ID) != nil {
 		return nil
 	}
+	if refusal := h.refuseJobCall(job.ID); refusal != nil {
+		return refusal
+	}
 	data, err := json.Marshal(payloads)
 	if err != nil {
 		return notRunRefusal(cluster.ReasonBadRequest, err.Error())
@@ -287,6 +290,12 @@
 // waits for one, at most for the given time. A nil page without a refusal means that
 // the job does not exist.
 func (h *Host) Results(ctx context.Context, id string, after int, wait time.Duration) (*Results, *Refusal) {
+	if refusal := h.refuseJobCall(id); refusal != nil {
+		return nil, refusal
+	}
+	if h.draining.Load() {
+		wait = 0 // the caller waits at another host
+	}
 	e, refusal := h.findJob(ctx, id)
 	if e == nil {
 		return nil, refusal
@@ -366,6 +375,9 @@
 
 // ItemBody returns the body of an item. found is false if there is no such item.
 func (h *Host) ItemBody(ctx context.Context, job, item string) (body []byte, found bool, refusal *Refusal) {
+	if refusal := h.refuseJobCall(job); refusal != nil {
+		return nil, false, refusal
+	}
 	e, refusal := h.findJob(ctx, job)
 	if e == nil {
 		return nil, false, refusal
@@ -402,6 +414,9 @@
 
 // EndJob ends a job. found is false if there is no such job.
 func (h *Host) EndJob(ctx context.Context, id string) (found bool, refusal *Refusal) {
+	if refusal := h.refuseJobCall(id); refusal != nil {
+		return false, refusal
+	}
 	e, refusal := h.findJob(ctx, id)
 	if e == nil {
 		return false, refusal
--- a/internal/fronthost/serve.go
+++ b/internal/fronthost/serve.go
@@ -19,23 +19,13 @@
 	"github.com/sesamestand/sesamestand/internal/settings"
 )
 
-// Timeouts of the HTTP servers and of draining.
+// Timeouts of the HTTP servers.
 const (
 	// readHeaderTimeout bounds how long a client may take to send a request header.
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is far above the idle timeout that operators configure for
 	// clients, which may send on an idle connection until that timeout.
 	idleTimeout = 2 * time.Minute
-	// drainNotice is how long the host accepts connections after it reports not
-	// ready: two health checks of the load balancer and a margin.
-	drainNotice = 2600 * time.Millisecond
-	// killMargin is the time between the end of a drain and the platform's kill.
-	killMargin = 700 * time.Millisecond
-	// drainPoll is the interval at which a draining host checks its in-flight requests.
-	drainPoll = 20 * time.Millisecond
-	// drainIdlePeriod is how long a draining host must have had no request in flight
-	// before it exits.
-	drainIdlePeriod = 100 * time.Millisecond
 )
 
 // Ingress builds the handler of callers' requests and the handler of the readiness
@@ -48,10 +38,12 @@
 	baseCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	front, ready := ingress(h)
-	handler := negroni.New(negroni.HandlerFunc(h.track))
+	handler := negroni.New(negroni.HandlerFunc(h.closeWhileStopping))
 	handler.UseHandler(front)
+	frontServer := newServer(h.settings.Host.HTTPAddr, handler)
+	frontServer.ConnState = h.active.Observe
 	servers := []*http.Server{
-		newServer(h.settings.Host.HTTPAddr, handler),
+		frontServer,
 		newServer(h.settings.Host.ReadyAddr, ready),
 	}
 	if h.settings.Host.MetricsAddr != "" {
@@ -83,7 +75,7 @@
 			klog.V(1).InfoS("HTTP server not closed cleanly", "addr", s.Addr, "err", err)
 		}
 	}
-	klog.InfoS("entry host stopped", "host", h.settings.Host.ID, "in_flight", h.inFlight.Load())
+	klog.InfoS("entry host stopped", "host", h.settings.Host.ID, "in_flight", h.active.Count())
 	return nil
 }
 
@@ -106,38 +98,6 @@
 	return &http.Server{Addr: addr, Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
-// track counts in-flight requests and, while the host drains, asks clients to close
-// their connections.
-func (h *Host) track(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
-	h.inFlight.Add(1)
-	defer h.inFlight.Add(-1)
-	if h.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	next(w, r)
-}
-
-// drain releases the partitions, leaves the load balancer time to notice that the
-// host is not ready, and waits for in-flight requests as long as the platform
-// allows.
-func (h *Host) drain() {
-	started := time.Now()
-	deadline := started.Add(h.settings.Timing.StopGrace - killMargin)
-	klog.InfoS("entry host draining", "host", h.settings.Host.ID, "in_flight", h.inFlight.Load(), "limit", h.settings.Timing.StopGrace-killMargin)
-	h.draining.Store(true)
-	go h.releasePartitions()
-	idleSince := time.Now()
-	for time.Now().Before(deadline) {
-		time.Sleep(drainPoll)
-		if h.inFlight.Load() > 0 {
-			idleSince = time.Now()
-		}
-		if time.Since(started) >= drainNotice && time.Since(idleSince) >= drainIdlePeriod {
-			return
-		}
-	}
-}
-
 // reload reads and checks the settings file on SIGHUP, and logs whether a restart is
 // needed. Addresses and limits take effect at the next start; an invalid file changes
 // nothing.
--- a/internal/fronthost/status.go
+++ b/internal/fronthost/status.go
@@ -69,7 +69,7 @@
 func (h *Host) Status() Status {
 	s := Status{
 		Host: h.settings.Host.ID, DataCentre: h.settings.Host.DataCentre, Member: h.member,
-		Ready: h.Ready(), Draining: h.draining.Load(), InFlight: h.inFlight.Load(), Counters: h.recorder.Totals(),
+		Ready: h.Ready(), Draining: h.draining.Load(), InFlight: int64(h.active.Count()), Counters: h.recorder.Totals(),
 	}
 	s.Partitions = h.partitionStatus()
 	now := time.Now()
--- a/internal/fronthost/streaming.go
+++ b/internal/fronthost/streaming.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
-	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 )
 
@@ -63,7 +62,7 @@
 	defer cancel()
 	f.call = backend.CallStream
 	s := &streaming{forwarding: f, writer: writer, lastID: after, resumed: resumed}
-	end := StreamEnd{Refusal: f.crashRefusal()}
+	end := StreamEnd{Refusal: f.refuseUnsent()}
 	if end.Refusal == nil {
 		end = s.run(ctx)
 	}
@@ -91,7 +90,7 @@
 			s.sendHead()
 			return StreamEnd{}
 		case ctx.Err() != nil && !s.delivered:
-			return StreamEnd{Refusal: unknownRefusal(cluster.ReasonDeadline, "no backend server answered in time")}
+			return StreamEnd{Refusal: s.givenUp()}
 		case ctx.Err() != nil:
 			return StreamEnd{Broken: true}
 		case end.Response != nil && !end.Response.NotRun && !s.delivered:
--- a/internal/integration/system_test.go
+++ b/internal/integration/system_test.go
@@ -59,6 +59,12 @@
 }
 
 func startSystem(t *testing.T, example string, seed uint64, tokenTime time.Duration) *system {
+	t.Helper()
+	return startSystemWith(t, example, seed, tokenTime, func(*settings.Settings) {})
+}
+
+// startSystemWith is startSystem with entry hosts whose settings adjust modifies.
+func startSystemWith(t *testing.T, example string, seed uint64, tokenTime time.Duration, adjust func(*settings.Settings)) *system {
 	t.Helper()
 	files, err := examples.Files(example)
 	must.NoError(t, err)
@@ -75,6 +81,7 @@
 			s.Timing.DrainDelay = 500 * time.Millisecond
 			s.Timing.StateInterval = 250 * time.Millisecond
 			s.Limits.DecisionLogPerSec = 0
+			adjust(s)
 		},
 	})
 	must.NoError(t, err)
--- a/internal/services/controller.go
+++ b/internal/services/controller.go
@@ -93,6 +93,7 @@
 	client     *client
 	budget     *retryBudget
 	liveness   *hostLiveness
+	refuser    cluster.Refuser
 	writerWake chan struct{} // wakes the writer
 	querySlots chan struct{} // semaphore of the calls for which all hosts are queried
 
@@ -106,6 +107,10 @@
 	_ peer.IntentHandler = (*Controller)(nil)
 )
 
+// RefuseBy sets what refuses requests that this host may not take any more. It must be
+// called before the first request.
+func (c *Controller) RefuseBy(r cluster.Refuser) { c.refuser = r }
+
 // New returns a controller. Until Run has read the intent stream, it refuses
 // calls that need the log.
 func New(c Config, log platform.Log, configs cluster.Configs, members cluster.Members,
@@ -188,6 +193,15 @@
 		c.refuse(w, requestID, refusal)
 		return
 	}
+	refusal = c.refuser.Refuse(requestID, request.deadline)
+	if refusal != nil && (request.repeatable() || keyErr != nil) {
+		c.refuse(w, requestID, refusal)
+		return
+	}
+	if refusal != nil {
+		c.refuseOrReplay(w, r, requestID, key, refusal)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), request.deadline)
 	defer cancel()
 	if request.repeatable() {
--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -98,6 +98,7 @@
 	limits    *limits.Controller
 	recorder  *telemetry.Recorder
 	scorers   *http.Client
+	refuser   cluster.Refuser
 	refresher Refresher // if nil, versions come from other coordinators only
 
 	started  time.Time
@@ -126,6 +127,10 @@
 	_ peer.TrainerHandler = (*Controller)(nil)
 )
 
+// RefuseBy sets what refuses requests that this host may not take any more. It must be
+// called before the first request.
+func (c *Controller) RefuseBy(r cluster.Refuser) { c.refuser = r }
+
 // New returns a controller. Run must be called for periodic work.
 func New(
 	config Config,
--- a/internal/trainers/http.go
+++ b/internal/trainers/http.go
@@ -59,6 +59,11 @@
 		httpapi.WriteRefusal(w, requestID, notRun(reason, "read the body: "+err.Error()))
 		return
 	}
+	limit := time.Now().Add(forwardTimeout + c.pullWait(operation, body))
+	if refusal := c.refuser.Refuse(requestID, limit); refusal != nil {
+		httpapi.WriteRefusal(w, requestID, refusal)
+		return
+	}
 	status, response, refusal := c.dispatch(r.Context(), name, operation, body)
 	if refusal != nil {
 		httpapi.WriteRefusal(w, requestID, refusal)
