Keep the terms of a job's route from its acceptance on

Callers saw: when an operator added a plain route with a longer prefix of a submission's path, all open items of the accepted job were stopped in mid-run and listed as errored, 1.7 s after the submission. The job's own route was unchanged and allows 40 s.

Cause: routeOf matched the path of the submission anew in each tick, among routes of all kinds. The new route has no retention, so the job counted as expired; its service would have run the items. In the same way a later retention, number of attempts or version rule replaced what the job had been promised.

Change: a job stores the terms of its route (prefix, retention, attempts, single version) when it is accepted. Later its route is the one for jobs with the same prefix, or else the one for jobs with the longest prefix. The service follows the newest configuration; of the other terms the better for the job holds. Records without terms are read as before, with routes for jobs only. The terms have a fixed length, as the last field, so that chunks of two submissions of a job fit together.

Places that match a path anew: routeOf and its callers (changed); scoreRoute, which matches the path of a reward call, a request of its own; serveRoute, which matches requests as they arrive. Without a log store, jobs have no paths.

--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -130,6 +130,25 @@
 	return nil
 }
 
+// JobRoute returns the route for jobs of the host with the given prefix or, if there is
+// none, the one with the longest prefix of path. It returns nil if no route for jobs
+// matches.
+func (c *Config) JobRoute(host, path, prefix string) *Route {
+	var longest *Route
+	for _, r := range c.byHost[host] {
+		if r.Kind != Jobs || !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if r.Prefix == prefix {
+			return r
+		}
+		if longest == nil {
+			longest = r
+		}
+	}
+	return longest
+}
+
 // Models returns the sorted names of the models of all services.
 func (c *Config) Models() []string {
 	var models []string
--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -83,6 +83,9 @@
 	Items      []Item `json:"items"`
 	// Payloads is the location of the items' payloads, in the order of Items.
 	Payloads BlobRef `json:"payloads"`
+	// Terms is the last field, so that submissions of a job under different
+	// configurations differ only in the last chunks.
+	Terms Terms `json:"terms,omitzero"`
 }
 
 // Result is the outcome of one item.
--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -430,6 +430,11 @@
 func (c *testCluster) Run(ctx context.Context, t backend.Target, r *backend.Run, onEvent func(backend.Event)) backend.RunEnd {
 	c.mu.Lock()
 	replica := c.replicas[t.ID]
+	if replica == nil {
+		c.mu.Unlock()
+		c.t.Errorf("item %s was sent to %s, which is no replica", r.ID, t.ID)
+		return backend.RunEnd{Err: backend.ErrNotSent}
+	}
 	if end := replica.refusal(r); end != nil {
 		c.mu.Unlock()
 		return *end
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -71,6 +71,11 @@
 	partition := h.partitionOf(job.Model)
 	follower := h.followers[partition]
 	declared := h.state.Config != nil && h.state.Config.ServiceOf(job.Model) != ""
+	if h.state.Config != nil {
+		if route := h.state.Config.JobRoute(job.Host, job.Path, ""); route != nil {
+			job.Terms = jobs.NewTerms(route)
+		}
+	}
 	h.mu.Unlock()
 	if !declared {
 		// No host follows the partition of an undeclared model. A newer configuration
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -249,13 +249,13 @@
 	}
 }
 
-// routeOf returns the route of a job under the newest configuration. The caller
-// holds mu.
+// routeOf returns the route of a job under the newest configuration, with the terms
+// under which the job was accepted. The caller holds mu.
 func (h *Host) routeOf(e *jobs.Entry) *deployment.Route {
 	if h.state.Config == nil {
 		return nil
 	}
-	return h.state.Config.Match(e.Job.Host, e.Job.Path)
+	return jobs.RouteOf(h.state.Config, e.Job)
 }
 
 // serviceOf returns the service of a route for a request or a job. It is the same
