Do not cut a silent stream that cannot go on elsewhere

Callers saw: streams on a route that does not allow resumption ended in the middle after 1 s without an event, although their replica had only preempted them and callers wait 2 s. Before the first event such a stream ended with 502.

Cause: a timer ended each attempt after 1 s of silence (before the first event, after twice the objective) so that the stream could be resumed elsewhere, also where nothing could follow: no resumption, no attempts left, or no other server.

Change: when the timer fires, the attempt ends only if the route, its attempts and the balancer allow another server; otherwise that is asked again every 100 ms. A stream that has left a silent server returns to it if all others refuse.

--- a/internal/fronthost/streaming.go
+++ b/internal/fronthost/streaming.go
@@ -23,6 +23,9 @@
 	// resumed at another server. Callers disconnect after two seconds at the
 	// earliest.
 	streamEventTimeout = time.Second
+	// silenceRecheck is the interval at which a silent stream that no other server can
+	// take is checked again.
+	silenceRecheck = 100 * time.Millisecond
 )
 
 // StreamWriter writes the response of a stream to the caller.
@@ -51,6 +54,9 @@
 	resumed   bool
 	delivered bool
 	abandoned bool // this host cancelled the last attempt; its server may be healthy
+	// silent are the servers that this host left because they were silent. They may be
+	// healthy, so the stream returns to them if no other server takes it.
+	silent []string
 }
 
 // Stream forwards a request and passes on the events of the response as a backend
@@ -80,6 +86,9 @@
 func (s *streaming) run(ctx context.Context) StreamEnd {
 	for {
 		a := s.pick(ctx, false)
+		if a == nil && s.mayReturn() {
+			a = s.pick(ctx, false)
+		}
 		if a == nil {
 			return s.streamExhausted()
 		}
@@ -96,19 +105,31 @@
 		case end.Response != nil && !end.Response.NotRun && !s.delivered:
 			return StreamEnd{Response: end.Response}
 		}
-		if !s.mayResume(a, end) {
+		if !s.mayResume(a, end) && !s.mayReturn() {
 			return s.streamExhausted()
 		}
 	}
 }
 
+// mayReturn reports whether the stream may be resumed at a server that this host left
+// because it was silent, and allows it to be selected again.
+func (s *streaming) mayReturn() bool {
+	if len(s.silent) == 0 || s.possibleRuns >= s.route.MaxAttempts {
+		return false
+	}
+	for _, id := range s.silent {
+		delete(s.excluded, id)
+	}
+	s.silent = nil
+	return true
+}
+
 // streamOnce streams from one server until its stream ends or an event does not
 // arrive in time.
 func (s *streaming) streamOnce(ctx context.Context, a *attempt) backend.RunEnd {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	eventTimer := time.AfterFunc(s.firstEventTimeout(), cancel)
-	defer eventTimer.Stop()
+	watch := s.watchSilence(a, cancel)
 	end := s.host.backends.Stream(ctx, targetOf(&a.server), &backend.Stream{
 		Request: s.request, LastEventID: s.lastID, Resumed: s.resumed, Timeout: time.Until(s.deadline),
 		OnHeaders: func(response *backend.Response) {
@@ -117,12 +138,15 @@
 			}
 		},
 		OnEvent: func(e backend.Event) {
-			eventTimer.Reset(streamEventTimeout)
+			watch.recordEvent()
 			s.sendHead()
 			s.lastID, s.resumed, s.delivered = e.ID, true, true
 			s.writer.WriteEvent(e)
 		},
 	})
+	if watch.stop() {
+		s.silent = append(s.silent, a.server.ID)
+	}
 	a.response, a.err = end.Response, end.Err
 	if end.Complete {
 		a.response = s.head
@@ -132,6 +156,70 @@
 	return end
 }
 
+// silenceWatch ends an attempt whose server is silent while another server can take the
+// stream.
+type silenceWatch struct {
+	events chan struct{} // an event arrived
+	done   chan struct{} // closed when the attempt has ended
+	left   chan bool     // whether the attempt was ended
+}
+
+// watchSilence watches an attempt. leave ends it.
+func (s *streaming) watchSilence(a *attempt, leave func()) *silenceWatch {
+	w := &silenceWatch{events: make(chan struct{}, 1), done: make(chan struct{}), left: make(chan bool, 1)}
+	go func() { w.left <- s.leaveIfSilent(w, a, leave) }()
+	return w
+}
+
+func (w *silenceWatch) recordEvent() {
+	select {
+	case w.events <- struct{}{}:
+	default:
+	}
+}
+
+// stop ends the watch and reports whether it has ended the attempt.
+func (w *silenceWatch) stop() bool {
+	close(w.done)
+	return <-w.left
+}
+
+// leaveIfSilent waits until the server has been silent for too long and another server
+// can take the stream, and then calls leave. It returns false if the attempt ends before.
+func (s *streaming) leaveIfSilent(w *silenceWatch, a *attempt, leave func()) bool {
+	timer := time.NewTimer(s.firstEventTimeout())
+	defer timer.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-w.done:
+			return false
+		case <-w.events:
+			last = time.Now()
+			timer.Reset(streamEventTimeout)
+			continue
+		case <-timer.C:
+		}
+		if s.hasAlternative() {
+			s.host.recorder.RecordDecision("stream-silent", s.request.ID, "server", a.server.ID, "silent_ms", time.Since(last).Milliseconds())
+			leave()
+			return true
+		}
+		timer.Reset(silenceRecheck)
+	}
+}
+
+// hasAlternative reports whether another server can take the stream. A server's silence
+// is no reason to end a stream that cannot go on elsewhere: the server may only have
+// preempted it.
+func (s *streaming) hasAlternative() bool {
+	if !s.route.Resumable || s.possibleRuns >= s.route.MaxAttempts {
+		return false
+	}
+	selection := s.choose()
+	return selection.Server != nil && !selection.Failing && !selection.LastResort
+}
+
 // sendHead passes the status and headers on to the caller, once.
 func (s *streaming) sendHead() {
 	if !s.headSent {
--- a/internal/fronthost/streaming_test.go
+++ b/internal/fronthost/streaming_test.go
@@ -34,6 +34,12 @@
 // streamFrom serves a stream through a host from five servers whose responses the test
 // gives. Sends are counted from 1.
 func streamFrom(t *testing.T, prefix string, response func(ctx context.Context, send int, t backend.Target, s *backend.Stream) backend.RunEnd) (*streamCaller, StreamEnd, int) {
+	t.Helper()
+	return streamFromServers(t, []string{"app-a", "app-b", "app-c", "app-d", "app-e"}, prefix, response)
+}
+
+// streamFromServers is streamFrom with the given servers.
+func streamFromServers(t *testing.T, servers []string, prefix string, response func(ctx context.Context, send int, t backend.Target, s *backend.Stream) backend.RunEnd) (*streamCaller, StreamEnd, int) {
 	t.Helper()
 	c := newTestCluster(t, 1)
 	var mu sync.Mutex
@@ -45,7 +51,7 @@
 		mu.Unlock()
 		return response(ctx, send, target, s)
 	}
-	for _, id := range []string{"app-a", "app-b", "app-c", "app-d", "app-e"} {
+	for _, id := range servers {
 		c.register(id, testApp)
 	}
 	h := c.startHost("a")
@@ -151,6 +157,72 @@
 	must.Less(t, 2*time.Second, time.Since(began)) // the gap after which callers disconnect
 }
 
+// pause waits, and reports false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// Guards against a stream that is cut because its server is silent, although it cannot go
+// on at another server.
+func TestSilentStreamThatCannotMoveIsNotCut(t *testing.T) {
+	all := []string{"app-a", "app-b"}
+	for name, test := range map[string]struct {
+		servers       []string
+		prefix        string
+		first, second time.Duration // time before each event
+	}{
+		"not resumable":                         {all, "/live-once/", 0, 2 * streamEventTimeout},
+		"not resumable, before the first event": {all, "/live-once/", 3 * minFirstEventTimeout, 0},
+		"no other server":                       {all[:1], "/live/", 0, 2 * streamEventTimeout},
+		"no other server, before the first":     {all[:1], "/live/", 3 * minFirstEventTimeout, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			caller, end, sends := streamFromServers(t, test.servers, test.prefix, func(ctx context.Context, _ int, target backend.Target, s *backend.Stream) backend.RunEnd {
+				s.OnHeaders(headOf(target))
+				for id, silence := range []time.Duration{test.first, test.second} {
+					if !pause(ctx, silence) {
+						return brokenStream()
+					}
+					s.OnEvent(backend.Event{ID: int64(id + 1)})
+				}
+				return backend.RunEnd{Complete: true}
+			})
+			must.Eq(t, StreamEnd{}, end)
+			must.Eq(t, []int64{1, 2}, caller.events)
+			must.EqOp(t, 1, sends)
+		})
+	}
+}
+
+// Guards against a stream that is cut because its server was silent and all other servers
+// refuse it: the silent one can go on with it.
+func TestStreamReturnsToSilentServerIfOthersRefuse(t *testing.T) {
+	var silent string
+	caller, end, _ := streamFrom(t, "/live/", func(ctx context.Context, send int, target backend.Target, s *backend.Stream) backend.RunEnd {
+		if send == 1 {
+			silent = target.ID
+		}
+		if target.ID != silent {
+			return refusedStream()
+		}
+		s.OnHeaders(headOf(target))
+		s.OnEvent(backend.Event{ID: s.LastEventID + 1})
+		if send == 1 {
+			<-ctx.Done()
+			return brokenStream()
+		}
+		return backend.RunEnd{Complete: true}
+	})
+	must.Eq(t, StreamEnd{}, end)
+	must.Eq(t, []int64{1, 2}, caller.events)
+}
+
 // Guards against content that is refused as crash-inducing because servers were slow
 // and this host cancelled its streams.
 func TestStalledStreamsAreNotCountedAsCrashes(t *testing.T) {
