--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -90,6 +90,9 @@
 	*tenure
 	*runState
 	orders *orderer // control partition only
+	// readAge is how long ago the partition was read to its end at the last tick. Only
+	// the goroutine of run uses it.
+	readAge time.Duration
 
 	mu              sync.Mutex
 	pendingCommits  []schedule.Commit
@@ -182,6 +185,9 @@
 func (r *runner) tick() {
 	h := r.host
 	now := time.Now()
+	if f := h.follower(r.partition); f != nil {
+		r.readAge = f.Staleness() // before mu is locked, see there
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if r.isStopping() {
@@ -316,7 +322,7 @@
 		ID: s.Item.ID, HostName: s.Job.Job.Host, Path: payload.Path, Headers: payload.Headers, Body: payload.Body,
 		Version: s.Version, LastEventID: s.Partial.LastID, Resumed: len(s.Partial.Events) > 0,
 	}
-	h.recorder.RecordDecision("run", s.Item.ID, "job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Partial.Events), "expected", s.Item.ExpectedOutput, "why", s.Reason)
+	h.recorder.RecordDecision("run", s.Item.ID, "job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Partial.Events), "expected", s.Item.ExpectedOutput, "read_age_ms", r.readAge.Milliseconds(), "why", s.Reason)
 	go h.execute(runCtx, cancel, r.runState, target, request, s, route.MaxAttempts)
 }
 
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -17,7 +17,7 @@
 func DiscardUnsent(dial DialContext) DialContext {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
-		if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+		if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok && err == nil {
 			if err := tcp.SetLinger(0); err != nil {
 				klog.V(1).InfoS("connection would send unsent bytes after its end", "addr", addr, "err", err)
 			}
