Bound the memory of all bodies that are read at a time

Operators reported of a similar system: a replica sent bytes without end, the host that had called it kept them and ran out of memory, and all its requests ended with it.

Cause, here: each answer had a limit (32 MiB for a body), their sum had none, and a growing body was copied while it was read. Several at a time exceed the memory of a small host; the review saw one of 174 MB end at 178 MB.

Bodies are read into blocks.

--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -106,7 +106,7 @@
 
 func newServicesConfig(s settings.Settings) services.Config {
 	return services.Config{
-		MaxBodyBytes: int64(s.Limits.BodyBytes), RequestTimeout: s.Timing.RequestTimeout,
+		MaxBodyBytes: int64(s.Limits.BodyBytes), MemoryMB: s.Limits.MemoryMB, RequestTimeout: s.Timing.RequestTimeout,
 		BackendToken: s.Auth.BackendToken, Retention: s.Timing.LogRetention, ClockSkew: s.Timing.ClockSkew,
 		RetryShare: s.Limits.RetryShare, RetryReserve: s.Limits.RetryReserve,
 	}
--- a/internal/services/client.go
+++ b/internal/services/client.go
@@ -34,13 +34,14 @@
 // rewound here. Redirects are returned to the caller, because following one would repeat
 // the call.
 type client struct {
-	token string
+	token  string
+	bodies *httpapi.BodyBudget
 	// observe is called with each response before its body is read.
 	observe func(server platform.BackendServer, requestID string, response *http.Response, sent time.Time)
 }
 
-func newClient(token string, observe func(platform.BackendServer, string, *http.Response, time.Time)) *client {
-	return &client{token: token, observe: observe}
+func newClient(token string, bodies *httpapi.BodyBudget, observe func(platform.BackendServer, string, *http.Response, time.Time)) *client {
+	return &client{token: token, bodies: bodies, observe: observe}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -102,13 +103,13 @@
 		return nil, eris.Wrapf(httpapi.ErrUpgraded, "call backend server %s", server.ID)
 	}
 	c.observe(server, r.id, response, sent)
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	data, err := c.bodies.ReadAll(response.Body, maxResponseBytes)
+	if errors.Is(err, httpapi.ErrBodyTooLong) {
+		return nil, errResponseTooLarge
+	}
 	if err != nil {
 		return nil, eris.Wrapf(err, "read the answer of backend server %s", server.ID)
 	}
-	if len(data) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
 	if err := httpapi.CheckBody(response, data); err != nil {
 		return nil, eris.Wrapf(err, "read the answer of backend server %s", server.ID)
 	}
--- a/internal/services/controller.go
+++ b/internal/services/controller.go
@@ -34,6 +34,8 @@
 type Config struct {
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
+	// MemoryMB is the memory limit of the process, or 0.
+	MemoryMB float64
 	// RequestTimeout is the timeout of requests that do not set one.
 	RequestTimeout time.Duration
 	// BackendToken is sent to backend servers; if empty, none is sent.
@@ -121,7 +123,7 @@
 	return &Controller{
 		config: c, log: log, configs: configs, members: members, peers: peers, recorder: recorder,
 		backends:   backends,
-		client:     newClient(c.BackendToken, backends.observe),
+		client:     newClient(c.BackendToken, httpapi.NewBodyBudget(c.MemoryMB), backends.observe),
 		budget:     &retryBudget{budget: flight.NewBudget(c.RetryShare, c.RetryReserve)},
 		liveness:   newHostLiveness(members, c.Retention),
 		writerWake: make(chan struct{}, 1),
