--- a/internal/netdial/acks.go
+++ b/internal/netdial/acks.go
@@ -69,15 +69,18 @@
 	probing  bool          // the kernel's keep-alive probes are on
 }
 
-// Probe switches the keep-alive probes of the kernel, with the settings of the dialer,
-// for the time in which all sent bytes are acknowledged. They are off at first. They
-// should be on only while a response is awaited: the kernel may count the silence of an
-// idle connection, and give it up just after the next request was written.
+// Probe sets whether the kernel's keep-alive probes, with the settings of the dialer, are
+// used once the bytes that are written next are acknowledged. They are off at first, and
+// go off at once. They should be on only while a response is awaited: the kernel may count
+// the silence of an idle connection, and give it up just after the next request was
+// written.
 func (c *WatchedConn) Probe(on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.probe = on
-	c.setProbing(on && c.timer == nil)
+	if !on {
+		c.setProbing(false)
+	}
 }
 
 // writeBytes is the size of the parts in which bytes are written, so that the progress of
