Commit no output of weight versions that its job does not allow

Cause: the mode of an order is fixed when it is planned, and the order is sent 30 to 100 ms later. Runs of a new job that start in between get the new version under them. The versions of an output were checked before a run and on reuse, not at its end.

Change: the scheduler stops a run whose output has versions that its job does not allow, and discards the output, also at the end of the run; the item runs again. The mode of an order is decided again just before it is sent.

--- a/internal/core/schedule/outcome.go
+++ b/internal/core/schedule/outcome.go
@@ -34,6 +34,10 @@
 	if t == nil {
 		return
 	}
+	if outcome == Complete && !t.hasAllowedOutput() {
+		s.discardOutput(t, now)
+		return
+	}
 	replica := t.run.replica
 	s.release(t)
 	p := s.pace(replica)
@@ -62,6 +66,15 @@
 	}
 }
 
+// discardOutput ends the run of an item whose output has weight versions that the job does
+// not allow. The item runs again from its start; its replica is between two versions.
+func (s *Scheduler) discardOutput(t *task, now time.Time) {
+	s.pace(t.run.replica).blockedUntil = now.Add(2 * s.config.RefusalBackoff)
+	s.release(t)
+	t.partial = jobs.Partial{}
+	t.notBefore = now.Add(s.config.RefusalBackoff)
+}
+
 func (s *Scheduler) blockAfterFailure(p *pace, now time.Time) {
 	backoff := s.config.FailureBackoff << min(p.failures, maxBackoffDoublings)
 	p.failures++
--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -119,6 +119,7 @@
 	lastEvent     time.Time
 	pendingGap    time.Duration // time before the last event; not part of the pace yet
 	events        int
+	singleVersion bool   // the job requires a single weight version
 	countedTokens int    // tokens that usage includes for this run
 	countedGroup  string // group that usage includes for this run
 }
@@ -289,6 +290,12 @@
 	t.partial.LastID = id
 }
 
+// hasAllowedOutput reports whether the job allows the weight versions of a task's output
+// so far. A replica may load another version under a run that began before the order.
+func (t *task) hasAllowedOutput() bool {
+	return jobs.VersionsAllowed(t.partial.Versions, t.job.Job.MinVersion, t.run.singleVersion)
+}
+
 // paceLifetime is how long the pace of a replica is valid without new events.
 // Afterwards a replica that was slow gets runs again.
 const paceLifetime = 3 * time.Second
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -405,3 +405,55 @@
 		}
 	}
 }
+
+// Guards against a result of several weight versions, or of one that the job does not
+// allow, because the replica loaded a version under the run.
+func TestOutputOfDisallowedVersionsIsDiscarded(t *testing.T) {
+	for name, test := range map[string]struct {
+		single   bool
+		versions []int64 // of the events of the first run
+		want     []int64
+	}{
+		"two versions":           {true, []int64{1, 2}, []int64{2}},
+		"two versions allowed":   {false, []int64{1, 2}, []int64{1, 2}},
+		"below the least":        {false, []int64{0, 1}, []int64{2}},
+		"one version, as wanted": {true, []int64{1, 1}, []int64{1}},
+	} {
+		for _, tickBetween := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, tick between=%t", name, tickBetween), func(t *testing.T) {
+				s := newStep(rand.New(rand.NewPCG(1, 1)), 1, 1, 2, 4)
+				input := func() TickInput {
+					in := s.input()
+					in.SingleVersion = func(*jobs.Entry) bool { return test.single }
+					return in
+				}
+				s.scheduler.AddJob(s.entry, func(string) (jobs.Partial, bool) { return jobs.Partial{}, false })
+				starts := s.scheduler.Tick(input()).Starts
+				must.SliceLen(t, 1, starts)
+				for id, version := range test.versions {
+					s.scheduler.RecordEvent(starts[0].Run, int64(id), "x", version, s.now)
+				}
+				stopped := false
+				if tickBetween {
+					stopped = len(s.scheduler.Tick(input()).Stops) > 0
+				}
+				if !stopped {
+					s.scheduler.RecordEnd(starts[0].Run, Complete, 3, s.now)
+				}
+				var commits []Commit
+				for len(commits) == 0 {
+					s.now = s.now.Add(testTick)
+					must.Less(t, time.Minute, s.now.Sub(s.entry.ReadAt))
+					actions := s.scheduler.Tick(input())
+					commits = actions.Commits
+					for _, start := range actions.Starts {
+						must.SliceEmpty(t, start.Partial.Events)
+						s.scheduler.RecordEvent(start.Run, 0, "y", 2, s.now)
+						s.scheduler.RecordEnd(start.Run, Complete, 3, s.now)
+					}
+				}
+				must.Eq(t, test.want, commits[0].Result.Versions)
+			})
+		}
+	}
+}
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -82,6 +82,10 @@
 		if !t.outputComplete && !t.decided {
 			s.reuseOutput(in, t)
 		}
+		if t.run != nil && !t.hasAllowedOutput() {
+			actions.Stops = append(actions.Stops, Stop{Run: t.run.id, Reason: "the job does not allow the weight versions of the output"})
+			s.discardOutput(t, in.Now)
+		}
 		if !t.decided && in.Expired(e) {
 			t.markFailed()
 		}
@@ -249,7 +253,7 @@
 	if !jobs.VersionsAllowed(t.partial.Versions, minVersion, single) || (single && len(t.partial.Versions) > 0 && t.partial.Versions[0] != to.Version) {
 		t.partial = jobs.Partial{}
 	}
-	t.run = &run{id: s.nextRun, replica: to.ID, started: in.Now, lastEvent: in.Now}
+	t.run = &run{id: s.nextRun, replica: to.ID, started: in.Now, lastEvent: in.Now, singleVersion: single}
 	s.granted[to.ID]++
 	s.byRun[t.run.id] = taskKey(t.job.Job.ID, t.item.ID)
 	s.addUsage(t, in)
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -303,11 +303,15 @@
 		o.release(rs, orderRetryDelay)
 		return
 	}
+	// A job that requires a single version may have begun to run since the plan was made.
+	h.mu.Lock()
+	waitForRuns := order.FinishRuns || h.requiresSingleVersion(order.Model)
+	h.mu.Unlock()
 	outcome, err := h.backends.Order(ctx, target, backend.Order{
-		Model: order.Model, Version: order.Version, WaitForRuns: order.FinishRuns,
+		Model: order.Model, Version: order.Version, WaitForRuns: waitForRuns,
 		OrderOwner: h.member, Fence: o.runner.epoch, ExpectedOrders: expected,
 	})
-	h.recorder.RecordDecision("order", "", "replica", target.ID, "model", order.Model, "version", order.Version, "fence", o.runner.epoch, "expected", expected, "outcome", outcome.String(), "err", errorText(err))
+	h.recorder.RecordDecision("order", "", "replica", target.ID, "model", order.Model, "version", order.Version, "fence", o.runner.epoch, "expected", expected, "wait_for_runs", waitForRuns, "outcome", outcome.String(), "err", errorText(err))
 	h.recorder.Count("orders_total", "outcome", outcome.String())
 	backoff := time.Duration(0)
 	switch outcome {
