Wait for a replica from the end of the last attempt, not from the start

Cause: the request waits up to 3 s for a replica, counted from its start, which is over when the silence is noticed.

Change: the wait counts from the end of the last attempt that reached a server. The replica that was silent can then be selected again, and the generation goes on after the tokens that were delivered, within the retry budget.

Result: TestGenerationReturnsToItsOnlyReplicaAfterSilence failed before (finish in place of an attempt) and passes; the tests of core/flight and callers pass with -race.

--- a/internal/core/flight/flight.go
+++ b/internal/core/flight/flight.go
@@ -96,8 +96,8 @@
 	// it. Replicas are missing only briefly: while a host starts, or while all
 	// replicas of a model swap weights.
 	replicaWait     time.Duration
-	startedAt       time.Time
-	attempt         int // current attempt; 0 before the first
+	waitingSince    time.Time // since when no replica serves the request
+	attempt         int       // current attempt; 0 before the first
 	selections      int
 	reachedAttempts int // attempts that reached a backend server
 	nextIndex       int // index of the next chunk to deliver
@@ -117,7 +117,7 @@
 // Begin starts the first attempt.
 func (t *Tracker) Begin(now time.Time) []Action {
 	t.budget.RecordRequest(now)
-	t.startedAt = now
+	t.waitingSince = now
 	return t.newAttempt()
 }
 
@@ -154,6 +154,7 @@
 	}
 	if failure.Reached {
 		t.reachedAttempts++
+		t.waitingSince = now
 	}
 	switch {
 	case failure.Replica == "":
@@ -163,7 +164,7 @@
 		t.refused = append(t.refused, failure.Replica)
 	}
 	refusedByAll := !failure.Reached && !failure.NonRetryable && t.selections >= maxSelections
-	if (failure.NoReplica || refusedByAll) && now.Sub(t.startedAt) < t.replicaWait {
+	if (failure.NoReplica || refusedByAll) && now.Sub(t.waitingSince) < t.replicaWait {
 		return t.waitForReplica()
 	}
 	retry := !failure.NonRetryable && t.selections < maxSelections && t.reachedAttempts < maxReachedAttempts
--- a/internal/core/flight/flight_test.go
+++ b/internal/core/flight/flight_test.go
@@ -182,3 +182,23 @@
 	must.Eq(t, Finish, end.Kind)
 	must.Eq(t, NotRun, end.Outcome)
 }
+
+// Guards against a generation that ends because its only replica was silent for longer
+// than a request waits for a replica: the replica may go on with it.
+func TestGenerationReturnsToItsOnlyReplicaAfterSilence(t *testing.T) {
+	const replicaWait = 3 * time.Second
+	now := time.Unix(1000, 0)
+	tracker := New(NewBudget(0.1, 3), false, replicaWait)
+	tracker.Begin(now)
+	tracker.Chunk(1, 0, false, now)
+	now = now.Add(2 * replicaWait)
+	actions := tracker.AttemptFailed(1, Failure{Reached: true, Replica: "only"}, now)
+	must.EqOp(t, Attempt, actions[0].Kind)
+	must.Eq(t, []string{"only"}, tracker.Avoid())
+	actions = tracker.AttemptFailed(2, Failure{NonRetryable: true, NoReplica: true}, now)
+	must.EqOp(t, Attempt, actions[0].Kind)
+	must.EqOp(t, 1, actions[0].Resume)
+	must.SliceEmpty(t, tracker.Avoid())
+	actions = tracker.AttemptFailed(3, Failure{NonRetryable: true, NoReplica: true}, now.Add(replicaWait))
+	must.EqOp(t, Finish, actions[0].Kind)
+}
