Reword the comment of a test of the terms of jobs

The comment spoke of figures on their way through the store; it names encoding and decoding now. No code is changed.

--- a/internal/core/jobs/terms_test.go
+++ b/internal/core/jobs/terms_test.go
@@ -11,8 +11,8 @@
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 )
 
-// Guards against terms whose length in a record depends on their figures, and against
-// figures that change on their way through the store.
+// Guards against terms whose length in a record depends on their values, and against
+// values that are decoded differently from how they were encoded.
 func TestTermsHaveOneLength(t *testing.T) {
 	const length = len(`"000000 000000000000 000000 0"`)
 	rapid.Check(t, func(t *rapid.T) {
