Write the last log lines before a process ends

Callers saw nothing of this; on-call engineers missed the end of a process: lines wait in a buffer that a goroutine writes, and nothing waited for it. An error that ended the process was only on standard error.

SetLogOutput returns a flush that waits, at most for a timeout, until the lines so far are written; serve calls it at its end (0.1 s) and logs the error of a host that fails. A panic outside of a request still loses what is in the buffer.

--- a/cmd/sesamestand/serve.go
+++ b/cmd/sesamestand/serve.go
@@ -4,6 +4,9 @@
 	"context"
 	"os"
 	"runtime/debug"
+	"time"
+
+	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/entry"
 	"github.com/sesamestand/sesamestand/internal/settings"
@@ -36,12 +39,18 @@
 // reserved for socket buffers and stacks.
 const softMemoryShare = 0.8
 
+// logFlushTimeout bounds how long the process waits at its end for its last log lines. It
+// is below the time between the end of a drain and the platform's kill.
+const logFlushTimeout = 100 * time.Millisecond
+
 // serveOnLogStore runs an entry host on a platform with a partitioned log
 // store.
 func serveOnLogStore(ctx context.Context, s settings.Settings) error {
-	if err := telemetry.SetLogOutput(os.Stdout); err != nil {
+	flush, err := telemetry.SetLogOutput(os.Stdout)
+	if err != nil {
 		return err
 	}
+	defer flush(logFlushTimeout)
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * softMemoryShare * (1 << 20)))
 	}
@@ -49,5 +58,9 @@
 	if err != nil {
 		return err
 	}
-	return host.Run(ctx, platform.NewIngress)
+	if err := host.Run(ctx, platform.NewIngress); err != nil {
+		klog.ErrorS(err, "entry host failed", "host", s.Host.ID)
+		return err
+	}
+	return nil
 }
