Log why calls on jobs are refused and since when they are answered

Refusals of calls on jobs were logged for some causes only; a 503 for an output that is not in the store could not be told from one that came late, and nothing said when a host was able to answer after its start.

Each refusal has a cause in the decision job-refused and in job_calls_total, the first answered call after refusals sums them up (job-calls-resumed), and a host logs when it can forward requests and when it has read all jobs. No decision changes.

--- a/internal/fronthost/drain.go
+++ b/internal/fronthost/drain.go
@@ -66,7 +66,7 @@
 
 // refuseJobCall is refuseStopping for calls on jobs.
 func (h *Host) refuseJobCall(id string) *Refusal {
-	return h.refuseStopping(id, "", time.Now().Add(jobCallTimeout))
+	return h.refuseStopping(id, "", time.Now().Add(jobCallTimeout)).withCause(causeStopping)
 }
 
 // drain releases the partitions, leaves the load balancer time to notice that the
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -21,7 +21,10 @@
 const maxRefusals = 3
 
 // Refusal is the host's own response to a request that no backend server answered.
-type Refusal struct{ cluster.Refusal }
+type Refusal struct {
+	cluster.Refusal
+	cause refusalCause // of a call on a job
+}
 
 func notRunRefusal(reason cluster.Reason, message string) *Refusal {
 	return &Refusal{Refusal: cluster.Refusal{Outcome: cluster.OutcomeNotRun, Reason: reason, Message: message}}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -104,6 +104,7 @@
 	draining atomic.Bool
 	surveyed atomic.Bool // all job partitions were checked for records
 	active   httpapi.ActiveConns
+	jobCalls callStats
 	// window is the time that the host has for requests, or nil while it is not stopping.
 	window atomic.Pointer[drain.Window]
 	// serving ends, by stopServing, when callers' requests must be given up so that they
@@ -176,6 +177,7 @@
 	go h.watchAssignments(ctx, changed)
 	go every(ctx, assignedCheckInterval, func() { h.followAssigned(ctx) })
 	go every(ctx, housekeepingInterval, h.removeServers)
+	go h.watchReadiness(ctx, time.Now())
 }
 
 // memberTTL returns the time after which the partitions of a host that does not
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -222,11 +222,11 @@
 	}
 	if !h.CaughtUp() {
 		// The job may be in a partition that this host has not read yet.
-		return nil, h.RefuseNotReady(id)
+		return nil, h.RefuseNotReady(id).withCause(causeNotReady)
 	}
 	if slices.ContainsFunc(h.allFollowers(), (*logstore.Follower).StoreUnavailable) {
 		h.recorder.RecordDecision("job-uncertain", id, "err", "the store does not answer")
-		return nil, storeUnavailableRefusal()
+		return nil, storeUnavailableRefusal().withCause(causeOutage)
 	}
 	failed := h.catchUp(ctx)
 	if e := h.jobEntry(id); e != nil {
@@ -234,14 +234,14 @@
 	}
 	if failed != nil {
 		h.recorder.RecordDecision("job-uncertain", id, "err", failed.Error())
-		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say whether the job exists")
+		return nil, refuseCall(causeNoAnswer, cluster.ReasonLogUnavailable, "the store does not say whether the job exists")
 	}
 	h.mu.Lock()
 	unreadable := h.jobs.Unreadable(id)
 	h.mu.Unlock()
 	if unreadable {
 		h.recorder.RecordDecision("job-uncertain", id, "err", "records of the job are missing or invalid")
-		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store has no complete records of the job")
+		return nil, refuseCall(causeRecords, cluster.ReasonLogUnavailable, "the store has no complete records of the job")
 	}
 	h.recordDenied(id)
 	return nil, nil
@@ -295,6 +295,13 @@
 // waits for one, at most for the given time. A nil page without a refusal means that
 // the job does not exist.
 func (h *Host) Results(ctx context.Context, id string, after int, wait time.Duration) (*Results, *Refusal) {
+	started := time.Now()
+	page, refusal := h.results(ctx, id, after, wait)
+	h.recordJobCall(callResults, id, started, refusal)
+	return page, refusal
+}
+
+func (h *Host) results(ctx context.Context, id string, after int, wait time.Duration) (*Results, *Refusal) {
 	if refusal := h.refuseJobCall(id); refusal != nil {
 		return nil, refusal
 	}
@@ -307,7 +314,7 @@
 	}
 	f := h.follower(e.Partition)
 	if f == nil {
-		return nil, notRunRefusal(cluster.ReasonNotReady, fmt.Sprintf("the host does not follow partition %d", e.Partition))
+		return nil, refuseCall(causeNotFollowed, cluster.ReasonNotReady, fmt.Sprintf("the host does not follow partition %d", e.Partition))
 	}
 	deadline := time.Now().Add(wait)
 	confirmed := false // the partition was read to its end since the last wait
@@ -321,14 +328,14 @@
 		}
 		stale := !confirmed && f.Staleness() > maxReadStaleness
 		if stale && f.StoreUnavailable() {
-			return nil, storeUnavailableRefusal()
+			return nil, storeUnavailableRefusal().withCause(causeOutage)
 		}
 		if stale {
 			catchUpCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 			err := f.CatchUp(catchUpCtx)
 			cancel()
 			if err != nil {
-				return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say whether there are more results")
+				return nil, refuseCall(causeNoAnswer, cluster.ReasonLogUnavailable, "the store does not say whether there are more results")
 			}
 			confirmed = true
 			continue
@@ -344,7 +351,7 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return nil, notRunRefusal(cluster.ReasonDeadline, "the caller left")
+			return nil, refuseCall(causeCallerLeft, cluster.ReasonDeadline, "the caller left")
 		}
 		timer.Stop()
 		confirmed = false
@@ -368,10 +375,10 @@
 		page.Outputs = append(page.Outputs, string(output))
 	}
 	if err != nil {
-		h.recorder.RecordDecision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "wanted", len(refs), "read", len(page.Outputs), "err", err.Error())
+		h.recorder.RecordDecision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "wanted", len(refs), "read", len(page.Outputs), "cause", blobCause(err), "err", err.Error())
 	}
 	if len(page.Outputs) == 0 {
-		return nil, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not return the texts")
+		return nil, refuseCall(blobCause(err), cluster.ReasonLogUnavailable, "the store does not return the texts")
 	}
 	page.Next -= len(refs) - len(page.Outputs)
 	page.Results = page.Results[:len(page.Outputs)]
@@ -380,6 +387,13 @@
 
 // ItemBody returns the body of an item. found is false if there is no such item.
 func (h *Host) ItemBody(ctx context.Context, job, item string) (body []byte, found bool, refusal *Refusal) {
+	started := time.Now()
+	body, found, refusal = h.itemBody(ctx, job, item)
+	h.recordJobCall(callBody, job, started, refusal)
+	return body, found, refusal
+}
+
+func (h *Host) itemBody(ctx context.Context, job, item string) (body []byte, found bool, refusal *Refusal) {
 	if refusal := h.refuseJobCall(job); refusal != nil {
 		return nil, false, refusal
 	}
@@ -393,8 +407,8 @@
 	}
 	payloads, err := h.readPayloads(ctx, e, confirmTimeout)
 	if err != nil {
-		h.recorder.RecordDecision("body-unavailable", item, "job", job, "err", err.Error())
-		return nil, false, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not return the item")
+		h.recorder.RecordDecision("body-unavailable", item, "job", job, "cause", blobCause(err), "err", err.Error())
+		return nil, false, refuseCall(blobCause(err), cluster.ReasonLogUnavailable, "the store does not return the item")
 	}
 	return payloads[i].Body, true, nil
 }
@@ -419,6 +433,13 @@
 
 // EndJob ends a job. found is false if there is no such job.
 func (h *Host) EndJob(ctx context.Context, id string) (found bool, refusal *Refusal) {
+	started := time.Now()
+	found, refusal = h.endJob(ctx, id)
+	h.recordJobCall(callEnd, id, started, refusal)
+	return found, refusal
+}
+
+func (h *Host) endJob(ctx context.Context, id string) (found bool, refusal *Refusal) {
 	if refusal := h.refuseJobCall(id); refusal != nil {
 		return false, refusal
 	}
@@ -434,14 +455,14 @@
 	}
 	if f := h.follower(e.Partition); f != nil && f.StoreUnavailable() {
 		h.recorder.RecordDecision("end", id, "outcome", "the store does not answer")
-		return true, storeUnavailableRefusal()
+		return true, storeUnavailableRefusal().withCause(causeOutage)
 	}
 	records := []logstore.Record{jobs.EncodeEnd(id)}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitTimeout)
 	defer cancel()
 	if err := h.appendAll(ctx, e.Partition, records); err != nil {
 		h.recorder.RecordDecision("end", id, "outcome", err.Error())
-		return true, appendErrorRefusal(err)
+		return true, appendErrorRefusal(err).withCause(causeNoAnswer)
 	}
 	h.applyAppended(e.Partition, records)
 	h.recorder.RecordDecision("end", id, "outcome", "ended")
