Keep what arrived of a listing that breaks off

Callers: an output or a body that is read by key, as all are that were stored before the log was compacted, got 503 at each attempt while a page of a listing (up to 1 MB) took longer than the call: 0.7 s, on a link of 60 Mbit/s shared by a few reads, or with a slowed host that decodes it. Nothing was kept between attempts, so a read began again with the same page.

A listing that timed out now returns the records that arrived whole, as a read of the log does; outputs that are among them are cached, so each attempt begins after them. A follower uses such a page only if it is not the first, because the end that the first page reports is missing.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -234,26 +234,27 @@
 		}
 	}
 	values := make(map[string][]byte)
-	var missing error
+	var failed error
 	for i, ref := range refs {
 		if !byKey[i] {
 			continue
 		}
 		data, ok := assemble(ref, values)
-		if !ok {
+		if !ok && (failed == nil || errors.Is(failed, errNoBlob)) {
 			if err := b.listFrom(ctx, partition, ref.Key, wanted, values); err != nil {
-				return err
+				failed = err // what has arrived is kept
 			}
 			data, ok = assemble(ref, values)
 		}
-		if !ok {
-			missing = fmt.Errorf("%w: %s", errNoBlob, ref.Key)
-			continue
+		switch {
+		case ok:
+			found[i] = data
+			b.addToCache(ref.Key, data)
+		case failed == nil:
+			failed = fmt.Errorf("%w: %s", errNoBlob, ref.Key)
 		}
-		found[i] = data
-		b.addToCache(ref.Key, data)
 	}
-	return missing
+	return failed
 }
 
 // listFrom lists the newest records from those of a blob on, until all records of that
--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -188,6 +188,51 @@
 	must.LessEq(t, int32(10), listings.Load())
 }
 
+// brokenListings is a store whose listings break off after some records, as they do when
+// they take longer than the call.
+type brokenListings struct {
+	*memlog.Store
+	records int
+}
+
+func (s *brokenListings) ListNewest(ctx context.Context, p logstore.Partition, after string) (logstore.Listing, error) {
+	listing, err := s.Store.ListNewest(ctx, p, after)
+	if err != nil || len(listing.Records) <= s.records {
+		return listing, err
+	}
+	return logstore.Listing{Records: listing.Records[:s.records], More: true, Truncated: true}, nil
+}
+
+// Guards against outputs of a compacted log that are read again from the first one on at
+// each attempt, and never whole, while the link is slow.
+func TestListingsThatBreakOffMakeProgress(t *testing.T) {
+	ctx := context.Background()
+	store := &brokenListings{Store: memlog.New(4), records: 3}
+	writer := newBlobStore(store, testRecordBytes, testAppendBytes)
+	var items []blob
+	for i := range 20 {
+		items = append(items, blob{key: fmt.Sprintf("t/job-1/item-%02d/1", i), data: bytes.Repeat([]byte{'a'}, 100+i)})
+	}
+	refs, err := writer.put(ctx, 1, items)
+	must.NoError(t, err)
+	store.Delete(blobPartition(1))
+	var listings atomic.Int32
+	store.SetFault(func(call memlog.Call, _ logstore.Partition) memlog.Fault {
+		if call == memlog.CallNewest && listings.Add(1) > 1 {
+			return memlog.DropRequest
+		}
+		return memlog.None
+	})
+	reader := newBlobStore(store, testRecordBytes, testAppendBytes)
+	for attempt := range 7 {
+		listings.Store(0)
+		found, _ := reader.get(ctx, 1, refs)
+		for i := range min(3*(attempt+1), len(items)) {
+			must.Eq(t, items[i].data, found[i], must.Sprintf("attempt %d, output %d", attempt, i))
+		}
+	}
+}
+
 // Guards against one key for the outputs of two items whose IDs contain slashes.
 func TestOutputKeysOfIDsWithSlashesDiffer(t *testing.T) {
 	key := func(job, item string) string {
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -131,6 +131,10 @@
 	return nil
 }
 
+// errNoEnd reports a first page that broke off: without the end that it reports, the
+// follower does not know from which offset on to read the log.
+var errNoEnd = errors.New("first page of the listing broke off")
+
 // list reads the next page of the listing and, after the last one, delivers the
 // listing. Pages already read are retained when a later one fails.
 func (f *Follower) list(ctx context.Context, read int64) error {
@@ -142,6 +146,9 @@
 	if err != nil {
 		return err
 	}
+	if page.Truncated && after == "" {
+		return errNoEnd
+	}
 	next := ""
 	if page.More && len(page.Records) > 0 {
 		if next, err = page.next(after); err != nil {
@@ -151,7 +158,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
-	f.pacing.succeeded()
+	if page.Truncated {
+		f.pacing.failed()
+	} else {
+		f.pacing.succeeded()
+	}
 	if f.synced || after != f.listAfter {
 		return nil // a concurrent call has already read this page
 	}
--- a/internal/logstore/listing_test.go
+++ b/internal/logstore/listing_test.go
@@ -69,3 +69,20 @@
 	must.NoError(t, f.step(context.Background(), 0))
 	must.Len(t, 3, applied[0].Records)
 }
+
+// Guards against a follower that repeats a slow page of a listing from its first record
+// on, and against a listing that is taken to reach an end that did not arrive.
+func TestBrokenPagesOfAListingAreKept(t *testing.T) {
+	broken := Listing{Records: records("c", "d"), More: true, Truncated: true}
+	store := &listStore{pages: map[string]Listing{"": {Records: records("a"), More: true, Truncated: true}}}
+	var applied []Batch
+	f := NewFollower(store, Partition{Topic: "servers"}, func(b Batch) { applied = append(applied, b) })
+	must.ErrorIs(t, f.step(context.Background(), 0), errNoEnd)
+	store.pages = map[string]Listing{"": {Records: records("a", "b"), More: true, End: 9}, "b": broken, "d": {Records: records("e"), End: 11}}
+	for range 3 {
+		must.NoError(t, f.step(context.Background(), 0))
+	}
+	must.Len(t, 1, applied)
+	must.Eq(t, records("a", "b", "c", "d", "e"), applied[0].Records)
+	must.EqOp(t, 9, f.nextOffset)
+}
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -70,6 +70,9 @@
 	Records []Record
 	End     int64
 	More    bool // further pages follow, starting after the last record's key
+	// Truncated is set if the call ended before the whole page had arrived. Records holds
+	// those that arrived whole, More is set, and End is zero.
+	Truncated bool
 }
 
 // next returns the key after which the next page of a listing begins. The page itself
