Start to follow a partition of jobs from its log, where that is complete

Cause: a host reads a listing, of some 20 pages of 500 records one after the other, and pauses for other hosts after each slow page, for twice its time, although it is the store's answer that is slow and not the listings of others.

As long as nothing of a partition's log was deleted, hosts read it from its start; else, also when the start is deleted meanwhile, they list as before. The pauses of one listing add up to 4 s at most.

TestStartingHostServesBeforeItHasReadAllJobs withheld listings only; it withholds reads of the jobs' partition too now.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -198,6 +198,9 @@
 	}
 	klog.InfoS("following partition", "partition", partition)
 	f := logstore.NewFollower(h.store, workPartition(partition), func(b logstore.Batch) { h.applyWork(partition, b) })
+	if partition != controlPartition {
+		f.StartFromLog()
+	}
 	// Only the owner of a partition needs it to go on with the jobs.
 	f.YieldWhile(func() bool { _, owned := h.group.Owned()[partition]; return !owned })
 	h.followers[partition] = f
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -396,8 +397,11 @@
 	c := newTestCluster(t, 2)
 	c.register("app-a", testApp)
 	c.calls = func(string) *backend.Response { return &backend.Response{Status: http.StatusOK} }
+	var jobPartition atomic.Int32 // 0 until it is known
 	c.store.SetFault(func(call memlog.Call, p logstore.Partition) memlog.Fault {
-		if call == memlog.CallNewest && p.Topic == topicWork {
+		n := int(jobPartition.Load())
+		reads := call == memlog.CallNewest || call == memlog.CallRead && (n == 0 || n == p.Number)
+		if reads && p.Topic == topicWork {
 			return memlog.DropRequest
 		}
 		return memlog.None
@@ -407,6 +411,7 @@
 	defer cancel()
 	h.start(ctx)
 	c.waitUntil("the host can forward", h.CanForward)
+	jobPartition.Store(int32(modelPartition(h)))
 	must.False(t, h.Ready())
 	response, refusal := h.Forward(ctx, &backend.Request{ID: "r1", Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}, h.Config().Match(testHost, "/pages/x"), time.Now().Add(time.Second))
 	must.Nil(t, refusal)
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -47,7 +47,10 @@
 	now       func() time.Time // runs while the machine is suspended
 
 	mu            sync.Mutex
-	synced        bool      // a listing was delivered; cleared to list again
+	synced        bool      // all records up to some time were delivered; cleared to list again
+	everSynced    bool      // synced was set at least once
+	fromLog       bool      // see StartFromLog; cleared if the start of the log was deleted
+	startEnd      int64     // end of the log when its reading from the start began, or unknownEnd
 	listing       Listing   // pages read so far
 	listAfter     string    // key after which the next page begins
 	nextOffset    int64     // offset to read next
@@ -63,7 +66,7 @@
 
 // NewFollower returns a follower that calls apply for each batch, one at a time.
 func NewFollower(store Store, p Partition, apply func(Batch)) *Follower {
-	return &Follower{store: store, partition: p, apply: apply, now: boottime.Now, pacing: newPacing(), advanced: make(chan struct{})}
+	return &Follower{store: store, partition: p, apply: apply, now: boottime.Now, startEnd: unknownEnd, pacing: newPacing(), advanced: make(chan struct{})}
 }
 
 // YieldWhile makes the follower pause between slow pages of a listing while yields
@@ -71,11 +74,20 @@
 // bandwidth. It must be called before Run.
 func (f *Follower) YieldWhile(yields func() bool) { f.yields = yields }
 
+// unknownEnd is the end of a log of which no page was read yet.
+const unknownEnd = -1
+
+// StartFromLog makes the follower read the log from its start, as long as nothing of it was
+// deleted, instead of a listing: a read returns several thousand small records, a page of
+// a listing 500. No batch is Complete then. It must be called before Run.
+func (f *Follower) StartFromLog() { f.fromLog = true }
+
 // Run follows the partition until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.mu.Lock()
 	f.lastResponse = time.Now()
 	f.mu.Unlock()
+	var yielded time.Duration
 	for ctx.Err() == nil {
 		began, listing := time.Now(), !f.isSynced()
 		err := f.step(ctx, longPollTimeout)
@@ -84,7 +96,11 @@
 			f.recordFailure(err)
 			sleep(ctx, readRetryPause)
 		case listing && f.yields != nil && f.yields():
-			sleep(ctx, yieldPause(time.Since(began)))
+			pause := yieldPause(time.Since(began), yielded)
+			yielded += pause
+			sleep(ctx, pause)
+		case !listing:
+			yielded = 0
 		}
 	}
 }
@@ -99,28 +115,28 @@
 // records of the log.
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
-	synced, from, unavailable, pace := f.synced, f.nextOffset, f.unavailable, f.pacing
+	synced, fromLog, from, unavailable, pace := f.synced, f.fromLog, f.nextOffset, f.unavailable, f.pacing
 	f.reads++
 	read := f.reads
 	f.mu.Unlock()
 	timeout := wait + longPollMargin
 	switch {
 	case !synced:
-		timeout = pace.pageTimeout()
+		wait, timeout = 0, pace.pageTimeout()
 	case unavailable:
 		wait, timeout = 0, pace.outageTimeout()
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if !synced {
+	if !synced && !fromLog {
 		return f.list(ctx, read)
 	}
 	sent := f.now()
 	page, err := f.store.Read(ctx, f.partition, from, pace.readBytes, wait)
 	if errors.Is(err, ErrDeleted) {
-		klog.InfoS("records to read next were deleted, listing the partition again", "partition", f.partition, "offset", from)
+		klog.InfoS("records to read next were deleted, listing the partition", "partition", f.partition, "offset", from)
 		f.mu.Lock()
-		f.synced = false
+		f.synced, f.fromLog = false, false
 		f.mu.Unlock()
 		return nil
 	}
@@ -177,7 +193,7 @@
 		return nil
 	}
 	complete := f.listing
-	f.listing, f.listAfter, f.synced = Listing{}, "", true
+	f.listing, f.listAfter, f.synced, f.everSynced = Listing{}, "", true, true
 	f.apply(Batch{Records: complete.Records, Complete: true, LastOutageEnd: f.lastOutageEnd})
 	f.advanceTo(max(complete.End, f.nextOffset))
 	if len(complete.Records) == len(page.Records) {
@@ -204,6 +220,12 @@
 		f.apply(Batch{Records: records, LastOutageEnd: f.lastOutageEnd})
 		f.advanceTo(records[len(records)-1].Offset + 1)
 	}
+	if f.fromLog && f.startEnd == unknownEnd {
+		f.startEnd = page.End
+	}
+	if f.fromLog && f.nextOffset >= f.startEnd {
+		f.synced, f.everSynced, f.fromLog = true, true, false
+	}
 	if f.nextOffset >= page.End {
 		f.completeAsOf, f.completeRead = sent, max(f.completeRead, read)
 		if len(page.Records) == 0 && f.now().Sub(sent) >= wait {
@@ -246,11 +268,11 @@
 	klog.InfoS("log store is unavailable", "partition", f.partition, "since", f.lastResponse, "err", err)
 }
 
-// HasSynced reports whether a complete listing was delivered at least once.
+// HasSynced reports whether all records up to some time were delivered at least once.
 func (f *Follower) HasSynced() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.synced || f.nextOffset > 0
+	return f.everSynced
 }
 
 // StoreUnavailable reports whether the store has not answered for at least
--- a/internal/logstore/pacing.go
+++ b/internal/logstore/pacing.go
@@ -22,8 +22,8 @@
 	slowPage = 250 * time.Millisecond
 	// yieldFactor is the pause after a slow page in multiples of its time.
 	yieldFactor = 2
-	// maxYieldPause bounds the pause after a slow page.
-	maxYieldPause = 4 * time.Second
+	// maxYield bounds the pauses of one listing.
+	maxYield = 4 * time.Second
 )
 
 // pacing chooses the size and the timeout of a follower's reads, so that every retry
@@ -65,10 +65,12 @@
 	return min(listTimeout<<min(p.failures, 4), maxListTimeout)
 }
 
-// yieldPause returns the pause of a host that is in no hurry after a page of a listing.
-func yieldPause(took time.Duration) time.Duration {
+// yieldPause returns the pause of a host that is in no hurry after a page of a listing. The
+// pauses of a listing add up to maxYield at most: pages are slow also where the store is
+// slow for a reason other than the listings.
+func yieldPause(took, yielded time.Duration) time.Duration {
 	if took < slowPage {
 		return 0
 	}
-	return min(yieldFactor*took, maxYieldPause)
+	return min(yieldFactor*took, maxYield-yielded)
 }
