Commit results in small batches, before partial outputs

A runner stored the outputs of all queued results, and before these the partial outputs of all running items, before it committed any result. Trainers gave up steps whose outputs were complete.

A batch now holds at most 256 KB of outputs, and its results are committed before the next batch is stored. Partial outputs are stored while no result is queued, in batches of the same size, and no further ones are queued before. Those of items with a result by then are left out.

--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -99,21 +100,66 @@
 	return len(r.pendingCommits) == 0 && len(r.pendingRecords) == 0 && len(r.pendingPartials) == 0
 }
 
-// appendQueued appends what is queued when it is called, and reports whether more
-// was queued in the meantime.
-func (r *runner) appendQueued(ctx context.Context) bool {
+// maxBatchBytes bounds the outputs that one batch stores. The largest append of the store
+// takes 0.2 s on an idle host; a slow host did not complete it before its timeout, and
+// sent all of it again.
+const maxBatchBytes = 256 << 10
+
+// appendBatch is what one pass of appendLoop appends.
+type appendBatch struct {
+	commits  []schedule.Commit
+	records  []logstore.Record
+	waiters  []chan bool
+	partials []schedule.ItemPartial
+}
+
+// takeBatch removes the next batch from the queues. Partial outputs wait until no results
+// and records are queued: they only save the next runner work.
+func (r *runner) takeBatch() appendBatch {
 	r.mu.Lock()
-	commits, records, partials, waiters := r.pendingCommits, r.pendingRecords, r.pendingPartials, r.waiters
-	r.pendingCommits, r.pendingRecords, r.pendingPartials, r.waiters = nil, nil, nil, nil
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	var b appendBatch
+	b.commits, r.pendingCommits = splitBatch(r.pendingCommits, func(c schedule.Commit) int { return len(c.Output) })
+	b.records, r.pendingRecords = r.pendingRecords, nil
+	b.waiters, r.waiters = r.waiters, nil
+	if len(b.commits) == 0 && len(b.records) == 0 {
+		b.partials, r.pendingPartials = splitBatch(r.pendingPartials, partialSize)
+	}
+	return b
+}
+
+// splitBatch splits items after those that fit into maxBatchBytes, and at least one.
+func splitBatch[T any](items []T, size func(T) int) (batch, rest []T) {
+	total := 0
+	for i, item := range items {
+		total += size(item)
+		if i > 0 && total > maxBatchBytes {
+			return items[:i:i], items[i:]
+		}
+	}
+	return items, nil
+}
+
+func partialSize(p schedule.ItemPartial) int {
+	size := 0
+	for _, event := range p.Partial.Events {
+		size += len(event)
+	}
+	return size
+}
+
+// appendQueued appends one batch of what is queued, and reports whether anything is left.
+func (r *runner) appendQueued(ctx context.Context) bool {
+	batch := r.takeBatch()
+	commits, records := batch.commits, batch.records
 	appended := false
 	defer func() {
-		for _, w := range waiters {
+		for _, w := range batch.waiters {
 			w <- appended
 		}
 	}()
-	if len(partials) > 0 {
-		records = append(records, r.partialRecords(ctx, partials)...)
+	if len(batch.partials) > 0 {
+		records = append(records, r.partialRecords(ctx, batch.partials)...)
 	}
 	if err := r.storeOutputs(ctx, commits); err != nil {
 		klog.InfoS("runner stopped: outputs not stored", "partition", r.partition, "results", len(commits), "err", err)
@@ -219,6 +265,17 @@
 	return records
 }
 
+// queueGrownPartials queues the partial outputs that have grown by partialEvents, unless
+// earlier ones are still queued.
+func (r *runner) queueGrownPartials() {
+	r.mu.Lock()
+	queued := len(r.pendingPartials)
+	r.mu.Unlock()
+	if queued == 0 {
+		r.queuePartials(partialEvents)
+	}
+}
+
 // queuePartials queues the partial outputs that have grown by at least growth
 // events, so that the next runner of the partition can resume from them.
 func (r *runner) queuePartials(growth int) {
@@ -234,9 +291,11 @@
 	r.signalAppend()
 }
 
-// partialRecords stores partial outputs and returns the records that refer to them.
-// If a partial output is not stored, the next runner only generates it again.
+// partialRecords stores the partial outputs of items without a result and returns the
+// records that refer to them. If a partial output is not stored, the next runner only
+// generates it again.
 func (r *runner) partialRecords(ctx context.Context, partials []schedule.ItemPartial) []logstore.Record {
+	partials = r.undecided(partials)
 	items := make([]blob, len(partials))
 	for i, p := range partials {
 		data, err := json.Marshal(p.Partial)
@@ -263,6 +322,21 @@
 	return records
 }
 
+// undecided returns the partial outputs of items whose result was not committed since the
+// output was queued.
+func (r *runner) undecided(partials []schedule.ItemPartial) []schedule.ItemPartial {
+	r.host.mu.Lock()
+	defer r.host.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(partials), func(p schedule.ItemPartial) bool {
+		e := r.host.jobs.Get(p.Job)
+		if e == nil {
+			return true
+		}
+		_, committed := e.Committed[p.Item]
+		return committed
+	})
+}
+
 // stop cancels the runs, appends their results and partial outputs, and then stops
 // the runner.
 func (r *runner) stop(ctx context.Context) {
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -161,7 +161,7 @@
 		r.tick()
 		if now := time.Now(); now.Sub(lastPartials) >= partialInterval {
 			lastPartials = now
-			r.queuePartials(partialEvents)
+			r.queueGrownPartials()
 		}
 		r.cleanUp(time.Now())
 	}
