Follow and join a store that answers slowly

Cause: fixed times, each attempt given up like the one before it: a read got 0.9 s beyond its long poll and 0.9 s at most while the store counted as unavailable, a renewal of a membership 0.75 s. A store that needs longer counted as silent for as long as it was slow.

After two failures a follower sends one patient read of 2.8 s beside the short ones, which still notice the end of an outage soon, and later reads get twice the time of the last answer. A renewal gets the membership's TTL after one without a response.

Before: TestFollowerReadsASlowStore (the store counts as unavailable) and TestMemberOwnsPartitionsOfASlowStore (0 of 4 partitions) fail.

--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -16,7 +16,7 @@
 	// longPollTimeout is how long the store may hold a read open. It bounds the
 	// staleness of a partition to which nothing is appended.
 	longPollTimeout = 500 * time.Millisecond
-	// longPollMargin is the time that a call gets beyond its long poll before it
+	// longPollMargin is the least time that a call gets beyond its long poll before it
 	// times out. It is well below 3 s, the time after an outage from which hosts
 	// count as reachable again.
 	longPollMargin = 900 * time.Millisecond
@@ -60,6 +60,7 @@
 	lastResponse  time.Time
 	lastOutageEnd time.Time
 	unavailable   bool
+	patient       bool // a patient read is under way
 	pacing        pacing
 	advanced      chan struct{} // closed and replaced when nextOffset advances
 }
@@ -94,6 +95,7 @@
 		switch {
 		case err != nil:
 			f.recordFailure(err)
+			f.readPatiently(ctx)
 			sleep(ctx, readRetryPause)
 		case listing && f.yields != nil && f.yields():
 			pause := yieldPause(time.Since(began), yielded)
@@ -105,6 +107,28 @@
 	}
 }
 
+// readPatiently sends a read with more time in the background, if reads have failed and no
+// such read is under way. A store that answers slowly would otherwise count as unavailable
+// for as long as it is slow; the short reads go on, because one that is sent before a
+// store recovers gets no response.
+func (f *Follower) readPatiently(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.patient || !f.synced || !f.pacing.needsPatience() {
+		return
+	}
+	f.patient = true
+	go func() {
+		err := f.read(ctx, 0, patientTimeout)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.patient = false
+		if err != nil && ctx.Err() == nil {
+			klog.V(1).InfoS("log store gave no answer to a patient read", "partition", f.partition, "err", err)
+		}
+	}()
+}
+
 func (f *Follower) isSynced() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -115,24 +139,31 @@
 // records of the log.
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
-	synced, fromLog, from, unavailable, pace := f.synced, f.fromLog, f.nextOffset, f.unavailable, f.pacing
-	f.reads++
-	read := f.reads
+	synced, unavailable, pace := f.synced, f.unavailable, f.pacing
 	f.mu.Unlock()
-	timeout := wait + longPollMargin
 	switch {
 	case !synced:
-		wait, timeout = 0, pace.pageTimeout()
+		return f.read(ctx, 0, pace.pageTimeout())
 	case unavailable:
-		wait, timeout = 0, pace.outageTimeout()
+		return f.read(ctx, 0, pace.outageTimeout())
 	}
+	return f.read(ctx, wait, wait+pace.margin())
+}
+
+// read is step with a timeout. wait is how long the store may hold the read open.
+func (f *Follower) read(ctx context.Context, wait, timeout time.Duration) error {
+	f.mu.Lock()
+	synced, fromLog, from, size := f.synced, f.fromLog, f.nextOffset, f.pacing.readBytes
+	f.reads++
+	read := f.reads
+	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !synced && !fromLog {
 		return f.list(ctx, read)
 	}
-	sent := f.now()
-	page, err := f.store.Read(ctx, f.partition, from, pace.readBytes, wait)
+	sent, began := f.now(), time.Now()
+	page, err := f.store.Read(ctx, f.partition, from, size, wait)
 	if errors.Is(err, ErrDeleted) {
 		klog.InfoS("records to read next were deleted, listing the partition", "partition", f.partition, "offset", from)
 		f.mu.Lock()
@@ -143,6 +174,9 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pacing.answered(time.Since(began) - wait)
 	f.applyPage(page, read, sent, wait)
 	return nil
 }
@@ -202,10 +236,9 @@
 	return nil
 }
 
-// applyPage delivers the records of a page that were not delivered yet.
+// applyPage delivers the records of a page that were not delivered yet. The caller holds
+// mu.
 func (f *Follower) applyPage(page Page, read int64, sent time.Time, wait time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.recordResponse()
 	if page.Truncated {
 		f.pacing.truncated()
--- a/internal/logstore/group.go
+++ b/internal/logstore/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -19,6 +20,7 @@
 	membership Membership
 	onChange   func()
 	now        func() time.Time // runs while the machine is suspended
+	unanswered atomic.Bool      // the last renewal that ended got no response
 
 	mu          sync.Mutex
 	partitions  map[int]int64 // epoch at which each partition was acquired
@@ -42,7 +44,7 @@
 	defer ticker.Stop()
 	for {
 		// A renewal whose response is lost must not delay the next one.
-		go g.renew(ctx, 2*interval)
+		go g.renew(ctx, g.renewTimeout(interval))
 		select {
 		case <-ctx.Done():
 			return
@@ -51,6 +53,15 @@
 	}
 }
 
+// renewTimeout returns the timeout of the next renewal. Without a response to the last one,
+// the store may be slow; a response is of use until the TTL has passed.
+func (g *Group) renewTimeout(interval time.Duration) time.Duration {
+	if g.unanswered.Load() {
+		return g.membership.TTL
+	}
+	return 2 * interval
+}
+
 func (g *Group) renew(ctx context.Context, timeout time.Duration) {
 	g.mu.Lock()
 	stopped, paused, m := g.stopped, g.paused, g.membership
@@ -62,6 +73,7 @@
 	defer cancel()
 	sent := g.now()
 	assignment, err := g.store.Join(ctx, m)
+	g.unanswered.Store(err != nil)
 	if err != nil {
 		klog.V(1).InfoS("could not renew group membership", "group", m.Group, "err", err)
 		if !g.valid() {
--- a/internal/logstore/pacing.go
+++ b/internal/logstore/pacing.go
@@ -14,6 +14,12 @@
 	outageReadTimeout = 400 * time.Millisecond
 	// maxOutageReadTimeout bounds later reads of an outage.
 	maxOutageReadTimeout = 900 * time.Millisecond
+	// patientTimeout bounds the reads that find out whether the store answers, but slowly,
+	// and the reads of a store that does. It is below 3 s, the time after an outage from
+	// which hosts count as reachable again.
+	patientTimeout = 2800 * time.Millisecond
+	// patientAfter is the number of consecutive failures after which a patient read is sent.
+	patientAfter = 2
 	// listTimeout bounds the first read of a page of a listing, whose size the follower
 	// cannot choose, and maxListTimeout later ones.
 	listTimeout    = 2800 * time.Millisecond
@@ -32,7 +38,8 @@
 // at once over slow links and share the bandwidth of the store.
 type pacing struct {
 	readBytes int
-	failures  int // consecutive reads that failed
+	failures  int           // consecutive reads that failed
+	latency   time.Duration // of the last answer, without the time that the store was asked to wait
 }
 
 func newPacing() pacing { return pacing{readBytes: maxReadBytes} }
@@ -55,11 +62,22 @@
 	p.failures++
 }
 
+// answered records how long the store took for an answer.
+func (p *pacing) answered(latency time.Duration) { p.latency = max(latency, 0) }
+
+// margin returns the time that a read gets beyond the time that the store is asked to wait.
+func (p *pacing) margin() time.Duration {
+	return min(max(2*p.latency, longPollMargin), patientTimeout)
+}
+
 // outageTimeout returns the timeout of a read while the store is unavailable.
 func (p *pacing) outageTimeout() time.Duration {
 	return min(outageReadTimeout<<min(p.failures, 4), maxOutageReadTimeout)
 }
 
+// needsPatience reports whether reads fail that may only have too little time.
+func (p *pacing) needsPatience() bool { return p.failures >= patientAfter }
+
 // pageTimeout returns the timeout of a page of a listing.
 func (p *pacing) pageTimeout() time.Duration {
 	return min(listTimeout<<min(p.failures, 4), maxListTimeout)
--- a/internal/logstore/start_test.go
+++ b/internal/logstore/start_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,10 +17,17 @@
 // slowStore is a store whose calls take a while longer.
 type slowStore struct {
 	*memlog.Store
+	mu       sync.Mutex
 	latency  time.Duration
 	listings int
 }
 
+func (s *slowStore) setLatency(latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency = latency
+}
+
 func (s *slowStore) Read(ctx context.Context, p logstore.Partition, from int64, maxBytes int, wait time.Duration) (logstore.Page, error) {
 	if err := s.delay(ctx); err != nil {
 		return logstore.Page{}, err
@@ -35,15 +43,28 @@
 	return s.Store.ListNewest(ctx, p, after)
 }
 
+func (s *slowStore) Join(ctx context.Context, m logstore.Membership) (logstore.Assignment, error) {
+	if err := s.delay(ctx); err != nil {
+		return logstore.Assignment{}, err
+	}
+	return s.Store.Join(ctx, m)
+}
+
 func (s *slowStore) delay(ctx context.Context) error {
+	s.mu.Lock()
+	latency := s.latency
+	s.mu.Unlock()
 	select {
-	case <-time.After(s.latency):
+	case <-time.After(latency):
 		return nil
 	case <-ctx.Done():
 		return logstore.ErrOutcomeUnknown
 	}
 }
 
+// syncPoll is the resolution of syncTime.
+const syncPoll = 10 * time.Millisecond
+
 // syncTime returns how long a follower takes until it has read the partition. It must be
 // called in a bubble of synctest.
 func syncTime(t *testing.T, store logstore.Store, c *collector, yields bool) time.Duration {
@@ -56,7 +77,7 @@
 	go f.Run(ctx)
 	for !f.HasSynced() {
 		must.Less(t, time.Minute, time.Since(began))
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(syncPoll)
 	}
 	took := time.Since(began)
 	cancel()
@@ -88,7 +109,7 @@
 		store.Delete(testPartition) // so that the partition is listed
 		c := &collector{records: make(map[string]string)}
 		alone := syncTime(t, store, c, false)
-		must.LessEq(t, alone+4*time.Second, syncTime(t, store, c, true))
+		must.LessEq(t, alone+4*time.Second+syncPoll, syncTime(t, store, c, true))
 	})
 }
 
@@ -143,3 +164,43 @@
 		must.True(t, empty.HasSynced())
 	})
 }
+
+// Guards against a store that counts as unavailable, and whose records are not delivered,
+// for as long as it takes longer to answer than a healthy one.
+func TestFollowerReadsASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowStore{Store: memlog.New(1), latency: 4 * time.Millisecond}
+		c := &collector{records: make(map[string]string)}
+		f := logstore.NewFollower(store, testPartition, c.apply)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		store.setLatency(1200 * time.Millisecond)
+		time.Sleep(10 * time.Second)
+		for range 100 {
+			must.False(t, f.StoreUnavailable())
+			time.Sleep(100 * time.Millisecond)
+		}
+		fill(t, store.Store, 3)
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, 3, c.len())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against hosts that own no partition, so that no job goes on, for as long as the
+// store takes longer to answer than the timeout of a renewal.
+func TestMemberOwnsPartitionsOfASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowStore{Store: memlog.New(4), latency: 1200 * time.Millisecond}
+		g := logstore.NewGroup(store, logstore.Membership{Group: "group", Member: "a", Topic: "topic", TTL: 1500 * time.Millisecond}, func() {})
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.Run(ctx)
+		time.Sleep(5 * time.Second)
+		must.MapLen(t, 4, g.Assigned())
+		must.LessEq(t, 2*time.Second, g.SinceRenewal())
+		cancel()
+		synctest.Wait()
+	})
+}
