Hand partitions over from a host that does not keep up

A large host hands its partitions over once that share was above 0.6 in two windows of 0.5 s: it stores results and partial outputs, leaves the group, and joins it again after 10 s. It keeps them if no other large host owns a partition, and for 10 s after it acquired them, so that partitions rarely move while all hosts are slow.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -28,6 +28,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/drain"
 	"github.com/sesamestand/sesamestand/internal/core/forward"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/core/keepup"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
 	"github.com/sesamestand/sesamestand/internal/limits"
@@ -96,6 +97,8 @@
 	// limitAllocator grants the requests to servers with a rate limit; nil if unknown.
 	limitAllocator atomic.Pointer[limits.Allocator]
 	blobs          *blobStore
+	keepUp         keepup.Config
+	behind         chan struct{} // receives when a runner does not keep up
 
 	operatorFollower *logstore.Follower
 	serverFollower   *logstore.Follower
@@ -140,6 +143,7 @@
 		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), durations: drain.NewDurations(),
 		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastTenures: make(map[int]*tenure), skipped: make(skippedRecords),
 	}
+	h.keepUp, h.behind = keepup.Defaults(), make(chan struct{}, 1)
 	h.serving, h.stopServing = context.WithCancel(context.Background())
 	if h.isSmall() {
 		h.member = s.Host.ID + smallMarker + uuid.NewString()[:8]
@@ -172,6 +176,8 @@
 	if h.isSmall() {
 		h.group.SetPaused(ctx, true)
 		go h.standBy(ctx)
+	} else {
+		go h.handOverWhenBehind(ctx)
 	}
 	go h.group.Run(ctx)
 	go h.watchAssignments(ctx, changed)
--- a/internal/fronthost/ownership.go
+++ b/internal/fronthost/ownership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,8 +24,11 @@
 	// releaseTimeout bounds the release of a partition. It is below the interval
 	// between two renewals.
 	releaseTimeout = 300 * time.Millisecond
-	// stopTimeout bounds the last appends of the runners on a graceful shutdown.
+	// stopTimeout bounds the last appends of the runners on a graceful shutdown and on a
+	// handover.
 	stopTimeout = 1200 * time.Millisecond
+	// handoverPause is how long a host that did not keep up owns no partitions.
+	handoverPause = 10 * time.Second
 )
 
 // Hosts with little CPU leave partitions to larger hosts while there are any,
@@ -84,6 +89,83 @@
 	}
 }
 
+// signalBehind reports that a runner of this host does not keep up.
+func (h *Host) signalBehind() {
+	select {
+	case h.behind <- struct{}{}:
+	default:
+	}
+}
+
+// handOverWhenBehind gives the partitions of a large host to other large hosts while it
+// does not keep up. Without others it keeps them: small hosts would be slower.
+func (h *Host) handOverWhenBehind(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.behind:
+		}
+		pause := ownerCheckInterval
+		if h.otherLargeOwner(ctx) && !h.draining.Load() {
+			h.handOver(ctx)
+			pause = handoverPause
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		h.group.SetPaused(ctx, false)
+		select {
+		case <-h.behind:
+		default:
+		}
+	}
+}
+
+// otherLargeOwner reports whether another large host owns a partition.
+func (h *Host) otherLargeOwner(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, ownerCheckInterval)
+	defer cancel()
+	owners, err := h.store.Owners(ctx, partitionGroup, topicWork)
+	if err != nil {
+		klog.InfoS("partitions are not handed over: their owners could not be read", "err", err)
+		return false
+	}
+	for _, member := range owners {
+		if member != h.member && !strings.Contains(member, smallMarker) {
+			return true
+		}
+	}
+	return false
+}
+
+// handOver leaves the group until its membership is resumed, once the runners have stored
+// their results and partial outputs.
+func (h *Host) handOver(ctx context.Context) {
+	klog.InfoS("host does not keep up, handing its partitions over")
+	h.group.HandOver(ctx, func() {
+		h.mu.Lock()
+		runners := slices.Collect(maps.Values(h.runners))
+		clear(h.runners)
+		h.mu.Unlock()
+		stopRunners(runners)
+	})
+}
+
+// stopRunners stops runners gracefully.
+func stopRunners(runners []*runner) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	var done sync.WaitGroup
+	for _, r := range runners {
+		klog.InfoS("releasing partition", "partition", r.partition, "epoch", r.epoch)
+		done.Go(func() { r.stop(ctx) })
+	}
+	done.Wait()
+}
+
 // watchAssignments reconciles the runners with the assigned partitions on every
 // change and once a second.
 func (h *Host) watchAssignments(ctx context.Context, changed <-chan struct{}) {
@@ -169,19 +251,12 @@
 // releasePartitions stops all runners gracefully and leaves the group, so that
 // other hosts acquire the partitions immediately.
 func (h *Host) releasePartitions() {
-	h.mu.Lock()
-	runners := make([]*runner, 0, len(h.runners))
-	for _, r := range h.runners {
-		runners = append(runners, r)
-	}
-	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	var done sync.WaitGroup
-	for _, r := range runners {
-		done.Go(func() { r.stop(ctx) })
-	}
-	done.Wait()
+	h.mu.Lock()
+	runners := slices.Collect(maps.Values(h.runners))
+	h.mu.Unlock()
+	stopRunners(runners)
 	h.group.Stop(ctx)
 }
 
--- a/internal/fronthost/ownership_test.go
+++ b/internal/fronthost/ownership_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -139,3 +140,87 @@
 		return freed.Load() == watched
 	})
 }
+
+// slowDown makes the ticks of a host wait for its lock until the returned function is
+// called.
+func (c *testCluster) slowDown(h *hostHandle) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			h.mu.Lock()
+			time.Sleep(100 * time.Millisecond)
+			h.mu.Unlock()
+		}
+	}()
+	c.t.Cleanup(cancel)
+	return func() { cancel(); <-done }
+}
+
+// Guards against jobs that wait for a slow owner while other hosts are idle.
+func TestHostThatDoesNotKeepUpHandsItsPartitionsOver(t *testing.T) {
+	c := newTestCluster(t, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	hosts := []*hostHandle{c.newEntryHost("a"), c.newEntryHost("b")}
+	for _, h := range hosts {
+		h.keepUp.MinTenure = 0
+		h.start(ctx)
+	}
+	both := func() bool { return len(hosts[0].group.Owned()) == 2 && len(hosts[1].group.Owned()) == 2 }
+	c.waitUntil("both hosts own partitions", both)
+	c.waitUntil("the jobs have an owner", func() bool { return (ownerOf(hosts[0]) == nil) != (ownerOf(hosts[1]) == nil) })
+	slow, other := hosts[0], hosts[1]
+	if ownerOf(slow) == nil {
+		slow, other = other, slow
+	}
+	end := c.slowDown(slow)
+	c.waitUntil("the other host owns all partitions", func() bool { return len(other.group.Owned()) == 4 })
+	end()
+	job, payloads := newJob("job-1", 6, 1)
+	must.Nil(t, slow.Submit(ctx, job, payloads))
+	results, outputs := c.collect(slow, "job-1", 6)
+	checkResults(t, c, job, results, outputs)
+}
+
+// Guards against partitions without an owner when the only host does not keep up.
+func TestOnlyHostKeepsItsPartitions(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	c.waitUntil("the host owns all partitions", func() bool { return len(a.group.Owned()) == 4 })
+	must.False(t, a.otherLargeOwner(t.Context()))
+	a.signalBehind()
+	time.Sleep(100 * time.Millisecond)
+	must.MapLen(t, 4, a.group.Owned())
+}
+
+// Guards against outputs of runs that are lost when a partition is handed over.
+func TestOutputsOutlastAHandover(t *testing.T) {
+	c := newTestCluster(t, 3)
+	c.events = 1000
+	a := c.startHost("a")
+	c.waitUntil("the jobs have an owner", func() bool { return ownerOf(a) != nil })
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.waitUntil("the items run", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		r := a.runners[a.partitionOf(testModel)]
+		return r != nil && len(r.cancels) == 4
+	})
+	time.Sleep(500 * time.Millisecond)
+	b := c.startHost("b")
+	a.handOver(t.Context())
+	for _, item := range job.Items {
+		c.waitUntil("the output is stored", func() bool {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			_, stored := b.jobs.Partial(item.ID)
+			return stored || len(b.jobs.Get(job.ID).Results) > 0
+		})
+	}
+	c.waitUntil("the other host owns all partitions", func() bool { return len(b.group.Owned()) == 4 })
+	results, outputs := c.collect(b, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -14,6 +14,7 @@
 	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/core/keepup"
 	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/core/schedule"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -143,6 +144,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	lastPartials := time.Now()
+	meter := keepup.NewMeter(r.host.keepUp, time.Now())
 	var lastTick time.Time
 	for {
 		select {
@@ -159,6 +161,9 @@
 			continue
 		}
 		r.tick()
+		if meter.Record(lastTick, time.Now()) {
+			r.host.signalBehind()
+		}
 		if now := time.Now(); now.Sub(lastPartials) >= partialInterval {
 			lastPartials = now
 			r.queueGrownPartials()
--- a/internal/logstore/group.go
+++ b/internal/logstore/group.go
@@ -176,6 +176,21 @@
 	}
 }
 
+// HandOver leaves the group, once release has returned, until SetPaused lets it join
+// again. The member owns no partitions from the start.
+func (g *Group) HandOver(ctx context.Context, release func()) {
+	g.mu.Lock()
+	g.paused = true
+	g.partitions = make(map[int]int64)
+	m := g.membership
+	g.mu.Unlock()
+	release()
+	g.onChange()
+	if err := g.store.Leave(ctx, m.Group, m.Member); err != nil {
+		klog.InfoS("could not leave the group", "group", m.Group, "err", err)
+	}
+}
+
 // Stop leaves the group permanently.
 func (g *Group) Stop(ctx context.Context) {
 	g.mu.Lock()
