Add failing tests of reads while the store is slow

With a store that takes 1.2 s to answer, no host returns a page of results, because a call waits 700 ms for the store while callers wait 1.5 s longer than they allow; and a host that owns no partition pauses twice as long as each page of a listing takes, so ten pages take 36 s.

--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -588,3 +588,27 @@
 	results, outputs := c.collect(b, "job-1", 4)
 	checkResults(t, c, job, results, outputs)
 }
+
+// Guards against jobs that cannot be read at any host while each read of the store takes
+// longer than a call waits for it: callers repeat a refused call at another host.
+func TestPageIsReadWhileTheStoreIsSlow(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	b := c.startHost("b")
+	blobs := blobPartition(modelPartition(a))
+	b.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p == blobs {
+			return 1200 * time.Millisecond
+		}
+		return 0
+	})
+	const callerWaits = 1500 * time.Millisecond // beyond the time that the call allows
+	ctx, cancel := context.WithTimeout(context.Background(), callerWaits)
+	defer cancel()
+	page, refusal := b.Results(ctx, "job-1", 0, 0)
+	must.Nil(t, refusal)
+	must.Positive(t, len(page.Results))
+}
--- a/internal/logstore/pacing_test.go
+++ b/internal/logstore/pacing_test.go
@@ -163,3 +163,40 @@
 		})
 	}
 }
+
+// slowLister is a store that takes the same time for each page of a listing, however many
+// hosts list at once.
+type slowLister struct {
+	*memlog.Store
+	pageTime time.Duration
+}
+
+func (s *slowLister) ListNewest(ctx context.Context, p logstore.Partition, after string) (logstore.Listing, error) {
+	listing, err := s.Store.ListNewest(ctx, p, after)
+	select {
+	case <-time.After(s.pageTime):
+		return listing, err
+	case <-ctx.Done():
+		return logstore.Listing{}, logstore.ErrOutcomeUnknown
+	}
+}
+
+// Guards against hosts that are not ready for most of a recovery because they pause between
+// the pages of a store that is slow, but not busy.
+func TestHostsThatYieldListFromASlowStore(t *testing.T) {
+	const pages, pageSize, recovery = 10, 5, 15 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowLister{Store: memlog.New(1), pageTime: 1200 * time.Millisecond}
+		store.SetPageSize(pageSize)
+		fill(t, store.Store, pages*pageSize)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		f := logstore.NewFollower(store, testPartition, func(logstore.Batch) {})
+		f.YieldWhile(func() bool { return true })
+		go f.Run(ctx)
+		time.Sleep(recovery)
+		must.True(t, f.HasSynced(), must.Sprintf("%d pages of %s were not listed in %s", pages, store.pageTime, recovery))
+		cancel()
+		synctest.Wait()
+	})
+}
