Shorten the pauses of a listing to 2.5 s in all

Ten pages of a store that answers after 1.2 s were not listed in 15 s, the time within which hosts serve again after a loss of all (TestHostsThatYieldListFromASlowStore): the pauses took 4 s of it. TestOwnerListsBeforeHostsThatYield holds with 2.5 s as well.

--- a/internal/logstore/pacing.go
+++ b/internal/logstore/pacing.go
@@ -29,7 +29,7 @@
 	// yieldFactor is the pause after a slow page in multiples of its time.
 	yieldFactor = 2
 	// maxYield bounds the pauses of one listing.
-	maxYield = 4 * time.Second
+	maxYield = 2500 * time.Millisecond
 )
 
 // pacing chooses the size and the timeout of a follower's reads, so that every retry
