Run the tests of lost responses of the store on a simulated clock

Both measure on the real clock what the code does with timers: the append has 400 ms + 100 ms of timers within the bound of 1 s, and a member has 200 ms between a renewal that is answered 600 ms after the last one and the end of its TTL. A process that gets no processor for that long fails the tests; no line of the product is wrong.

--- a/internal/logstore/lost_test.go
+++ b/internal/logstore/lost_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -52,39 +53,45 @@
 // Guards against results that are delayed by seconds because one response of the
 // store was lost.
 func TestLostAnswerDelaysAnAppendBriefly(t *testing.T) {
-	store := &lossyStore{Store: memlog.New(2), lose: func(call int64) bool { return call == 2 }}
-	ctx := context.Background()
-	writer := logstore.NewFencedWriter(store, testPartition, "writer", 1)
-	_, err := writer.Open(ctx)
-	must.NoError(t, err)
-	began := time.Now()
-	must.NoError(t, writer.Append(ctx, []logstore.Record{{Key: "key", Value: []byte("value")}}))
-	must.Less(t, visibilityBound, time.Since(began))
-	page, err := store.Read(ctx, testPartition, 0, 1<<10, 0)
-	must.NoError(t, err)
-	must.EqOp(t, 1, len(page.Records))
+	synctest.Test(t, func(t *testing.T) {
+		store := &lossyStore{Store: memlog.New(2), lose: func(call int64) bool { return call == 2 }}
+		ctx := context.Background()
+		writer := logstore.NewFencedWriter(store, testPartition, "writer", 1)
+		_, err := writer.Open(ctx)
+		must.NoError(t, err)
+		began := time.Now()
+		must.NoError(t, writer.Append(ctx, []logstore.Record{{Key: "key", Value: []byte("value")}}))
+		must.Less(t, visibilityBound, time.Since(began))
+		page, err := store.Read(ctx, testPartition, 0, 1<<10, 0)
+		must.NoError(t, err)
+		must.EqOp(t, 1, len(page.Records))
 
-	store.lose = func(call int64) bool { return call == 4 }
-	began = time.Now()
-	_, err = logstore.AppendUnfenced(ctx, store, testPartition, []logstore.Record{{Key: "other", Value: []byte("value")}})
-	must.NoError(t, err)
-	must.Less(t, visibilityBound, time.Since(began))
+		store.lose = func(call int64) bool { return call == 4 }
+		began = time.Now()
+		_, err = logstore.AppendUnfenced(ctx, store, testPartition, []logstore.Record{{Key: "other", Value: []byte("value")}})
+		must.NoError(t, err)
+		must.Less(t, visibilityBound, time.Since(began))
+	})
 }
 
 // Guards against a member that regards its membership as expired although the
 // store renewed it, because some of the responses were lost.
 func TestMemberRetainsPartitionsWhenAnswersAreLost(t *testing.T) {
-	const ttl = 800 * time.Millisecond
-	store := &lossyStore{Store: memlog.New(2), lose: func(call int64) bool { return call%3 != 1 }}
-	var changes atomic.Int64
-	group := logstore.NewGroup(store, logstore.Membership{Group: "group", Member: "member", Topic: "topic", TTL: ttl}, func() { changes.Add(1) })
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go group.Run(ctx)
-	time.Sleep(ttl / 2)
-	for range 30 {
-		must.MapLen(t, 2, group.Owned())
-		time.Sleep(ttl / 8)
-	}
-	must.EqOp(t, 1, changes.Load())
+	synctest.Test(t, func(t *testing.T) {
+		const ttl = 800 * time.Millisecond
+		store := &lossyStore{Store: memlog.New(2), lose: func(call int64) bool { return call%3 != 1 }}
+		var changes atomic.Int64
+		group := logstore.NewGroup(store, logstore.Membership{Group: "group", Member: "member", Topic: "topic", TTL: ttl}, func() { changes.Add(1) })
+		group.SetClock(time.Now)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go group.Run(ctx)
+		time.Sleep(ttl / 2)
+		for range 30 {
+			synctest.Wait()
+			must.MapLen(t, 2, group.Owned())
+			time.Sleep(ttl / 8)
+		}
+		must.EqOp(t, 1, changes.Load())
+	})
 }
