Do not count requests to an unreachable owner as sent

Until the members have noticed that a host is gone, requests for its replicas go to its address. A stream that could not be opened there counted as one that may have reached the replica: it used up the retry budget (10 % of the requests and 3), the owner was not recorded as refusing, and the outcome was "unknown". Load only prolongs the time until the members notice.

The pool marks streams that could not be opened (ErrNotSent): the peer has received no request message, so its handler has not run. Such an attempt is now "not-run": it costs no retry, the replica is avoided, and the request waits for another one as for any replica that cannot serve.

TestOwnerThatRefusesConnectionsCostsNoRetries needs no load.

--- a/internal/callers/call.go
+++ b/internal/callers/call.go
@@ -11,6 +11,7 @@
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/route"
 	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/peer"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 )
 
@@ -104,7 +105,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := client.Run(ctx, req)
-	if err != nil {
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		return &cluster.Refusal{Outcome: cluster.OutcomeNotRun, Reason: cluster.ReasonNoReplica, Message: err.Error()}
+	case err != nil:
 		return err
 	}
 	// After the first chunk, an owner that sends nothing for twice the progress
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -293,6 +293,27 @@
 	must.Less(t, requests/2, broken)
 }
 
+// Guards against requests that fail because the attempts at an owner that refuses
+// connections, before the members have noticed that it is gone, use up the retry budget.
+func TestOwnerThatRefusesConnectionsCostsNoRetries(t *testing.T) {
+	normally := func(engine.GenerateRequest, int) behaviour { return normal }
+	f := newFixture(t, 2, "", newTestEngine(t, 1, normally), newTestEngine(t, 1, normally))
+	h := f.hosts[1] // owns replica-1
+	eventually(t, "the state of all replicas is known", func() bool { return knownReplicas(h) == 2 })
+	f.hosts[0].stop()
+	generate := func(n int, avoid ...string) error {
+		return h.controller.Generate(t.Context(), cluster.Generation{Model: "album", Prompt: fmt.Sprint("proof ", n), MaxTokens: 4, Avoid: avoid}, func(engine.Chunk) error { return nil })
+	}
+	// A request on the connection that is just closing may have reached the owner.
+	eventually(t, "the connection is closed", func() bool { return isNotRun(generate(-1, "replica-1")) })
+	for n := range 10 {
+		must.True(t, isNotRun(generate(n, "replica-1")))
+	}
+	for n := range 30 {
+		must.NoError(t, generate(n))
+	}
+}
+
 // Guards against an engine that continues to generate after the caller
 // disconnected, if another host owns the replica.
 func TestCallerDisconnectCancelsOnRemoteOwner(t *testing.T) {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/subtle"
+	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +41,10 @@
 	maxMessageBytes = 64 << 20
 )
 
+// ErrNotSent is the error of a stream that could not be opened, e.g. because the peer
+// refuses connections. The peer has not received the request.
+var ErrNotSent = errors.New("the request was not sent to the peer")
+
 // Pool holds one connection per peer address. It is safe for concurrent use.
 type Pool struct {
 	token string
@@ -159,13 +165,17 @@
 	}
 }
 
-// observeStream returns an interceptor that adds the cluster token to streams and
-// counts the open streams of c.
+// observeStream returns an interceptor that adds the cluster token to streams, counts
+// the open streams of c and marks the errors of streams that could not be opened.
 func (p *Pool) observeStream(c *connection) grpc.StreamClientInterceptor {
 	return func(ctx context.Context, desc *grpc.StreamDesc, cc *grpc.ClientConn, method string, streamer grpc.Streamer, opts ...grpc.CallOption) (grpc.ClientStream, error) {
 		c.streams.Add(1)
 		opts = append(opts, grpc.OnFinish(func(error) { c.streams.Add(-1) }))
-		return streamer(p.authorize(ctx), desc, cc, method, opts...)
+		stream, err := streamer(p.authorize(ctx), desc, cc, method, opts...)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return stream, nil
 	}
 }
 
