Ask callers to close connections in all responses of a drain

A caller whose request arrived before an entry host began to drain was not told that the host closes the connection, although the response began during the drain. It could send its next request on a connection that the host then closed.

Both kinds of hosts (fronthost, entry) looked at the drain when a request arrived; now they do when its response begins.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -103,20 +103,23 @@
 	}
 }
 
-// answerBeforeStop asks callers to close their connections while the host drains. It ends
-// the requests that are in flight at the end of the drain, and answers those of them that
-// have no response yet.
+// answerBeforeStop asks callers to close their connections in all responses that begin
+// while the host drains. It ends the requests that are in flight at the end of the drain,
+// and answers those of them that have no response yet.
 func (h *Host) answerBeforeStop(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
-	if h.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	response := negroni.NewResponseWriter(w)
+	response.Before(func(w negroni.ResponseWriter) {
+		if h.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+	})
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	release := context.AfterFunc(h.serving, cancel)
 	defer release()
-	next(w, r.WithContext(ctx))
-	if response, ok := w.(negroni.ResponseWriter); ok && h.serving.Err() != nil && !response.Written() {
-		httpapi.WriteRefusal(w, r.Header.Get(httpapi.HeaderRequestID), &cluster.Refusal{
+	next(response, r.WithContext(ctx))
+	if h.serving.Err() != nil && !response.Written() {
+		httpapi.WriteRefusal(response, r.Header.Get(httpapi.HeaderRequestID), &cluster.Refusal{
 			Outcome: cluster.OutcomeUnknown, Reason: cluster.ReasonDraining,
 			Message: "this entry host stopped before the request ended",
 		})
--- a/internal/fronthost/drain.go
+++ b/internal/fronthost/drain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/urfave/negroni/v3"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
@@ -33,12 +34,16 @@
 	jobCallTimeout = 2*confirmTimeout + submitTimeout
 )
 
-// closeWhileStopping asks clients to close their connections while the host drains.
+// closeWhileStopping asks clients to close their connections in all responses that
+// begin while the host drains.
 func (h *Host) closeWhileStopping(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
-	if h.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	next(w, r)
+	response := negroni.NewResponseWriter(w)
+	response.Before(func(w negroni.ResponseWriter) {
+		if h.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+	})
+	next(response, r)
 }
 
 // refuseStopping returns a refusal if the host is stopping and would have to cut off a
