Start a small host without a call to the store

Callers saw: a host with less than half a core did not notice SIGTERM while the store left its first call unanswered, served on, and was cut at the end of its grace period. Cause: it left a group that it had not joined yet, in a call without a bound, before it waited for the signal; its servers were running by then. Evidence: TestSmallHostStopsWhileTheStoreDoesNotAnswer failed before, "the host runs 5s after it was stopped". Fix: the member starts paused, which needs no call, and the later calls to leave are bounded, so that a host that stands by goes on to watch partitions.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -170,7 +170,7 @@
 	go h.serverFollower.Run(ctx)
 	h.followPartition(ctx, controlPartition)
 	if h.isSmall() {
-		h.group.SetPaused(ctx, true)
+		h.group.StartPaused()
 		go h.standBy(ctx)
 	}
 	go h.group.Run(ctx)
--- a/internal/fronthost/ownership.go
+++ b/internal/fronthost/ownership.go
@@ -77,7 +77,9 @@
 		}
 		switch {
 		case large && vacant == 0:
-			h.group.SetPaused(ctx, true)
+			callCtx, cancel := context.WithTimeout(ctx, ownerCheckInterval)
+			h.group.SetPaused(callCtx, true)
+			cancel()
 		case vacant >= vacantChecks:
 			h.group.SetPaused(ctx, false)
 		}
--- a/internal/logstore/group.go
+++ b/internal/logstore/group.go
@@ -154,6 +154,14 @@
 	return g.now().Sub(g.lastRenewal)
 }
 
+// StartPaused makes Run wait until SetPaused lets the member join. It is called before Run
+// and needs no call to the store, because the member has not joined yet.
+func (g *Group) StartPaused() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.paused = true
+}
+
 // SetPaused leaves the group, or lets the next renewal join it again.
 func (g *Group) SetPaused(ctx context.Context, pause bool) {
 	g.mu.Lock()
