Stop without waiting for silent connections of other hosts

Cause: grpc.Server.Stop waits for connections in their handshake, up to 120 s, before it closes connections. A host that is cut off between the connect and its first bytes leaves one. The wait came after the last log line. Fix: the listener closes connections in their handshake when it is closed, and closing is bounded, because the end of the process closes the rest.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -81,10 +81,10 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	peerListener, err := net.Listen("tcp", h.settings.Host.PeerAddr)
+	peerListener, err := peer.Listen(h.settings.Host.PeerAddr)
 	if err != nil {
 		_ = httpListener.Close()
-		return eris.Wrap(err, "listen for entry hosts")
+		return err
 	}
 	httpServer := &http.Server{Handler: h.routes(), ReadHeaderTimeout: readHeaderTimeout, ConnState: h.active.Observe}
 	grpcServer := h.grpcServer()
--- a/internal/fronthost/drain.go
+++ b/internal/fronthost/drain.go
@@ -21,6 +21,8 @@
 	// finalResponseTime is the part of killMargin in which requests that are still in
 	// flight at the end of a drain are answered with a failure.
 	finalResponseTime = 300 * time.Millisecond
+	// closeTimeout is the part of killMargin in which connections are closed.
+	closeTimeout = 100 * time.Millisecond
 	// drainPoll is the interval at which a draining host checks its in-flight requests.
 	drainPoll = 20 * time.Millisecond
 	// drainIdlePeriod is how long a draining host must have had no request in flight
--- a/internal/fronthost/serve.go
+++ b/internal/fronthost/serve.go
@@ -61,22 +61,39 @@
 	if err != nil {
 		return err
 	}
-	defer peers.Stop()
 	h.start(baseCtx)
 	go h.reload(baseCtx)
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
+		h.closeServers(servers, peers)
 		return eris.Wrap(err, "serve")
 	}
 	h.drain()
-	for _, s := range servers {
-		if err := s.Close(); err != nil {
-			klog.V(1).InfoS("HTTP server not closed cleanly", "addr", s.Addr, "err", err)
+	closed := h.closeServers(servers, peers)
+	klog.InfoS("entry host stopped", "host", h.settings.Host.ID, "in_flight", h.active.Count(), "closed", closed)
+	return nil
+}
+
+// closeServers closes the servers and their connections, waits for it at most for
+// closeTimeout, and reports whether it ended. The end of the process closes the rest.
+func (h *Host) closeServers(servers []*http.Server, peers *grpc.Server) bool {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		for _, s := range servers {
+			if err := s.Close(); err != nil {
+				klog.V(1).InfoS("HTTP server not closed cleanly", "addr", s.Addr, "err", err)
+			}
 		}
+		peers.Stop()
+	}()
+	select {
+	case <-closed:
+		return true
+	case <-time.After(closeTimeout):
+		return false
 	}
-	klog.InfoS("entry host stopped", "host", h.settings.Host.ID, "in_flight", h.active.Count())
-	return nil
 }
 
 // servePeers serves the other entry hosts.
@@ -86,9 +103,9 @@
 	if h.settings.Host.PeerAddr == "" {
 		return server, nil
 	}
-	listener, err := net.Listen("tcp", h.settings.Host.PeerAddr)
+	listener, err := peer.Listen(h.settings.Host.PeerAddr)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s for entry hosts", h.settings.Host.PeerAddr)
+		return nil, err
 	}
 	go func() { failed <- server.Serve(listener) }()
 	return server, nil
