--- a/internal/fronthost/drain.go
+++ b/internal/fronthost/drain.go
@@ -23,6 +23,9 @@
 	finalResponseTime = 300 * time.Millisecond
 	// closeTimeout is the part of killMargin in which connections are closed.
 	closeTimeout = 100 * time.Millisecond
+	// maxLoggedConns is the number of connections in the log line of a drain that ends
+	// with requests in flight.
+	maxLoggedConns = 8
 	// drainPoll is the interval at which a draining host checks its in-flight requests.
 	drainPoll = 20 * time.Millisecond
 	// drainIdlePeriod is how long a draining host must have had no request in flight
@@ -97,7 +100,7 @@
 	h.window.Store(&closed)
 	h.awaitResponses(window.End)
 	if left := h.active.Count(); left > 0 {
-		klog.InfoS("requests in flight at the end of the grace period end with a failure", "host", h.settings.Host.ID, "in_flight", left)
+		klog.InfoS("requests in flight at the end of the grace period end with a failure", "host", h.settings.Host.ID, "in_flight", left, "longest", h.active.Longest(maxLoggedConns))
 		h.stopServing()
 		h.awaitResponses(time.Now().Add(finalResponseTime))
 	}
