--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -44,6 +44,7 @@
 	orderOwner string
 	fence      int64
 	accepted   bool
+	waits      bool // the order lets runs finish first
 }
 
 // fakeReplica is an in-memory backend server.
@@ -493,7 +494,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.replicas[t.ID]
-	order := receivedOrder{at: time.Now(), orderOwner: o.OrderOwner, fence: o.Fence}
+	order := receivedOrder{at: time.Now(), orderOwner: o.OrderOwner, fence: o.Fence, waits: o.WaitForRuns}
 	defer func() { r.received = append(r.received, order) }()
 	switch {
 	case r.unavailable:
--- a/internal/fronthost/orders_test.go
+++ b/internal/fronthost/orders_test.go
@@ -1,11 +1,14 @@
 package fronthost
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/rollout"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 )
 
@@ -47,3 +50,45 @@
 	h.applyWork(controlPartition, logstore.Batch{Complete: true, Records: []logstore.Record{placementRecord(t, "", "b")}})
 	must.Greater(t, h.settings.Timing.OrderLease, orderDelay(h, o))
 }
+
+// Guards against an order that was planned before a job began to require a single
+// version, and that replaces the weights under the job's runs.
+func TestOrderLetsRunsFinishIfAJobRequiresItSinceThePlan(t *testing.T) {
+	for name, single := range map[string]bool{"single version": true, "several versions": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newTestCluster(t, 1)
+			c.events = 100_000 // the job is open during the test
+			h := c.startHost("a")
+			c.changeRoutes(h, func(routes []deployment.Route) []deployment.Route {
+				routes[0].SingleVersion = single
+				return routes
+			})
+			job, payloads := newJob("job-1", 1, 1)
+			must.Nil(t, h.Submit(context.Background(), job, payloads))
+			var o *orderer
+			c.waitUntil("the host is the order owner and knows the job", func() bool {
+				h.mu.Lock()
+				r, known := h.runners[controlPartition], h.jobs.Get("job-1") != nil
+				h.mu.Unlock()
+				if r == nil || !known {
+					return false
+				}
+				o = newOrderer(r)
+				return o.mayOrder()
+			})
+			received := func() []receivedOrder {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				return c.replicas["replica-0"].received
+			}
+			// An order whose intent is logged too late is not sent. The replica refuses this
+			// one, because the version is not announced.
+			c.waitUntil("the order is sent", func() bool {
+				o.executeOrder(t.Context(), rollout.Order{Replica: "replica-0", Model: testModel, Version: 2}, targetAt("replica-0"), &replicaState{reported: true})
+				return len(received()) > 0
+			})
+			must.EqOp(t, single, received()[0].waits)
+		})
+	}
+}
