--- a/internal/netdial/acks_test.go
+++ b/internal/netdial/acks_test.go
@@ -111,6 +111,56 @@
 	must.NoError(t, err)
 }
 
+// Guards against the reset of a connection on which a long write is acknowledged slowly
+// but steadily.
+func TestProgressOfAcknowledgedBytesRestartsTheTime(t *testing.T) {
+	const allowed = 10 * time.Minute // the timer of the connection does not fire
+	c, peer := connect(t, AckTimeouts{Unacked: allowed, Silent: 0, MinUnacked: allowed})
+	w := c.(*WatchedConn)
+	written := make(chan error, 1)
+	go func() {
+		_, err := w.Write(make([]byte, 64<<20)) // more than both buffers
+		written <- err
+	}()
+	acked := func() int64 {
+		unacked, err := w.unacked()
+		must.NoError(t, err)
+		return w.written - unacked
+	}
+	// later runs a check as if a time had passed since the progress that is known now.
+	later := func(after time.Duration, known int64) (lost bool) {
+		w.mu.Lock()
+		w.since, w.acked = w.since.Add(-after), known
+		w.mu.Unlock()
+		w.check()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.lost
+	}
+	known := func() int64 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.acked
+	}
+	for range 8 {
+		from := known()
+		eventually(t, func() bool {
+			_, err := io.CopyN(io.Discard, peer, 64<<10)
+			must.NoError(t, err)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return acked() > from
+		})
+		must.False(t, later(allowed*6/10, from)) // progress
+		w.mu.Lock()
+		now := acked()
+		w.mu.Unlock()
+		must.False(t, later(allowed*6/10, now)) // none since the check before
+	}
+	eventually(t, func() bool { return later(allowed, known()) })
+	must.ErrorIs(t, <-written, ErrUnacknowledged)
+}
+
 // zeros is an endless reader.
 type zeros struct{}
 
