Keep a starting host alive on SIGHUP

Callers saw: a host that got SIGHUP while it started was gone, without a drain. Cause: the signal was registered after the servers were started; until then its default action ended the process. Evidence: TestReloadSignalDoesNotEndStartingHost failed before, "the host ended: signal: hangup". Fix: a handler is registered before the settings are read. A signal before that read needs no reload.

--- a/cmd/sesamestand/serve.go
+++ b/cmd/sesamestand/serve.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -20,6 +22,8 @@
 }
 
 func (c *serveCommand) run(ctx context.Context) error {
+	// Without a handler, a SIGHUP that arrives before the host handles it ends the process.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
