--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -174,7 +174,7 @@
 	go h.serverFollower.Run(ctx)
 	h.followPartition(ctx, controlPartition)
 	if h.isSmall() {
-		h.group.SetPaused(ctx, true)
+		h.group.StartPaused()
 		go h.standBy(ctx)
 	} else {
 		go h.handOverWhenBehind(ctx)
