Run the test of the runs of a leaving replica on a simulated clock

No item went to the replica that leaves after its word: the bound on its runs held. The log has the membership of the host (0.3 s in these tests) run out in the middle of the job; the host acquired its partitions again, under a new epoch, and continued the items in flight, here four, with new sends, as it must.

A stop of 0.5 s of the test process (SIGSTOP) does the same: 3 of 20 runs failed, with 41 and 44. With testing/synctest, and the same assertions, the store does not let the membership run out while the process stands: 0 of 20 runs failed, and 0 of 30 with the stop at 0.04 to 0.29 s, 14 of them stopped before their end.

--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -201,6 +201,13 @@
 	kill func()
 }
 
+// killAndAwaitEnd ends a host of a test with testing/synctest, in which no goroutine may
+// outlive the test.
+func (h *hostHandle) killAndAwaitEnd() {
+	h.kill()
+	time.Sleep(waitTimeout)
+}
+
 // storeView is one host's connection to the store. It can be cut without affecting
 // other hosts.
 type storeView struct {
--- a/internal/fronthost/leaving_test.go
+++ b/internal/fronthost/leaving_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -127,17 +128,20 @@
 // Guards against items that start on a replica after it has said that it is leaving, and
 // against runs on it that are cut.
 func TestReplicaThatSaysItLeavesFinishesItsRunsOnly(t *testing.T) {
-	const items = 40
-	c := newTestCluster(t, 2)
-	leaving := targetAt("replica-0")
-	c.setLeaving(leaving)
-	h := c.startHost("host")
-	job, payloads := newJob("job-1", items, 1)
-	must.Nil(t, h.Submit(context.Background(), job, payloads))
-	results, outputs := c.collect(h, "job-1", items)
-	checkResults(t, c, job, results, outputs)
-	must.Between(t, 1, c.sentTo(leaving, backend.CallRun), 4) // its slots
-	must.EqOp(t, items, c.sentTo(leaving, backend.CallRun)+c.sentTo(targetAt("replica-1"), backend.CallRun))
+	synctest.Test(t, func(t *testing.T) {
+		const items = 40
+		c := newTestCluster(t, 2)
+		leaving := targetAt("replica-0")
+		c.setLeaving(leaving)
+		h := c.startHost("host")
+		defer h.killAndAwaitEnd()
+		job, payloads := newJob("job-1", items, 1)
+		must.Nil(t, h.Submit(context.Background(), job, payloads))
+		results, outputs := c.collect(h, "job-1", items)
+		checkResults(t, c, job, results, outputs)
+		must.Between(t, 1, c.sentTo(leaving, backend.CallRun), 4) // its slots
+		must.EqOp(t, items, c.sentTo(leaving, backend.CallRun)+c.sentTo(targetAt("replica-1"), backend.CallRun))
+	})
 }
 
 // Guards against a load order to a replica whose report, read just before the order, says
