Give each output and payload a key of its own

Callers: an output, or the body of an item, gets 503 at every host for as long as the job exists, or has the bytes of another output. It needs a second blob under the key of a reference that is read by key, because its offset has expired (20 s of history on some platforms) or is unknown.

Cause: the key of an output held its job, item and runner, that of the payloads the job; readers by key get the newest record, and compared lengths only, also in the cache. A late append of a partial output put older bytes last under its key, and a run went on from them if the lengths were equal.

The key now ends with the checksum of the data, so no other data has it, and a reference holds the checksum: a partial output, whose key is used again, is not used unless it matches. References of earlier versions have no checksum and are read as before. The key needs no runner any more.

Before, TestCommittedOutputOutlivesALaterOutputOfItsItem read "text B" for "text A", and TestLateAppendOfAPartialOutputIsNotUsed got the older partial output. TestOutputsOfTwoRunnersUseSeparateKeys now uses texts of equal length. TestReusedOutputsOutliveTheirFirstJob takes the key of the payloads from the job.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -22,6 +22,16 @@
 	Offset  int64  `json:"offset"` // or UnknownOffset
 	Records int    `json:"records"`
 	Bytes   int    `json:"bytes"`
+	// Sum is the checksum of the blob, or 0 if it is unknown.
+	Sum uint64 `json:"sum,omitempty"`
+}
+
+// Sum returns the checksum of a blob.
+func Sum(data []byte) uint64 { return xxhash.Sum64(data) }
+
+// Matches reports whether data is the blob that the reference was made for.
+func (r BlobRef) Matches(data []byte) bool {
+	return len(data) == r.Bytes && (r.Sum == 0 || Sum(data) == r.Sum)
 }
 
 // UnknownOffset is the offset of a blob that can be read by its key only.
--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -39,10 +39,13 @@
 
 var errNoBlob = errors.New("blob not found in the store")
 
-// blob is data to be stored under a key.
+// blob is data to be stored. Its key is extended by its checksum, so that no record with
+// other data replaces it, unless it is mutable: then only the newest data of the key is
+// retained.
 type blob struct {
-	key  string
-	data []byte
+	key     string
+	data    []byte
+	mutable bool
 }
 
 // blobStore stores and reads blobs, and caches the most recent ones in memory.
@@ -63,8 +66,8 @@
 
 func blobPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicBlobs, Number: n} }
 
-// put stores blobs and returns references to them. Storing a blob twice is
-// harmless.
+// put stores blobs and returns references to them. Storing a blob twice is harmless, also
+// if the first append of it is carried out late.
 func (b *blobStore) put(ctx context.Context, partition int, items []blob) ([]jobs.BlobRef, error) {
 	refs := make([]jobs.BlobRef, len(items))
 	for start := 0; start < len(items); {
@@ -87,13 +90,16 @@
 func (b *blobStore) putBatch(ctx context.Context, partition int, items []blob, refs []jobs.BlobRef) error {
 	var records []logstore.Record
 	for i, item := range items {
-		refs[i] = jobs.BlobRef{Key: item.key, Offset: int64(len(records)), Bytes: len(item.data)}
+		refs[i] = jobs.BlobRef{Key: item.key, Offset: int64(len(records)), Bytes: len(item.data), Sum: jobs.Sum(item.data)}
+		if !item.mutable {
+			refs[i].Key = fmt.Sprintf("%s/%016x", item.key, refs[i].Sum)
+		}
 		size := b.maxRecord - blobOverhead
 		for chunk := range slices.Chunk(item.data, size) {
 			records = append(records, logstore.Record{Key: refs[i].ChunkKey(refs[i].Records), Value: chunk})
 			refs[i].Records++
 		}
-		b.addToCache(item.key, item.data)
+		b.addToCache(refs[i].Key, item.data)
 	}
 	base := int64(-1)
 	for len(records) > 0 {
@@ -285,7 +291,7 @@
 func assemble(ref jobs.BlobRef, values map[string][]byte) ([]byte, bool) {
 	if ref.Records == 1 {
 		data, ok := values[ref.ChunkKey(0)]
-		return data, ok && len(data) == ref.Bytes
+		return data, ok && ref.Matches(data)
 	}
 	var data []byte
 	for i := range ref.Records {
@@ -295,18 +301,19 @@
 		}
 		data = append(data, chunk...)
 	}
-	return data, len(data) == ref.Bytes
+	return data, ref.Matches(data)
 }
 
-// fromCache returns a blob from the cache, or nil. The output of an unfinished run
-// is stored under one key as it grows, so the size must match the reference.
+// fromCache returns a blob from the cache, or nil. The data of a mutable blob may be other
+// than that of the reference.
 func (b *blobStore) fromCache(ref jobs.BlobRef) []byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if data := b.cache[ref.Key]; len(data) == ref.Bytes {
-		return data
+	data, ok := b.cache[ref.Key]
+	if !ok || !ref.Matches(data) {
+		return nil
 	}
-	return nil
+	return data
 }
 
 func (b *blobStore) addToCache(key string, data []byte) {
--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -29,9 +29,9 @@
 	result := jobs.Result{Item: "item-1"}
 	var refs []jobs.BlobRef
 	var writers []*blobStore
-	for _, text := range []string{"text of the first run", "text of the later run"} {
+	for _, text := range []string{"text of the 1st run", "text of the 2nd run"} {
 		b := newBlobStore(store, testRecordBytes, testAppendBytes)
-		key := outputKey(schedule.Commit{Job: "job-1", Result: result}, newRunner(nil, 1, 1).id)
+		key := outputKey(schedule.Commit{Job: "job-1", Result: result})
 		got, err := b.put(ctx, 1, []blob{{key: key, data: []byte(text)}})
 		must.NoError(t, err)
 		refs, writers = append(refs, got...), append(writers, b)
@@ -39,11 +39,61 @@
 	for _, b := range writers {
 		outputs, err := b.get(ctx, 1, refs)
 		must.NoError(t, err)
-		must.EqOp(t, "text of the first run", string(outputs[0]))
-		must.EqOp(t, "text of the later run", string(outputs[1]))
+		must.EqOp(t, "text of the 1st run", string(outputs[0]))
+		must.EqOp(t, "text of the 2nd run", string(outputs[1]))
 	}
 }
 
+// Guards against a committed output that cannot be read, or is read with the bytes of
+// another, because a second output of the item was stored and the log was compacted.
+func TestCommittedOutputOutlivesALaterOutputOfItsItem(t *testing.T) {
+	ctx := context.Background()
+	for _, later := range []string{"text B", "a longer text"} {
+		store := memlog.New(4)
+		b := newBlobStore(store, testRecordBytes, testAppendBytes)
+		refs, err := b.put(ctx, 1, []blob{{key: "t/job/item", data: []byte("text A")}})
+		must.NoError(t, err)
+		_, err = b.put(ctx, 1, []blob{{key: "t/job/item", data: []byte(later)}})
+		must.NoError(t, err)
+		store.Delete(blobPartition(1))
+		for _, reader := range []*blobStore{b, newBlobStore(store, testRecordBytes, testAppendBytes)} {
+			outputs, err := reader.get(ctx, 1, refs)
+			must.NoError(t, err)
+			must.EqOp(t, "text A", string(outputs[0]))
+		}
+	}
+}
+
+// Guards against a run that goes on from an older partial output than that of its
+// reference, because an append of it was carried out late.
+func TestLateAppendOfAPartialOutputIsNotUsed(t *testing.T) {
+	ctx := context.Background()
+	store := memlog.New(4)
+	b := newBlobStore(store, testRecordBytes, testAppendBytes)
+	attempts := 0
+	store.SetFault(func(call memlog.Call, _ logstore.Partition) memlog.Fault {
+		if attempts++; call == memlog.CallAppend && attempts == 1 {
+			return memlog.Delay
+		}
+		return memlog.None
+	})
+	_, err := b.put(ctx, 1, []blob{{key: "c/item", data: []byte("partial 1"), mutable: true}})
+	must.NoError(t, err)
+	refs, err := b.put(ctx, 1, []blob{{key: "c/item", data: []byte("partial 2"), mutable: true}})
+	must.NoError(t, err)
+	store.ReleaseDelayed()
+	read := func(b *blobStore) string {
+		outputs, err := b.get(ctx, 1, refs)
+		must.NoError(t, err)
+		return string(outputs[0])
+	}
+	must.EqOp(t, "partial 2", read(b))
+	must.EqOp(t, "partial 2", read(newBlobStore(store, testRecordBytes, testAppendBytes)))
+	store.Delete(blobPartition(1))
+	_, err = newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+	must.ErrorIs(t, err, errNoBlob)
+}
+
 // slowStore delays each read by slowRead.
 type slowStore struct{ *memlog.Store }
 
@@ -191,7 +241,7 @@
 // Guards against one key for the outputs of two items whose IDs contain slashes.
 func TestOutputKeysOfIDsWithSlashesDiffer(t *testing.T) {
 	key := func(job, item string) string {
-		return outputKey(schedule.Commit{Job: job, Result: jobs.Result{Item: item}}, "1-a")
+		return outputKey(schedule.Commit{Job: job, Result: jobs.Result{Item: item}})
 	}
 	must.NotEq(t, key("a", "b/c"), key("a/b", "c"))
 }
--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -151,7 +151,7 @@
 	var indexes []int
 	for i, commit := range commits {
 		if commit.Output != "" {
-			items = append(items, blob{key: outputKey(commit, r.id), data: []byte(commit.Output)})
+			items = append(items, blob{key: outputKey(commit), data: []byte(commit.Output)})
 			indexes = append(indexes, i)
 		}
 	}
@@ -162,11 +162,11 @@
 	return err
 }
 
-// outputKey returns the blob key of a result's output. Several runners may run an item,
-// also under the same epoch, and only one of their outputs is committed, so each runner
-// has its own key. The job ID is escaped because IDs may contain slashes.
-func outputKey(commit schedule.Commit, runnerID string) string {
-	return fmt.Sprintf("t/%s/%s/%s", url.PathEscape(commit.Job), commit.Result.Item, runnerID)
+// outputKey returns the blob key of a result's output. Several outputs of an item may be
+// stored, of which one is committed; their checksums distinguish them. The job ID is
+// escaped because IDs may contain slashes.
+func outputKey(commit schedule.Commit) string {
+	return fmt.Sprintf("t/%s/%s", url.PathEscape(commit.Job), commit.Result.Item)
 }
 
 // putWithRetry stores blobs and retries until the store accepts them or ctx ends.
@@ -244,7 +244,7 @@
 			klog.ErrorS(err, "partial output could not be encoded", "job", p.Job, "item", p.Item)
 			return nil
 		}
-		items[i] = blob{key: "c/" + p.Item, data: data}
+		items[i] = blob{key: "c/" + p.Item, data: data, mutable: true}
 	}
 	refs, err := r.host.blobs.put(ctx, r.partition, items)
 	if err != nil {
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -460,13 +460,14 @@
 	a.settings.Timing.JobRetention = 100 * time.Millisecond
 	first, payloads := newJob("job-1", 4, 1)
 	must.Nil(t, a.Submit(context.Background(), first, payloads))
+	stored := a.jobEntry("job-1")
 	results, outputs := c.collect(a, "job-1", 4)
 	second, more := newJob("job-2", 1, 1)
 	second.Items, more = append(first.Items, second.Items...), append(payloads, more...)
 	must.Nil(t, a.Submit(context.Background(), second, more))
 	reused, _ := c.collect(a, "job-2", 4)
 	must.EqOp(t, results[0].Output, reused[slices.IndexFunc(reused, func(r jobs.Result) bool { return r.Item == results[0].Item })].Output)
-	payload := jobs.BlobRef{Key: "b/job-1"}.ChunkKey(0)
+	payload := stored.Job.Payloads.ChunkKey(0)
 	c.waitUntil("the blobs of the first job are removed", func() bool {
 		listing, err := c.store.ListNewest(context.Background(), blobPartition(modelPartition(a)), "")
 		must.NoError(t, err)
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
@@ -83,7 +81,6 @@
 type runner struct {
 	host      *Host
 	partition int
-	id        string // unique among all runners
 	cancel    context.CancelFunc
 	wakeups   chan struct{}
 
@@ -116,7 +113,7 @@
 
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
-		host: h, partition: partition, tenure: &tenure{epoch: epoch, appenderDone: make(chan struct{})}, id: fmt.Sprintf("%d-%s", epoch, uuid.NewString()[:8]), wakeups: make(chan struct{}, 1),
+		host: h, partition: partition, tenure: &tenure{epoch: epoch, appenderDone: make(chan struct{})}, wakeups: make(chan struct{}, 1),
 		runState: newRunState(), queuedResults: make(map[resultKey]bool), appendSignal: make(chan struct{}, 1),
 	}
 }
