Refer to blobs by the offsets of their own records

Callers: reads of outputs that were stored in a batch of more than one append (2 MB) take two steps, one at wrong offsets and one by key, which lists up to 1 MB. With a slow store they do not fit into a call.

Cause: all offsets of a batch were counted from its first append, but other writers append between two appends of a batch.

Each record has the offset of its own append; a blob with records of others in between has none and is read by key at once.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -85,15 +85,17 @@
 }
 
 // putBatch stores blobs one after the other. Blobs that exceed one append are split
-// over several, between which other writers may append records. The offsets after
-// such records are wrong, and those blobs are read by key.
+// over several, between which other writers may append records. A blob with such records
+// in between can be read by key only.
 func (b *blobStore) putBatch(ctx context.Context, partition int, items []blob, refs []jobs.BlobRef) error {
 	var records []logstore.Record
+	first := make([]int, len(items)) // index of the first record of each blob
 	for i, item := range items {
-		refs[i] = jobs.BlobRef{Key: item.key, Offset: int64(len(records)), Bytes: len(item.data), Sum: jobs.Sum(item.data)}
+		refs[i] = jobs.BlobRef{Key: item.key, Bytes: len(item.data), Sum: jobs.Sum(item.data)}
 		if !item.mutable {
 			refs[i].Key = fmt.Sprintf("%s/%016x", item.key, refs[i].Sum)
 		}
+		first[i] = len(records)
 		size := b.maxRecord - blobOverhead
 		for chunk := range slices.Chunk(item.data, size) {
 			records = append(records, logstore.Record{Key: refs[i].ChunkKey(refs[i].Records), Value: chunk})
@@ -101,20 +103,24 @@
 		}
 		b.addToCache(refs[i].Key, item.data)
 	}
-	base := int64(-1)
-	for len(records) > 0 {
-		n := recordsThatFit(records, b.maxAppend)
-		end, err := logstore.AppendUnfenced(ctx, b.store, blobPartition(partition), records[:n])
+	offsets := make([]int64, 0, len(records))
+	for len(offsets) < len(records) {
+		rest := records[len(offsets):]
+		n := recordsThatFit(rest, b.maxAppend)
+		end, err := logstore.AppendUnfenced(ctx, b.store, blobPartition(partition), rest[:n])
 		if err != nil {
 			return err
 		}
-		if base < 0 {
-			base = end - int64(n)
+		for i := range n {
+			offsets = append(offsets, end-int64(n-i))
 		}
-		records = records[n:]
 	}
-	for i := range refs {
-		refs[i].Offset += base
+	for i, ref := range refs {
+		refs[i].Offset = jobs.UnknownOffset
+		last := first[i] + ref.Records - 1
+		if ref.Records > 0 && offsets[last]-offsets[first[i]] == int64(ref.Records-1) {
+			refs[i].Offset = offsets[first[i]]
+		}
 	}
 	return nil
 }
--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -94,6 +94,43 @@
 	must.ErrorIs(t, err, errNoBlob)
 }
 
+// interruptedStore appends a record of another writer after each append.
+type interruptedStore struct{ *memlog.Store }
+
+func (s interruptedStore) Append(ctx context.Context, p logstore.Partition, records []logstore.Record, w *logstore.Writer) (int64, error) {
+	end, err := s.Store.Append(ctx, p, records, w)
+	if err == nil {
+		_, err = s.Store.Append(ctx, p, []logstore.Record{{Key: "other", Value: []byte("other")}}, nil)
+	}
+	return end, err
+}
+
+// Guards against wrong offsets after the first append of a batch that takes several.
+func TestOffsetsAreThoseOfTheBlob(t *testing.T) {
+	ctx := context.Background()
+	store := memlog.New(4)
+	var items []blob
+	for i, size := range []int{4000, 2000, 9000, 100} {
+		items = append(items, blob{key: fmt.Sprintf("t/%d", i), data: bytes.Repeat([]byte{byte('0' + i)}, size)})
+	}
+	refs := make([]jobs.BlobRef, len(items))
+	must.NoError(t, newBlobStore(interruptedStore{store}, testRecordBytes, testAppendBytes).putBatch(ctx, 1, items, refs))
+	must.EqOp(t, jobs.UnknownOffset, refs[2].Offset) // takes two appends
+	for i, ref := range refs {
+		if i == 2 {
+			continue
+		}
+		page, err := store.Read(ctx, blobPartition(1), ref.Offset, 1, 0)
+		must.NoError(t, err)
+		must.EqOp(t, ref.ChunkKey(0), page.Records[0].Key)
+	}
+	got, err := newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+	must.NoError(t, err)
+	for i, item := range items {
+		must.Eq(t, item.data, got[i])
+	}
+}
+
 // slowStore delays each read by slowRead.
 type slowStore struct{ *memlog.Store }
 
