Read outputs by key at once when the log no longer has them

Callers: with cold caches, as after the loss of all hosts, results whose outputs have expired from the log get 503 (blob-late) at every host for as long as an answer of the store takes some hundred ms.

Cause: results are committed in many small appends, so a page takes up to one read for each of them, eight at a time. Each expired one is answered 410, only after all of them does the host list the outputs by key, and the next attempt begins with the same reads. 200 scattered outputs are 25 answers in a row, at 300 ms 7.5 s, in a call that has 0.7 s for its outputs. The listings then began at the first missing output in the order of the page, so about the logarithm of the outputs in listings.

The answer 410 says which records are retained. A host keeps that offset for each partition and reads what is older by key without a read. The first output of a page is listed first, the others in key order. Before, TestDeletedOffsetsAreNotReadOneByOne counted 200 reads; the bound is those that were under way at the first 410 (8), and none for the next page.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -58,10 +58,12 @@
 	cache map[string][]byte
 	order []string // oldest first
 	size  int
+	// retained is the offset, by partition, before which records are known to be deleted.
+	retained map[int]int64
 }
 
 func newBlobStore(store logstore.Store, maxRecord, maxAppend int) *blobStore {
-	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte)}
+	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), retained: make(map[int]int64)}
 }
 
 func blobPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicBlobs, Number: n} }
@@ -181,9 +183,11 @@
 		size += refs[i].Bytes + refs[i].Records*blobOverhead
 	}
 	var broken error
-	if first.Offset != jobs.UnknownOffset {
+	if first.Offset != jobs.UnknownOffset && !b.isDeleted(partition, first.Offset) {
 		err := b.readRange(ctx, partition, first.Offset, last.Offset+int64(last.Records), size, values)
-		if err != nil && !errors.Is(err, logstore.ErrDeleted) {
+		if errors.Is(err, logstore.ErrDeleted) {
+			b.recordDeleted(partition, first.Offset, err)
+		} else {
 			broken = err // what arrived before is kept
 		}
 	}
@@ -202,6 +206,25 @@
 	return broken
 }
 
+// isDeleted reports whether a record is known to be deleted from the log.
+func (b *blobStore) isDeleted(partition int, offset int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return offset < b.retained[partition]
+}
+
+// recordDeleted records that a read at an offset found its record deleted.
+func (b *blobStore) recordDeleted(partition int, offset int64, err error) {
+	retained := offset + 1
+	var deleted *logstore.DeletedError
+	if errors.As(err, &deleted) {
+		retained = deleted.First
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retained[partition] = max(b.retained[partition], retained)
+}
+
 // readTimeout returns the timeout of one read of a call.
 func readTimeout(ctx context.Context) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok {
@@ -231,26 +254,31 @@
 	return nil
 }
 
-// readByKey reads the blobs that cannot be read by offset, in the order of refs. The store
-// retains the newest record of each key, even if it has deleted that record from the log.
-// A page of a listing holds up to 1 MB of records, so each serves all blobs that it holds,
-// and they are read one after the other: parallel ones would share the bandwidth, and none
-// might arrive in time.
+// readByKey reads the blobs that cannot be read by offset. The store retains the newest
+// record of each key, even if it has deleted that record from the log. A page of a listing
+// holds up to 1 MB of records, so each serves all blobs that it holds, and they are read
+// one after the other: parallel ones would share the bandwidth, and none might arrive in
+// time. The first blob comes first, so that each call returns something, and the others
+// in the order of their keys, so that few listings hold all of them.
 func (b *blobStore) readByKey(ctx context.Context, partition int, refs []jobs.BlobRef, found [][]byte, byKey []bool) error {
 	wanted := make(map[string]bool)
+	var order []int
 	for i, ref := range refs {
+		if !byKey[i] {
+			continue
+		}
+		order = append(order, i)
 		for n := range ref.Records {
-			if byKey[i] {
-				wanted[ref.ChunkKey(n)] = true
-			}
+			wanted[ref.ChunkKey(n)] = true
 		}
 	}
+	if len(order) > 1 {
+		slices.SortFunc(order[1:], func(x, y int) int { return strings.Compare(refs[x].Key, refs[y].Key) })
+	}
 	values := make(map[string][]byte)
 	var missing error
-	for i, ref := range refs {
-		if !byKey[i] {
-			continue
-		}
+	for _, i := range order {
+		ref := refs[i]
 		data, ok := assemble(ref, values)
 		if !ok {
 			if err := b.listFrom(ctx, partition, ref.Key, wanted, values); err != nil {
--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -275,6 +275,49 @@
 	must.LessEq(t, int32(10), listings.Load())
 }
 
+// Guards against reads at the offset of each output of a page after the log was
+// compacted: with a slow store, the time of a call is over before the outputs are read by
+// key.
+func TestDeletedOffsetsAreNotReadOneByOne(t *testing.T) {
+	ctx := context.Background()
+	store := memlog.New(4)
+	writer := newBlobStore(store, testRecordBytes, testAppendBytes)
+	const outputs = 200
+	var refs []jobs.BlobRef
+	for i := range outputs {
+		got, err := writer.put(ctx, 1, []blob{
+			{key: fmt.Sprintf("t/job-1/item-%d", i*7%outputs), data: fmt.Appendf(nil, "text %d", i)},
+			{key: fmt.Sprintf("t/other/item-%d", i), data: []byte("other")},
+		})
+		must.NoError(t, err)
+		refs = append(refs, got[0])
+	}
+	store.Delete(blobPartition(1))
+	var reads, listings atomic.Int32
+	store.SetFault(func(call memlog.Call, _ logstore.Partition) memlog.Fault {
+		switch call {
+		case memlog.CallRead:
+			reads.Add(1)
+		case memlog.CallNewest:
+			listings.Add(1)
+		}
+		return memlog.None
+	})
+	b := newBlobStore(store, testRecordBytes, testAppendBytes)
+	found, err := b.get(ctx, 1, refs)
+	must.NoError(t, err)
+	for i := range refs {
+		must.EqOp(t, fmt.Sprintf("text %d", i), string(found[i]))
+	}
+	must.LessEq(t, parallelReads, reads.Load())
+	must.LessEq(t, 2, listings.Load())
+	reads.Store(0)
+	b.cache = make(map[string][]byte)
+	_, err = b.get(ctx, 1, refs)
+	must.NoError(t, err)
+	must.EqOp(t, 0, reads.Load())
+}
+
 // Guards against one key for the outputs of two items whose IDs contain slashes.
 func TestOutputKeysOfIDsWithSlashesDiffer(t *testing.T) {
 	key := func(job, item string) string {
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -36,6 +36,16 @@
 	return fmt.Sprintf("append out of sequence, expected %d", e.Expected)
 }
 
+// DeletedError is an ErrDeleted that says which records are retained.
+type DeletedError struct{ First int64 } // offset of the first retained record
+
+func (e *DeletedError) Error() string {
+	return fmt.Sprintf("%v, the first one retained is at %d", ErrDeleted, e.First)
+}
+
+// Is reports that the error is an ErrDeleted.
+func (e *DeletedError) Is(target error) bool { return target == ErrDeleted }
+
 // Partition identifies one partition of a topic.
 type Partition struct {
 	Topic  string
@@ -121,7 +131,8 @@
 	// and no records it only registers the writer's epoch.
 	Append(ctx context.Context, p Partition, records []Record, w *Writer) (end int64, err error)
 	// Read returns the records from an offset on, up to about maxBytes, and waits
-	// up to wait for the first one.
+	// up to wait for the first one. The error is a DeletedError or ErrDeleted if the
+	// record at that offset was deleted.
 	Read(ctx context.Context, p Partition, from int64, maxBytes int, wait time.Duration) (Page, error)
 	// ListNewest returns the next page of the newest records of all keys, in key
 	// order and starting after the given key. The pages are not a snapshot.
--- a/internal/logstore/memlog/memlog.go
+++ b/internal/logstore/memlog/memlog.go
@@ -222,7 +222,7 @@
 		part := s.partition(p)
 		if from < part.first {
 			s.mu.Unlock()
-			return logstore.Page{}, logstore.ErrDeleted
+			return logstore.Page{}, &logstore.DeletedError{First: part.first}
 		}
 		page, changed := part.page(from, maxBytes), part.changed
 		s.mu.Unlock()
