Let repeated reads of outputs and payloads make progress

Callers: results and bodies get 503 (blob-late) at every host for as long as one read of the store takes longer than 0.7 s, or the payloads of a job do, which must arrive in one go. So it is with a slow store, a slow link or a listing of 1 MB on a host with little CPU, all of which come together after the loss of all hosts. A response that was lost failed a call as well, since it was not repeated within it.

Cause: a call gave its outputs a part of 0.7 s, cancelled their reads at its end and kept nothing. Callers wait 1.5 s longer than they allow.

A call has one budget of 1.2 s beyond the time that its caller allows. The reads of blobs go on after it (4 s) and fill the cache; one that times out is repeated with twice the time. A page that has an output is still not delayed beyond 0.7 s. A store that is known not to answer is refused at once as before. jobCallTimeout, which a stopping host reserves for a call, follows: 2.7 s instead of 2.9 s.

Before, TestRepeatedReadsMakeProgressWhileTheStoreIsSlow, with answers of 1.3 s, got neither a result nor a body in 20 s.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -1,6 +1,7 @@
 package fronthost
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,9 +33,11 @@
 	// parallelReads bounds the concurrent reads of one call. Outputs that were
 	// stored at different times need one read each, which takes about 5 ms.
 	parallelReads = 8
-	// blobReadTimeout bounds one read, which usually takes a few milliseconds. Calls with
-	// more time give half of it to a read.
+	// blobReadTimeout bounds the first attempt of a read, which usually takes a few
+	// milliseconds. Calls with more time give half of it to an attempt.
 	blobReadTimeout = 800 * time.Millisecond
+	// fetchTimeout bounds the reads that go on after their call has ended.
+	fetchTimeout = 4 * time.Second
 )
 
 var errNoBlob = errors.New("blob not found in the store")
@@ -130,40 +133,126 @@
 // get returns blobs in the order of refs. With an error it returns those that it read,
 // and nil for the others.
 func (b *blobStore) get(ctx context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
+	return b.getSome(ctx, ctx, partition, refs)
+}
+
+// getSome is get for a caller that can do with the first blob: when patience ends, it
+// waits for no other. Reads that are under way go on, so that a repeated call finds in the
+// cache what they return.
+func (b *blobStore) getSome(ctx, patience context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
 	found := make([][]byte, len(refs))
-	var missing []int
+	f := &fetch{blobStore: b, partition: partition, timeout: readTimeout(ctx)}
+	var indexes []int // of the blobs that are fetched
 	for i, ref := range refs {
 		if found[i] = b.fromCache(ref); found[i] == nil && ref.Bytes > 0 {
-			missing = append(missing, i)
+			indexes = append(indexes, i)
+			f.blobs = append(f.blobs, &fetchedBlob{ref: ref, done: make(chan struct{})})
+		}
+	}
+	if len(indexes) == 0 {
+		return found, nil
+	}
+	limit := fetchTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = max(limit, time.Until(deadline))
+	}
+	fetchCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	go func() {
+		defer cancel()
+		f.run(fetchCtx)
+	}()
+	var failed error
+	for n, i := range indexes {
+		until := patience
+		if i == 0 {
+			until = ctx
+		}
+		data, err := f.blobs[n].wait(until)
+		found[i] = data
+		if failed == nil {
+			failed = err
 		}
 	}
-	slices.SortFunc(missing, func(x, y int) int { return int(refs[x].Offset - refs[y].Offset) })
-	byKey := make([]bool, len(refs)) // blobs that are not at the offsets of their references
+	return found, failed
+}
+
+// fetch reads blobs that are not in the cache.
+type fetch struct {
+	*blobStore
+	partition int
+	timeout   time.Duration  // of the first attempt of a read
+	blobs     []*fetchedBlob // in the order in which they are needed
+}
+
+// fetchedBlob is one blob of a fetch. data and err are set before done is closed.
+type fetchedBlob struct {
+	ref  jobs.BlobRef
+	done chan struct{}
+	data []byte
+	err  error
+}
+
+// wait waits until the blob was read, or cannot be read, or ctx ends.
+func (f *fetchedBlob) wait(ctx context.Context) ([]byte, error) {
+	select {
+	case <-f.done:
+		return f.data, f.err
+	default:
+	}
+	select {
+	case <-f.done:
+		return f.data, f.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("blob %s has not arrived yet: %w", f.ref.Key, ctx.Err())
+	}
+}
+
+func (f *fetchedBlob) fail(err error) {
+	f.err = err
+	close(f.done)
+}
+
+func (f *fetch) succeed(blob *fetchedBlob, data []byte) {
+	f.addToCache(blob.ref.Key, data)
+	blob.data = data
+	close(blob.done)
+}
+
+// run reads the blobs by offset, and then by key those that are not at their offsets.
+func (f *fetch) run(ctx context.Context) {
+	sorted := slices.SortedStableFunc(slices.Values(f.blobs), func(x, y *fetchedBlob) int { return cmp.Compare(x.ref.Offset, y.ref.Offset) })
+	var mu sync.Mutex
+	byKey := make(map[*fetchedBlob]bool)
 	var reads errgroup.Group
 	reads.SetLimit(parallelReads)
-	for len(missing) > 0 {
-		n := contiguousCount(refs, missing)
-		indexes := missing[:n]
-		reads.Go(func() error { return b.readContiguous(ctx, partition, refs, indexes, found, byKey) })
-		missing = missing[n:]
-	}
-	err := reads.Wait()
-	if keyErr := b.readByKey(ctx, partition, refs, found, byKey); err == nil {
-		err = keyErr
+	for len(sorted) > 0 {
+		n := contiguousCount(sorted)
+		contiguous := sorted[:n]
+		sorted = sorted[n:]
+		reads.Go(func() error {
+			elsewhere := f.readContiguous(ctx, contiguous)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, blob := range elsewhere {
+				byKey[blob] = true
+			}
+			return nil
+		})
 	}
-	return found, err
+	_ = reads.Wait() // each blob has its error
+	f.readByKey(ctx, slices.DeleteFunc(slices.Clone(f.blobs), func(blob *fetchedBlob) bool { return !byKey[blob] }))
 }
 
 // contiguousCount returns how many of the blobs, sorted by offset, a single read
 // can return.
-func contiguousCount(refs []jobs.BlobRef, sorted []int) int {
-	first := refs[sorted[0]]
+func contiguousCount(sorted []*fetchedBlob) int {
+	first := sorted[0].ref
 	if first.Offset == jobs.UnknownOffset {
 		return 1
 	}
 	size, end := first.Bytes, first.Offset+int64(first.Records)
 	for n := 1; n < len(sorted); n++ {
-		next := refs[sorted[n]]
+		next := sorted[n].ref
 		size += next.Bytes
 		if next.Offset != end || size > maxRangeBytes {
 			return n
@@ -173,37 +262,37 @@
 	return len(sorted)
 }
 
-// readContiguous reads contiguous blobs by offset. It sets byKey for those whose records
-// are not at these offsets or were deleted.
-func (b *blobStore) readContiguous(ctx context.Context, partition int, refs []jobs.BlobRef, indexes []int, found [][]byte, byKey []bool) error {
+// readContiguous reads contiguous blobs by offset. It returns those whose records are not
+// at these offsets or were deleted.
+func (f *fetch) readContiguous(ctx context.Context, blobs []*fetchedBlob) []*fetchedBlob {
 	values := make(map[string][]byte)
-	first, last := refs[indexes[0]], refs[indexes[len(indexes)-1]]
+	first, last := blobs[0].ref, blobs[len(blobs)-1].ref
 	size := 0
-	for _, i := range indexes {
-		size += refs[i].Bytes + refs[i].Records*blobOverhead
+	for _, blob := range blobs {
+		size += blob.ref.Bytes + blob.ref.Records*blobOverhead
 	}
 	var broken error
-	if first.Offset != jobs.UnknownOffset && !b.isDeleted(partition, first.Offset) {
-		err := b.readRange(ctx, partition, first.Offset, last.Offset+int64(last.Records), size, values)
+	if first.Offset != jobs.UnknownOffset && !f.isDeleted(f.partition, first.Offset) {
+		err := f.readRange(ctx, first.Offset, last.Offset+int64(last.Records), size, values)
 		if errors.Is(err, logstore.ErrDeleted) {
-			b.recordDeleted(partition, first.Offset, err)
+			f.recordDeleted(f.partition, first.Offset, err)
 		} else {
 			broken = err // what arrived before is kept
 		}
 	}
-	for _, i := range indexes {
-		data, ok := assemble(refs[i], values)
-		if !ok && broken != nil {
-			continue
+	var elsewhere []*fetchedBlob
+	for _, blob := range blobs {
+		data, ok := assemble(blob.ref, values)
+		switch {
+		case ok:
+			f.succeed(blob, data)
+		case broken != nil:
+			blob.fail(broken)
+		default:
+			elsewhere = append(elsewhere, blob)
 		}
-		if !ok {
-			byKey[i] = true
-			continue
-		}
-		found[i] = data
-		b.addToCache(refs[i].Key, data)
 	}
-	return broken
+	return elsewhere
 }
 
 // isDeleted reports whether a record is known to be deleted from the log.
@@ -225,7 +314,7 @@
 	b.retained[partition] = max(b.retained[partition], retained)
 }
 
-// readTimeout returns the timeout of one read of a call.
+// readTimeout returns the timeout of the first attempt of a read for a call.
 func readTimeout(ctx context.Context) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok {
 		return max(blobReadTimeout, time.Until(deadline)/2)
@@ -233,11 +322,26 @@
 	return blobReadTimeout
 }
 
-func (b *blobStore) readRange(ctx context.Context, partition int, from, to int64, size int, values map[string][]byte) error {
-	for from < to {
-		attemptCtx, cancel := context.WithTimeout(ctx, readTimeout(ctx))
-		page, err := b.store.Read(attemptCtx, blobPartition(partition), from, size, 0)
+// attempt calls read, again after each timeout with twice the time, until ctx ends.
+func (f *fetch) attempt(ctx context.Context, read func(context.Context) error) error {
+	for timeout := f.timeout; ; timeout *= 2 {
+		attemptCtx, cancel := context.WithTimeout(ctx, timeout)
+		err := read(attemptCtx)
+		timedOut := attemptCtx.Err() != nil
 		cancel()
+		if err == nil || !timedOut || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+func (f *fetch) readRange(ctx context.Context, from, to int64, size int, values map[string][]byte) error {
+	for from < to {
+		var page logstore.Page
+		err := f.attempt(ctx, func(ctx context.Context) (err error) {
+			page, err = f.store.Read(ctx, blobPartition(f.partition), from, size, 0)
+			return err
+		})
 		if err != nil {
 			return err
 		}
@@ -260,50 +364,47 @@
 // one after the other: parallel ones would share the bandwidth, and none might arrive in
 // time. The first blob comes first, so that each call returns something, and the others
 // in the order of their keys, so that few listings hold all of them.
-func (b *blobStore) readByKey(ctx context.Context, partition int, refs []jobs.BlobRef, found [][]byte, byKey []bool) error {
+func (f *fetch) readByKey(ctx context.Context, blobs []*fetchedBlob) {
 	wanted := make(map[string]bool)
-	var order []int
-	for i, ref := range refs {
-		if !byKey[i] {
-			continue
-		}
-		order = append(order, i)
-		for n := range ref.Records {
-			wanted[ref.ChunkKey(n)] = true
+	for _, blob := range blobs {
+		for n := range blob.ref.Records {
+			wanted[blob.ref.ChunkKey(n)] = true
 		}
 	}
-	if len(order) > 1 {
-		slices.SortFunc(order[1:], func(x, y int) int { return strings.Compare(refs[x].Key, refs[y].Key) })
+	if len(blobs) > 1 {
+		slices.SortFunc(blobs[1:], func(x, y *fetchedBlob) int { return strings.Compare(x.ref.Key, y.ref.Key) })
 	}
 	values := make(map[string][]byte)
-	var missing error
-	for _, i := range order {
-		ref := refs[i]
-		data, ok := assemble(ref, values)
-		if !ok {
-			if err := b.listFrom(ctx, partition, ref.Key, wanted, values); err != nil {
-				return err
+	for len(blobs) > 0 {
+		err := f.listFrom(ctx, blobs[0].ref.Key, wanted, values)
+		var rest []*fetchedBlob
+		for i, blob := range blobs {
+			data, ok := assemble(blob.ref, values)
+			switch {
+			case ok:
+				f.succeed(blob, data)
+			case err != nil:
+				blob.fail(err)
+			case i == 0:
+				blob.fail(fmt.Errorf("%w: %s", errNoBlob, blob.ref.Key))
+			default:
+				rest = append(rest, blob)
 			}
-			data, ok = assemble(ref, values)
 		}
-		if !ok {
-			missing = fmt.Errorf("%w: %s", errNoBlob, ref.Key)
-			continue
-		}
-		found[i] = data
-		b.addToCache(ref.Key, data)
+		blobs = rest
 	}
-	return missing
 }
 
 // listFrom lists the newest records from those of a blob on, until all records of that
 // blob were listed, and adds the wanted ones to values.
-func (b *blobStore) listFrom(ctx context.Context, partition int, key string, wanted map[string]bool, values map[string][]byte) error {
+func (f *fetch) listFrom(ctx context.Context, key string, wanted map[string]bool, values map[string][]byte) error {
 	after := key + "/"
 	for strings.HasPrefix(after, key+"/") {
-		attemptCtx, cancel := context.WithTimeout(ctx, readTimeout(ctx))
-		listing, err := b.store.ListNewest(attemptCtx, blobPartition(partition), after)
-		cancel()
+		var listing logstore.Listing
+		err := f.attempt(ctx, func(ctx context.Context) (err error) {
+			listing, err = f.store.ListNewest(ctx, blobPartition(f.partition), after)
+			return err
+		})
 		if err != nil {
 			return err
 		}
--- a/internal/fronthost/drain.go
+++ b/internal/fronthost/drain.go
@@ -30,7 +30,7 @@
 	// should retry. Other hosts can take the request at once.
 	drainRetryAfter = 10 * time.Millisecond
 	// jobCallTimeout bounds a call on a job: the reads that it waits for, and an append.
-	jobCallTimeout = 2*confirmTimeout + submitTimeout
+	jobCallTimeout = callTimeout + submitTimeout
 )
 
 // closeWhileStopping asks clients to close their connections while the host drains.
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -23,8 +23,15 @@
 	// submitTimeout bounds how long a submission waits for the store. A trainer
 	// that receives no response submits again at another host.
 	submitTimeout = 1500 * time.Millisecond
-	// confirmTimeout bounds the reads of the store that one call waits for, such as
-	// the read that confirms that a job does not exist.
+	// callTimeout bounds the reads of the store that a call on a job waits for, in
+	// addition to the time that its caller allows it to wait. Callers wait 1.5 s longer
+	// than that; the rest is for the ways there and back, on hosts with little CPU.
+	callTimeout = 1200 * time.Millisecond
+	// pagePatience is the time after which a page of results is not delayed any more for
+	// outputs that have not arrived, if it has at least one.
+	pagePatience = 700 * time.Millisecond
+	// confirmTimeout bounds the reads by which a submission checks other partitions, and
+	// the first attempt of a runner to read payloads.
 	confirmTimeout = 700 * time.Millisecond
 	// maxReadStaleness is the staleness of a partition up to which reads are
 	// answered from memory: a result read at one host must be visible at all hosts
@@ -249,7 +256,7 @@
 
 // catchUp reads all partitions that hold jobs up to their end.
 func (h *Host) catchUp(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := h.followWritten(ctx); err != nil {
 		return err
@@ -308,6 +315,9 @@
 	if h.draining.Load() {
 		wait = 0 // the caller waits at another host
 	}
+	deadline := time.Now().Add(wait)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(callTimeout))
+	defer cancel()
 	e, refusal := h.findJob(ctx, id)
 	if e == nil {
 		return nil, refusal
@@ -316,7 +326,6 @@
 	if f == nil {
 		return nil, refuseCall(causeNotFollowed, cluster.ReasonNotReady, fmt.Sprintf("the host does not follow partition %d", e.Partition))
 	}
-	deadline := time.Now().Add(wait)
 	confirmed := false // the partition was read to its end since the last wait
 	for {
 		h.mu.Lock()
@@ -331,7 +340,7 @@
 			return nil, storeUnavailableRefusal().withCause(causeOutage)
 		}
 		if stale {
-			catchUpCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
+			catchUpCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			err := f.CatchUp(catchUpCtx)
 			cancel()
 			if err != nil {
@@ -365,9 +374,9 @@
 	for i, r := range page.Results {
 		refs[i] = r.Output
 	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	patience, cancel := context.WithTimeout(ctx, pagePatience)
 	defer cancel()
-	outputs, err := h.blobs.get(ctx, e.Partition, refs)
+	outputs, err := h.blobs.getSome(ctx, patience, e.Partition, refs)
 	for i, output := range outputs {
 		if output == nil && refs[i].Bytes > 0 {
 			break
@@ -397,6 +406,8 @@
 	if refusal := h.refuseJobCall(job); refusal != nil {
 		return nil, false, refusal
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	e, refusal := h.findJob(ctx, job)
 	if e == nil {
 		return nil, false, refusal
@@ -405,7 +416,7 @@
 	if i < 0 {
 		return nil, false, nil
 	}
-	payloads, err := h.readPayloads(ctx, e, confirmTimeout)
+	payloads, err := h.readPayloads(ctx, e)
 	if err != nil {
 		h.recorder.RecordDecision("body-unavailable", item, "job", job, "cause", blobCause(err), "err", err.Error())
 		return nil, false, refuseCall(blobCause(err), cluster.ReasonLogUnavailable, "the store does not return the item")
@@ -414,9 +425,7 @@
 }
 
 // readPayloads reads the payloads of a job's items.
-func (h *Host) readPayloads(ctx context.Context, e *jobs.Entry, timeout time.Duration) ([]jobs.Payload, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+func (h *Host) readPayloads(ctx context.Context, e *jobs.Entry) ([]jobs.Payload, error) {
 	data, err := h.blobs.get(ctx, e.Partition, []jobs.BlobRef{e.Job.Payloads})
 	if err != nil {
 		return nil, err
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -589,3 +589,29 @@
 	results, outputs := c.collect(b, "job-1", 4)
 	checkResults(t, c, job, results, outputs)
 }
+
+// Guards against results and bodies that no call ever returns, because each attempt
+// begins again with a read that takes longer than callers wait.
+func TestRepeatedReadsMakeProgressWhileTheStoreIsSlow(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	a.kill()
+	b := c.startHost("b")
+	blobs := blobPartition(modelPartition(b))
+	b.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p == blobs {
+			return callTimeout + 100*time.Millisecond
+		}
+		return 0
+	})
+	results, outputs := c.collect(b, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+	c.waitUntil("the body of an item arrives", func() bool {
+		body, found, refusal := b.ItemBody(context.Background(), "job-1", "job-1-3")
+		must.True(t, found || refusal != nil)
+		return string(body) == "body of job-1-3"
+	})
+}
--- a/internal/fronthost/load.go
+++ b/internal/fronthost/load.go
@@ -51,7 +51,9 @@
 	ctx := h.baseCtx
 	partials := h.readPartials(ctx, e.Partition, refs)
 	for timeout := confirmTimeout; ctx.Err() == nil; timeout = min(2*timeout, maxLoadTimeout) {
-		payloads, err := h.readPayloads(ctx, e, timeout)
+		attemptCtx, cancel := context.WithTimeout(ctx, timeout)
+		payloads, err := h.readPayloads(attemptCtx, e)
+		cancel()
 		if err != nil {
 			klog.InfoS("payloads not read, retrying", "job", e.Job.ID, "err", err)
 			select {
