Read all partitions at once to find out whether a job exists

Callers: a call on a job that the host does not know gets 503 (no-answer) at every host while each answer of the store takes more than half of the call's time, since it waits for two of them: first whether partitions that are not followed hold records, then the ends of those that are.

The host reads both at the same time; only partitions that it finds to hold records are read after that.

--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -1,6 +1,7 @@
 package fronthost
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -258,14 +259,18 @@
 func (h *Host) catchUp(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := h.followWritten(ctx); err != nil {
-		return err
-	}
+	followed := h.allFollowers()
 	var reads errgroup.Group
-	for _, f := range h.allFollowers() {
+	for _, f := range followed {
 		reads.Go(func() error { return f.CatchUp(ctx) })
 	}
-	return reads.Wait()
+	err := h.followWritten(ctx)
+	for _, f := range h.allFollowers() {
+		if !slices.Contains(followed, f) {
+			reads.Go(func() error { return f.CatchUp(ctx) })
+		}
+	}
+	return cmp.Or(reads.Wait(), err)
 }
 
 func (h *Host) allFollowers() []*logstore.Follower {
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -615,3 +615,21 @@
 		return string(body) == "body of job-1-3"
 	})
 }
+
+// Guards against a call that never learns whether a job exists, because it waits for
+// several answers of a slow store one after the other, each time anew.
+func TestUnknownJobIsDeniedWhileTheStoreIsSlow(t *testing.T) {
+	c := newTestCluster(t, 1)
+	a := c.startHost("a")
+	a.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p.Topic == topicWork {
+			return callTimeout * 6 / 10
+		}
+		return 0
+	})
+	c.waitUntil("the job is known not to exist", func() bool {
+		page, refusal := a.Results(context.Background(), "unknown", 0, 0)
+		must.Nil(t, page)
+		return refusal == nil
+	})
+}
