Share the reads of blobs between calls, and use late answers

Callers: with a store that answers after 1.2 s, each call on an output or a body gets 503 although callers wait 1.5 s longer than they allow: the read was given up after 0.8 s and sent again. Callers that repeat such a call start the same reads again, in addition to those that go on, which makes a slow store or link slower.

A read is sent again after 0.8 s, in case its response is lost, and the first answer of two counts. A blob that is being read is waited for. A call has 1.35 s.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -33,9 +33,9 @@
 	// parallelReads bounds the concurrent reads of one call. Outputs that were
 	// stored at different times need one read each, which takes about 5 ms.
 	parallelReads = 8
-	// blobReadTimeout bounds the first attempt of a read, which usually takes a few
-	// milliseconds. Calls with more time give half of it to an attempt.
-	blobReadTimeout = 800 * time.Millisecond
+	// blobReadRetry is the time after which a read, which usually takes a few
+	// milliseconds, is sent again. Calls with more time wait for half of it.
+	blobReadRetry = 800 * time.Millisecond
 	// fetchTimeout bounds the reads that go on after their call has ended.
 	fetchTimeout = 4 * time.Second
 )
@@ -61,12 +61,14 @@
 	cache map[string][]byte
 	order []string // oldest first
 	size  int
+	// fetches holds the blobs that are being read.
+	fetches map[fetchKey]*fetchedBlob
 	// retained is the offset, by partition, before which records are known to be deleted.
 	retained map[int]int64
 }
 
 func newBlobStore(store logstore.Store, maxRecord, maxAppend int) *blobStore {
-	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), retained: make(map[int]int64)}
+	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), retained: make(map[int]int64)}
 }
 
 func blobPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicBlobs, Number: n} }
@@ -138,36 +140,37 @@
 
 // getSome is get for a caller that can do with the first blob: when patience ends, it
 // waits for no other. Reads that are under way go on, so that a repeated call finds in the
-// cache what they return.
+// cache what they return, or waits for them.
 func (b *blobStore) getSome(ctx, patience context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
 	found := make([][]byte, len(refs))
-	f := &fetch{blobStore: b, partition: partition, timeout: readTimeout(ctx)}
-	var indexes []int // of the blobs that are fetched
+	fetched := make([]*fetchedBlob, len(refs)) // nil for blobs of the cache
+	f := &fetch{blobStore: b, partition: partition, retry: readRetry(ctx)}
+	b.mu.Lock()
 	for i, ref := range refs {
-		if found[i] = b.fromCache(ref); found[i] == nil && ref.Bytes > 0 {
-			indexes = append(indexes, i)
-			f.blobs = append(f.blobs, &fetchedBlob{ref: ref, done: make(chan struct{})})
+		if found[i] = b.fromCache(ref); found[i] != nil || ref.Bytes == 0 {
+			continue
+		}
+		key := fetchKey{partition, ref}
+		if b.fetches[key] == nil {
+			b.fetches[key] = &fetchedBlob{ref: ref, done: make(chan struct{})}
+			f.blobs = append(f.blobs, b.fetches[key])
 		}
+		fetched[i] = b.fetches[key]
 	}
-	if len(indexes) == 0 {
-		return found, nil
+	b.mu.Unlock()
+	if len(f.blobs) > 0 {
+		f.start(ctx)
 	}
-	limit := fetchTimeout
-	if deadline, ok := ctx.Deadline(); ok {
-		limit = max(limit, time.Until(deadline))
-	}
-	fetchCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
-	go func() {
-		defer cancel()
-		f.run(fetchCtx)
-	}()
 	var failed error
-	for n, i := range indexes {
+	for i, blob := range fetched {
+		if blob == nil {
+			continue
+		}
 		until := patience
 		if i == 0 {
 			until = ctx
 		}
-		data, err := f.blobs[n].wait(until)
+		data, err := blob.wait(until)
 		found[i] = data
 		if failed == nil {
 			failed = err
@@ -180,10 +183,15 @@
 type fetch struct {
 	*blobStore
 	partition int
-	timeout   time.Duration  // of the first attempt of a read
+	retry     time.Duration  // see blobReadRetry
 	blobs     []*fetchedBlob // in the order in which they are needed
 }
 
+type fetchKey struct {
+	partition int
+	ref       jobs.BlobRef
+}
+
 // fetchedBlob is one blob of a fetch. data and err are set before done is closed.
 type fetchedBlob struct {
 	ref  jobs.BlobRef
@@ -192,6 +200,19 @@
 	err  error
 }
 
+// start starts the fetch for a call.
+func (f *fetch) start(ctx context.Context) {
+	limit := fetchTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = max(limit, time.Until(deadline))
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	go func() {
+		defer cancel()
+		f.run(ctx)
+	}()
+}
+
 // wait waits until the blob was read, or cannot be read, or ctx ends.
 func (f *fetchedBlob) wait(ctx context.Context) ([]byte, error) {
 	select {
@@ -207,14 +228,16 @@
 	}
 }
 
-func (f *fetchedBlob) fail(err error) {
-	f.err = err
-	close(f.done)
-}
-
 func (f *fetch) succeed(blob *fetchedBlob, data []byte) {
 	f.addToCache(blob.ref.Key, data)
-	blob.data = data
+	f.settle(blob, data, nil)
+}
+
+func (f *fetch) settle(blob *fetchedBlob, data []byte, err error) {
+	f.mu.Lock()
+	delete(f.fetches, fetchKey{f.partition, blob.ref})
+	f.mu.Unlock()
+	blob.data, blob.err = data, err
 	close(blob.done)
 }
 
@@ -287,7 +310,7 @@
 		case ok:
 			f.succeed(blob, data)
 		case broken != nil:
-			blob.fail(broken)
+			f.settle(blob, nil, broken)
 		default:
 			elsewhere = append(elsewhere, blob)
 		}
@@ -314,33 +337,57 @@
 	b.retained[partition] = max(b.retained[partition], retained)
 }
 
-// readTimeout returns the timeout of the first attempt of a read for a call.
-func readTimeout(ctx context.Context) time.Duration {
+// readRetry returns the time after which a read for a call is sent again.
+func readRetry(ctx context.Context) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok {
-		return max(blobReadTimeout, time.Until(deadline)/2)
+		return max(blobReadRetry, time.Until(deadline)/2)
 	}
-	return blobReadTimeout
+	return blobReadRetry
 }
 
-// attempt calls read, again after each timeout with twice the time, until ctx ends.
-func (f *fetch) attempt(ctx context.Context, read func(context.Context) error) error {
-	for timeout := f.timeout; ; timeout *= 2 {
-		attemptCtx, cancel := context.WithTimeout(ctx, timeout)
-		err := read(attemptCtx)
-		timedOut := attemptCtx.Err() != nil
-		cancel()
-		if err == nil || !timedOut || ctx.Err() != nil {
-			return err
+// hedged calls read, and again whenever the time of retry has passed, until one attempt
+// succeeds, one fails before its time is over, or ctx ends. Each attempt has the time of
+// two, so that an answer that is late, not lost, is used.
+func hedged[T any](ctx context.Context, retry time.Duration, read func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		value    T
+		err      error
+		timedOut bool
+	}
+	answers := make(chan answer)
+	send := func() {
+		attemptCtx, cancel := context.WithTimeout(ctx, 2*retry)
+		defer cancel()
+		value, err := read(attemptCtx)
+		select {
+		case answers <- answer{value, err, attemptCtx.Err() != nil}:
+		case <-ctx.Done():
+		}
+	}
+	ticker := time.NewTicker(retry)
+	defer ticker.Stop()
+	go send()
+	for {
+		select {
+		case a := <-answers:
+			if a.err == nil || !a.timedOut {
+				return a.value, a.err
+			}
+		case <-ticker.C:
+			go send()
+		case <-ctx.Done():
+			var none T
+			return none, fmt.Errorf("%w: %w", logstore.ErrOutcomeUnknown, ctx.Err())
 		}
 	}
 }
 
 func (f *fetch) readRange(ctx context.Context, from, to int64, size int, values map[string][]byte) error {
 	for from < to {
-		var page logstore.Page
-		err := f.attempt(ctx, func(ctx context.Context) (err error) {
-			page, err = f.store.Read(ctx, blobPartition(f.partition), from, size, 0)
-			return err
+		page, err := hedged(ctx, f.retry, func(ctx context.Context) (logstore.Page, error) {
+			return f.store.Read(ctx, blobPartition(f.partition), from, size, 0)
 		})
 		if err != nil {
 			return err
@@ -384,9 +431,9 @@
 			case ok:
 				f.succeed(blob, data)
 			case err != nil:
-				blob.fail(err)
+				f.settle(blob, nil, err)
 			case i == 0:
-				blob.fail(fmt.Errorf("%w: %s", errNoBlob, blob.ref.Key))
+				f.settle(blob, nil, fmt.Errorf("%w: %s", errNoBlob, blob.ref.Key))
 			default:
 				rest = append(rest, blob)
 			}
@@ -400,10 +447,8 @@
 func (f *fetch) listFrom(ctx context.Context, key string, wanted map[string]bool, values map[string][]byte) error {
 	after := key + "/"
 	for strings.HasPrefix(after, key+"/") {
-		var listing logstore.Listing
-		err := f.attempt(ctx, func(ctx context.Context) (err error) {
-			listing, err = f.store.ListNewest(ctx, blobPartition(f.partition), after)
-			return err
+		listing, err := hedged(ctx, f.retry, func(ctx context.Context) (logstore.Listing, error) {
+			return f.store.ListNewest(ctx, blobPartition(f.partition), after)
 		})
 		if err != nil {
 			return err
@@ -440,10 +485,8 @@
 }
 
 // fromCache returns a blob from the cache, or nil. The data of a mutable blob may be other
-// than that of the reference.
+// than that of the reference. The caller holds mu.
 func (b *blobStore) fromCache(ref jobs.BlobRef) []byte {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	data, ok := b.cache[ref.Key]
 	if !ok || !ref.Matches(data) {
 		return nil
--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -318,6 +319,77 @@
 	must.EqOp(t, 0, reads.Load())
 }
 
+// Guards against repeated calls that each read the same blobs once more while the store is
+// slow, which makes it slower.
+func TestRepeatedCallsShareReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		store := &silentStore{Store: memlog.New(4)}
+		refs, err := newBlobStore(store, testRecordBytes, testAppendBytes).put(ctx, 1, []blob{{key: "t/a", data: []byte("text")}})
+		must.NoError(t, err)
+		b := newBlobStore(store, testRecordBytes, testAppendBytes)
+		store.delay = 1500 * time.Millisecond
+		const calls = 10
+		var arrived atomic.Int32
+		for range calls {
+			go func() {
+				callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+				defer cancel()
+				if _, err := b.get(callCtx, 1, refs); err == nil {
+					arrived.Add(1)
+				}
+			}()
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * callTimeout)
+		must.EqOp(t, calls-2, arrived.Load()) // two calls ended before the answer
+		must.LessEq(t, 2, store.reads.Load())
+		must.MapEmpty(t, b.fetches)
+	})
+}
+
+// Guards against a call that waits for the answer to a read that was lost, or gives up an
+// answer that arrives before the caller does.
+func TestReadsThatAreLateOrLostAreAnsweredWithinACall(t *testing.T) {
+	for name, store := range map[string]*silentStore{
+		"late": {delay: 1200 * time.Millisecond},
+		"lost": {lost: 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store.Store = memlog.New(4)
+			refs, err := newBlobStore(store, testRecordBytes, testAppendBytes).put(t.Context(), 1, []blob{{key: "t/a", data: []byte("text")}})
+			must.NoError(t, err)
+			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+			defer cancel()
+			outputs, err := newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+			must.NoError(t, err, must.Sprint(name))
+			must.EqOp(t, "text", string(outputs[0]))
+			synctest.Wait()
+		})
+	}
+}
+
+// silentStore answers reads after a delay, and the first lost ones never.
+type silentStore struct {
+	*memlog.Store
+	delay time.Duration
+	lost  int32
+	reads atomic.Int32
+}
+
+func (s *silentStore) Read(ctx context.Context, p logstore.Partition, from int64, maxBytes int, wait time.Duration) (logstore.Page, error) {
+	if s.reads.Add(1) <= s.lost {
+		<-ctx.Done()
+		return logstore.Page{}, logstore.ErrOutcomeUnknown
+	}
+	select {
+	case <-time.After(s.delay):
+		return s.Store.Read(ctx, p, from, maxBytes, wait)
+	case <-ctx.Done():
+		return logstore.Page{}, logstore.ErrOutcomeUnknown
+	}
+}
+
 // Guards against one key for the outputs of two items whose IDs contain slashes.
 func TestOutputKeysOfIDsWithSlashesDiffer(t *testing.T) {
 	key := func(job, item string) string {
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -27,7 +27,7 @@
 	// callTimeout bounds the reads of the store that a call on a job waits for, in
 	// addition to the time that its caller allows it to wait. Callers wait 1.5 s longer
 	// than that; the rest is for the ways there and back, on hosts with little CPU.
-	callTimeout = 1200 * time.Millisecond
+	callTimeout = 1350 * time.Millisecond
 	// pagePatience is the time after which a page of results is not delayed any more for
 	// outputs that have not arrived, if it has at least one.
 	pagePatience = 700 * time.Millisecond
