Answer the end of a complete job without the store

Callers: a read after the last result of a job gets 503 (outage, no-answer) while the store does not answer the host, or answers later than a read may take, and it waits for results that cannot follow.

Cause: any page without results was confirmed at the store, unless the job had been ended. A job with a result for each of its items gets no more.

Before, TestEndOfACompleteJobNeedsNoStore was refused. In TestHostWithoutStoreRefusesImmediately the job was complete, so its read need not be refused any more; the job now has an item without a result, so that the refusal is checked as before.

--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -336,10 +336,14 @@
 		h.mu.Lock()
 		page := e.Page(after, maxPageBytes)
 		total, changed, ended := len(e.Job.Items), e.Changed(), e.Ended
+		complete := len(e.Results) == total
 		h.mu.Unlock()
 		if len(page) > 0 {
 			return h.withOutputs(ctx, e, &Results{Total: total, Next: after + len(page), Results: page})
 		}
+		if complete {
+			return &Results{Total: total, Next: after}, nil // no result can follow
+		}
 		stale := !confirmed && f.Staleness() > maxReadStaleness
 		if stale && f.StoreUnavailable() {
 			return nil, storeUnavailableRefusal().withCause(causeOutage)
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -236,8 +236,9 @@
 // the store again.
 func TestHostWithoutStoreRefusesImmediately(t *testing.T) {
 	c := newTestCluster(t, 2)
+	c.breaks = func(id string, _ int) bool { return id == "job-1-4" } // more results may follow
 	a, b := c.startHost("a"), c.startHost("b")
-	known, payloads := newJob("job-1", 4, 1)
+	known, payloads := newJob("job-1", 5, 1)
 	must.Nil(t, a.Submit(context.Background(), known, payloads))
 	c.collect(b, "job-1", 4)
 	b.view.setCut(true)
@@ -633,3 +634,19 @@
 		return refusal == nil
 	})
 }
+
+// Guards against a job whose end cannot be read while the store does not answer, or
+// answers late, although the host has all of its results.
+func TestEndOfACompleteJobNeedsNoStore(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	a.view.setCut(true)
+	c.waitUntil("the host notices that the store does not answer", a.follower(modelPartition(a)).StoreUnavailable)
+	page, refusal := a.Results(context.Background(), "job-1", 4, waitTimeout)
+	must.Nil(t, refusal)
+	must.EqOp(t, 4, page.Next)
+	must.SliceEmpty(t, page.Results)
+}
