Learn at the start which outputs the log no longer has

Callers: after a start of all hosts with a slow store, the first call on a job's results or bodies gets 503 at each host in turn: it waits for the answer that the record at the offset was deleted, and has no time left to read by key.

A host reads the beginning of the blobs of each job partition that it follows, once, in the background; the answer names the first retained record. Without that read, TestStartedHostKnowsWhichOutputsAreDeleted waits in vain for the host to know it.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -36,6 +36,8 @@
 	// blobReadRetry is the time after which a read, which usually takes a few
 	// milliseconds, is sent again. Calls with more time wait for half of it.
 	blobReadRetry = 800 * time.Millisecond
+	// learnRetry is the pause after a failed attempt to find out which blobs are retained.
+	learnRetry = 500 * time.Millisecond
 	// fetchTimeout bounds the reads that go on after their call has ended.
 	fetchTimeout = 4 * time.Second
 )
@@ -345,6 +347,26 @@
 	return blobReadRetry
 }
 
+// learnRetained finds out which blobs of a partition were deleted from the log, so that no
+// call has to. It retries until the store answers or ctx ends.
+func (b *blobStore) learnRetained(ctx context.Context, partition int) {
+	for ctx.Err() == nil {
+		_, err := hedged(ctx, blobReadRetry, func(ctx context.Context) (logstore.Page, error) {
+			return b.store.Read(ctx, blobPartition(partition), 0, 1, 0)
+		})
+		if errors.Is(err, logstore.ErrDeleted) {
+			b.recordDeleted(partition, 0, err)
+		}
+		if err == nil || errors.Is(err, logstore.ErrDeleted) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(learnRetry):
+		}
+	}
+}
+
 // hedged calls read, and again whenever the time of retry has passed, until one attempt
 // succeeds, one fails before its time is over, or ctx ends. Each attempt has the time of
 // two, so that an answer that is late, not lost, is used.
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -202,6 +202,9 @@
 	f.YieldWhile(func() bool { _, owned := h.group.Owned()[partition]; return !owned })
 	h.followers[partition] = f
 	go f.Run(ctx)
+	if partition != controlPartition {
+		go h.blobs.learnRetained(ctx, partition)
+	}
 }
 
 func workPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicWork, Number: n} }
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -650,3 +650,35 @@
 	must.EqOp(t, 4, page.Next)
 	must.SliceEmpty(t, page.Results)
 }
+
+// Guards against a first call that fails at each host, because it learns only from the
+// answer of a slow store that the outputs were deleted from the log.
+func TestStartedHostKnowsWhichOutputsAreDeleted(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	blobs := blobPartition(modelPartition(a))
+	c.store.Delete(blobs)
+	b := c.newEntryHost("b")
+	b.settings.Limits.CPUShare = 0.2 // it owns no partition, so it loads no jobs to run them
+	b.start(t.Context())
+	c.waitUntil("the host is ready", b.Ready)
+	c.waitUntil("the host knows that the outputs are deleted", func() bool {
+		b.blobs.mu.Lock()
+		defer b.blobs.mu.Unlock()
+		return b.blobs.retained[blobs.Number] > 0
+	})
+	b.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p == blobs {
+			return waitTimeout
+		}
+		return 0
+	})
+	page, refusal := b.Results(context.Background(), "job-1", 0, 0)
+	must.Nil(t, refusal)
+	must.SliceLen(t, 4, page.Results)
+	_, _, refusal = b.ItemBody(context.Background(), "job-1", "job-1-3")
+	must.Nil(t, refusal)
+}
