Use late answers to reads of the log

Callers: while each answer of the store takes more than 0.9 s, every host refuses calls on jobs that it does not know, on results that may still follow, and the end of jobs (503, outage), although callers wait 1.5 s longer than they allow.

Cause: a long poll was given up 0.9 s after its wait, after 1.2 s without an answer the store counted as unavailable, and reads had at most 0.9 s from then on. So the outage never ended, and no results were read.

A read is sent again after the same times as before, in case its response is lost, but the first answer of two counts (logstore.Hedge, from fronthost). An outage is noticed after up to 1.9 s instead of 1.4 s; its end as soon as before.

Before, TestLateAnswersAreNoOutage, with answers after 1.2 s, found the store unavailable. TestHedgeKeepsWhatArrivedBeforeItsEnd and TestHedgeUsesTheFirstAnswer are for the function that was moved.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -351,7 +351,7 @@
 // call has to. It retries until the store answers or ctx ends.
 func (b *blobStore) learnRetained(ctx context.Context, partition int) {
 	for ctx.Err() == nil {
-		_, err := hedged(ctx, blobReadRetry, func(ctx context.Context) (logstore.Page, error) {
+		_, err := logstore.Hedge(ctx, blobReadRetry, func(ctx context.Context) (logstore.Page, error) {
 			return b.store.Read(ctx, blobPartition(partition), 0, 1, 0)
 		})
 		if errors.Is(err, logstore.ErrDeleted) {
@@ -367,48 +367,9 @@
 	}
 }
 
-// hedged calls read, and again whenever the time of retry has passed, until one attempt
-// succeeds, one fails before its time is over, or ctx ends. Each attempt has the time of
-// two, so that an answer that is late, not lost, is used.
-func hedged[T any](ctx context.Context, retry time.Duration, read func(context.Context) (T, error)) (T, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type answer struct {
-		value    T
-		err      error
-		timedOut bool
-	}
-	answers := make(chan answer)
-	send := func() {
-		attemptCtx, cancel := context.WithTimeout(ctx, 2*retry)
-		defer cancel()
-		value, err := read(attemptCtx)
-		select {
-		case answers <- answer{value, err, attemptCtx.Err() != nil}:
-		case <-ctx.Done():
-		}
-	}
-	ticker := time.NewTicker(retry)
-	defer ticker.Stop()
-	go send()
-	for {
-		select {
-		case a := <-answers:
-			if a.err == nil || !a.timedOut {
-				return a.value, a.err
-			}
-		case <-ticker.C:
-			go send()
-		case <-ctx.Done():
-			var none T
-			return none, fmt.Errorf("%w: %w", logstore.ErrOutcomeUnknown, ctx.Err())
-		}
-	}
-}
-
 func (f *fetch) readRange(ctx context.Context, from, to int64, size int, values map[string][]byte) error {
 	for from < to {
-		page, err := hedged(ctx, f.retry, func(ctx context.Context) (logstore.Page, error) {
+		page, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Page, error) {
 			return f.store.Read(ctx, blobPartition(f.partition), from, size, 0)
 		})
 		if err != nil {
@@ -469,7 +430,7 @@
 func (f *fetch) listFrom(ctx context.Context, key string, wanted map[string]bool, values map[string][]byte) error {
 	after := key + "/"
 	for strings.HasPrefix(after, key+"/") {
-		listing, err := hedged(ctx, f.retry, func(ctx context.Context) (logstore.Listing, error) {
+		listing, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Listing, error) {
 			return f.store.ListNewest(ctx, blobPartition(f.partition), after)
 		})
 		if err != nil {
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,10 +17,12 @@
 	// longPollTimeout is how long the store may hold a read open. It bounds the
 	// staleness of a partition to which nothing is appended.
 	longPollTimeout = 500 * time.Millisecond
-	// longPollMargin is the time that a call gets beyond its long poll before it
-	// times out. It is well below 3 s, the time after an outage from which hosts
-	// count as reachable again.
+	// longPollMargin is the time beyond its long poll after which a read is sent again,
+	// and lateMargin that after which it has failed: its response may be late or lost.
+	// Both are well below 3 s, the time after an outage from which hosts count as
+	// reachable again.
 	longPollMargin = 900 * time.Millisecond
+	lateMargin     = 1400 * time.Millisecond
 	// readRetryPause is the pause after a failed read.
 	readRetryPause = 150 * time.Millisecond
 	// outageThreshold is the time without a response after which the store counts
@@ -103,20 +106,28 @@
 	f.reads++
 	read := f.reads
 	f.mu.Unlock()
-	timeout := wait + longPollMargin
+	retry, timeout := wait+longPollMargin, wait+lateMargin
 	switch {
 	case !synced:
 		timeout = pace.pageTimeout()
 	case unavailable:
-		wait, timeout = 0, pace.outageTimeout()
+		wait, retry = 0, pace.outageTimeout()
+		timeout = 2 * retry
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !synced {
 		return f.list(ctx, read)
 	}
-	sent := f.now()
-	page, err := f.store.Read(ctx, f.partition, from, pace.readBytes, wait)
+	var attempts atomic.Int32
+	answered, err := Hedge(ctx, retry, func(ctx context.Context) (a answeredRead, err error) {
+		a.sent = f.now()
+		if attempts.Add(1) == 1 {
+			a.wait = wait
+		}
+		a.page, err = f.store.Read(ctx, f.partition, from, pace.readBytes, a.wait)
+		return a, err
+	})
 	if errors.Is(err, ErrDeleted) {
 		klog.InfoS("records to read next were deleted, listing the partition again", "partition", f.partition, "offset", from)
 		f.mu.Lock()
@@ -127,10 +138,17 @@
 	if err != nil {
 		return err
 	}
-	f.applyPage(page, read, sent, wait)
+	f.applyPage(answered.page, read, answered.sent, answered.wait)
 	return nil
 }
 
+// answeredRead is an answer to a read, and when and with which long poll it was sent.
+type answeredRead struct {
+	page Page
+	sent time.Time
+	wait time.Duration
+}
+
 // list reads the next page of the listing and, after the last one, delivers the
 // listing. Pages already read are retained when a later one fails.
 func (f *Follower) list(ctx context.Context, read int64) error {
