--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -1,6 +1,7 @@
 package fronthost
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,17 +33,24 @@
 	// parallelReads bounds the concurrent reads of one call. Outputs that were
 	// stored at different times need one read each, which takes about 5 ms.
 	parallelReads = 8
-	// blobReadTimeout bounds one read, which usually takes a few milliseconds. Calls with
-	// more time give half of it to a read.
-	blobReadTimeout = 800 * time.Millisecond
+	// blobReadRetry is the time after which a read, which usually takes a few
+	// milliseconds, is sent again. Calls with more time wait for half of it.
+	blobReadRetry = 800 * time.Millisecond
+	// learnRetry is the pause after a failed attempt to find out which blobs are retained.
+	learnRetry = 500 * time.Millisecond
+	// fetchTimeout bounds the reads that go on after their call has ended.
+	fetchTimeout = 4 * time.Second
 )
 
 var errNoBlob = errors.New("blob not found in the store")
 
-// blob is data to be stored under a key.
+// blob is data to be stored. Its key is extended by its checksum, so that no record with
+// other data replaces it, unless it is mutable: then only the newest data of the key is
+// retained.
 type blob struct {
-	key  string
-	data []byte
+	key     string
+	data    []byte
+	mutable bool
 }
 
 // blobStore stores and reads blobs, and caches the most recent ones in memory.
@@ -55,16 +63,20 @@
 	cache map[string][]byte
 	order []string // oldest first
 	size  int
+	// fetches holds the blobs that are being read.
+	fetches map[fetchKey]*fetchedBlob
+	// retained is the offset, by partition, before which records are known to be deleted.
+	retained map[int]int64
 }
 
 func newBlobStore(store logstore.Store, maxRecord, maxAppend int) *blobStore {
-	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte)}
+	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), retained: make(map[int]int64)}
 }
 
 func blobPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicBlobs, Number: n} }
 
-// put stores blobs and returns references to them. Storing a blob twice is
-// harmless.
+// put stores blobs and returns references to them. Storing a blob twice is harmless, also
+// if the first append of it is carried out late.
 func (b *blobStore) put(ctx context.Context, partition int, items []blob) ([]jobs.BlobRef, error) {
 	refs := make([]jobs.BlobRef, len(items))
 	for start := 0; start < len(items); {
@@ -82,33 +94,42 @@
 }
 
 // putBatch stores blobs one after the other. Blobs that exceed one append are split
-// over several, between which other writers may append records. The offsets after
-// such records are wrong, and those blobs are read by key.
+// over several, between which other writers may append records. A blob with such records
+// in between can be read by key only.
 func (b *blobStore) putBatch(ctx context.Context, partition int, items []blob, refs []jobs.BlobRef) error {
 	var records []logstore.Record
+	first := make([]int, len(items)) // index of the first record of each blob
 	for i, item := range items {
-		refs[i] = jobs.BlobRef{Key: item.key, Offset: int64(len(records)), Bytes: len(item.data)}
+		refs[i] = jobs.BlobRef{Key: item.key, Bytes: len(item.data), Sum: jobs.Sum(item.data)}
+		if !item.mutable {
+			refs[i].Key = fmt.Sprintf("%s/%016x", item.key, refs[i].Sum)
+		}
+		first[i] = len(records)
 		size := b.maxRecord - blobOverhead
 		for chunk := range slices.Chunk(item.data, size) {
 			records = append(records, logstore.Record{Key: refs[i].ChunkKey(refs[i].Records), Value: chunk})
 			refs[i].Records++
 		}
-		b.addToCache(item.key, item.data)
+		b.addToCache(refs[i].Key, item.data)
 	}
-	base := int64(-1)
-	for len(records) > 0 {
-		n := recordsThatFit(records, b.maxAppend)
-		end, err := logstore.AppendUnfenced(ctx, b.store, blobPartition(partition), records[:n])
+	offsets := make([]int64, 0, len(records))
+	for len(offsets) < len(records) {
+		rest := records[len(offsets):]
+		n := recordsThatFit(rest, b.maxAppend)
+		end, err := logstore.AppendUnfenced(ctx, b.store, blobPartition(partition), rest[:n])
 		if err != nil {
 			return err
 		}
-		if base < 0 {
-			base = end - int64(n)
+		for i := range n {
+			offsets = append(offsets, end-int64(n-i))
 		}
-		records = records[n:]
 	}
-	for i := range refs {
-		refs[i].Offset += base
+	for i, ref := range refs {
+		refs[i].Offset = jobs.UnknownOffset
+		last := first[i] + ref.Records - 1
+		if ref.Records > 0 && offsets[last]-offsets[first[i]] == int64(ref.Records-1) {
+			refs[i].Offset = offsets[first[i]]
+		}
 	}
 	return nil
 }
@@ -116,40 +137,147 @@
 // get returns blobs in the order of refs. With an error it returns those that it read,
 // and nil for the others.
 func (b *blobStore) get(ctx context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
+	return b.getSome(ctx, ctx, partition, refs)
+}
+
+// getSome is get for a caller that can do with the first blob: when patience ends, it
+// waits for no other. Reads that are under way go on, so that a repeated call finds in the
+// cache what they return, or waits for them.
+func (b *blobStore) getSome(ctx, patience context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
 	found := make([][]byte, len(refs))
-	var missing []int
+	fetched := make([]*fetchedBlob, len(refs)) // nil for blobs of the cache
+	f := &fetch{blobStore: b, partition: partition, retry: readRetry(ctx)}
+	b.mu.Lock()
 	for i, ref := range refs {
-		if found[i] = b.fromCache(ref); found[i] == nil && ref.Bytes > 0 {
-			missing = append(missing, i)
+		if found[i] = b.fromCache(ref); found[i] != nil || ref.Bytes == 0 {
+			continue
 		}
+		key := fetchKey{partition, ref}
+		if b.fetches[key] == nil {
+			b.fetches[key] = &fetchedBlob{ref: ref, done: make(chan struct{})}
+			f.blobs = append(f.blobs, b.fetches[key])
+		}
+		fetched[i] = b.fetches[key]
+	}
+	b.mu.Unlock()
+	if len(f.blobs) > 0 {
+		f.start(ctx)
+	}
+	var failed error
+	for i, blob := range fetched {
+		if blob == nil {
+			continue
+		}
+		until := patience
+		if i == 0 {
+			until = ctx
+		}
+		data, err := blob.wait(until)
+		found[i] = data
+		if failed == nil {
+			failed = err
+		}
+	}
+	return found, failed
+}
+
+// fetch reads blobs that are not in the cache.
+type fetch struct {
+	*blobStore
+	partition int
+	retry     time.Duration  // see blobReadRetry
+	blobs     []*fetchedBlob // in the order in which they are needed
+}
+
+type fetchKey struct {
+	partition int
+	ref       jobs.BlobRef
+}
+
+// fetchedBlob is one blob of a fetch. data and err are set before done is closed.
+type fetchedBlob struct {
+	ref  jobs.BlobRef
+	done chan struct{}
+	data []byte
+	err  error
+}
+
+// start starts the fetch for a call.
+func (f *fetch) start(ctx context.Context) {
+	limit := fetchTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = max(limit, time.Until(deadline))
 	}
-	slices.SortFunc(missing, func(x, y int) int { return int(refs[x].Offset - refs[y].Offset) })
-	byKey := make([]bool, len(refs)) // blobs that are not at the offsets of their references
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	go func() {
+		defer cancel()
+		f.run(ctx)
+	}()
+}
+
+// wait waits until the blob was read, or cannot be read, or ctx ends.
+func (f *fetchedBlob) wait(ctx context.Context) ([]byte, error) {
+	select {
+	case <-f.done:
+		return f.data, f.err
+	default:
+	}
+	select {
+	case <-f.done:
+		return f.data, f.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("blob %s has not arrived yet: %w", f.ref.Key, ctx.Err())
+	}
+}
+
+func (f *fetch) succeed(blob *fetchedBlob, data []byte) {
+	f.addToCache(blob.ref.Key, data)
+	f.settle(blob, data, nil)
+}
+
+func (f *fetch) settle(blob *fetchedBlob, data []byte, err error) {
+	f.mu.Lock()
+	delete(f.fetches, fetchKey{f.partition, blob.ref})
+	f.mu.Unlock()
+	blob.data, blob.err = data, err
+	close(blob.done)
+}
+
+// run reads the blobs by offset, and then by key those that are not at their offsets.
+func (f *fetch) run(ctx context.Context) {
+	sorted := slices.SortedStableFunc(slices.Values(f.blobs), func(x, y *fetchedBlob) int { return cmp.Compare(x.ref.Offset, y.ref.Offset) })
+	var mu sync.Mutex
+	byKey := make(map[*fetchedBlob]bool)
 	var reads errgroup.Group
 	reads.SetLimit(parallelReads)
-	for len(missing) > 0 {
-		n := contiguousCount(refs, missing)
-		indexes := missing[:n]
-		reads.Go(func() error { return b.readContiguous(ctx, partition, refs, indexes, found, byKey) })
-		missing = missing[n:]
-	}
-	err := reads.Wait()
-	if keyErr := b.readByKey(ctx, partition, refs, found, byKey); err == nil {
-		err = keyErr
+	for len(sorted) > 0 {
+		n := contiguousCount(sorted)
+		contiguous := sorted[:n]
+		sorted = sorted[n:]
+		reads.Go(func() error {
+			elsewhere := f.readContiguous(ctx, contiguous)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, blob := range elsewhere {
+				byKey[blob] = true
+			}
+			return nil
+		})
 	}
-	return found, err
+	_ = reads.Wait() // each blob has its error
+	f.readByKey(ctx, slices.DeleteFunc(slices.Clone(f.blobs), func(blob *fetchedBlob) bool { return !byKey[blob] }))
 }
 
 // contiguousCount returns how many of the blobs, sorted by offset, a single read
 // can return.
-func contiguousCount(refs []jobs.BlobRef, sorted []int) int {
-	first := refs[sorted[0]]
+func contiguousCount(sorted []*fetchedBlob) int {
+	first := sorted[0].ref
 	if first.Offset == jobs.UnknownOffset {
 		return 1
 	}
 	size, end := first.Bytes, first.Offset+int64(first.Records)
 	for n := 1; n < len(sorted); n++ {
-		next := refs[sorted[n]]
+		next := sorted[n].ref
 		size += next.Bytes
 		if next.Offset != end || size > maxRangeBytes {
 			return n
@@ -159,50 +287,91 @@
 	return len(sorted)
 }
 
-// readContiguous reads contiguous blobs by offset. It sets byKey for those whose records
-// are not at these offsets or were deleted.
-func (b *blobStore) readContiguous(ctx context.Context, partition int, refs []jobs.BlobRef, indexes []int, found [][]byte, byKey []bool) error {
+// readContiguous reads contiguous blobs by offset. It returns those whose records are not
+// at these offsets or were deleted.
+func (f *fetch) readContiguous(ctx context.Context, blobs []*fetchedBlob) []*fetchedBlob {
 	values := make(map[string][]byte)
-	first, last := refs[indexes[0]], refs[indexes[len(indexes)-1]]
+	first, last := blobs[0].ref, blobs[len(blobs)-1].ref
 	size := 0
-	for _, i := range indexes {
-		size += refs[i].Bytes + refs[i].Records*blobOverhead
+	for _, blob := range blobs {
+		size += blob.ref.Bytes + blob.ref.Records*blobOverhead
 	}
 	var broken error
-	if first.Offset != jobs.UnknownOffset {
-		err := b.readRange(ctx, partition, first.Offset, last.Offset+int64(last.Records), size, values)
-		if err != nil && !errors.Is(err, logstore.ErrDeleted) {
+	if first.Offset != jobs.UnknownOffset && !f.isDeleted(f.partition, first.Offset) {
+		err := f.readRange(ctx, first.Offset, last.Offset+int64(last.Records), size, values)
+		if errors.Is(err, logstore.ErrDeleted) {
+			f.recordDeleted(f.partition, first.Offset, err)
+		} else {
 			broken = err // what arrived before is kept
 		}
 	}
-	for _, i := range indexes {
-		data, ok := assemble(refs[i], values)
-		if !ok && broken != nil {
-			continue
-		}
-		if !ok {
-			byKey[i] = true
-			continue
+	var elsewhere []*fetchedBlob
+	for _, blob := range blobs {
+		data, ok := assemble(blob.ref, values)
+		switch {
+		case ok:
+			f.succeed(blob, data)
+		case broken != nil:
+			f.settle(blob, nil, broken)
+		default:
+			elsewhere = append(elsewhere, blob)
 		}
-		found[i] = data
-		b.addToCache(refs[i].Key, data)
 	}
-	return broken
+	return elsewhere
+}
+
+// isDeleted reports whether a record is known to be deleted from the log.
+func (b *blobStore) isDeleted(partition int, offset int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return offset < b.retained[partition]
+}
+
+// recordDeleted records that a read at an offset found its record deleted.
+func (b *blobStore) recordDeleted(partition int, offset int64, err error) {
+	retained := offset + 1
+	var deleted *logstore.DeletedError
+	if errors.As(err, &deleted) {
+		retained = deleted.First
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retained[partition] = max(b.retained[partition], retained)
 }
 
-// readTimeout returns the timeout of one read of a call.
-func readTimeout(ctx context.Context) time.Duration {
+// readRetry returns the time after which a read for a call is sent again.
+func readRetry(ctx context.Context) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok {
-		return max(blobReadTimeout, time.Until(deadline)/2)
+		return max(blobReadRetry, time.Until(deadline)/2)
 	}
-	return blobReadTimeout
+	return blobReadRetry
 }
 
-func (b *blobStore) readRange(ctx context.Context, partition int, from, to int64, size int, values map[string][]byte) error {
+// learnRetained finds out which blobs of a partition were deleted from the log, so that no
+// call has to. It retries until the store answers or ctx ends.
+func (b *blobStore) learnRetained(ctx context.Context, partition int) {
+	for ctx.Err() == nil {
+		_, err := logstore.Hedge(ctx, blobReadRetry, func(ctx context.Context) (logstore.Page, error) {
+			return b.store.Read(ctx, blobPartition(partition), 0, 1, 0)
+		})
+		if errors.Is(err, logstore.ErrDeleted) {
+			b.recordDeleted(partition, 0, err)
+		}
+		if err == nil || errors.Is(err, logstore.ErrDeleted) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(learnRetry):
+		}
+	}
+}
+
+func (f *fetch) readRange(ctx context.Context, from, to int64, size int, values map[string][]byte) error {
 	for from < to {
-		attemptCtx, cancel := context.WithTimeout(ctx, readTimeout(ctx))
-		page, err := b.store.Read(attemptCtx, blobPartition(partition), from, size, 0)
-		cancel()
+		page, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Page, error) {
+			return f.store.Read(ctx, blobPartition(f.partition), from, size, 0)
+		})
 		if err != nil {
 			return err
 		}
@@ -219,52 +388,51 @@
 	return nil
 }
 
-// readByKey reads the blobs that cannot be read by offset, in the order of refs. The store
-// retains the newest record of each key, even if it has deleted that record from the log.
-// A page of a listing holds up to 1 MB of records, so each serves all blobs that it holds,
-// and they are read one after the other: parallel ones would share the bandwidth, and none
-// might arrive in time.
-func (b *blobStore) readByKey(ctx context.Context, partition int, refs []jobs.BlobRef, found [][]byte, byKey []bool) error {
+// readByKey reads the blobs that cannot be read by offset. The store retains the newest
+// record of each key, even if it has deleted that record from the log. A page of a listing
+// holds up to 1 MB of records, so each serves all blobs that it holds, and they are read
+// one after the other: parallel ones would share the bandwidth, and none might arrive in
+// time. The first blob comes first, so that each call returns something, and the others
+// in the order of their keys, so that few listings hold all of them.
+func (f *fetch) readByKey(ctx context.Context, blobs []*fetchedBlob) {
 	wanted := make(map[string]bool)
-	for i, ref := range refs {
-		for n := range ref.Records {
-			if byKey[i] {
-				wanted[ref.ChunkKey(n)] = true
-			}
+	for _, blob := range blobs {
+		for n := range blob.ref.Records {
+			wanted[blob.ref.ChunkKey(n)] = true
 		}
 	}
+	if len(blobs) > 1 {
+		slices.SortFunc(blobs[1:], func(x, y *fetchedBlob) int { return strings.Compare(x.ref.Key, y.ref.Key) })
+	}
 	values := make(map[string][]byte)
-	var failed error
-	for i, ref := range refs {
-		if !byKey[i] {
-			continue
-		}
-		data, ok := assemble(ref, values)
-		if !ok && (failed == nil || errors.Is(failed, errNoBlob)) {
-			if err := b.listFrom(ctx, partition, ref.Key, wanted, values); err != nil {
-				failed = err // what has arrived is kept
+	for len(blobs) > 0 {
+		err := f.listFrom(ctx, blobs[0].ref.Key, wanted, values)
+		var rest []*fetchedBlob
+		for i, blob := range blobs {
+			data, ok := assemble(blob.ref, values)
+			switch {
+			case ok:
+				f.succeed(blob, data)
+			case err != nil:
+				f.settle(blob, nil, err)
+			case i == 0:
+				f.settle(blob, nil, fmt.Errorf("%w: %s", errNoBlob, blob.ref.Key))
+			default:
+				rest = append(rest, blob)
 			}
-			data, ok = assemble(ref, values)
-		}
-		switch {
-		case ok:
-			found[i] = data
-			b.addToCache(ref.Key, data)
-		case failed == nil:
-			failed = fmt.Errorf("%w: %s", errNoBlob, ref.Key)
 		}
+		blobs = rest
 	}
-	return failed
 }
 
 // listFrom lists the newest records from those of a blob on, until all records of that
 // blob were listed, and adds the wanted ones to values.
-func (b *blobStore) listFrom(ctx context.Context, partition int, key string, wanted map[string]bool, values map[string][]byte) error {
+func (f *fetch) listFrom(ctx context.Context, key string, wanted map[string]bool, values map[string][]byte) error {
 	after := key + "/"
 	for strings.HasPrefix(after, key+"/") {
-		attemptCtx, cancel := context.WithTimeout(ctx, readTimeout(ctx))
-		listing, err := b.store.ListNewest(attemptCtx, blobPartition(partition), after)
-		cancel()
+		listing, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Listing, error) {
+			return f.store.ListNewest(ctx, blobPartition(f.partition), after)
+		})
 		if err != nil {
 			return err
 		}
@@ -286,7 +454,7 @@
 func assemble(ref jobs.BlobRef, values map[string][]byte) ([]byte, bool) {
 	if ref.Records == 1 {
 		data, ok := values[ref.ChunkKey(0)]
-		return data, ok && len(data) == ref.Bytes
+		return data, ok && ref.Matches(data)
 	}
 	var data []byte
 	for i := range ref.Records {
@@ -296,18 +464,17 @@
 		}
 		data = append(data, chunk...)
 	}
-	return data, len(data) == ref.Bytes
+	return data, ref.Matches(data)
 }
 
-// fromCache returns a blob from the cache, or nil. The output of an unfinished run
-// is stored under one key as it grows, so the size must match the reference.
+// fromCache returns a blob from the cache, or nil. The data of a mutable blob may be other
+// than that of the reference. The caller holds mu.
 func (b *blobStore) fromCache(ref jobs.BlobRef) []byte {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if data := b.cache[ref.Key]; len(data) == ref.Bytes {
-		return data
+	data, ok := b.cache[ref.Key]
+	if !ok || !ref.Matches(data) {
+		return nil
 	}
-	return nil
+	return data
 }
 
 func (b *blobStore) addToCache(key string, data []byte) {
--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -29,9 +30,9 @@
 	result := jobs.Result{Item: "item-1"}
 	var refs []jobs.BlobRef
 	var writers []*blobStore
-	for _, text := range []string{"text of the first run", "text of the later run"} {
+	for _, text := range []string{"text of the 1st run", "text of the 2nd run"} {
 		b := newBlobStore(store, testRecordBytes, testAppendBytes)
-		key := outputKey(schedule.Commit{Job: "job-1", Result: result}, newRunner(nil, 1, 1).id)
+		key := outputKey(schedule.Commit{Job: "job-1", Result: result})
 		got, err := b.put(ctx, 1, []blob{{key: key, data: []byte(text)}})
 		must.NoError(t, err)
 		refs, writers = append(refs, got...), append(writers, b)
@@ -39,8 +40,95 @@
 	for _, b := range writers {
 		outputs, err := b.get(ctx, 1, refs)
 		must.NoError(t, err)
-		must.EqOp(t, "text of the first run", string(outputs[0]))
-		must.EqOp(t, "text of the later run", string(outputs[1]))
+		must.EqOp(t, "text of the 1st run", string(outputs[0]))
+		must.EqOp(t, "text of the 2nd run", string(outputs[1]))
+	}
+}
+
+// Guards against a committed output that cannot be read, or is read with the bytes of
+// another, because a second output of the item was stored and the log was compacted.
+func TestCommittedOutputOutlivesALaterOutputOfItsItem(t *testing.T) {
+	ctx := context.Background()
+	for _, later := range []string{"text B", "a longer text"} {
+		store := memlog.New(4)
+		b := newBlobStore(store, testRecordBytes, testAppendBytes)
+		refs, err := b.put(ctx, 1, []blob{{key: "t/job/item", data: []byte("text A")}})
+		must.NoError(t, err)
+		_, err = b.put(ctx, 1, []blob{{key: "t/job/item", data: []byte(later)}})
+		must.NoError(t, err)
+		store.Delete(blobPartition(1))
+		for _, reader := range []*blobStore{b, newBlobStore(store, testRecordBytes, testAppendBytes)} {
+			outputs, err := reader.get(ctx, 1, refs)
+			must.NoError(t, err)
+			must.EqOp(t, "text A", string(outputs[0]))
+		}
+	}
+}
+
+// Guards against a run that goes on from an older partial output than that of its
+// reference, because an append of it was carried out late.
+func TestLateAppendOfAPartialOutputIsNotUsed(t *testing.T) {
+	ctx := context.Background()
+	store := memlog.New(4)
+	b := newBlobStore(store, testRecordBytes, testAppendBytes)
+	attempts := 0
+	store.SetFault(func(call memlog.Call, _ logstore.Partition) memlog.Fault {
+		if attempts++; call == memlog.CallAppend && attempts == 1 {
+			return memlog.Delay
+		}
+		return memlog.None
+	})
+	_, err := b.put(ctx, 1, []blob{{key: "c/item", data: []byte("partial 1"), mutable: true}})
+	must.NoError(t, err)
+	refs, err := b.put(ctx, 1, []blob{{key: "c/item", data: []byte("partial 2"), mutable: true}})
+	must.NoError(t, err)
+	store.ReleaseDelayed()
+	read := func(b *blobStore) string {
+		outputs, err := b.get(ctx, 1, refs)
+		must.NoError(t, err)
+		return string(outputs[0])
+	}
+	must.EqOp(t, "partial 2", read(b))
+	must.EqOp(t, "partial 2", read(newBlobStore(store, testRecordBytes, testAppendBytes)))
+	store.Delete(blobPartition(1))
+	_, err = newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+	must.ErrorIs(t, err, errNoBlob)
+}
+
+// interruptedStore appends a record of another writer after each append.
+type interruptedStore struct{ *memlog.Store }
+
+func (s interruptedStore) Append(ctx context.Context, p logstore.Partition, records []logstore.Record, w *logstore.Writer) (int64, error) {
+	end, err := s.Store.Append(ctx, p, records, w)
+	if err == nil {
+		_, err = s.Store.Append(ctx, p, []logstore.Record{{Key: "other", Value: []byte("other")}}, nil)
+	}
+	return end, err
+}
+
+// Guards against wrong offsets after the first append of a batch that takes several.
+func TestOffsetsAreThoseOfTheBlob(t *testing.T) {
+	ctx := context.Background()
+	store := memlog.New(4)
+	var items []blob
+	for i, size := range []int{4000, 2000, 9000, 100} {
+		items = append(items, blob{key: fmt.Sprintf("t/%d", i), data: bytes.Repeat([]byte{byte('0' + i)}, size)})
+	}
+	refs := make([]jobs.BlobRef, len(items))
+	must.NoError(t, newBlobStore(interruptedStore{store}, testRecordBytes, testAppendBytes).putBatch(ctx, 1, items, refs))
+	must.EqOp(t, jobs.UnknownOffset, refs[2].Offset) // takes two appends
+	for i, ref := range refs {
+		if i == 2 {
+			continue
+		}
+		page, err := store.Read(ctx, blobPartition(1), ref.Offset, 1, 0)
+		must.NoError(t, err)
+		must.EqOp(t, ref.ChunkKey(0), page.Records[0].Key)
+	}
+	got, err := newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+	must.NoError(t, err)
+	for i, item := range items {
+		must.Eq(t, item.data, got[i])
 	}
 }
 
@@ -233,10 +321,124 @@
 	}
 }
 
+// Guards against reads at the offset of each output of a page after the log was
+// compacted: with a slow store, the time of a call is over before the outputs are read by
+// key.
+func TestDeletedOffsetsAreNotReadOneByOne(t *testing.T) {
+	ctx := context.Background()
+	store := memlog.New(4)
+	writer := newBlobStore(store, testRecordBytes, testAppendBytes)
+	const outputs = 200
+	var refs []jobs.BlobRef
+	for i := range outputs {
+		got, err := writer.put(ctx, 1, []blob{
+			{key: fmt.Sprintf("t/job-1/item-%d", i*7%outputs), data: fmt.Appendf(nil, "text %d", i)},
+			{key: fmt.Sprintf("t/other/item-%d", i), data: []byte("other")},
+		})
+		must.NoError(t, err)
+		refs = append(refs, got[0])
+	}
+	store.Delete(blobPartition(1))
+	var reads, listings atomic.Int32
+	store.SetFault(func(call memlog.Call, _ logstore.Partition) memlog.Fault {
+		switch call {
+		case memlog.CallRead:
+			reads.Add(1)
+		case memlog.CallNewest:
+			listings.Add(1)
+		}
+		return memlog.None
+	})
+	b := newBlobStore(store, testRecordBytes, testAppendBytes)
+	found, err := b.get(ctx, 1, refs)
+	must.NoError(t, err)
+	for i := range refs {
+		must.EqOp(t, fmt.Sprintf("text %d", i), string(found[i]))
+	}
+	must.LessEq(t, parallelReads, reads.Load())
+	must.LessEq(t, 2, listings.Load())
+	reads.Store(0)
+	b.cache = make(map[string][]byte)
+	_, err = b.get(ctx, 1, refs)
+	must.NoError(t, err)
+	must.EqOp(t, 0, reads.Load())
+}
+
+// Guards against repeated calls that each read the same blobs once more while the store is
+// slow, which makes it slower.
+func TestRepeatedCallsShareReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		store := &silentStore{Store: memlog.New(4)}
+		refs, err := newBlobStore(store, testRecordBytes, testAppendBytes).put(ctx, 1, []blob{{key: "t/a", data: []byte("text")}})
+		must.NoError(t, err)
+		b := newBlobStore(store, testRecordBytes, testAppendBytes)
+		store.delay = 1500 * time.Millisecond
+		const calls = 10
+		var arrived atomic.Int32
+		for range calls {
+			go func() {
+				callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+				defer cancel()
+				if _, err := b.get(callCtx, 1, refs); err == nil {
+					arrived.Add(1)
+				}
+			}()
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * callTimeout)
+		must.EqOp(t, calls-2, arrived.Load()) // two calls ended before the answer
+		must.LessEq(t, 2, store.reads.Load())
+		must.MapEmpty(t, b.fetches)
+	})
+}
+
+// Guards against a call that waits for the answer to a read that was lost, or gives up an
+// answer that arrives before the caller does.
+func TestReadsThatAreLateOrLostAreAnsweredWithinACall(t *testing.T) {
+	for name, store := range map[string]*silentStore{
+		"late": {delay: 1200 * time.Millisecond},
+		"lost": {lost: 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store.Store = memlog.New(4)
+			refs, err := newBlobStore(store, testRecordBytes, testAppendBytes).put(t.Context(), 1, []blob{{key: "t/a", data: []byte("text")}})
+			must.NoError(t, err)
+			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+			defer cancel()
+			outputs, err := newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
+			must.NoError(t, err, must.Sprint(name))
+			must.EqOp(t, "text", string(outputs[0]))
+			synctest.Wait()
+		})
+	}
+}
+
+// silentStore answers reads after a delay, and the first lost ones never.
+type silentStore struct {
+	*memlog.Store
+	delay time.Duration
+	lost  int32
+	reads atomic.Int32
+}
+
+func (s *silentStore) Read(ctx context.Context, p logstore.Partition, from int64, maxBytes int, wait time.Duration) (logstore.Page, error) {
+	if s.reads.Add(1) <= s.lost {
+		<-ctx.Done()
+		return logstore.Page{}, logstore.ErrOutcomeUnknown
+	}
+	select {
+	case <-time.After(s.delay):
+		return s.Store.Read(ctx, p, from, maxBytes, wait)
+	case <-ctx.Done():
+		return logstore.Page{}, logstore.ErrOutcomeUnknown
+	}
+}
+
 // Guards against one key for the outputs of two items whose IDs contain slashes.
 func TestOutputKeysOfIDsWithSlashesDiffer(t *testing.T) {
 	key := func(job, item string) string {
-		return outputKey(schedule.Commit{Job: job, Result: jobs.Result{Item: item}}, "1-a")
+		return outputKey(schedule.Commit{Job: job, Result: jobs.Result{Item: item}})
 	}
 	must.NotEq(t, key("a", "b/c"), key("a/b", "c"))
 }
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -237,8 +237,9 @@
 // the store again.
 func TestHostWithoutStoreRefusesImmediately(t *testing.T) {
 	c := newTestCluster(t, 2)
+	c.breaks = func(id string, _ int) bool { return id == "job-1-4" } // more results may follow
 	a, b := c.startHost("a"), c.startHost("b")
-	known, payloads := newJob("job-1", 4, 1)
+	known, payloads := newJob("job-1", 5, 1)
 	must.Nil(t, a.Submit(context.Background(), known, payloads))
 	c.collect(b, "job-1", 4)
 	b.view.setCut(true)
@@ -465,13 +466,14 @@
 	a.settings.Timing.JobRetention = 100 * time.Millisecond
 	first, payloads := newJob("job-1", 4, 1)
 	must.Nil(t, a.Submit(context.Background(), first, payloads))
+	stored := a.jobEntry("job-1")
 	results, outputs := c.collect(a, "job-1", 4)
 	second, more := newJob("job-2", 1, 1)
 	second.Items, more = append(first.Items, second.Items...), append(payloads, more...)
 	must.Nil(t, a.Submit(context.Background(), second, more))
 	reused, _ := c.collect(a, "job-2", 4)
 	must.EqOp(t, results[0].Output, reused[slices.IndexFunc(reused, func(r jobs.Result) bool { return r.Item == results[0].Item })].Output)
-	payload := jobs.BlobRef{Key: "b/job-1"}.ChunkKey(0)
+	payload := stored.Job.Payloads.ChunkKey(0)
 	c.waitUntil("the blobs of the first job are removed", func() bool {
 		listing, err := c.store.ListNewest(context.Background(), blobPartition(modelPartition(a)), "")
 		must.NoError(t, err)
@@ -617,3 +619,95 @@
 	must.Nil(t, refusal)
 	must.Positive(t, len(page.Results))
 }
+
+// Guards against results and bodies that no call ever returns, because each attempt
+// begins again with a read that takes longer than callers wait.
+func TestRepeatedReadsMakeProgressWhileTheStoreIsSlow(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	a.kill()
+	b := c.startHost("b")
+	blobs := blobPartition(modelPartition(b))
+	b.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p == blobs {
+			return callTimeout + 100*time.Millisecond
+		}
+		return 0
+	})
+	results, outputs := c.collect(b, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+	c.waitUntil("the body of an item arrives", func() bool {
+		body, found, refusal := b.ItemBody(context.Background(), "job-1", "job-1-3")
+		must.True(t, found || refusal != nil)
+		return string(body) == "body of job-1-3"
+	})
+}
+
+// Guards against a call that never learns whether a job exists, because it waits for
+// several answers of a slow store one after the other, each time anew.
+func TestUnknownJobIsDeniedWhileTheStoreIsSlow(t *testing.T) {
+	c := newTestCluster(t, 1)
+	a := c.startHost("a")
+	a.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p.Topic == topicWork {
+			return callTimeout * 6 / 10
+		}
+		return 0
+	})
+	c.waitUntil("the job is known not to exist", func() bool {
+		page, refusal := a.Results(context.Background(), "unknown", 0, 0)
+		must.Nil(t, page)
+		return refusal == nil
+	})
+}
+
+// Guards against a job whose end cannot be read while the store does not answer, or
+// answers late, although the host has all of its results.
+func TestEndOfACompleteJobNeedsNoStore(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	a.view.setCut(true)
+	c.waitUntil("the host notices that the store does not answer", a.follower(modelPartition(a)).StoreUnavailable)
+	page, refusal := a.Results(context.Background(), "job-1", 4, waitTimeout)
+	must.Nil(t, refusal)
+	must.EqOp(t, 4, page.Next)
+	must.SliceEmpty(t, page.Results)
+}
+
+// Guards against a first call that fails at each host, because it learns only from the
+// answer of a slow store that the outputs were deleted from the log.
+func TestStartedHostKnowsWhichOutputsAreDeleted(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	blobs := blobPartition(modelPartition(a))
+	c.store.Delete(blobs)
+	b := c.newEntryHost("b")
+	b.settings.Limits.CPUShare = 0.2 // it owns no partition, so it loads no jobs to run them
+	b.start(t.Context())
+	c.waitUntil("the host is ready", b.Ready)
+	c.waitUntil("the host knows that the outputs are deleted", func() bool {
+		b.blobs.mu.Lock()
+		defer b.blobs.mu.Unlock()
+		return b.blobs.retained[blobs.Number] > 0
+	})
+	b.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p == blobs {
+			return waitTimeout
+		}
+		return 0
+	})
+	page, refusal := b.Results(context.Background(), "job-1", 0, 0)
+	must.Nil(t, refusal)
+	must.SliceLen(t, 4, page.Results)
+	_, _, refusal = b.ItemBody(context.Background(), "job-1", "job-1-3")
+	must.Nil(t, refusal)
+}
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,10 +17,12 @@
 	// longPollTimeout is how long the store may hold a read open. It bounds the
 	// staleness of a partition to which nothing is appended.
 	longPollTimeout = 500 * time.Millisecond
-	// longPollMargin is the least time that a call gets beyond its long poll before it
-	// times out. It is well below 3 s, the time after an outage from which hosts
-	// count as reachable again.
+	// longPollMargin is the least time beyond its long poll after which a read is sent
+	// again, and lateMargin that after which it has failed: its response may be late or
+	// lost. Both are well below 3 s, the time after an outage from which hosts count as
+	// reachable again.
 	longPollMargin = 900 * time.Millisecond
+	lateMargin     = 1400 * time.Millisecond
 	// readRetryPause is the pause after a failed read.
 	readRetryPause = 150 * time.Millisecond
 	// outageThreshold is the time without a response after which the store counts
@@ -119,7 +122,7 @@
 	}
 	f.patient = true
 	go func() {
-		err := f.read(ctx, 0, patientTimeout)
+		err := f.read(ctx, 0, patientTimeout, patientTimeout)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.patient = false
@@ -143,15 +146,17 @@
 	f.mu.Unlock()
 	switch {
 	case !synced:
-		return f.read(ctx, 0, pace.pageTimeout())
+		return f.read(ctx, 0, pace.pageTimeout(), pace.pageTimeout())
 	case unavailable:
-		return f.read(ctx, 0, pace.outageTimeout())
+		return f.read(ctx, 0, pace.outageTimeout(), pace.outageTimeout())
 	}
-	return f.read(ctx, wait, wait+pace.margin())
+	margin := pace.margin()
+	return f.read(ctx, wait, wait+margin, wait+max(margin, lateMargin))
 }
 
-// read is step with a timeout. wait is how long the store may hold the read open.
-func (f *Follower) read(ctx context.Context, wait, timeout time.Duration) error {
+// read is step with times. wait is how long the store may hold the read open, resend the
+// time after which the read is sent a second time.
+func (f *Follower) read(ctx context.Context, wait, resend, timeout time.Duration) error {
 	f.mu.Lock()
 	synced, fromLog, from, size := f.synced, f.fromLog, f.nextOffset, f.pacing.readBytes
 	f.reads++
@@ -162,8 +167,17 @@
 	if !synced && !fromLog {
 		return f.list(ctx, read)
 	}
-	sent, began := f.now(), time.Now()
-	page, err := f.store.Read(ctx, f.partition, from, size, wait)
+	var attempts atomic.Int32
+	answered, err := Hedge(ctx, resend, func(ctx context.Context) (a answeredRead, err error) {
+		a.sent = f.now()
+		if attempts.Add(1) == 1 {
+			a.wait = wait
+		}
+		began := time.Now()
+		a.page, err = f.store.Read(ctx, f.partition, from, size, a.wait)
+		a.latency = time.Since(began) - a.wait
+		return a, err
+	})
 	if errors.Is(err, ErrDeleted) {
 		klog.InfoS("records to read next were deleted, listing the partition", "partition", f.partition, "offset", from)
 		f.mu.Lock()
@@ -176,11 +190,19 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pacing.answered(time.Since(began) - wait)
-	f.applyPage(page, read, sent, wait)
+	f.pacing.answered(answered.latency)
+	f.applyPage(answered.page, read, answered.sent, answered.wait)
 	return nil
 }
 
+// answeredRead is an answer to a read, and when and with which long poll it was sent.
+type answeredRead struct {
+	page    Page
+	sent    time.Time
+	wait    time.Duration
+	latency time.Duration // time until the answer beyond the long poll
+}
+
 // errNoEnd reports a first page that broke off: without the end that it reports, the
 // follower does not know from which offset on to read the log.
 var errNoEnd = errors.New("first page of the listing broke off")
@@ -188,7 +210,7 @@
 // list reads the next page of the listing and, after the last one, delivers the
 // listing. Pages already read are retained when a later one fails.
 func (f *Follower) list(ctx context.Context, read int64) error {
-	sent := f.now()
+	sent, began := f.now(), time.Now()
 	f.mu.Lock()
 	after := f.listAfter
 	f.mu.Unlock()
@@ -208,6 +230,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
+	f.pacing.answered(time.Since(began))
 	if page.Truncated {
 		f.pacing.failed()
 	} else {
