--- a/internal/logstore/group.go
+++ b/internal/logstore/group.go
@@ -73,7 +73,7 @@
 	defer cancel()
 	sent := g.now()
 	assignment, err := g.store.Join(ctx, m)
-	g.unanswered.Store(err != nil)
+	g.unanswered.Store(err != nil || g.now().Sub(sent) > timeout/2)
 	if err != nil {
 		klog.V(1).InfoS("could not renew group membership", "group", m.Group, "err", err)
 		if !g.valid() {
