--- a/internal/logstore/pacing.go
+++ b/internal/logstore/pacing.go
@@ -67,7 +67,7 @@
 
 // margin returns the time that a read gets beyond the time that the store is asked to wait.
 func (p *pacing) margin() time.Duration {
-	return min(max(2*p.latency, longPollMargin), patientTimeout)
+	return min(max(2*p.latency, longPollMargin), patientTimeout-longPollTimeout)
 }
 
 // outageTimeout returns the timeout of a read while the store is unavailable.
