--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -98,7 +98,9 @@
 		switch {
 		case err != nil:
 			f.recordFailure(err)
-			f.readPatiently(ctx)
+			if !errors.Is(err, ErrUnavailable) {
+				f.readPatiently(ctx)
+			}
 			sleep(ctx, readRetryPause)
 		case listing && f.yields != nil && f.yields():
 			pause := yieldPause(time.Since(began), yielded)
@@ -181,7 +183,9 @@
 	if errors.Is(err, ErrDeleted) {
 		klog.InfoS("records to read next were deleted, listing the partition", "partition", f.partition, "offset", from)
 		f.mu.Lock()
-		f.synced, f.fromLog = false, false
+		if from == f.nextOffset {
+			f.synced, f.fromLog = false, false
+		}
 		f.mu.Unlock()
 		return nil
 	}
