Begin appends with the time that the store is known to need

With batches of 256 KB, as they are since, 224 results of 8 KB took 36.5 s.

A store remembers how long its last append took, or took at least, and the first attempt of the next one has twice that. Batches grow with the time for an append of few bytes.

--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -215,6 +215,8 @@
 	*memlog.Store
 	mu  sync.Mutex
 	cut bool
+	// latency is how long each call takes in addition.
+	latency time.Duration
 	// slow returns how long a read takes in addition; nil adds nothing.
 	slow func(p logstore.Partition, from int64) time.Duration
 }
@@ -231,21 +233,41 @@
 	v.cut = cut
 }
 
-// waitIfCut returns nil immediately unless the view is cut. Otherwise it blocks until
+func (v *storeView) setLatency(latency time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.latency = latency
+}
+
+// waitIfCut waits for the latency unless the view is cut. Otherwise it blocks until
 // ctx ends, as a call to a store that does not answer would.
 func (v *storeView) waitIfCut(ctx context.Context) error {
 	v.mu.Lock()
-	cut := v.cut
+	cut, latency := v.cut, v.latency
 	v.mu.Unlock()
+	if !cut && latency == 0 {
+		return nil
+	}
+	var answered <-chan time.Time // never, if cut
 	if !cut {
+		answered = time.After(latency)
+	}
+	select {
+	case <-answered:
 		return nil
+	case <-ctx.Done():
+		return logstore.ErrOutcomeUnknown
 	}
-	<-ctx.Done()
-	return logstore.ErrOutcomeUnknown
 }
 
 func (v *storeView) Append(ctx context.Context, p logstore.Partition, records []logstore.Record, w *logstore.Writer) (int64, error) {
 	if err := v.waitIfCut(ctx); err != nil {
+		v.mu.Lock()
+		late := !v.cut
+		v.mu.Unlock()
+		if late { // a slow store carries out what it received
+			_, _ = v.Store.Append(context.WithoutCancel(ctx), p, records, w)
+		}
 		return 0, err
 	}
 	return v.Store.Append(ctx, p, records, w)
@@ -282,6 +304,13 @@
 	return v.Store.Join(ctx, m)
 }
 
+func (v *storeView) Owners(ctx context.Context, group, topic string) (map[int]string, error) {
+	if err := v.waitIfCut(ctx); err != nil {
+		return nil, err
+	}
+	return v.Store.Owners(ctx, group, topic)
+}
+
 func decodeOperator(r logstore.Record) deployment.Change {
 	if r.Key == "config" {
 		c := &deployment.Config{}
--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -100,10 +100,21 @@
 	return len(r.pendingCommits) == 0 && len(r.pendingRecords) == 0 && len(r.pendingPartials) == 0
 }
 
-// maxBatchBytes bounds the outputs that one batch stores. The largest append of the store
-// takes 0.2 s on an idle host; a slow host did not complete it before its timeout, and
-// sent all of it again.
-const maxBatchBytes = 256 << 10
+const (
+	// minBatchBytes bounds the outputs that one batch stores while the store answers
+	// soon. The largest append of the store takes 0.2 s on an idle host; a slow host did
+	// not complete it before its timeout, and sent all of it again.
+	minBatchBytes = 256 << 10
+	// batchLatency is the time for an append of few bytes up to which batches are not
+	// larger. Above it, the time of a batch is mostly that of its two answers.
+	batchLatency = 100 * time.Millisecond
+)
+
+// batchBytes returns the bound on the outputs of a batch for a store that takes some time
+// for an append of few bytes, and takes up to maxAppend bytes at once.
+func batchBytes(latency time.Duration, maxAppend int) int {
+	return max(min(int(minBatchBytes*latency.Seconds()/batchLatency.Seconds()), maxAppend), minBatchBytes)
+}
 
 // appendBatch is what one pass of appendLoop appends.
 type appendBatch struct {
@@ -118,22 +129,23 @@
 func (r *runner) takeBatch() appendBatch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	limit := batchBytes(r.host.store.Small(), r.host.settings.Platform.Store.AppendBytes)
 	var b appendBatch
-	b.commits, r.pendingCommits = splitBatch(r.pendingCommits, func(c schedule.Commit) int { return len(c.Output) })
+	b.commits, r.pendingCommits = splitBatch(r.pendingCommits, limit, func(c schedule.Commit) int { return len(c.Output) })
 	b.records, r.pendingRecords = r.pendingRecords, nil
 	b.waiters, r.waiters = r.waiters, nil
 	if len(b.commits) == 0 && len(b.records) == 0 {
-		b.partials, r.pendingPartials = splitBatch(r.pendingPartials, partialSize)
+		b.partials, r.pendingPartials = splitBatch(r.pendingPartials, limit, partialSize)
 	}
 	return b
 }
 
-// splitBatch splits items after those that fit into maxBatchBytes, and at least one.
-func splitBatch[T any](items []T, size func(T) int) (batch, rest []T) {
+// splitBatch splits items after those that fit into limit bytes, and at least one.
+func splitBatch[T any](items []T, limit int, size func(T) int) (batch, rest []T) {
 	total := 0
 	for i, item := range items {
 		total += size(item)
-		if i > 0 && total > maxBatchBytes {
+		if i > 0 && total > limit {
 			return items[:i:i], items[i:]
 		}
 	}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -87,7 +87,7 @@
 // Host is one entry host.
 type Host struct {
 	settings settings.Settings
-	store    logstore.Store
+	store    *meteredStore
 	backends Backends
 	feeds    Feeds
 	recorder *telemetry.Recorder
@@ -135,9 +135,9 @@
 
 // New returns a host that is not running yet.
 func New(s settings.Settings, store logstore.Store, backends Backends, feeds Feeds, peers limits.Peers, recorder *telemetry.Recorder) *Host {
-	store = &meteredStore{Store: store, recorder: recorder}
+	metered := &meteredStore{Store: store, recorder: recorder}
 	h := &Host{
-		settings: s, store: store, backends: backends, feeds: feeds, recorder: recorder,
+		settings: s, store: metered, backends: backends, feeds: feeds, recorder: recorder,
 		member: s.Host.ID + "-" + uuid.NewString()[:8],
 		state:  deployment.NewState(), jobs: jobs.NewTable(), placements: make(map[string]*placement),
 		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), durations: drain.NewDurations(),
@@ -151,9 +151,9 @@
 	h.limits = limits.New(h.member, (*limitDirectory)(h), peers, recorder)
 	backends.ObserveLimits(h.observeLimit)
 	backends.ObserveLeaving(h.observeLeaving)
-	h.blobs = newBlobStore(store, s.Platform.Store.RecordBytes, s.Platform.Store.AppendBytes)
-	h.operatorFollower = logstore.NewFollower(store, feeds.Operators.Partition, h.applyOperators)
-	h.serverFollower = logstore.NewFollower(store, feeds.Servers.Partition, h.applyServers)
+	h.blobs = newBlobStore(metered, s.Platform.Store.RecordBytes, s.Platform.Store.AppendBytes)
+	h.operatorFollower = logstore.NewFollower(metered, feeds.Operators.Partition, h.applyOperators)
+	h.serverFollower = logstore.NewFollower(metered, feeds.Servers.Partition, h.applyServers)
 	return h
 }
 
--- a/internal/fronthost/metered.go
+++ b/internal/fronthost/metered.go
@@ -13,6 +13,7 @@
 // Owners and Leave.
 type meteredStore struct {
 	logstore.Store
+	logstore.AppendLatency
 	recorder *telemetry.Recorder
 }
 
--- a/internal/logstore/start_test.go
+++ b/internal/logstore/start_test.go
@@ -195,6 +195,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowStore{Store: memlog.New(4), latency: 1200 * time.Millisecond}
 		g := logstore.NewGroup(store, logstore.Membership{Group: "group", Member: "a", Topic: "topic", TTL: 1500 * time.Millisecond}, func() {})
+		g.SetClock(time.Now)
 		ctx, cancel := context.WithCancel(t.Context())
 		go g.Run(ctx)
 		time.Sleep(5 * time.Second)
--- a/internal/logstore/writer.go
+++ b/internal/logstore/writer.go
@@ -10,10 +10,10 @@
 
 // Timeouts of appends.
 const (
-	// firstAppendTimeout bounds the first attempt of an append. A healthy store
-	// answers within tens of milliseconds, a slow one within a few hundred, and a
-	// longer wait does not recover a lost response. The timeout doubles with each
-	// attempt, up to maxAppendTimeout.
+	// firstAppendTimeout bounds the first attempt of an append to a store that is not
+	// known to be slow (AppendLatency). A healthy store answers within tens of
+	// milliseconds, and a longer wait does not recover a lost response. The timeout
+	// doubles with each attempt, up to maxAppendTimeout.
 	firstAppendTimeout = 400 * time.Millisecond
 	// maxAppendTimeout exceeds the queueing delay of 2 s at which the store
 	// refuses appends.
@@ -30,13 +30,14 @@
 	store     Store
 	partition Partition
 	writer    Writer
+	latency   *AppendLatency
 	appended  bool     // an append under this epoch succeeded
 	unsettled []Record // records of an append whose outcome is unknown
 }
 
 // NewFencedWriter returns a writer that must be opened before its first append.
 func NewFencedWriter(store Store, p Partition, name string, epoch int64) *FencedWriter {
-	return &FencedWriter{store: store, partition: p, writer: Writer{Name: name, Epoch: epoch}}
+	return &FencedWriter{store: store, partition: p, latency: latencyOf(store), writer: Writer{Name: name, Epoch: epoch}}
 }
 
 // Open registers the epoch and returns the end of the partition at that time: no
@@ -49,7 +50,7 @@
 			return 0, err
 		}
 	}
-	err = w.retry(ctx, func(ctx context.Context) (err error) {
+	err = w.retry(ctx, 0, func(ctx context.Context) (err error) {
 		end, err = w.store.Append(ctx, w.partition, nil, &w.writer)
 		return err
 	})
@@ -66,7 +67,7 @@
 
 // send appends records under the current sequence number.
 func (w *FencedWriter) send(ctx context.Context, records []Record) error {
-	err := w.retry(ctx, func(ctx context.Context) error {
+	err := w.retry(ctx, sizeOf(records), func(ctx context.Context) error {
 		_, err := w.store.Append(ctx, w.partition, records, &w.writer)
 		var sequence *SequenceError
 		switch {
@@ -92,9 +93,9 @@
 	return err
 }
 
-func (w *FencedWriter) retry(ctx context.Context, call func(context.Context) error) error {
-	for timeout := firstAppendTimeout; ; timeout = nextTimeout(timeout) {
-		err := callWithTimeout(ctx, timeout, call)
+func (w *FencedWriter) retry(ctx context.Context, bytes int, call func(context.Context) error) error {
+	for timeout := w.latency.firstTimeout(); ; timeout = nextTimeout(timeout) {
+		err := w.latency.call(ctx, timeout, bytes, call)
 		var sequence *SequenceError
 		switch {
 		case err == nil, errors.Is(err, ErrFenced), errors.As(err, &sequence):
@@ -113,9 +114,10 @@
 // has taken effect or still can.
 func AppendUnfenced(ctx context.Context, store Store, p Partition, records []Record) (int64, error) {
 	uncertain := false
-	for timeout := firstAppendTimeout; ; timeout = nextTimeout(timeout) {
+	latency := latencyOf(store)
+	for timeout := latency.firstTimeout(); ; timeout = nextTimeout(timeout) {
 		var end int64
-		err := callWithTimeout(ctx, timeout, func(ctx context.Context) (err error) {
+		err := latency.call(ctx, timeout, sizeOf(records), func(ctx context.Context) (err error) {
 			end, err = store.Append(ctx, p, records, nil)
 			return err
 		})
@@ -139,8 +141,17 @@
 // nextTimeout returns the timeout of the attempt after one with the given timeout.
 func nextTimeout(timeout time.Duration) time.Duration { return min(2*timeout, maxAppendTimeout) }
 
-func callWithTimeout(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
+// call makes one attempt of an append of some bytes and records how long it took.
+func (l *AppendLatency) call(ctx context.Context, timeout time.Duration, bytes int, attempt func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return call(ctx)
+	began := time.Now()
+	err := attempt(ctx)
+	switch {
+	case err == nil:
+		l.answered(time.Since(began), bytes)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		l.timedOut(time.Since(began))
+	}
+	return err
 }
