Give the owners of partitions time to be read from a slow store

Small hosts never joined the group, also without large hosts, while the store answered after more than 1 s: TestSmallHostJoinsOnASlowStore failed after 20 s.

--- a/internal/fronthost/ownership.go
+++ b/internal/fronthost/ownership.go
@@ -42,6 +42,9 @@
 	// ownerCheckInterval is the interval at which small hosts read the owners of
 	// partitions.
 	ownerCheckInterval = time.Second
+	// ownersTimeout bounds a read of the owners. A store that is slow answers later than
+	// the next check is due.
+	ownersTimeout = 2500 * time.Millisecond
 	// vacantChecks is the number of consecutive checks that must find a vacant
 	// partition before a small host joins. A member whose membership expires only
 	// briefly owns its partitions again at the next check.
@@ -65,7 +68,7 @@
 			return
 		case <-ticker.C:
 		}
-		callCtx, cancel := context.WithTimeout(ctx, ownerCheckInterval)
+		callCtx, cancel := context.WithTimeout(ctx, ownersTimeout)
 		owners, err := h.store.Owners(callCtx, partitionGroup, topicWork)
 		cancel()
 		if err != nil {
