Read the outputs that a page begins with first

Reads begin in the order in which a page needs them, 32 at a time, and a page that has waited for its first output waits 0.1 s more for those of the same round.

Before, TestFirstOutputOfAPageIsReadFirst and TestScatteredResultsOfASlowStoreAreReadInTime failed.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -30,9 +30,13 @@
 	// blobOverhead is the space, in bytes, that is reserved in a record for the key
 	// and its framing.
 	blobOverhead = 512
-	// parallelReads bounds the concurrent reads of one call. Outputs that were
-	// stored at different times need one read each, which takes about 5 ms.
-	parallelReads = 8
+	// parallelReads bounds the concurrent reads of one call. Outputs that were stored at
+	// different times need one read each, and a slow store has time for one round of them
+	// in a call.
+	parallelReads = 32
+	// roundTime is how long a call waits for the other reads of a round after the answer
+	// to the first.
+	roundTime = 100 * time.Millisecond
 	// blobReadRetry is the time after which a read, which usually takes a few
 	// milliseconds, is sent again. Calls with more time wait for half of it.
 	blobReadRetry = 800 * time.Millisecond
@@ -141,7 +145,7 @@
 }
 
 // getSome is get for a caller that can do with the first blob: when patience ends, it
-// waits for no other. Reads that are under way go on, so that a repeated call finds in the
+// waits for no other, except for those that are read in the same round. Reads that are under way go on, so that a repeated call finds in the
 // cache what they return, or waits for them.
 func (b *blobStore) getSome(ctx, patience context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
 	found := make([][]byte, len(refs))
@@ -173,6 +177,11 @@
 			until = ctx
 		}
 		data, err := blob.wait(until)
+		if i == 0 && patience.Err() != nil {
+			round, cancel := context.WithTimeout(ctx, roundTime)
+			defer cancel()
+			patience = round
+		}
 		found[i] = data
 		if failed == nil {
 			failed = err
@@ -181,6 +190,13 @@
 	return found, failed
 }
 
+// isCached reports whether a blob can be returned without the store.
+func (b *blobStore) isCached(ref jobs.BlobRef) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return ref.Bytes == 0 || b.fromCache(ref) != nil
+}
+
 // fetch reads blobs that are not in the cache.
 type fetch struct {
 	*blobStore
@@ -245,15 +261,11 @@
 
 // run reads the blobs by offset, and then by key those that are not at their offsets.
 func (f *fetch) run(ctx context.Context) {
-	sorted := slices.SortedStableFunc(slices.Values(f.blobs), func(x, y *fetchedBlob) int { return cmp.Compare(x.ref.Offset, y.ref.Offset) })
 	var mu sync.Mutex
 	byKey := make(map[*fetchedBlob]bool)
 	var reads errgroup.Group
 	reads.SetLimit(parallelReads)
-	for len(sorted) > 0 {
-		n := contiguousCount(sorted)
-		contiguous := sorted[:n]
-		sorted = sorted[n:]
+	for _, contiguous := range f.contiguous() {
 		reads.Go(func() error {
 			elsewhere := f.readContiguous(ctx, contiguous)
 			mu.Lock()
@@ -268,6 +280,31 @@
 	f.readByKey(ctx, slices.DeleteFunc(slices.Clone(f.blobs), func(blob *fetchedBlob) bool { return !byKey[blob] }))
 }
 
+// contiguous returns the blobs in groups that a single read each can return, in the order
+// in which they are needed.
+func (f *fetch) contiguous() [][]*fetchedBlob {
+	position := make(map[*fetchedBlob]int, len(f.blobs))
+	for i, blob := range f.blobs {
+		position[blob] = i
+	}
+	sorted := slices.SortedStableFunc(slices.Values(f.blobs), func(x, y *fetchedBlob) int { return cmp.Compare(x.ref.Offset, y.ref.Offset) })
+	var groups [][]*fetchedBlob
+	needed := make(map[*fetchedBlob]int) // position of the group's first blob, by the first of the group
+	for len(sorted) > 0 {
+		n := contiguousCount(sorted)
+		group := sorted[:n:n]
+		sorted = sorted[n:]
+		first := position[group[0]]
+		for _, blob := range group {
+			first = min(first, position[blob])
+		}
+		needed[group[0]] = first
+		groups = append(groups, group)
+	}
+	slices.SortFunc(groups, func(x, y []*fetchedBlob) int { return cmp.Compare(needed[x[0]], needed[y[0]]) })
+	return groups
+}
+
 // contiguousCount returns how many of the blobs, sorted by offset, a single read
 // can return.
 func contiguousCount(sorted []*fetchedBlob) int {
