Find out in the background which partitions hold jobs

The host checks them from its start on, until the store has answered; submissions wait 0.7 s for it. Before, TestSubmissionsToASlowStoreSucceed failed in both of its cases.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -105,7 +105,7 @@
 
 	baseCtx  context.Context // cancelled when the process ends; runs derive from it
 	draining atomic.Bool
-	surveyed atomic.Bool // all job partitions were checked for records
+	surveyed chan struct{} // closed when all job partitions were checked for records
 	active   httpapi.ActiveConns
 	jobCalls callStats
 	// window is the time that the host has for requests, or nil while it is not stopping.
@@ -144,6 +144,7 @@
 		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastTenures: make(map[int]*tenure), skipped: make(skippedRecords),
 	}
 	h.keepUp, h.behind = keepup.Defaults(), make(chan struct{}, 1)
+	h.surveyed = make(chan struct{})
 	h.serving, h.stopServing = context.WithCancel(context.Background())
 	if h.isSmall() {
 		h.member = s.Host.ID + smallMarker + uuid.NewString()[:8]
@@ -183,6 +184,7 @@
 	go h.watchAssignments(ctx, changed)
 	go every(ctx, assignedCheckInterval, func() { h.followAssigned(ctx) })
 	go every(ctx, housekeepingInterval, h.removeServers)
+	go h.survey(ctx)
 	go h.watchReadiness(ctx, time.Now())
 }
 
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -125,16 +125,15 @@
 // configuration selects for none of its models. A submission that is repeated after a
 // change of the configuration must not be accepted a second time.
 func (h *Host) isInFormerPartition(ctx context.Context, id string) (bool, *Refusal) {
-	if !h.surveyed.Load() {
-		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-		defer cancel()
-		if err := h.followWritten(ctx); err != nil {
-			h.recorder.RecordDecision("job-uncertain", id, "err", err.Error())
-			refusal := notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say which partitions hold jobs")
-			refusal.RetryAfter = storeRetryAfter
-			return false, refusal
-		}
-		h.surveyed.Store(true)
+	select {
+	case <-h.surveyed:
+	case <-time.After(confirmTimeout):
+		h.recorder.RecordDecision("job-uncertain", id, "err", "the partitions that hold jobs are not known yet")
+		refusal := notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say which partitions hold jobs")
+		refusal.RetryAfter = storeRetryAfter
+		return false, refusal
+	case <-ctx.Done():
+		return false, notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say which partitions hold jobs")
 	}
 	present := h.modelPartitions(h.Config())
 	h.mu.Lock()
@@ -148,6 +147,32 @@
 	return h.jobEntry(id) != nil, nil
 }
 
+// surveyTimeout bounds one attempt to find out which partitions hold jobs.
+const surveyTimeout = 3 * time.Second
+
+// survey follows the partitions that hold jobs at the start of the host. Submissions wait
+// for it. It goes on until the store has answered, because a submission that began it anew
+// would never see its end while the store is slow.
+func (h *Host) survey(ctx context.Context) {
+	for ctx.Err() == nil {
+		attemptCtx, cancel := context.WithTimeout(ctx, surveyTimeout)
+		err := h.followWritten(attemptCtx)
+		cancel()
+		if err == nil {
+			close(h.surveyed)
+			return
+		}
+		klog.InfoS("partitions that hold jobs are not known yet", "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(surveyRetry):
+		}
+	}
+}
+
+// surveyRetry is the pause after a failed survey.
+const surveyRetry = 200 * time.Millisecond
+
 // storeUnavailableRefusal refuses a call immediately while the store is unavailable
 // to this host. Other hosts may reach the store.
 func storeUnavailableRefusal() *Refusal {
