Refuse calls that need outputs at once while the store is away

A call on the results or on a body of a known job that is not in the cache was held for 1.35 s and its wait, since the reads of outputs had got a budget of their own, although no read of any partition was answered. Where some partitions still answer, the read is tried, because the outage of one does not concern the blobs.

--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -298,6 +298,13 @@
 	return cmp.Or(reads.Wait(), err)
 }
 
+// storeIsAway reports whether the store answers no read of any partition. An outage of some
+// partitions does not prevent the read of a blob.
+func (h *Host) storeIsAway() bool {
+	followers := append(h.allFollowers(), h.operatorFollower, h.serverFollower)
+	return !slices.ContainsFunc(followers, func(f *logstore.Follower) bool { return !f.StoreUnavailable() })
+}
+
 func (h *Host) allFollowers() []*logstore.Follower {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -408,6 +415,9 @@
 	for i, r := range page.Results {
 		refs[i] = r.Output
 	}
+	if !h.blobs.isCached(refs[0]) && h.storeIsAway() {
+		return nil, storeUnavailableRefusal().withCause(causeOutage)
+	}
 	patience, cancel := context.WithTimeout(ctx, pagePatience)
 	defer cancel()
 	outputs, err := h.blobs.getSome(ctx, patience, e.Partition, refs)
@@ -450,6 +460,9 @@
 	if i < 0 {
 		return nil, false, nil
 	}
+	if !h.blobs.isCached(e.Job.Payloads) && h.storeIsAway() {
+		return nil, false, storeUnavailableRefusal().withCause(causeOutage)
+	}
 	payloads, err := h.readPayloads(ctx, e)
 	if err != nil {
 		h.recorder.RecordDecision("body-unavailable", item, "job", job, "cause", blobCause(err), "err", err.Error())
