End a drain earlier on a host with little processor time

Callers saw: a process that was killed while it still answered. Cause: the end of a drain is counted from the handling of the signal, and each step from there to the exit is late on a host with little processor time. Fix: the mean lateness of the drain's polls, times the steps until the exit, is left at the end. A form with the largest recent lateness gave up a request after a single pause in a test and was dropped.

--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -77,3 +77,33 @@
 	}
 	d.current, d.periodStart = make(map[string]time.Duration), now
 }
+
+// Pace estimates how late the steps of a stopping host usually are, because it gets little
+// processor time. The zero value is a host on time.
+type Pace struct{ late time.Duration }
+
+const (
+	// lateSteps is the number of steps between a stop signal and the end of a process,
+	// each of which can be late: the handling of the signal, the end of the drain, the end
+	// of what is in flight, the last responses, the closing of connections and the last log
+	// lines.
+	lateSteps = 6
+	// spareTime is the part of that delay for which the time after a drain has room.
+	spareTime = 200 * time.Millisecond
+	// maxAllowance bounds the time that a slow host does not use for requests.
+	maxAllowance = 2 * time.Second
+	// lateWeight is the weight of an observation in the mean. A host that is slow is late
+	// at every step; a single pause does not end requests.
+	lateWeight = 0.1
+)
+
+// Observe records how much later than intended a step was.
+func (p *Pace) Observe(late time.Duration) {
+	p.late += time.Duration(lateWeight * float64(late-p.late))
+}
+
+// Allowance returns by how much a drain should end earlier, so that the process ends in
+// time.
+func (p *Pace) Allowance() time.Duration {
+	return min(max(lateSteps*p.late-spareTime, 0), maxAllowance)
+}
--- a/internal/core/drain/drain_test.go
+++ b/internal/core/drain/drain_test.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -47,3 +48,20 @@
 	must.EqOp(t, time.Second, d.Longest("a", start.Add(2*durationPeriod)))
 	must.EqOp(t, 0, d.Longest("a", start.Add(5*durationPeriod)))
 }
+
+// Guards against a slow host that outlasts its grace period, and against one that gives up
+// requests because of a single pause.
+func TestAllowanceFollowsThePaceOfTheHost(t *testing.T) {
+	observed := func(late ...time.Duration) time.Duration {
+		var p Pace
+		for _, l := range late {
+			p.Observe(l)
+		}
+		return p.Allowance()
+	}
+	must.EqOp(t, 0, observed())
+	must.EqOp(t, 0, observed(300*time.Millisecond))
+	must.Between(t, 350*time.Millisecond, observed(slices.Repeat([]time.Duration{100 * time.Millisecond}, 50)...), 400*time.Millisecond)
+	must.EqOp(t, 0, observed(slices.Repeat([]time.Duration{30 * time.Millisecond}, 50)...))
+	must.EqOp(t, maxAllowance, observed(time.Minute))
+}
--- a/internal/fronthost/drain.go
+++ b/internal/fronthost/drain.go
@@ -84,8 +84,9 @@
 	h.window.Store(&window)
 	h.draining.Store(true)
 	go h.releasePartitions()
-	idleSince := started
-	for now := started; now.Before(window.End); now = time.Now() {
+	var pace drain.Pace
+	idleSince, end := started, window.End
+	for now := started; now.Before(end); now = time.Now() {
 		if h.active.Count() > 0 {
 			idleSince = now
 		}
@@ -93,14 +94,17 @@
 			break
 		}
 		time.Sleep(drainPoll)
+		pace.Observe(time.Since(now) - drainPoll)
+		end = window.End.Add(-pace.Allowance())
+		h.window.Store(&drain.Window{NoticeEnd: window.NoticeEnd, End: end})
 	}
 	// A request that arrives from here on is refused, so the connections can be closed
 	// once the requests that arrived before have been answered.
 	closed := drain.Closed()
 	h.window.Store(&closed)
-	h.awaitResponses(window.End)
+	h.awaitResponses(end)
 	if left := h.active.Count(); left > 0 {
-		klog.InfoS("requests in flight at the end of the grace period end with a failure", "host", h.settings.Host.ID, "in_flight", left, "longest", h.active.Longest(maxLoggedConns))
+		klog.InfoS("requests in flight at the end of the grace period end with a failure", "host", h.settings.Host.ID, "in_flight", left, "allowance", pace.Allowance(), "longest", h.active.Longest(maxLoggedConns))
 		h.stopServing()
 		h.awaitResponses(time.Now().Add(finalResponseTime))
 	}
