Run two tests of host responses on a simulated clock

TestRequestOverLimitIsRefusedAtOnce (bound 200 ms) and TestScatteredOutputsAreReadInParallel measured on the real clock what a host does with timers, as the tests did that failed beside load. Bounds and assertions are the same.

--- a/internal/fronthost/blobs_test.go
+++ b/internal/fronthost/blobs_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -58,21 +59,23 @@
 // results of a page were stored at different times, between outputs of other runs, so
 // each output needs a read of its own.
 func TestScatteredOutputsAreReadInParallel(t *testing.T) {
-	ctx := context.Background()
-	store := slowStore{memlog.New(4)}
-	writer := newBlobStore(store, testRecordBytes, testAppendBytes)
-	const scattered = 24
-	var refs []jobs.BlobRef
-	for i := range scattered {
-		got, err := writer.put(ctx, 1, []blob{{key: fmt.Sprintf("text-%d", i), data: []byte("text")}, {key: fmt.Sprintf("other-%d", i), data: []byte("other")}})
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		store := slowStore{memlog.New(4)}
+		writer := newBlobStore(store, testRecordBytes, testAppendBytes)
+		const scattered = 24
+		var refs []jobs.BlobRef
+		for i := range scattered {
+			got, err := writer.put(ctx, 1, []blob{{key: fmt.Sprintf("text-%d", i), data: []byte("text")}, {key: fmt.Sprintf("other-%d", i), data: []byte("other")}})
+			must.NoError(t, err)
+			refs = append(refs, got[0])
+		}
+		began := time.Now()
+		outputs, err := newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
 		must.NoError(t, err)
-		refs = append(refs, got[0])
-	}
-	began := time.Now()
-	outputs, err := newBlobStore(store, testRecordBytes, testAppendBytes).get(ctx, 1, refs)
-	must.NoError(t, err)
-	must.SliceLen(t, scattered, outputs)
-	must.Less(t, scattered*slowRead/2, time.Since(began))
+		must.SliceLen(t, scattered, outputs)
+		must.Less(t, scattered*slowRead/2, time.Since(began))
+	})
 }
 
 // Guards against incomplete reads of blobs that span several records, and of blobs
--- a/internal/fronthost/limits_test.go
+++ b/internal/fronthost/limits_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -302,27 +303,32 @@
 // Guards against a request that waits although it is known that it cannot be served in
 // time, and against a refusal that does not say when to return.
 func TestRequestOverLimitIsRefusedAtOnce(t *testing.T) {
-	c, hosts := newLimitedCluster(t)
-	callPages(hosts, 30, time.Second)
-	request := &backend.Request{ID: "page", Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}
-	route := hosts[0].Config().Match(testHost, "/pages/x")
-	refused := 0
-	for range 20 {
-		began := time.Now()
-		_, refusal := hosts[0].Forward(context.Background(), request, route, time.Now().Add(2*time.Second))
-		if refusal == nil {
-			continue
+	synctest.Test(t, func(t *testing.T) {
+		c, hosts := newLimitedCluster(t)
+		for _, h := range hosts {
+			defer h.killAndAwaitEnd()
 		}
-		refused++
-		must.EqOp(t, cluster.ReasonRateLimited, refusal.Reason)
-		must.EqOp(t, cluster.OutcomeNotRun, refusal.Outcome)
-		must.Between(t, time.Millisecond, refusal.RetryAfter, 2*time.Second)
-		must.Less(t, route.Objective, time.Since(began), must.Sprint("the refusal came late"))
-	}
-	must.Positive(t, refused)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	must.Positive(t, len(c.limited))
+		callPages(hosts, 30, time.Second)
+		request := &backend.Request{ID: "page", Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}
+		route := hosts[0].Config().Match(testHost, "/pages/x")
+		refused := 0
+		for range 20 {
+			began := time.Now()
+			_, refusal := hosts[0].Forward(context.Background(), request, route, time.Now().Add(2*time.Second))
+			if refusal == nil {
+				continue
+			}
+			refused++
+			must.EqOp(t, cluster.ReasonRateLimited, refusal.Reason)
+			must.EqOp(t, cluster.OutcomeNotRun, refusal.Outcome)
+			must.Between(t, time.Millisecond, refusal.RetryAfter, 2*time.Second)
+			must.Less(t, route.Objective, time.Since(began), must.Sprint("the refusal came late"))
+		}
+		must.Positive(t, refused)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		must.Positive(t, len(c.limited))
+	})
 }
 
 // Guards against a burst of items that exceeds the limits of the replicas.
