--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -465,13 +465,14 @@
 	a.settings.Timing.JobRetention = 100 * time.Millisecond
 	first, payloads := newJob("job-1", 4, 1)
 	must.Nil(t, a.Submit(context.Background(), first, payloads))
+	stored := a.jobEntry("job-1")
 	results, outputs := c.collect(a, "job-1", 4)
 	second, more := newJob("job-2", 1, 1)
 	second.Items, more = append(first.Items, second.Items...), append(payloads, more...)
 	must.Nil(t, a.Submit(context.Background(), second, more))
 	reused, _ := c.collect(a, "job-2", 4)
 	must.EqOp(t, results[0].Output, reused[slices.IndexFunc(reused, func(r jobs.Result) bool { return r.Item == results[0].Item })].Output)
-	payload := jobs.BlobRef{Key: "b/job-1"}.ChunkKey(0)
+	payload := stored.Job.Payloads.ChunkKey(0)
 	c.waitUntil("the blobs of the first job are removed", func() bool {
 		listing, err := c.store.ListNewest(context.Background(), blobPartition(modelPartition(a)), "")
 		must.NoError(t, err)
@@ -593,3 +594,47 @@
 	results, outputs := c.collect(b, "job-1", 4)
 	checkResults(t, c, job, results, outputs)
 }
+
+// Guards against results and bodies that no call ever returns, because each attempt
+// begins again with a read that takes longer than callers wait.
+func TestRepeatedReadsMakeProgressWhileTheStoreIsSlow(t *testing.T) {
+	c := newTestCluster(t, 2)
+	a := c.startHost("a")
+	job, payloads := newJob("job-1", 4, 1)
+	must.Nil(t, a.Submit(context.Background(), job, payloads))
+	c.collect(a, "job-1", 4)
+	a.kill()
+	b := c.startHost("b")
+	blobs := blobPartition(modelPartition(b))
+	b.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p == blobs {
+			return callTimeout + 100*time.Millisecond
+		}
+		return 0
+	})
+	results, outputs := c.collect(b, "job-1", 4)
+	checkResults(t, c, job, results, outputs)
+	c.waitUntil("the body of an item arrives", func() bool {
+		body, found, refusal := b.ItemBody(context.Background(), "job-1", "job-1-3")
+		must.True(t, found || refusal != nil)
+		return string(body) == "body of job-1-3"
+	})
+}
+
+// Guards against a call that never learns whether a job exists, because it waits for
+// several answers of a slow store one after the other, each time anew.
+func TestUnknownJobIsDeniedWhileTheStoreIsSlow(t *testing.T) {
+	c := newTestCluster(t, 1)
+	a := c.startHost("a")
+	a.view.setSlow(func(p logstore.Partition, _ int64) time.Duration {
+		if p.Topic == topicWork {
+			return callTimeout * 6 / 10
+		}
+		return 0
+	})
+	c.waitUntil("the job is known not to exist", func() bool {
+		page, refusal := a.Results(context.Background(), "unknown", 0, 0)
+		must.Nil(t, page)
+		return refusal == nil
+	})
+}
