--- a/internal/fronthost/slow_blobs_test.go
+++ b/internal/fronthost/slow_blobs_test.go
@@ -124,25 +124,7 @@
 type lateAppends struct{ *memlog.Store }
 
 func (s lateAppends) Append(ctx context.Context, p logstore.Partition, records []logstore.Record, w *logstore.Writer) (int64, error) {
-	type answer struct {
-		end int64
-		err error
-	}
-	answered := make(chan answer, 1)
-	if w != nil {
-		sent := *w
-		w = &sent
-	}
-	time.AfterFunc(slowLatency, func() {
-		end, err := s.Store.Append(context.WithoutCancel(ctx), p, records, w)
-		answered <- answer{end, err}
-	})
-	select {
-	case a := <-answered:
-		return a.end, a.err
-	case <-ctx.Done():
-		return 0, logstore.ErrOutcomeUnknown
-	}
+	return s.AppendLate(ctx, slowLatency, p, records, w)
 }
 
 // Guards against the results of a step that are not committed within the 10 s that jobs
--- a/internal/logstore/memlog/memlog.go
+++ b/internal/logstore/memlog/memlog.go
@@ -253,6 +253,29 @@
 	return page
 }
 
+// AppendLate carries out an append after a delay, also if the caller has left by then.
+func (s *Store) AppendLate(ctx context.Context, delay time.Duration, p logstore.Partition, records []logstore.Record, w *logstore.Writer) (int64, error) {
+	type answer struct {
+		end int64
+		err error
+	}
+	answered := make(chan answer, 1)
+	if w != nil {
+		sent := *w // the caller goes on to use its own
+		w = &sent
+	}
+	time.AfterFunc(delay, func() {
+		end, err := s.Append(context.WithoutCancel(ctx), p, records, w)
+		answered <- answer{end, err}
+	})
+	select {
+	case a := <-answered:
+		return a.end, a.err
+	case <-ctx.Done():
+		return 0, logstore.ErrOutcomeUnknown
+	}
+}
+
 // ListNewest implements logstore.Store.
 func (s *Store) ListNewest(_ context.Context, p logstore.Partition, after string) (logstore.Listing, error) {
 	s.mu.Lock()
--- a/internal/logstore/slow_test.go
+++ b/internal/logstore/slow_test.go
@@ -125,26 +125,7 @@
 
 func (s *slowAppends) Append(ctx context.Context, p logstore.Partition, records []logstore.Record, w *logstore.Writer) (int64, error) {
 	s.sent.Add(1)
-	type answer struct {
-		end int64
-		err error
-	}
-	answered := make(chan answer, 1)
-	var sent *logstore.Writer
-	if w != nil {
-		copied := *w
-		sent = &copied
-	}
-	time.AfterFunc(s.latency, func() {
-		end, err := s.Store.Append(context.WithoutCancel(ctx), p, records, sent)
-		answered <- answer{end, err}
-	})
-	select {
-	case a := <-answered:
-		return a.end, a.err
-	case <-ctx.Done():
-		return 0, logstore.ErrOutcomeUnknown
-	}
+	return s.Store.AppendLate(ctx, s.latency, p, records, w)
 }
 
 // Guards against appends to a slow store that are all sent several times, because each
@@ -216,10 +197,6 @@
 }
 
 func (s *serialAppends) Append(ctx context.Context, p logstore.Partition, records []logstore.Record, w *logstore.Writer) (int64, error) {
-	type answer struct {
-		end int64
-		err error
-	}
 	s.mu.Lock()
 	wait := max(time.Until(s.idleAt), 0)
 	if wait > 2*time.Second {
@@ -228,22 +205,7 @@
 	}
 	s.idleAt = time.Now().Add(wait + s.latency)
 	s.mu.Unlock()
-	var sent *logstore.Writer
-	if w != nil {
-		copied := *w
-		sent = &copied
-	}
-	answered := make(chan answer, 1)
-	time.AfterFunc(wait+s.latency, func() {
-		end, err := s.Store.Append(context.WithoutCancel(ctx), p, records, sent)
-		answered <- answer{end, err}
-	})
-	select {
-	case a := <-answered:
-		return a.end, a.err
-	case <-ctx.Done():
-		return 0, logstore.ErrOutcomeUnknown
-	}
+	return s.Store.AppendLate(ctx, wait+s.latency, p, records, w)
 }
 
 // Guards against a partition that no host acquires, because each attempt waits behind the
