--- a/internal/telemetry/output.go
+++ b/internal/telemetry/output.go
@@ -23,8 +23,7 @@
 	target  io.Writer
 }
 
-// entry is a log line, or a mark of which the writer is told once all lines before it
-// were written.
+// entry is a log line, or a channel to close once all lines before it were written.
 type entry struct {
 	line    []byte
 	written chan<- struct{}
