--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -16,6 +16,9 @@
 	// ErrOutcomeUnknown reports that no valid response arrived; the request may have
 	// run.
 	ErrOutcomeUnknown = errors.New("no valid answer from the backend server")
+	// ErrExpired reports that a run was not sent because its permission had expired. It
+	// comes with ErrNotSent.
+	ErrExpired = errors.New("permission to start the run has expired")
 )
 
 // Target identifies a backend server and the address at which it is registered.
@@ -65,6 +68,9 @@
 	// LastEventID is the ID of the last event received so far, if Resumed is set.
 	LastEventID int64
 	Resumed     bool
+	// Expires is the time on the clock of boottime.Now after which the run must not reach
+	// the server; zero means no limit.
+	Expires time.Time
 }
 
 // Event is one event of a run.
@@ -96,7 +102,9 @@
 	Response *Response
 	// Complete is set if the stream ended properly, after a complete event.
 	Complete bool
-	Err      error
+	// SentAfter is how long after the call the request was written; zero if it was not.
+	SentAfter time.Duration
+	Err       error
 }
 
 // Order instructs a replica to load a version of a model.
