Bind the start of a run to the age of what its host knows

A runner goes on for up to 12 s without the store (renewalGrace), and nothing compared the age of its last read of the partition with the time after which items of an ended job must not reach a server. In a test two hosts share the store, the owner of a partition is cut off from it and the other one acknowledges the end of the job: the owner started 62 items later than 3 s after that.

A start now rests on a permission (core/permit) that expires a time after the read of the partition which was complete last, whatever the reason why there was no later one: 7/8 of the time that the users allow (new setting job_end_grace, 3 s). The owner starts, moves and scores nothing without one, and the run carries its expiry to the client of the backend server.

--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -457,3 +457,15 @@
 		}
 	}
 }
+
+// Guards against items, moved runs included, that start while their job may have ended
+// long ago without the host knowing.
+func TestNothingStartsWhileOutdated(t *testing.T) {
+	s := newStep(rand.New(rand.NewPCG(1, 2)), 4, 4, 3, 2)
+	s.scheduler.AddJob(s.entry, func(string) (jobs.Partial, bool) { return jobs.Partial{}, false })
+	in := s.input()
+	in.Outdated = true
+	must.Len(t, 0, s.scheduler.Tick(in).Starts)
+	in.Outdated = false
+	must.Positive(t, len(s.scheduler.Tick(in).Starts))
+}
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -12,6 +12,9 @@
 // TickInput is the state outside the Scheduler that a tick depends on.
 type TickInput struct {
 	Now time.Time
+	// Outdated is set if a job may have ended so long ago that none of its items may be
+	// sent any more, without the host knowing. Nothing starts then.
+	Outdated bool
 	// Replicas returns the replicas of a job's service, with their state for the
 	// job's model.
 	Replicas func(*jobs.Entry) []Replica
@@ -45,6 +48,9 @@
 	s.updateUsage(in)
 	onTime := s.onTime(in.Now)
 	s.stopStalled(in, onTime, &actions)
+	if in.Outdated {
+		return actions
+	}
 	s.startWaiting(in, &actions)
 	s.startScores(in, &actions)
 	if onTime {
--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -60,6 +60,14 @@
 	failRuns    map[string]int // remaining responses with status 500, by item
 }
 
+// runStart is a run of an item that a host sent.
+type runStart struct {
+	at      time.Time
+	host    string
+	item    string
+	expires time.Time
+}
+
 // limitedSend is a request to a server that names a limit.
 type limitedSend struct {
 	at     time.Time
@@ -95,6 +103,8 @@
 	// are the targets of all calls by kind.
 	leaving map[backend.Target]bool
 	sends   map[backend.CallKind][]backend.Target
+	// runStarts are the runs that hosts sent, in the order of their arrival.
+	runStarts []runStart
 	// streams handles the streams that hosts send to the servers of testApp.
 	streams func(ctx context.Context, t backend.Target, s *backend.Stream) backend.RunEnd
 }
@@ -416,6 +426,9 @@
 func (b *hostBackends) Run(ctx context.Context, t backend.Target, r *backend.Run, onEvent func(backend.Event)) backend.RunEnd {
 	b.recordLimited(t, backend.CallRun)
 	b.recordSend(t, backend.CallRun)
+	b.mu.Lock()
+	b.runStarts = append(b.runStarts, runStart{at: time.Now(), host: b.host, item: r.ID, expires: r.Expires})
+	b.mu.Unlock()
 	b.giveNotice(t, backend.CallRun, r.ID, http.StatusOK)
 	return b.testCluster.Run(ctx, t, r, onEvent)
 }
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -10,9 +10,11 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
+	"github.com/sesamestand/sesamestand/internal/boottime"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/keepup"
+	"github.com/sesamestand/sesamestand/internal/core/permit"
 	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/core/schedule"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -88,9 +90,11 @@
 	*tenure
 	*runState
 	orders *orderer // control partition only
-	// readAge is how long ago the partition was read to its end at the last tick. Only
-	// the goroutine of run uses it.
-	readAge time.Duration
+	// asOf is the time on the clock of boottime.Now up to which the partition was read to
+	// its end at the last tick. Only the goroutine of run uses it.
+	asOf time.Time
+	// outdated is set while nothing is started because asOf is too long ago.
+	outdated bool
 
 	mu              sync.Mutex
 	pendingCommits  []schedule.Commit
@@ -188,7 +192,7 @@
 	h := r.host
 	now := time.Now()
 	if f := h.follower(r.partition); f != nil {
-		r.readAge = f.Staleness() // before mu is locked, see there
+		r.asOf = f.CompleteAsOf() // before mu is locked, see there
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -201,7 +205,9 @@
 		}
 		return true
 	})
-	actions := r.scheduler.Tick(r.tickInput(now))
+	input := r.tickInput(now)
+	input.Outdated = r.isOutdated()
+	actions := r.scheduler.Tick(input)
 	for _, s := range actions.Stops {
 		if cancel := r.cancels[s.Run]; cancel != nil {
 			cancel()
@@ -223,6 +229,22 @@
 	r.queueCommits(actions.Commits)
 }
 
+// isOutdated reports whether the partition was read so long ago that its jobs may have
+// ended elsewhere, and logs when that changes.
+func (r *runner) isOutdated() bool {
+	now := boottime.Now()
+	outdated := !r.host.permitTerms().Allows(r.asOf, now)
+	if outdated != r.outdated {
+		r.outdated = outdated
+		klog.InfoS("starts of items suspended or resumed", "partition", r.partition, "suspended", outdated, "read_age", now.Sub(r.asOf))
+	}
+	return outdated
+}
+
+func (h *Host) permitTerms() permit.Terms {
+	return permit.Terms{EndGrace: h.settings.Timing.JobEndGrace}
+}
+
 // tickInput collects the scheduler's input. The caller holds host.mu.
 func (r *runner) tickInput(now time.Time) schedule.TickInput {
 	h := r.host
@@ -323,8 +345,9 @@
 	request := &backend.Run{
 		ID: s.Item.ID, HostName: s.Job.Job.Host, Path: payload.Path, Headers: payload.Headers, Body: payload.Body,
 		Version: s.Version, LastEventID: s.Partial.LastID, Resumed: len(s.Partial.Events) > 0,
+		Expires: h.permitTerms().Expiry(r.asOf),
 	}
-	h.recorder.RecordDecision("run", s.Item.ID, "job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Partial.Events), "expected", s.Item.ExpectedOutput, "read_age_ms", r.readAge.Milliseconds(), "why", s.Reason)
+	h.recorder.RecordDecision("run", s.Item.ID, "job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Partial.Events), "expected", s.Item.ExpectedOutput, "read_age_ms", boottime.Now().Sub(r.asOf).Milliseconds(), "why", s.Reason)
 	go h.execute(runCtx, cancel, r.runState, target, request, s, route.MaxAttempts)
 }
 
@@ -366,7 +389,7 @@
 	state.scheduler.RecordEnd(s.Run, outcome, attempts, now)
 	h.wakeRunners()
 	h.mu.Unlock()
-	details := []any{"job", s.Job.Job.ID, "run", s.Run, "replica", target.ID, "outcome", outcome.String(), "events", events, "took_ms", now.Sub(started).Milliseconds()}
+	details := []any{"job", s.Job.Job.ID, "run", s.Run, "replica", target.ID, "outcome", outcome.String(), "events", events, "took_ms", now.Sub(started).Milliseconds(), "sent_after_ms", end.SentAfter.Milliseconds()}
 	if end.Err != nil {
 		details = append(details, "err", end.Err.Error())
 	}
@@ -381,6 +404,8 @@
 	switch {
 	case end.Complete:
 		return schedule.Complete
+	case errors.Is(end.Err, backend.ErrExpired):
+		return schedule.NotRun
 	case errors.Is(end.Err, backend.ErrNotSent):
 		return schedule.Broken
 	case end.Response == nil:
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -350,6 +350,14 @@
 	return f.now().Sub(f.completeAsOf)
 }
 
+// CompleteAsOf returns the time on the clock of boottime.Now up to which the delivered
+// records are complete; zero before the first complete read.
+func (f *Follower) CompleteAsOf() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.completeAsOf
+}
+
 // Progress returns the offset to read next, and the time since the delivered records
 // were known to be complete.
 func (f *Follower) Progress() (nextOffset int64, staleness time.Duration) {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -88,6 +88,7 @@
 
 	durationKey("timing", "order_lease", "3s", 100*time.Millisecond, time.Hour, "shortest time between orders of two successive order owners to one replica", func(s *Settings) *time.Duration { return &s.Timing.OrderLease }),
 	durationKey("timing", "stop_grace", "8s", time.Second, time.Hour, "time from SIGTERM until the platform kills the process", func(s *Settings) *time.Duration { return &s.Timing.StopGrace }),
+	durationKey("timing", "job_end_grace", "3s", time.Second, time.Hour, "how long after the end of a job was acknowledged its items may still reach backend servers; hosts that have not read the store for about this time start none", func(s *Settings) *time.Duration { return &s.Timing.JobEndGrace }),
 	durationKey("timing", "job_retention", "120s", time.Second, 24*time.Hour, "how long after its submission a job's results can be read", func(s *Settings) *time.Duration { return &s.Timing.JobRetention }),
 
 	textKey("tls", "cert_file", "certificate (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.CertFile }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,6 +118,7 @@
 	OrderLease      time.Duration // shortest time between orders of two order owners
 	StopGrace       time.Duration // from SIGTERM to SIGKILL
 	JobRetention    time.Duration // how long after submission results can be read
+	JobEndGrace     time.Duration // how long after the end of a job its items may reach backend servers
 }
 
 // TLS holds the paths of the certificate and key files, which are reloaded when
