Discard runs that have not reached their server when they expire

Each check for acknowledged bytes looks at the clock as well, as the timer stands still while the machine is suspended. Once all bytes are acknowledged the expiry has no effect.

--- a/internal/netdial/acks.go
+++ b/internal/netdial/acks.go
@@ -12,10 +12,17 @@
 
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/boottime"
 )
 
-// ErrUnacknowledged ends a connection whose peer left sent bytes unacknowledged.
-var ErrUnacknowledged = errors.New("peer did not acknowledge sent bytes in time")
+// Errors of connections that were reset.
+var (
+	// ErrUnacknowledged ends a connection whose peer left sent bytes unacknowledged.
+	ErrUnacknowledged = errors.New("peer did not acknowledge sent bytes in time")
+	// ErrExpired ends a connection whose bytes expired. See ExpireAt.
+	ErrExpired = errors.New("bytes expired before the peer acknowledged them")
+)
 
 // AckTimeouts bounds how long a peer may leave sent bytes unacknowledged.
 type AckTimeouts struct {
@@ -64,7 +71,9 @@
 	acked    int64         // bytes that were acknowledged at the last check
 	since    time.Time     // last progress of acked
 	allowed  time.Duration // time without progress
-	lost     bool          // the connection was reset
+	lost     error         // why the connection was reset
+	expires  time.Time     // see ExpireAt
+	expiry   *time.Timer   // runs expire; nil if expires is zero
 	probe    bool          // see Probe
 	probing  bool          // the kernel's keep-alive probes are on
 }
@@ -83,6 +92,45 @@
 	}
 }
 
+// ExpireAt resets the connection if bytes that were written are not acknowledged at a time
+// on the clock of boottime.Now, and fails writes after it. It replaces the time that was
+// set before; zero means no limit.
+func (c *WatchedConn) ExpireAt(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopExpiry()
+	if c.expires = t; !t.IsZero() && c.lost == nil {
+		c.expiry = time.AfterFunc(t.Sub(boottime.Now()), c.expire)
+	}
+}
+
+// stopExpiry stops the timer of the expiry. The caller holds mu.
+func (c *WatchedConn) stopExpiry() {
+	if c.expiry != nil {
+		c.expiry.Stop()
+		c.expiry = nil
+	}
+}
+
+// expired reports whether the expiry has passed. The caller holds mu.
+func (c *WatchedConn) expired() bool { return !c.expires.IsZero() && !boottime.Now().Before(c.expires) }
+
+// expire resets the connection if the expiry has passed and bytes are not acknowledged.
+func (c *WatchedConn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.expiry == nil: // replaced or closed meanwhile
+		return
+	case !c.expired(): // replaced by a later one
+		c.expiry.Reset(c.expires.Sub(boottime.Now()))
+		return
+	}
+	if unacked, err := c.unacked(); err != nil || unacked > 0 || c.writing > 0 {
+		c.reset(ErrExpired, unacked, time.Now())
+	}
+}
+
 // writeBytes is the size of the parts in which bytes are written, so that the progress of
 // a long write is seen.
 const writeBytes = 16 << 10
@@ -91,7 +139,9 @@
 func (c *WatchedConn) Write(p []byte) (int, error) {
 	total := 0
 	for {
-		c.beginWrite()
+		if err := c.beginWrite(); err != nil {
+			return total, err
+		}
 		n, err := c.TCPConn.Write(p[total:min(total+writeBytes, len(p))])
 		total += n
 		c.mu.Lock()
@@ -130,6 +180,7 @@
 func (c *WatchedConn) Close() error {
 	c.mu.Lock()
 	c.stopWatch()
+	c.stopExpiry()
 	c.mu.Unlock()
 	return c.TCPConn.Close()
 }
@@ -137,25 +188,30 @@
 // explain returns the reason for the error of a connection that was reset. The caller
 // holds mu.
 func (c *WatchedConn) explain(err error) error {
-	if err == nil || !c.lost {
+	if err == nil || c.lost == nil {
 		return err
 	}
-	return fmt.Errorf("%w: %s, %s", ErrUnacknowledged, c.RemoteAddr(), c.allowed)
+	return c.lost
 }
 
-// beginWrite starts to watch the connection, unless it is watched.
-func (c *WatchedConn) beginWrite() {
+// beginWrite starts to watch the connection, unless it is watched. It fails if the expiry
+// has passed.
+func (c *WatchedConn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.expired() {
+		return fmt.Errorf("%w: nothing written to %s", ErrExpired, c.RemoteAddr())
+	}
 	c.writing++
-	if c.timer != nil || c.lost {
-		return
+	if c.timer != nil || c.lost != nil {
+		return nil
 	}
 	c.setProbing(false)
 	now := time.Now()
 	c.since, c.allowed = now, c.timeouts.allowed(now.Sub(c.lastRead))
 	c.acked = c.written
 	c.timer = time.AfterFunc(c.allowed/ackChecks, c.check)
+	return nil
 }
 
 // stopWatch ends the watch. The caller holds mu.
@@ -167,7 +223,8 @@
 }
 
 // check ends the watch if all bytes are acknowledged, and resets the connection if there
-// was no progress in time.
+// was no progress in time or the expiry has passed: its timer stands still while the
+// machine is suspended.
 func (c *WatchedConn) check() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -185,19 +242,28 @@
 		c.timer = nil
 		c.setProbing(c.probe)
 		return
+	case c.expired():
+		c.reset(ErrExpired, unacked, now)
+		return
 	case acked > c.acked:
 		c.acked, c.since = acked, now
 	case now.Sub(c.since) >= c.allowed:
-		c.reset(unacked, now)
+		c.reset(ErrUnacknowledged, unacked, now)
 		return
 	}
 	c.timer.Reset(c.allowed / ackChecks)
 }
 
 // reset closes the connection and discards what is not acknowledged. The caller holds mu.
-func (c *WatchedConn) reset(unacked int64, now time.Time) {
-	klog.InfoS("connection reset: sent bytes are not acknowledged", "addr", c.RemoteAddr().String(), "bytes", unacked, "for", now.Sub(c.since), "peer_silent", now.Sub(c.lastRead))
-	c.lost, c.timer = true, nil
+func (c *WatchedConn) reset(reason error, unacked int64, now time.Time) {
+	details := []any{"addr", c.RemoteAddr().String(), "reason", reason.Error(), "bytes", unacked, "for", now.Sub(c.since), "allowed", c.allowed, "peer_silent", now.Sub(c.lastRead)}
+	if !c.expires.IsZero() {
+		details = append(details, "after_expiry", boottime.Now().Sub(c.expires))
+	}
+	klog.InfoS("connection reset: sent bytes are not acknowledged", details...)
+	c.lost = fmt.Errorf("%w: %s, %s", reason, c.RemoteAddr(), now.Sub(c.since))
+	c.stopWatch()
+	c.stopExpiry()
 	if err := c.SetLinger(0); err != nil {
 		klog.InfoS("connection closed without discarding unsent data", "addr", c.RemoteAddr().String(), "err", err)
 	}
@@ -223,7 +289,7 @@
 
 // setProbing switches the kernel's keep-alive probes. The caller holds mu.
 func (c *WatchedConn) setProbing(on bool) {
-	if c.probing == on || c.lost {
+	if c.probing == on || c.lost != nil {
 		return
 	}
 	c.probing = on
--- a/internal/netdial/acks_test.go
+++ b/internal/netdial/acks_test.go
@@ -135,7 +135,7 @@
 		w.check()
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		return w.lost
+		return w.lost != nil
 	}
 	known := func() int64 {
 		w.mu.Lock()
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -84,17 +84,25 @@
 // when the first bytes have arrived, and reads what arrives after send has returned. It
 // returns the error that ends the connection, or nil if it is closed in order.
 func Abandon(send func(ctx context.Context, addr string)) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	return neglect(func(addr string) { send(ctx, addr) }, cancel)
+}
+
+// Neglect is like Abandon with a send that ends by itself.
+func Neglect(send func(addr string)) error { return neglect(send, func() {}) }
+
+// neglect reads nothing but the first byte until send has returned.
+func neglect(send func(addr string), arrived func()) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
 	defer func() { _ = listener.Close() }()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		send(ctx, listener.Addr().String())
+		send(listener.Addr().String())
 	}()
 	c, err := listener.Accept()
 	if err != nil {
@@ -104,7 +112,7 @@
 	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
 		return eris.Wrap(err, "read the first byte")
 	}
-	cancel()
+	arrived()
 	<-ended
 	_, err = io.Copy(io.Discard, c)
 	return err
