Discard unsent bytes of a host that is killed

The kernel of a host that is killed goes on to send them, and a run may reach its server after its job has ended, e.g. when a network partition ends.

A connection is closed in order only after a complete response, which was read to its end, or before anything was written.

--- a/internal/netdial/acks.go
+++ b/internal/netdial/acks.go
@@ -43,8 +43,10 @@
 // ackChecks is the number of checks for acknowledged bytes within the allowed time.
 const ackChecks = 4
 
-// WatchAcks returns a DialContext whose TCP connections are WatchedConns.
+// WatchAcks returns a DialContext whose TCP connections are WatchedConns, and discard
+// unsent bytes on every close.
 func WatchAcks(dial DialContext, timeouts AckTimeouts) DialContext {
+	dial = DiscardUnsent(dial)
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		tcp, ok := conn.(*net.TCPConn)
@@ -264,9 +266,6 @@
 	c.lost = fmt.Errorf("%w: %s, %s", reason, c.RemoteAddr(), now.Sub(c.since))
 	c.stopWatch()
 	c.stopExpiry()
-	if err := c.SetLinger(0); err != nil {
-		klog.InfoS("connection closed without discarding unsent data", "addr", c.RemoteAddr().String(), "err", err)
-	}
 	if err := c.TCPConn.Close(); err != nil {
 		klog.V(1).InfoS("connection not closed", "addr", c.RemoteAddr().String(), "err", err)
 	}
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -12,8 +12,9 @@
 type DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // DiscardUnsent returns a DialContext whose connections discard unsent bytes when they are
-// closed. Otherwise the kernel would go on to send them, and a request that was given up
-// could still reach its server, e.g. when a network partition ends.
+// closed, also at the end of the process. Otherwise the kernel would go on to send them,
+// and a request that was given up could still reach its server, e.g. when a network
+// partition ends.
 func DiscardUnsent(dial DialContext) DialContext {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
