Learn which blobs were deleted without a read of a record

Cause: at its start each host read the first record of the blobs of each partition, up to 256 KB, and again each 0.8 s until an answer fitted into 1.6 s. 295 hosts that start together ask for 37 to 90 MB/s in this way, of 80 MB/s that the store has for all reads. A host that had no answer spent a call on the 410 and the next one on the listing, and callers ask another host each time.

Change: each read says in its header, or in its 410, which records are retained, and the host keeps that. At its start it sends one read that begins after the newest blob that its jobs refer to, where there are few records or none, and does not repeat it. Where the offset is not known and a read is late by 0.1 s, a listing is sent beside it; its records are used if the log does not have the blobs. A listing holds up to 1 MB, so a host lists early at most once in 30 s for each partition.

The fake store of platform answers with the retained offset as the real one does.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -232,3 +232,28 @@
 	p, ok := t.partials[item]
 	return p, ok
 }
+
+// EndOfBlobs returns the offset after the newest known blob of a partition, or 0 if none is
+// known.
+func (t *Table) EndOfBlobs(partition int) int64 {
+	end := int64(0)
+	observe := func(ref BlobRef) {
+		if ref.Offset != UnknownOffset && ref.Records > 0 {
+			end = max(end, ref.Offset+int64(ref.Records))
+		}
+	}
+	t.Each(func(e *Entry) bool {
+		if e.Partition != partition {
+			return true
+		}
+		observe(e.Job.Payloads)
+		for _, r := range e.Results {
+			observe(r.Output)
+		}
+		for _, item := range e.Job.Items {
+			observe(t.partials[item.ID])
+		}
+		return true
+	})
+	return end
+}
--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -5,12 +5,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -40,8 +42,12 @@
 	// blobReadRetry is the time after which a read, which usually takes a few
 	// milliseconds, is sent again. Calls with more time wait for half of it.
 	blobReadRetry = 800 * time.Millisecond
-	// learnRetry is the pause after a failed attempt to find out which blobs are retained.
-	learnRetry = 500 * time.Millisecond
+	// earlyListing is the time after which a call does not wait any more for the answer that
+	// a blob was deleted from the log before it lists the blob.
+	earlyListing = 100 * time.Millisecond
+	// retainedAge is the time for which a host relies on what it knows of deleted blobs. It
+	// also bounds how often a host lists blobs early: a page of a listing holds up to 1 MB.
+	retainedAge = 30 * time.Second
 	// fetchTimeout bounds the reads that go on after their call has ended.
 	fetchTimeout = 4 * time.Second
 )
@@ -71,10 +77,12 @@
 	fetches map[fetchKey]*fetchedBlob
 	// retained is the offset, by partition, before which records are known to be deleted.
 	retained map[int]int64
+	// checked is when, by partition, the host learned that offset or listed blobs early.
+	checked map[int]time.Time
 }
 
 func newBlobStore(store logstore.Store, maxRecord, maxAppend int) *blobStore {
-	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), retained: make(map[int]int64)}
+	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), retained: make(map[int]int64), checked: make(map[int]time.Time)}
 }
 
 func blobPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicBlobs, Number: n} }
@@ -261,6 +269,7 @@
 
 // run reads the blobs by offset, and then by key those that are not at their offsets.
 func (f *fetch) run(ctx context.Context) {
+	early := f.startEarlyListing(ctx)
 	var mu sync.Mutex
 	byKey := make(map[*fetchedBlob]bool)
 	var reads errgroup.Group
@@ -277,7 +286,47 @@
 		})
 	}
 	_ = reads.Wait() // each blob has its error
-	f.readByKey(ctx, slices.DeleteFunc(slices.Clone(f.blobs), func(blob *fetchedBlob) bool { return !byKey[blob] }))
+	rest := slices.DeleteFunc(slices.Clone(f.blobs), func(blob *fetchedBlob) bool { return !byKey[blob] })
+	f.readByKey(ctx, rest, early.finish(len(rest) > 0))
+}
+
+// backgroundListing is a listing that goes on while blobs are read by offset.
+type backgroundListing struct {
+	cancel context.CancelFunc
+	timer  *time.Timer
+	done   chan struct{}
+	values map[string][]byte // by key; set before done is closed
+}
+
+// startEarlyListing lists the blobs from the first one on if the reads by offset are late
+// and the host does not know which blobs were deleted: the time of a call does not suffice
+// for the answer that a blob was deleted and a listing after it.
+func (f *fetch) startEarlyListing(ctx context.Context) *backgroundListing {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &backgroundListing{cancel: cancel, done: make(chan struct{})}
+	after, wanted := f.blobs[0].ref.Key+"/", f.chunkKeys(f.blobs)
+	l.timer = time.AfterFunc(earlyListing, func() {
+		defer close(l.done)
+		if !f.claimEarlyListing(f.partition) {
+			return
+		}
+		page, err := f.listPage(ctx, after, wanted)
+		if err != nil {
+			klog.V(1).InfoS("early listing of blobs failed", "partition", f.partition, "err", err)
+		}
+		l.values = page.values
+	})
+	return l
+}
+
+// finish returns the records that the listing found, or ends it if they are not needed.
+func (l *backgroundListing) finish(needed bool) map[string][]byte {
+	defer l.cancel()
+	if l.timer.Stop() || !needed {
+		return nil
+	}
+	<-l.done
+	return l.values
 }
 
 // contiguous returns the blobs in groups that a single read each can return, in the order
@@ -336,9 +385,7 @@
 	var broken error
 	if first.Offset != jobs.UnknownOffset && !f.isDeleted(f.partition, first.Offset) {
 		err := f.readRange(ctx, first.Offset, last.Offset+int64(last.Records), size, values)
-		if errors.Is(err, logstore.ErrDeleted) {
-			f.recordDeleted(f.partition, first.Offset, err)
-		} else {
+		if !errors.Is(err, logstore.ErrDeleted) {
 			broken = err // what arrived before is kept
 		}
 	}
@@ -364,16 +411,38 @@
 	return offset < b.retained[partition]
 }
 
-// recordDeleted records that a read at an offset found its record deleted.
-func (b *blobStore) recordDeleted(partition int, offset int64, err error) {
-	retained := offset + 1
+// read reads records of a partition and records which ones are retained.
+func (b *blobStore) read(ctx context.Context, partition int, from int64, maxBytes int) (logstore.Page, error) {
+	page, err := b.store.Read(ctx, blobPartition(partition), from, maxBytes, 0)
 	var deleted *logstore.DeletedError
-	if errors.As(err, &deleted) {
-		retained = deleted.First
+	switch {
+	case err == nil:
+		b.recordRetained(partition, page.First)
+	case errors.As(err, &deleted):
+		b.recordRetained(partition, deleted.First)
+	case errors.Is(err, logstore.ErrDeleted):
+		b.recordRetained(partition, from+1)
 	}
+	return page, err
+}
+
+// recordRetained records the offset of the first retained record of a partition.
+func (b *blobStore) recordRetained(partition int, first int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retained[partition] = max(b.retained[partition], first)
+	b.checked[partition] = time.Now()
+}
+
+// claimEarlyListing reports whether blobs of a partition may be listed early now.
+func (b *blobStore) claimEarlyListing(partition int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.retained[partition] = max(b.retained[partition], retained)
+	if time.Since(b.checked[partition]) < retainedAge {
+		return false
+	}
+	b.checked[partition] = time.Now()
+	return true
 }
 
 // readRetry returns the time after which a read for a call is sent again.
@@ -385,29 +454,20 @@
 }
 
 // learnRetained finds out which blobs of a partition were deleted from the log, so that no
-// call has to. It retries until the store answers or ctx ends.
-func (b *blobStore) learnRetained(ctx context.Context, partition int) {
-	for ctx.Err() == nil {
-		_, err := logstore.Hedge(ctx, blobReadRetry, func(ctx context.Context) (logstore.Page, error) {
-			return b.store.Read(ctx, blobPartition(partition), 0, 1, 0)
-		})
-		if errors.Is(err, logstore.ErrDeleted) {
-			b.recordDeleted(partition, 0, err)
-		}
-		if err == nil || errors.Is(err, logstore.ErrDeleted) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(learnRetry):
-		}
+// call has to. Each read says so; this one begins after the newest known blob, where there
+// are few records or none. It is not repeated: all hosts may start at once.
+func (b *blobStore) learnRetained(ctx context.Context, partition int, end int64) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	if _, err := b.read(ctx, partition, end, 1); err != nil && !errors.Is(err, logstore.ErrDeleted) {
+		klog.InfoS("it is not known which blobs were deleted from the log", "partition", partition, "err", err)
 	}
 }
 
 func (f *fetch) readRange(ctx context.Context, from, to int64, size int, values map[string][]byte) error {
 	for from < to {
 		page, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Page, error) {
-			return f.store.Read(ctx, blobPartition(f.partition), from, size, 0)
+			return f.read(ctx, f.partition, from, size)
 		})
 		if err != nil {
 			return err
@@ -430,18 +490,22 @@
 // holds up to 1 MB of records, so each serves all blobs that it holds, and they are read
 // one after the other: parallel ones would share the bandwidth, and none might arrive in
 // time. The first blob comes first, so that each call returns something, and the others
-// in the order of their keys, so that few listings hold all of them.
-func (f *fetch) readByKey(ctx context.Context, blobs []*fetchedBlob) {
-	wanted := make(map[string]bool)
-	for _, blob := range blobs {
-		for n := range blob.ref.Records {
-			wanted[blob.ref.ChunkKey(n)] = true
+// in the order of their keys, so that few listings hold all of them. listed holds records
+// that were listed before.
+func (f *fetch) readByKey(ctx context.Context, blobs []*fetchedBlob, listed map[string][]byte) {
+	wanted := f.chunkKeys(blobs)
+	values := make(map[string][]byte)
+	maps.Copy(values, listed)
+	blobs = slices.DeleteFunc(blobs, func(blob *fetchedBlob) bool {
+		data, ok := assemble(blob.ref, values)
+		if ok {
+			f.succeed(blob, data)
 		}
-	}
+		return ok
+	})
 	if len(blobs) > 1 {
 		slices.SortFunc(blobs[1:], func(x, y *fetchedBlob) int { return strings.Compare(x.ref.Key, y.ref.Key) })
 	}
-	values := make(map[string][]byte)
 	for len(blobs) > 0 {
 		err := f.listFrom(ctx, blobs[0].ref.Key, wanted, values)
 		var rest []*fetchedBlob
@@ -462,28 +526,55 @@
 	}
 }
 
+// chunkKeys returns the keys of the records of blobs.
+func (f *fetch) chunkKeys(blobs []*fetchedBlob) map[string]bool {
+	keys := make(map[string]bool)
+	for _, blob := range blobs {
+		for n := range blob.ref.Records {
+			keys[blob.ref.ChunkKey(n)] = true
+		}
+	}
+	return keys
+}
+
 // listFrom lists the newest records from those of a blob on, until all records of that
 // blob were listed, and adds the wanted ones to values.
 func (f *fetch) listFrom(ctx context.Context, key string, wanted map[string]bool, values map[string][]byte) error {
 	after := key + "/"
 	for strings.HasPrefix(after, key+"/") {
-		listing, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Listing, error) {
-			return f.store.ListNewest(ctx, blobPartition(f.partition), after)
+		next, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (listedPage, error) {
+			return f.listPage(ctx, after, wanted)
 		})
 		if err != nil {
 			return err
 		}
-		for _, r := range listing.Records {
-			if wanted[r.Key] {
-				values[r.Key] = r.Value
-			}
-			after = r.Key
+		maps.Copy(values, next.values)
+		after = next.after
+	}
+	return nil
+}
+
+// listedPage is what a page of a listing has of blobs.
+type listedPage struct {
+	values map[string][]byte // by key
+	after  string            // key after which the next page begins, or empty
+}
+
+func (f *fetch) listPage(ctx context.Context, after string, wanted map[string]bool) (listedPage, error) {
+	listing, err := f.store.ListNewest(ctx, blobPartition(f.partition), after)
+	if err != nil {
+		return listedPage{}, err
+	}
+	page := listedPage{values: make(map[string][]byte)}
+	for _, r := range listing.Records {
+		if wanted[r.Key] {
+			page.values[r.Key] = r.Value
 		}
-		if !listing.More || len(listing.Records) == 0 {
-			return nil
+		if listing.More {
+			page.after = r.Key
 		}
 	}
-	return nil
+	return page, nil
 }
 
 // assemble joins the records of a blob. It reports false if some are missing or are not
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -214,7 +214,25 @@
 	h.followers[partition] = f
 	go f.Run(ctx)
 	if partition != controlPartition {
-		go h.blobs.learnRetained(ctx, partition)
+		go h.learnRetained(ctx, partition, f)
+	}
+}
+
+// learnRetained finds out which blobs of a partition were deleted from the log, once the
+// jobs of the partition were read.
+func (h *Host) learnRetained(ctx context.Context, partition int, f *logstore.Follower) {
+	for !f.HasSynced() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(housekeepingInterval):
+		}
+	}
+	h.mu.Lock()
+	end := h.jobs.EndOfBlobs(partition)
+	h.mu.Unlock()
+	if end > 0 {
+		h.blobs.learnRetained(ctx, partition, end)
 	}
 }
 
--- a/internal/logstore/logstore.go
+++ b/internal/logstore/logstore.go
@@ -69,6 +69,7 @@
 type Page struct {
 	Records []Record
 	End     int64 // offset of the next append
+	First   int64 // offset of the first record that was not deleted
 	// Truncated is set if the call ended before all records of the page had arrived.
 	// Records holds those that arrived whole.
 	Truncated bool
--- a/internal/logstore/memlog/memlog.go
+++ b/internal/logstore/memlog/memlog.go
@@ -240,7 +240,7 @@
 }
 
 func (part *partition) page(from int64, maxBytes int) logstore.Page {
-	page := logstore.Page{End: part.end}
+	page := logstore.Page{End: part.end, First: part.first}
 	size := 0
 	for i := from; i < part.end; i++ {
 		r := part.records[i]
