Send no read of blobs again without a call that waits for it

Cause: reads of blobs went on for 4 s after their call had ended, so that a repeated call found their answers, and were sent again each 0.8 s in that time. While the store is away or overloaded, callers go to another host with each attempt, so that hosts sent most reads for nobody.

Change: a fetch knows for each blob how many calls wait for it. A read is sent again only while one does, first after the time of retry and then after twice that, with two attempts under way at most. Attempts that are under way go on for up to 4 s and what they return is kept, but no further page, listing or group of blobs is begun for nobody.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -48,7 +48,8 @@
 	// retainedAge is the time for which a host relies on what it knows of deleted blobs. It
 	// also bounds how often a host lists blobs early: a page of a listing holds up to 1 MB.
 	retainedAge = 30 * time.Second
-	// fetchTimeout bounds the reads that go on after their call has ended.
+	// fetchTimeout bounds one attempt of a read, and the calls that have no deadline. An
+	// attempt goes on after its call has ended.
 	fetchTimeout = 4 * time.Second
 )
 
@@ -153,12 +154,19 @@
 }
 
 // getSome is get for a caller that can do with the first blob: when patience ends, it
-// waits for no other, except for those that are read in the same round. Reads that are under way go on, so that a repeated call finds in the
-// cache what they return, or waits for them.
+// waits for no other, except for those that are read in the same round. Reads that are
+// under way go on, so that a repeated call finds in the cache what they return, or waits for
+// them, but none is sent without a call that waits for it.
 func (b *blobStore) getSome(ctx, patience context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
+	retry := readRetry(ctx)
+	if _, limited := ctx.Deadline(); !limited {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+	}
 	found := make([][]byte, len(refs))
 	fetched := make([]*fetchedBlob, len(refs)) // nil for blobs of the cache
-	f := &fetch{blobStore: b, partition: partition, retry: readRetry(ctx)}
+	f := &fetch{blobStore: b, partition: partition, retry: retry, changed: make(chan struct{})}
 	b.mu.Lock()
 	for i, ref := range refs {
 		if found[i] = b.fromCache(ref); found[i] != nil || ref.Bytes == 0 {
@@ -166,14 +174,17 @@
 		}
 		key := fetchKey{partition, ref}
 		if b.fetches[key] == nil {
-			b.fetches[key] = &fetchedBlob{ref: ref, done: make(chan struct{})}
+			b.fetches[key] = &fetchedBlob{fetch: f, ref: ref, done: make(chan struct{})}
 			f.blobs = append(f.blobs, b.fetches[key])
 		}
 		fetched[i] = b.fetches[key]
+		fetched[i].waiting++
+		fetched[i].fetch.signalChange()
 	}
 	b.mu.Unlock()
+	defer b.stopWaiting(fetched)
 	if len(f.blobs) > 0 {
-		f.start(ctx)
+		go f.run(context.WithoutCancel(ctx))
 	}
 	var failed error
 	for i, blob := range fetched {
@@ -198,6 +209,18 @@
 	return found, failed
 }
 
+// stopWaiting records that a call has ended. Blobs of the cache are nil.
+func (b *blobStore) stopWaiting(fetched []*fetchedBlob) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, blob := range fetched {
+		if blob != nil {
+			blob.waiting--
+			blob.fetch.signalChange()
+		}
+	}
+}
+
 // isCached reports whether a blob can be returned without the store.
 func (b *blobStore) isCached(ref jobs.BlobRef) bool {
 	b.mu.Lock()
@@ -211,6 +234,7 @@
 	partition int
 	retry     time.Duration  // see blobReadRetry
 	blobs     []*fetchedBlob // in the order in which they are needed
+	changed   chan struct{}  // closed and replaced when a call begins or ends to wait; guarded by mu
 }
 
 type fetchKey struct {
@@ -220,23 +244,51 @@
 
 // fetchedBlob is one blob of a fetch. data and err are set before done is closed.
 type fetchedBlob struct {
-	ref  jobs.BlobRef
-	done chan struct{}
-	data []byte
-	err  error
+	fetch   *fetch
+	ref     jobs.BlobRef
+	waiting int // number of calls that wait for it; guarded by mu of the blobStore
+	done    chan struct{}
+	data    []byte
+	err     error
 }
 
-// start starts the fetch for a call.
-func (f *fetch) start(ctx context.Context) {
-	limit := fetchTimeout
-	if deadline, ok := ctx.Deadline(); ok {
-		limit = max(limit, time.Until(deadline))
+// signalChange wakes the reads of the fetch. The caller holds mu.
+func (f *fetch) signalChange() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// isWanted reports whether a call waits for one of the blobs. The caller holds mu.
+func isWanted(blobs []*fetchedBlob) bool {
+	return slices.ContainsFunc(blobs, func(blob *fetchedBlob) bool { return blob.waiting > 0 })
+}
+
+// hedge reads something for blobs, and again while calls wait for one of them.
+func hedge[T any](ctx context.Context, f *fetch, blobs []*fetchedBlob, read func(context.Context) (T, error)) (T, error) {
+	return logstore.HedgeWhile(ctx, fetchTimeout, func(attempts int) (time.Duration, <-chan struct{}) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		switch {
+		case !isWanted(blobs):
+			return 0, f.changed
+		case attempts > 1:
+			return 2 * f.retry, f.changed
+		}
+		return f.retry, f.changed
+	}, read)
+}
+
+// giveUp settles blobs if no call waits for any of them, and reports whether it did.
+func (f *fetch) giveUp(blobs []*fetchedBlob) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if isWanted(blobs) {
+		return false
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
-	go func() {
-		defer cancel()
-		f.run(ctx)
-	}()
+	for _, blob := range blobs {
+		f.settleLocked(blob, nil, logstore.ErrUnwanted)
+	}
+	return true
 }
 
 // wait waits until the blob was read, or cannot be read, or ctx ends.
@@ -261,8 +313,13 @@
 
 func (f *fetch) settle(blob *fetchedBlob, data []byte, err error) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settleLocked(blob, data, err)
+}
+
+// settleLocked is settle for a caller that holds mu.
+func (f *fetch) settleLocked(blob *fetchedBlob, data []byte, err error) {
 	delete(f.fetches, fetchKey{f.partition, blob.ref})
-	f.mu.Unlock()
 	blob.data, blob.err = data, err
 	close(blob.done)
 }
@@ -302,7 +359,7 @@
 // and the host does not know which blobs were deleted: the time of a call does not suffice
 // for the answer that a blob was deleted and a listing after it.
 func (f *fetch) startEarlyListing(ctx context.Context) *backgroundListing {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, earlyListing+fetchTimeout)
 	l := &backgroundListing{cancel: cancel, done: make(chan struct{})}
 	after, wanted := f.blobs[0].ref.Key+"/", f.chunkKeys(f.blobs)
 	l.timer = time.AfterFunc(earlyListing, func() {
@@ -376,32 +433,30 @@
 // readContiguous reads contiguous blobs by offset. It returns those whose records are not
 // at these offsets or were deleted.
 func (f *fetch) readContiguous(ctx context.Context, blobs []*fetchedBlob) []*fetchedBlob {
-	values := make(map[string][]byte)
-	first, last := blobs[0].ref, blobs[len(blobs)-1].ref
-	size := 0
-	for _, blob := range blobs {
-		size += blob.ref.Bytes + blob.ref.Records*blobOverhead
-	}
-	var broken error
-	if first.Offset != jobs.UnknownOffset && !f.isDeleted(f.partition, first.Offset) {
-		err := f.readRange(ctx, first.Offset, last.Offset+int64(last.Records), size, values)
-		if !errors.Is(err, logstore.ErrDeleted) {
-			broken = err // what arrived before is kept
+	for len(blobs) > 0 && !f.giveUp(blobs) {
+		if first := blobs[0].ref; first.Offset == jobs.UnknownOffset || f.isDeleted(f.partition, first.Offset) {
+			return blobs
 		}
-	}
-	var elsewhere []*fetchedBlob
-	for _, blob := range blobs {
-		data, ok := assemble(blob.ref, values)
-		switch {
-		case ok:
-			f.succeed(blob, data)
-		case broken != nil:
-			f.settle(blob, nil, broken)
-		default:
-			elsewhere = append(elsewhere, blob)
+		values := make(map[string][]byte)
+		err := f.readRange(ctx, blobs, values)
+		var rest []*fetchedBlob
+		for _, blob := range blobs {
+			data, ok := assemble(blob.ref, values)
+			switch {
+			case ok:
+				f.succeed(blob, data)
+			case err == nil, errors.Is(err, logstore.ErrDeleted), errors.Is(err, logstore.ErrUnwanted):
+				rest = append(rest, blob)
+			default:
+				f.settle(blob, nil, err)
+			}
+		}
+		if !errors.Is(err, logstore.ErrUnwanted) {
+			return rest
 		}
+		blobs = rest // a call may wait again
 	}
-	return elsewhere
+	return nil
 }
 
 // isDeleted reports whether a record is known to be deleted from the log.
@@ -464,9 +519,16 @@
 	}
 }
 
-func (f *fetch) readRange(ctx context.Context, from, to int64, size int, values map[string][]byte) error {
+// readRange reads the records of contiguous blobs and adds them to values, also those that
+// arrived before an error.
+func (f *fetch) readRange(ctx context.Context, blobs []*fetchedBlob, values map[string][]byte) error {
+	last := blobs[len(blobs)-1].ref
+	from, to, size := blobs[0].ref.Offset, last.Offset+int64(last.Records), 0
+	for _, blob := range blobs {
+		size += blob.ref.Bytes + blob.ref.Records*blobOverhead
+	}
 	for from < to {
-		page, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Page, error) {
+		page, err := hedge(ctx, f, blobs, func(ctx context.Context) (logstore.Page, error) {
 			return f.read(ctx, f.partition, from, size)
 		})
 		if err != nil {
@@ -481,10 +543,20 @@
 			}
 		}
 		from += int64(len(page.Records))
+		if from < to && !f.areWanted(blobs) {
+			return logstore.ErrUnwanted
+		}
 	}
 	return nil
 }
 
+// areWanted reports whether a call waits for one of the blobs.
+func (f *fetch) areWanted(blobs []*fetchedBlob) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return isWanted(blobs)
+}
+
 // readByKey reads the blobs that cannot be read by offset. The store retains the newest
 // record of each key, even if it has deleted that record from the log. A page of a listing
 // holds up to 1 MB of records, so each serves all blobs that it holds, and they are read
@@ -506,14 +578,16 @@
 	if len(blobs) > 1 {
 		slices.SortFunc(blobs[1:], func(x, y *fetchedBlob) int { return strings.Compare(x.ref.Key, y.ref.Key) })
 	}
-	for len(blobs) > 0 {
-		err := f.listFrom(ctx, blobs[0].ref.Key, wanted, values)
+	for len(blobs) > 0 && !f.giveUp(blobs) {
+		err := f.listFrom(ctx, blobs, wanted, values)
 		var rest []*fetchedBlob
 		for i, blob := range blobs {
 			data, ok := assemble(blob.ref, values)
 			switch {
 			case ok:
 				f.succeed(blob, data)
+			case errors.Is(err, logstore.ErrUnwanted):
+				rest = append(rest, blob) // a call may wait again
 			case err != nil:
 				f.settle(blob, nil, err)
 			case i == 0:
@@ -537,19 +611,23 @@
 	return keys
 }
 
-// listFrom lists the newest records from those of a blob on, until all records of that
-// blob were listed, and adds the wanted ones to values.
-func (f *fetch) listFrom(ctx context.Context, key string, wanted map[string]bool, values map[string][]byte) error {
-	after := key + "/"
-	for strings.HasPrefix(after, key+"/") {
-		next, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (listedPage, error) {
+// listFrom lists the newest records from those of the first blob on, until all records of
+// that blob were listed, and adds the wanted ones to values.
+func (f *fetch) listFrom(ctx context.Context, blobs []*fetchedBlob, wanted map[string]bool, values map[string][]byte) error {
+	prefix := blobs[0].ref.Key + "/"
+	after := prefix
+	for strings.HasPrefix(after, prefix) {
+		page, err := hedge(ctx, f, blobs, func(ctx context.Context) (listedPage, error) {
 			return f.listPage(ctx, after, wanted)
 		})
 		if err != nil {
 			return err
 		}
-		maps.Copy(values, next.values)
-		after = next.after
+		maps.Copy(values, page.values)
+		after = page.after
+		if after != "" && !f.areWanted(blobs) {
+			return logstore.ErrUnwanted
+		}
 	}
 	return nil
 }
