Send a shared read again after the time of the most hurried call

Cause: a read was sent again after half of the time of the call that began it, 4 s for a runner. A call with 1.35 s that shared the read waited for that, also if the answer was lost, and so did each repeated call.

Change: the time of retry is the least one of the calls that wait now.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -158,7 +158,7 @@
 // under way go on, so that a repeated call finds in the cache what they return, or waits for
 // them, but none is sent without a call that waits for it.
 func (b *blobStore) getSome(ctx, patience context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
-	retry := readRetry(ctx)
+	call := &waitingCall{readRetry(ctx)}
 	if _, limited := ctx.Deadline(); !limited {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, fetchTimeout)
@@ -166,7 +166,7 @@
 	}
 	found := make([][]byte, len(refs))
 	fetched := make([]*fetchedBlob, len(refs)) // nil for blobs of the cache
-	f := &fetch{blobStore: b, partition: partition, retry: retry, changed: make(chan struct{})}
+	f := &fetch{blobStore: b, partition: partition, changed: make(chan struct{})}
 	b.mu.Lock()
 	for i, ref := range refs {
 		if found[i] = b.fromCache(ref); found[i] != nil || ref.Bytes == 0 {
@@ -174,15 +174,15 @@
 		}
 		key := fetchKey{partition, ref}
 		if b.fetches[key] == nil {
-			b.fetches[key] = &fetchedBlob{fetch: f, ref: ref, done: make(chan struct{})}
+			b.fetches[key] = &fetchedBlob{fetch: f, ref: ref, waiting: make(map[*waitingCall]bool), done: make(chan struct{})}
 			f.blobs = append(f.blobs, b.fetches[key])
 		}
 		fetched[i] = b.fetches[key]
-		fetched[i].waiting++
+		fetched[i].waiting[call] = true
 		fetched[i].fetch.signalChange()
 	}
 	b.mu.Unlock()
-	defer b.stopWaiting(fetched)
+	defer b.stopWaiting(call, fetched)
 	if len(f.blobs) > 0 {
 		go f.run(context.WithoutCancel(ctx))
 	}
@@ -210,12 +210,12 @@
 }
 
 // stopWaiting records that a call has ended. Blobs of the cache are nil.
-func (b *blobStore) stopWaiting(fetched []*fetchedBlob) {
+func (b *blobStore) stopWaiting(call *waitingCall, fetched []*fetchedBlob) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, blob := range fetched {
 		if blob != nil {
-			blob.waiting--
+			delete(blob.waiting, call)
 			blob.fetch.signalChange()
 		}
 	}
@@ -232,7 +232,6 @@
 type fetch struct {
 	*blobStore
 	partition int
-	retry     time.Duration  // see blobReadRetry
 	blobs     []*fetchedBlob // in the order in which they are needed
 	changed   chan struct{}  // closed and replaced when a call begins or ends to wait; guarded by mu
 }
@@ -246,12 +245,17 @@
 type fetchedBlob struct {
 	fetch   *fetch
 	ref     jobs.BlobRef
-	waiting int // number of calls that wait for it; guarded by mu of the blobStore
+	waiting map[*waitingCall]bool // guarded by mu of the blobStore
 	done    chan struct{}
 	data    []byte
 	err     error
 }
 
+// waitingCall is a call that waits for blobs.
+type waitingCall struct {
+	retry time.Duration // time after which a read for it is sent again
+}
+
 // signalChange wakes the reads of the fetch. The caller holds mu.
 func (f *fetch) signalChange() {
 	close(f.changed)
@@ -260,7 +264,21 @@
 
 // isWanted reports whether a call waits for one of the blobs. The caller holds mu.
 func isWanted(blobs []*fetchedBlob) bool {
-	return slices.ContainsFunc(blobs, func(blob *fetchedBlob) bool { return blob.waiting > 0 })
+	return slices.ContainsFunc(blobs, func(blob *fetchedBlob) bool { return len(blob.waiting) > 0 })
+}
+
+// retry returns the time after which a read of blobs is sent again: that of the call with the
+// least time, or 0 if no call waits for them. The caller holds mu.
+func retry(blobs []*fetchedBlob) time.Duration {
+	var least time.Duration
+	for _, blob := range blobs {
+		for call := range blob.waiting {
+			if least == 0 || call.retry < least {
+				least = call.retry
+			}
+		}
+	}
+	return least
 }
 
 // hedge reads something for blobs, and again while calls wait for one of them.
@@ -268,13 +286,10 @@
 	return logstore.HedgeWhile(ctx, fetchTimeout, func(attempts int) (time.Duration, <-chan struct{}) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		switch {
-		case !isWanted(blobs):
-			return 0, f.changed
-		case attempts > 1:
-			return 2 * f.retry, f.changed
+		if attempts > 1 {
+			return 2 * retry(blobs), f.changed
 		}
-		return f.retry, f.changed
+		return retry(blobs), f.changed
 	}, read)
 }
 
