--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -5,12 +5,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -40,9 +42,14 @@
 	// blobReadRetry is the time after which a read, which usually takes a few
 	// milliseconds, is sent again. Calls with more time wait for half of it.
 	blobReadRetry = 800 * time.Millisecond
-	// learnRetry is the pause after a failed attempt to find out which blobs are retained.
-	learnRetry = 500 * time.Millisecond
-	// fetchTimeout bounds the reads that go on after their call has ended.
+	// earlyListing is the time after which a call does not wait any more for the answer that
+	// a blob was deleted from the log before it lists the blob.
+	earlyListing = 100 * time.Millisecond
+	// retainedAge is the time for which a host relies on what it knows of deleted blobs. It
+	// also bounds how often a host lists blobs early: a page of a listing holds up to 1 MB.
+	retainedAge = 30 * time.Second
+	// fetchTimeout bounds one attempt of a read, and the calls that have no deadline. An
+	// attempt goes on after its call has ended.
 	fetchTimeout = 4 * time.Second
 )
 
@@ -71,10 +78,12 @@
 	fetches map[fetchKey]*fetchedBlob
 	// retained is the offset, by partition, before which records are known to be deleted.
 	retained map[int]int64
+	// checked is when, by partition, the host learned that offset or listed blobs early.
+	checked map[int]time.Time
 }
 
 func newBlobStore(store logstore.Store, maxRecord, maxAppend int) *blobStore {
-	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), retained: make(map[int]int64)}
+	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), retained: make(map[int]int64), checked: make(map[int]time.Time)}
 }
 
 func blobPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicBlobs, Number: n} }
@@ -145,12 +154,19 @@
 }
 
 // getSome is get for a caller that can do with the first blob: when patience ends, it
-// waits for no other, except for those that are read in the same round. Reads that are under way go on, so that a repeated call finds in the
-// cache what they return, or waits for them.
+// waits for no other, except for those that are read in the same round. Reads that are
+// under way go on, so that a repeated call finds in the cache what they return, or waits for
+// them, but none is sent without a call that waits for it.
 func (b *blobStore) getSome(ctx, patience context.Context, partition int, refs []jobs.BlobRef) ([][]byte, error) {
+	call := &waitingCall{readRetry(ctx)}
+	if _, limited := ctx.Deadline(); !limited {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+	}
 	found := make([][]byte, len(refs))
 	fetched := make([]*fetchedBlob, len(refs)) // nil for blobs of the cache
-	f := &fetch{blobStore: b, partition: partition, retry: readRetry(ctx)}
+	f := &fetch{blobStore: b, partition: partition, changed: make(chan struct{})}
 	b.mu.Lock()
 	for i, ref := range refs {
 		if found[i] = b.fromCache(ref); found[i] != nil || ref.Bytes == 0 {
@@ -158,14 +174,17 @@
 		}
 		key := fetchKey{partition, ref}
 		if b.fetches[key] == nil {
-			b.fetches[key] = &fetchedBlob{ref: ref, done: make(chan struct{})}
+			b.fetches[key] = &fetchedBlob{fetch: f, ref: ref, waiting: make(map[*waitingCall]bool), done: make(chan struct{})}
 			f.blobs = append(f.blobs, b.fetches[key])
 		}
 		fetched[i] = b.fetches[key]
+		fetched[i].waiting[call] = true
+		fetched[i].fetch.signalChange()
 	}
 	b.mu.Unlock()
+	defer b.stopWaiting(call, fetched)
 	if len(f.blobs) > 0 {
-		f.start(ctx)
+		go f.run(context.WithoutCancel(ctx))
 	}
 	var failed error
 	for i, blob := range fetched {
@@ -190,6 +209,18 @@
 	return found, failed
 }
 
+// stopWaiting records that a call has ended. Blobs of the cache are nil.
+func (b *blobStore) stopWaiting(call *waitingCall, fetched []*fetchedBlob) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, blob := range fetched {
+		if blob != nil {
+			delete(blob.waiting, call)
+			blob.fetch.signalChange()
+		}
+	}
+}
+
 // isCached reports whether a blob can be returned without the store.
 func (b *blobStore) isCached(ref jobs.BlobRef) bool {
 	b.mu.Lock()
@@ -201,8 +232,8 @@
 type fetch struct {
 	*blobStore
 	partition int
-	retry     time.Duration  // see blobReadRetry
 	blobs     []*fetchedBlob // in the order in which they are needed
+	changed   chan struct{}  // closed and replaced when a call begins or ends to wait; guarded by mu
 }
 
 type fetchKey struct {
@@ -212,23 +243,67 @@
 
 // fetchedBlob is one blob of a fetch. data and err are set before done is closed.
 type fetchedBlob struct {
-	ref  jobs.BlobRef
-	done chan struct{}
-	data []byte
-	err  error
+	fetch   *fetch
+	ref     jobs.BlobRef
+	waiting map[*waitingCall]bool // guarded by mu of the blobStore
+	done    chan struct{}
+	data    []byte
+	err     error
 }
 
-// start starts the fetch for a call.
-func (f *fetch) start(ctx context.Context) {
-	limit := fetchTimeout
-	if deadline, ok := ctx.Deadline(); ok {
-		limit = max(limit, time.Until(deadline))
+// waitingCall is a call that waits for blobs.
+type waitingCall struct {
+	retry time.Duration // time after which a read for it is sent again
+}
+
+// signalChange wakes the reads of the fetch. The caller holds mu.
+func (f *fetch) signalChange() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// isWanted reports whether a call waits for one of the blobs. The caller holds mu.
+func isWanted(blobs []*fetchedBlob) bool {
+	return slices.ContainsFunc(blobs, func(blob *fetchedBlob) bool { return len(blob.waiting) > 0 })
+}
+
+// retry returns the time after which a read of blobs is sent again: that of the call with the
+// least time, or 0 if no call waits for them. The caller holds mu.
+func retry(blobs []*fetchedBlob) time.Duration {
+	var least time.Duration
+	for _, blob := range blobs {
+		for call := range blob.waiting {
+			if least == 0 || call.retry < least {
+				least = call.retry
+			}
+		}
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
-	go func() {
-		defer cancel()
-		f.run(ctx)
-	}()
+	return least
+}
+
+// hedge reads something for blobs, and again while calls wait for one of them.
+func hedge[T any](ctx context.Context, f *fetch, blobs []*fetchedBlob, read func(context.Context) (T, error)) (T, error) {
+	return logstore.HedgeWhile(ctx, fetchTimeout, func(attempts int) (time.Duration, <-chan struct{}) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if attempts > 1 {
+			return 2 * retry(blobs), f.changed
+		}
+		return retry(blobs), f.changed
+	}, read)
+}
+
+// giveUp settles blobs if no call waits for any of them, and reports whether it did.
+func (f *fetch) giveUp(blobs []*fetchedBlob) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if isWanted(blobs) {
+		return false
+	}
+	for _, blob := range blobs {
+		f.settleLocked(blob, nil, logstore.ErrUnwanted)
+	}
+	return true
 }
 
 // wait waits until the blob was read, or cannot be read, or ctx ends.
@@ -253,14 +328,20 @@
 
 func (f *fetch) settle(blob *fetchedBlob, data []byte, err error) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settleLocked(blob, data, err)
+}
+
+// settleLocked is settle for a caller that holds mu.
+func (f *fetch) settleLocked(blob *fetchedBlob, data []byte, err error) {
 	delete(f.fetches, fetchKey{f.partition, blob.ref})
-	f.mu.Unlock()
 	blob.data, blob.err = data, err
 	close(blob.done)
 }
 
 // run reads the blobs by offset, and then by key those that are not at their offsets.
 func (f *fetch) run(ctx context.Context) {
+	early := f.startEarlyListing(ctx)
 	var mu sync.Mutex
 	byKey := make(map[*fetchedBlob]bool)
 	var reads errgroup.Group
@@ -277,7 +358,47 @@
 		})
 	}
 	_ = reads.Wait() // each blob has its error
-	f.readByKey(ctx, slices.DeleteFunc(slices.Clone(f.blobs), func(blob *fetchedBlob) bool { return !byKey[blob] }))
+	rest := slices.DeleteFunc(slices.Clone(f.blobs), func(blob *fetchedBlob) bool { return !byKey[blob] })
+	f.readByKey(ctx, rest, early.finish(len(rest) > 0))
+}
+
+// backgroundListing is a listing that goes on while blobs are read by offset.
+type backgroundListing struct {
+	cancel context.CancelFunc
+	timer  *time.Timer
+	done   chan struct{}
+	values map[string][]byte // by key; set before done is closed
+}
+
+// startEarlyListing lists the blobs from the first one on if the reads by offset are late
+// and the host does not know which blobs were deleted: the time of a call does not suffice
+// for the answer that a blob was deleted and a listing after it.
+func (f *fetch) startEarlyListing(ctx context.Context) *backgroundListing {
+	ctx, cancel := context.WithTimeout(ctx, earlyListing+fetchTimeout)
+	l := &backgroundListing{cancel: cancel, done: make(chan struct{})}
+	after, wanted := f.blobs[0].ref.Key+"/", f.chunkKeys(f.blobs)
+	l.timer = time.AfterFunc(earlyListing, func() {
+		defer close(l.done)
+		if !f.claimEarlyListing(f.partition) {
+			return
+		}
+		page, err := f.listPage(ctx, after, wanted)
+		if err != nil {
+			klog.V(1).InfoS("early listing of blobs failed", "partition", f.partition, "err", err)
+		}
+		l.values = page.values
+	})
+	return l
+}
+
+// finish returns the records that the listing found, or ends it if they are not needed.
+func (l *backgroundListing) finish(needed bool) map[string][]byte {
+	defer l.cancel()
+	if l.timer.Stop() || !needed {
+		return nil
+	}
+	<-l.done
+	return l.values
 }
 
 // contiguous returns the blobs in groups that a single read each can return, in the order
@@ -327,34 +448,30 @@
 // readContiguous reads contiguous blobs by offset. It returns those whose records are not
 // at these offsets or were deleted.
 func (f *fetch) readContiguous(ctx context.Context, blobs []*fetchedBlob) []*fetchedBlob {
-	values := make(map[string][]byte)
-	first, last := blobs[0].ref, blobs[len(blobs)-1].ref
-	size := 0
-	for _, blob := range blobs {
-		size += blob.ref.Bytes + blob.ref.Records*blobOverhead
-	}
-	var broken error
-	if first.Offset != jobs.UnknownOffset && !f.isDeleted(f.partition, first.Offset) {
-		err := f.readRange(ctx, first.Offset, last.Offset+int64(last.Records), size, values)
-		if errors.Is(err, logstore.ErrDeleted) {
-			f.recordDeleted(f.partition, first.Offset, err)
-		} else {
-			broken = err // what arrived before is kept
+	for len(blobs) > 0 && !f.giveUp(blobs) {
+		if first := blobs[0].ref; first.Offset == jobs.UnknownOffset || f.isDeleted(f.partition, first.Offset) {
+			return blobs
 		}
-	}
-	var elsewhere []*fetchedBlob
-	for _, blob := range blobs {
-		data, ok := assemble(blob.ref, values)
-		switch {
-		case ok:
-			f.succeed(blob, data)
-		case broken != nil:
-			f.settle(blob, nil, broken)
-		default:
-			elsewhere = append(elsewhere, blob)
+		values := make(map[string][]byte)
+		err := f.readRange(ctx, blobs, values)
+		var rest []*fetchedBlob
+		for _, blob := range blobs {
+			data, ok := assemble(blob.ref, values)
+			switch {
+			case ok:
+				f.succeed(blob, data)
+			case err == nil, errors.Is(err, logstore.ErrDeleted), errors.Is(err, logstore.ErrUnwanted):
+				rest = append(rest, blob)
+			default:
+				f.settle(blob, nil, err)
+			}
 		}
+		if !errors.Is(err, logstore.ErrUnwanted) {
+			return rest
+		}
+		blobs = rest // a call may wait again
 	}
-	return elsewhere
+	return nil
 }
 
 // isDeleted reports whether a record is known to be deleted from the log.
@@ -364,16 +481,38 @@
 	return offset < b.retained[partition]
 }
 
-// recordDeleted records that a read at an offset found its record deleted.
-func (b *blobStore) recordDeleted(partition int, offset int64, err error) {
-	retained := offset + 1
+// read reads records of a partition and records which ones are retained.
+func (b *blobStore) read(ctx context.Context, partition int, from int64, maxBytes int) (logstore.Page, error) {
+	page, err := b.store.Read(ctx, blobPartition(partition), from, maxBytes, 0)
 	var deleted *logstore.DeletedError
-	if errors.As(err, &deleted) {
-		retained = deleted.First
+	switch {
+	case err == nil:
+		b.recordRetained(partition, page.First)
+	case errors.As(err, &deleted):
+		b.recordRetained(partition, deleted.First)
+	case errors.Is(err, logstore.ErrDeleted):
+		b.recordRetained(partition, from+1)
 	}
+	return page, err
+}
+
+// recordRetained records the offset of the first retained record of a partition.
+func (b *blobStore) recordRetained(partition int, first int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.retained[partition] = max(b.retained[partition], retained)
+	b.retained[partition] = max(b.retained[partition], first)
+	b.checked[partition] = time.Now()
+}
+
+// claimEarlyListing reports whether blobs of a partition may be listed early now.
+func (b *blobStore) claimEarlyListing(partition int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if time.Since(b.checked[partition]) < retainedAge {
+		return false
+	}
+	b.checked[partition] = time.Now()
+	return true
 }
 
 // readRetry returns the time after which a read for a call is sent again.
@@ -385,29 +524,27 @@
 }
 
 // learnRetained finds out which blobs of a partition were deleted from the log, so that no
-// call has to. It retries until the store answers or ctx ends.
-func (b *blobStore) learnRetained(ctx context.Context, partition int) {
-	for ctx.Err() == nil {
-		_, err := logstore.Hedge(ctx, blobReadRetry, func(ctx context.Context) (logstore.Page, error) {
-			return b.store.Read(ctx, blobPartition(partition), 0, 1, 0)
-		})
-		if errors.Is(err, logstore.ErrDeleted) {
-			b.recordDeleted(partition, 0, err)
-		}
-		if err == nil || errors.Is(err, logstore.ErrDeleted) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(learnRetry):
-		}
+// call has to. Each read says so; this one begins after the newest known blob, where there
+// are few records or none. It is not repeated: all hosts may start at once.
+func (b *blobStore) learnRetained(ctx context.Context, partition int, end int64) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	if _, err := b.read(ctx, partition, end, 1); err != nil && !errors.Is(err, logstore.ErrDeleted) {
+		klog.InfoS("it is not known which blobs were deleted from the log", "partition", partition, "err", err)
 	}
 }
 
-func (f *fetch) readRange(ctx context.Context, from, to int64, size int, values map[string][]byte) error {
+// readRange reads the records of contiguous blobs and adds them to values, also those that
+// arrived before an error.
+func (f *fetch) readRange(ctx context.Context, blobs []*fetchedBlob, values map[string][]byte) error {
+	last := blobs[len(blobs)-1].ref
+	from, to, size := blobs[0].ref.Offset, last.Offset+int64(last.Records), 0
+	for _, blob := range blobs {
+		size += blob.ref.Bytes + blob.ref.Records*blobOverhead
+	}
 	for from < to {
-		page, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Page, error) {
-			return f.store.Read(ctx, blobPartition(f.partition), from, size, 0)
+		page, err := hedge(ctx, f, blobs, func(ctx context.Context) (logstore.Page, error) {
+			return f.read(ctx, f.partition, from, size)
 		})
 		if err != nil {
 			return err
@@ -421,35 +558,51 @@
 			}
 		}
 		from += int64(len(page.Records))
+		if from < to && !f.areWanted(blobs) {
+			return logstore.ErrUnwanted
+		}
 	}
 	return nil
 }
 
+// areWanted reports whether a call waits for one of the blobs.
+func (f *fetch) areWanted(blobs []*fetchedBlob) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return isWanted(blobs)
+}
+
 // readByKey reads the blobs that cannot be read by offset. The store retains the newest
 // record of each key, even if it has deleted that record from the log. A page of a listing
 // holds up to 1 MB of records, so each serves all blobs that it holds, and they are read
 // one after the other: parallel ones would share the bandwidth, and none might arrive in
 // time. The first blob comes first, so that each call returns something, and the others
-// in the order of their keys, so that few listings hold all of them.
-func (f *fetch) readByKey(ctx context.Context, blobs []*fetchedBlob) {
-	wanted := make(map[string]bool)
-	for _, blob := range blobs {
-		for n := range blob.ref.Records {
-			wanted[blob.ref.ChunkKey(n)] = true
+// in the order of their keys, so that few listings hold all of them. listed holds records
+// that were listed before.
+func (f *fetch) readByKey(ctx context.Context, blobs []*fetchedBlob, listed map[string][]byte) {
+	wanted := f.chunkKeys(blobs)
+	values := make(map[string][]byte)
+	maps.Copy(values, listed)
+	blobs = slices.DeleteFunc(blobs, func(blob *fetchedBlob) bool {
+		data, ok := assemble(blob.ref, values)
+		if ok {
+			f.succeed(blob, data)
 		}
-	}
+		return ok
+	})
 	if len(blobs) > 1 {
 		slices.SortFunc(blobs[1:], func(x, y *fetchedBlob) int { return strings.Compare(x.ref.Key, y.ref.Key) })
 	}
-	values := make(map[string][]byte)
-	for len(blobs) > 0 {
-		err := f.listFrom(ctx, blobs[0].ref.Key, wanted, values)
+	for len(blobs) > 0 && !f.giveUp(blobs) {
+		err := f.listFrom(ctx, blobs, wanted, values)
 		var rest []*fetchedBlob
 		for i, blob := range blobs {
 			data, ok := assemble(blob.ref, values)
 			switch {
 			case ok:
 				f.succeed(blob, data)
+			case errors.Is(err, logstore.ErrUnwanted):
+				rest = append(rest, blob) // a call may wait again
 			case err != nil:
 				f.settle(blob, nil, err)
 			case i == 0:
@@ -462,30 +615,61 @@
 	}
 }
 
-// listFrom lists the newest records from those of a blob on, until all records of that
-// blob were listed, and adds the wanted ones to values.
-func (f *fetch) listFrom(ctx context.Context, key string, wanted map[string]bool, values map[string][]byte) error {
-	after := key + "/"
-	for strings.HasPrefix(after, key+"/") {
-		listing, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Listing, error) {
-			return f.store.ListNewest(ctx, blobPartition(f.partition), after)
+// chunkKeys returns the keys of the records of blobs.
+func (f *fetch) chunkKeys(blobs []*fetchedBlob) map[string]bool {
+	keys := make(map[string]bool)
+	for _, blob := range blobs {
+		for n := range blob.ref.Records {
+			keys[blob.ref.ChunkKey(n)] = true
+		}
+	}
+	return keys
+}
+
+// listFrom lists the newest records from those of the first blob on, until all records of
+// that blob were listed, and adds the wanted ones to values.
+func (f *fetch) listFrom(ctx context.Context, blobs []*fetchedBlob, wanted map[string]bool, values map[string][]byte) error {
+	prefix := blobs[0].ref.Key + "/"
+	after := prefix
+	for strings.HasPrefix(after, prefix) {
+		page, err := hedge(ctx, f, blobs, func(ctx context.Context) (listedPage, error) {
+			return f.listPage(ctx, after, wanted)
 		})
 		if err != nil {
 			return err
 		}
-		for _, r := range listing.Records {
-			if wanted[r.Key] {
-				values[r.Key] = r.Value
-			}
-			after = r.Key
-		}
-		if !listing.More || len(listing.Records) == 0 {
-			return nil
+		maps.Copy(values, page.values)
+		after = page.after
+		if after != "" && !f.areWanted(blobs) {
+			return logstore.ErrUnwanted
 		}
 	}
 	return nil
 }
 
+// listedPage is what a page of a listing has of blobs.
+type listedPage struct {
+	values map[string][]byte // by key
+	after  string            // key after which the next page begins, or empty
+}
+
+func (f *fetch) listPage(ctx context.Context, after string, wanted map[string]bool) (listedPage, error) {
+	listing, err := f.store.ListNewest(ctx, blobPartition(f.partition), after)
+	if err != nil {
+		return listedPage{}, err
+	}
+	page := listedPage{values: make(map[string][]byte)}
+	for _, r := range listing.Records {
+		if wanted[r.Key] {
+			page.values[r.Key] = r.Value
+		}
+		if listing.More {
+			page.after = r.Key
+		}
+	}
+	return page, nil
+}
+
 // assemble joins the records of a blob. It reports false if some are missing or are not
 // those that the reference was made for.
 func assemble(ref jobs.BlobRef, values map[string][]byte) ([]byte, bool) {
