Fix a data race between repeated reads of a blob

A read of a blob that is sent again captured the variable that holds the next offset or key. An attempt whose goroutine begins only when an earlier attempt has been answered read it while the loop advanced it.

Each attempt now has its own copy.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -406,8 +406,9 @@
 
 func (f *fetch) readRange(ctx context.Context, from, to int64, size int, values map[string][]byte) error {
 	for from < to {
+		first := from // an attempt may begin late, after from has advanced
 		page, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Page, error) {
-			return f.store.Read(ctx, blobPartition(f.partition), from, size, 0)
+			return f.store.Read(ctx, blobPartition(f.partition), first, size, 0)
 		})
 		if err != nil {
 			return err
@@ -467,8 +468,9 @@
 func (f *fetch) listFrom(ctx context.Context, key string, wanted map[string]bool, values map[string][]byte) error {
 	after := key + "/"
 	for strings.HasPrefix(after, key+"/") {
+		last := after // an attempt may begin late, after it has advanced
 		listing, err := logstore.Hedge(ctx, f.retry, func(ctx context.Context) (logstore.Listing, error) {
-			return f.store.ListNewest(ctx, blobPartition(f.partition), after)
+			return f.store.ListNewest(ctx, blobPartition(f.partition), last)
 		})
 		if err != nil {
 			return err
--- a/internal/fronthost/slow_blobs_test.go
+++ b/internal/fronthost/slow_blobs_test.go
@@ -241,3 +241,38 @@
 		must.Positive(t, read)
 	})
 }
+
+// tardyStore answers a call with one record, just when the call is sent again.
+type tardyStore struct{ *memlog.Store }
+
+func (s tardyStore) Read(ctx context.Context, p logstore.Partition, from int64, _ int, wait time.Duration) (logstore.Page, error) {
+	time.Sleep(blobReadRetry)
+	return s.Store.Read(ctx, p, from, 1, wait)
+}
+
+func (s tardyStore) ListNewest(ctx context.Context, p logstore.Partition, after string) (logstore.Listing, error) {
+	time.Sleep(blobReadRetry)
+	return s.Store.ListNewest(ctx, p, after)
+}
+
+// Guards against a data race between a read that is sent again and the next read of the blob.
+func TestReadSentAgainDoesNotRaceWithTheNextOne(t *testing.T) {
+	for _, kept := range []bool{true, false} { // in the log, or in listings only
+		synctest.Test(t, func(t *testing.T) {
+			const records, reads = 4, 16
+			store := memlog.New(4)
+			store.SetPageSize(1)
+			refs, err := newBlobStore(store, testRecordBytes, testAppendBytes).put(t.Context(), 1, []blob{{key: "key", data: make([]byte, records*(testRecordBytes-blobOverhead))}})
+			must.NoError(t, err)
+			must.EqOp(t, records, refs[0].Records)
+			if !kept {
+				refs[0].Offset = jobs.UnknownOffset
+			}
+			for range reads {
+				_, err = newBlobStore(tardyStore{store}, testRecordBytes, testAppendBytes).get(t.Context(), 1, refs)
+				time.Sleep(2 * fetchTimeout) // until the reads have ended
+				must.NoError(t, err)
+			}
+		})
+	}
+}
