--- /dev/null
+++ b/internal/fronthost/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package fronthost
+
+const raceEnabled = false
