--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -543,8 +543,9 @@
 		size += blob.ref.Bytes + blob.ref.Records*blobOverhead
 	}
 	for from < to {
+		first := from // an attempt may begin late, after from has advanced
 		page, err := hedge(ctx, f, blobs, func(ctx context.Context) (logstore.Page, error) {
-			return f.read(ctx, f.partition, from, size)
+			return f.read(ctx, f.partition, first, size)
 		})
 		if err != nil {
 			return err
@@ -632,8 +633,9 @@
 	prefix := blobs[0].ref.Key + "/"
 	after := prefix
 	for strings.HasPrefix(after, prefix) {
+		last := after // an attempt may begin late, after it has advanced
 		page, err := hedge(ctx, f, blobs, func(ctx context.Context) (listedPage, error) {
-			return f.listPage(ctx, after, wanted)
+			return f.listPage(ctx, last, wanted)
 		})
 		if err != nil {
 			return err
