Let hosts that may own a partition read it before small ones

Hosts that may own a partition do not yield any more, and small hosts begin with a read of 128 KB, whose latency tells them whether the store is busy.

TestHostsThatDoNotYieldReadFirst fails without the change (59 followers of 5 MB before 16 MB/s: not all of the 12 that do not yield have read it after 6 s).

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -209,8 +209,10 @@
 	if partition != controlPartition {
 		f.StartFromLog()
 	}
-	// Only the owner of a partition needs it to go on with the jobs.
-	f.YieldWhile(func() bool { _, owned := h.group.Owned()[partition]; return !owned })
+	// The owner of a partition needs it to go on with the jobs. That is a large host, unless
+	// there is none, and callers are served by the first hosts that have read all jobs, not
+	// by all hosts at once that are halfway.
+	f.YieldWhile(func() bool { _, owned := h.group.Owned()[partition]; return h.isSmall() && !owned })
 	h.followers[partition] = f
 	go f.Run(ctx)
 	if partition != controlPartition {
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -73,9 +73,9 @@
 	return &Follower{store: store, partition: p, apply: apply, now: boottime.Now, startEnd: unknownEnd, pacing: newPacing(), advanced: make(chan struct{})}
 }
 
-// YieldWhile makes the follower pause between slow pages of a listing while yields
-// returns true, so that hosts which need the partition sooner get more of the store's
-// bandwidth. It must be called before Run.
+// YieldWhile makes the follower begin with a small read, and pause after slow ones until it
+// has read the partition, while yields returns true, so that hosts which need the partition
+// sooner get more of the store's bandwidth. It must be called before Run.
 func (f *Follower) YieldWhile(yields func() bool) { f.yields = yields }
 
 // unknownEnd is the end of a log of which no page was read yet.
@@ -90,6 +90,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.mu.Lock()
 	f.lastResponse = time.Now()
+	if f.yields != nil && f.yields() {
+		f.pacing.readBytes = yieldReadBytes
+	}
 	f.mu.Unlock()
 	var yielded time.Duration
 	for ctx.Err() == nil {
--- a/internal/logstore/pacing.go
+++ b/internal/logstore/pacing.go
@@ -24,6 +24,9 @@
 	// cannot choose, and maxListTimeout later ones.
 	listTimeout    = 2800 * time.Millisecond
 	maxListTimeout = 5600 * time.Millisecond
+	// yieldReadBytes is the size of the first read of a host that yields. It tells the host
+	// whether the store is busy while the hosts that do not yield still read.
+	yieldReadBytes = 128 << 10
 	// slowPage is the time for a page of a listing from which the store counts as busy.
 	slowPage = 250 * time.Millisecond
 	// yieldFactor is the pause after a slow page in multiples of its time.
--- a/internal/logstore/pacing_test.go
+++ b/internal/logstore/pacing_test.go
@@ -200,3 +200,41 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against hosts that all finish reading a partition at the same late moment after
+// a loss of all hosts, so that no caller is served until then.
+func TestHostsThatDoNotYieldReadFirst(t *testing.T) {
+	const hosts, large, records, size = 59, 12, 16000, 300 // 5 MB
+	const bandwidth = 16e6                                 // bytes/s, in proportion to 295 hosts and 80 MB/s
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowLink{Store: memlog.New(1), bytesPerSecond: bandwidth}
+		var batch []logstore.Record
+		for i := range records {
+			batch = append(batch, logstore.Record{Key: fmt.Sprintf("key-%d", i), Value: make([]byte, size)})
+		}
+		_, err := store.Append(t.Context(), testPartition, batch, nil)
+		must.NoError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		var followers [hosts]*logstore.Follower
+		for n := range hosts {
+			followers[n] = logstore.NewFollower(store, testPartition, func(logstore.Batch) {})
+			followers[n].StartFromLog()
+			followers[n].YieldWhile(func() bool { return n >= large })
+			go followers[n].Run(ctx)
+		}
+		synced := func(list []*logstore.Follower) (n int) {
+			for _, f := range list {
+				if f.HasSynced() {
+					n++
+				}
+			}
+			return n
+		}
+		time.Sleep(6 * time.Second)
+		must.EqOp(t, large, synced(followers[:large]))
+		time.Sleep(24 * time.Second)
+		must.EqOp(t, hosts, synced(followers[:]))
+		cancel()
+		synctest.Wait()
+	})
+}
