Keep the records that arrived of large blobs

Cause: a payload of several MB takes several reads, of up to 1 MB each, or listings. Calls have time for one or two answers of a slow store, and what had arrived was dropped with the fetch, so each call began with the first record.

Change: the records of blobs that did not arrive whole are kept, up to 8 MB, and the next read or listing begins with the first missing one. Attempts that begin after their loop has gone on read where they were meant to.

--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -76,6 +76,7 @@
 	size  int
 	// fetches holds the blobs that are being read.
 	fetches map[fetchKey]*fetchedBlob
+	parts   *blobParts
 	// retained is the offset, by partition, before which records are known to be deleted.
 	retained map[int]int64
 	// checked is when, by partition, the host learned that offset or listed blobs early.
@@ -83,7 +84,7 @@
 }
 
 func newBlobStore(store logstore.Store, maxRecord, maxAppend int) *blobStore {
-	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), retained: make(map[int]int64), checked: make(map[int]time.Time)}
+	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), parts: newBlobParts(), retained: make(map[int]int64), checked: make(map[int]time.Time)}
 }
 
 func blobPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicBlobs, Number: n} }
@@ -321,8 +322,49 @@
 	}
 }
 
+// keep keeps the records of blobs that have not arrived whole.
+func (f *fetch) keep(blobs []*fetchedBlob, values map[string][]byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, blob := range blobs {
+		if blob.ref.Records > 1 {
+			f.parts.add(fetchKey{f.partition, blob.ref}, values)
+		}
+	}
+}
+
+// kept returns the records of blobs that arrived before.
+func (f *fetch) kept(blobs []*fetchedBlob) map[string][]byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	values := make(map[string][]byte)
+	for _, blob := range blobs {
+		maps.Copy(values, f.parts.records[fetchKey{f.partition, blob.ref}])
+	}
+	return values
+}
+
+// dropKept drops records that do not add up to their blob, or are not needed any more.
+func (f *fetch) dropKept(blob *fetchedBlob) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.parts.remove(fetchKey{f.partition, blob.ref})
+}
+
+// leadingRecords returns how many records of a blob values holds, up to the first missing
+// one.
+func leadingRecords(ref jobs.BlobRef, values map[string][]byte) int {
+	for n := range ref.Records {
+		if _, ok := values[ref.ChunkKey(n)]; !ok {
+			return n
+		}
+	}
+	return ref.Records
+}
+
 func (f *fetch) succeed(blob *fetchedBlob, data []byte) {
 	f.addToCache(blob.ref.Key, data)
+	f.dropKept(blob)
 	f.settle(blob, data, nil)
 }
 
@@ -452,15 +494,19 @@
 		if first := blobs[0].ref; first.Offset == jobs.UnknownOffset || f.isDeleted(f.partition, first.Offset) {
 			return blobs
 		}
-		values := make(map[string][]byte)
+		values := f.kept(blobs)
 		err := f.readRange(ctx, blobs, values)
+		f.keep(blobs, values)
 		var rest []*fetchedBlob
 		for _, blob := range blobs {
 			data, ok := assemble(blob.ref, values)
 			switch {
 			case ok:
 				f.succeed(blob, data)
-			case err == nil, errors.Is(err, logstore.ErrDeleted), errors.Is(err, logstore.ErrUnwanted):
+			case err == nil:
+				f.dropKept(blob)
+				rest = append(rest, blob)
+			case errors.Is(err, logstore.ErrDeleted), errors.Is(err, logstore.ErrUnwanted):
 				rest = append(rest, blob)
 			default:
 				f.settle(blob, nil, err)
@@ -534,17 +580,22 @@
 	}
 }
 
-// readRange reads the records of contiguous blobs and adds them to values, also those that
-// arrived before an error.
+// readRange reads the records of contiguous blobs that values does not hold yet, and adds
+// them to values, also those that arrived before an error.
 func (f *fetch) readRange(ctx context.Context, blobs []*fetchedBlob, values map[string][]byte) error {
 	last := blobs[len(blobs)-1].ref
-	from, to, size := blobs[0].ref.Offset, last.Offset+int64(last.Records), 0
-	for _, blob := range blobs {
+	to, size := last.Offset+int64(last.Records), 0
+	from := to
+	for _, blob := range slices.Backward(blobs) {
 		size += blob.ref.Bytes + blob.ref.Records*blobOverhead
+		if n := leadingRecords(blob.ref, values); n < blob.ref.Records {
+			from = blob.ref.Offset + int64(n)
+		}
 	}
 	for from < to {
+		at := from // attempts may begin when the loop has gone on
 		page, err := hedge(ctx, f, blobs, func(ctx context.Context) (logstore.Page, error) {
-			return f.read(ctx, f.partition, from, size)
+			return f.read(ctx, f.partition, at, size)
 		})
 		if err != nil {
 			return err
@@ -581,7 +632,7 @@
 // that were listed before.
 func (f *fetch) readByKey(ctx context.Context, blobs []*fetchedBlob, listed map[string][]byte) {
 	wanted := f.chunkKeys(blobs)
-	values := make(map[string][]byte)
+	values := f.kept(blobs)
 	maps.Copy(values, listed)
 	blobs = slices.DeleteFunc(blobs, func(blob *fetchedBlob) bool {
 		data, ok := assemble(blob.ref, values)
@@ -595,6 +646,7 @@
 	}
 	for len(blobs) > 0 && !f.giveUp(blobs) {
 		err := f.listFrom(ctx, blobs, wanted, values)
+		f.keep(blobs, values)
 		var rest []*fetchedBlob
 		for i, blob := range blobs {
 			data, ok := assemble(blob.ref, values)
@@ -606,6 +658,7 @@
 			case err != nil:
 				f.settle(blob, nil, err)
 			case i == 0:
+				f.dropKept(blob)
 				f.settle(blob, nil, fmt.Errorf("%w: %s", errNoBlob, blob.ref.Key))
 			default:
 				rest = append(rest, blob)
@@ -627,20 +680,26 @@
 }
 
 // listFrom lists the newest records from those of the first blob on, until all records of
-// that blob were listed, and adds the wanted ones to values.
+// that blob were listed, and adds the wanted ones to values. It begins after the records
+// that values holds.
 func (f *fetch) listFrom(ctx context.Context, blobs []*fetchedBlob, wanted map[string]bool, values map[string][]byte) error {
-	prefix := blobs[0].ref.Key + "/"
+	first := blobs[0].ref
+	prefix := first.Key + "/"
 	after := prefix
+	if n := leadingRecords(first, values); n > 0 {
+		after = first.ChunkKey(n - 1)
+	}
 	for strings.HasPrefix(after, prefix) {
+		begin := after // attempts may begin when the loop has gone on
 		page, err := hedge(ctx, f, blobs, func(ctx context.Context) (listedPage, error) {
-			return f.listPage(ctx, after, wanted)
+			return f.listPage(ctx, begin, wanted)
 		})
 		if err != nil {
 			return err
 		}
 		maps.Copy(values, page.values)
 		after = page.after
-		if after != "" && !f.areWanted(blobs) {
+		if strings.HasPrefix(after, prefix) && !f.areWanted(blobs) {
 			return logstore.ErrUnwanted
 		}
 	}
