Send orders to replicas while the store is slow

Cause: an order was abandoned 0.6 s after its decision. In this time its intent waits for the append that is under way, such as the record of the attempt before, and then for its own, so no order was sent while an append took 0.6 s, and each attempt began with a new intent.

Change: the time of an intent counts from the beginning of its append, and is twice what the store took for the last small append, from 0.6 s to 2.5 s. The intent says how long it is, and a new order owner waits for it.

Why two owners stay a lease apart: the intent cannot be in the log before its append begins (B), so a host reads it at R >= B. The former owner sends at B + T at the latest, T being the time that the record holds; it checks that after the append was answered. The new owner reads the log to its end after it has fenced the former one, and sends at R + lease + T + 0.3 s at the earliest, which is a lease and the transit of 0.3 s after the former one's order. The record after an order does not shorten that wait, and a listed record counts as an intent as before. While appends take up to 0.3 s T is 0.6 s, and the wait is the former one. A host of an earlier version ignores T: beside such hosts, and on a slow store, the distance may be 1.9 s shorter.

--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -47,20 +47,26 @@
 	r.signalAppend()
 }
 
-// appendAndWait appends records and reports whether they are in the log. It stops
-// waiting when ctx ends; the records may still be appended after that.
-func (r *runner) appendAndWait(ctx context.Context, records []logstore.Record) bool {
-	done := make(chan bool, 1)
+// appendOutcome reports whether records were appended, and when their append began.
+type appendOutcome struct {
+	appended bool
+	began    time.Time
+}
+
+// appendAndWait appends records and returns the outcome. It stops waiting when ctx ends; the
+// records may still be appended after that.
+func (r *runner) appendAndWait(ctx context.Context, records []logstore.Record) appendOutcome {
+	done := make(chan appendOutcome, 1)
 	r.mu.Lock()
 	r.pendingRecords = append(r.pendingRecords, records...)
 	r.waiters = append(r.waiters, done)
 	r.signalAppend()
 	r.mu.Unlock()
 	select {
-	case ok := <-done:
-		return ok
+	case outcome := <-done:
+		return outcome
 	case <-ctx.Done():
-		return false
+		return appendOutcome{}
 	}
 }
 
@@ -120,7 +126,7 @@
 type appendBatch struct {
 	commits  []schedule.Commit
 	records  []logstore.Record
-	waiters  []chan bool
+	waiters  []chan appendOutcome
 	partials []schedule.ItemPartial
 }
 
@@ -164,10 +170,10 @@
 func (r *runner) appendQueued(ctx context.Context) bool {
 	batch := r.takeBatch()
 	commits, records := batch.commits, batch.records
-	appended := false
+	outcome := appendOutcome{began: time.Now()}
 	defer func() {
 		for _, w := range batch.waiters {
-			w <- appended
+			w <- outcome
 		}
 	}()
 	if len(batch.partials) > 0 {
@@ -193,7 +199,7 @@
 		r.host.applyAppended(r.partition, records[:n])
 		records = records[n:]
 	}
-	appended = true
+	outcome.appended = true
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, commit := range commits {
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -17,13 +17,16 @@
 
 // Timeouts and intervals of load orders.
 const (
-	// intentTimeout bounds the time from the decision to send an order until it is
-	// sent. An order that was not sent by then is abandoned.
-	intentTimeout = 600 * time.Millisecond
-	// leaseMargin is added to the lease that a new order owner waits after the
-	// former owner's last intent to send an order. It covers the time until the order
-	// was sent and the time that messages are in flight.
-	leaseMargin = intentTimeout + 300*time.Millisecond
+	// minIntentTime bounds the time from the append of an intent to send an order until the
+	// order is sent, while the store answers soon. An order that was not sent by then is
+	// abandoned. While the store is slow, the time is longer, up to maxIntentTime, and the
+	// intent says so.
+	minIntentTime = 600 * time.Millisecond
+	maxIntentTime = 2500 * time.Millisecond
+	// orderTransit is the time that an order is in flight. A new order owner waits for it,
+	// and for the time of the intent, in addition to the lease after the former owner's last
+	// intent.
+	orderTransit = 300 * time.Millisecond
 	// firstReportDelay is how long after an accepted order the first report is read
 	// as long as no load time has been measured.
 	firstReportDelay = 700 * time.Millisecond
@@ -96,13 +99,24 @@
 func (o *orderer) earliestOrder(rs *replicaState, p *placement) time.Time {
 	from := rs.notBefore
 	if p.OrderOwner != "" && p.OrderOwner != o.runner.host.member {
-		if lease := p.lastIntent.Add(o.runner.host.settings.Timing.OrderLease + leaseMargin); lease.After(from) {
+		if lease := p.lastIntent.Add(o.runner.host.settings.Timing.OrderLease + p.intentTime() + orderTransit); lease.After(from) {
 			return lease
 		}
 	}
 	return from
 }
 
+// intentTime returns the time of an intent for a store that takes some time for an append.
+func intentTime(latency time.Duration) time.Duration {
+	return min(max(2*latency, minIntentTime), maxIntentTime)
+}
+
+// intentTime returns the time within which the last order was sent after the append of its
+// intent began.
+func (p *placement) intentTime() time.Duration {
+	return max(time.Duration(p.IntentMs)*time.Millisecond, minIntentTime)
+}
+
 // tick assigns replicas to models and sends the orders that are due.
 func (o *orderer) tick(ctx context.Context) {
 	h := o.runner.host
@@ -290,8 +304,7 @@
 		o.release(rs, 0)
 		return
 	}
-	decided := time.Now()
-	if !o.logIntent(ctx, target.ID, order.Model) || !o.mayOrder() || time.Since(decided) > intentTimeout {
+	if until := o.logIntent(ctx, target.ID, order.Model); !o.mayOrder() || time.Now().After(until) {
 		klog.InfoS("order not sent: intent not logged in time or partition lost", "replica", target.ID, "model", order.Model, "version", order.Version)
 		o.publishPlacement(target.ID, "")
 		o.release(rs, orderRetryDelay)
@@ -432,29 +445,36 @@
 	o.runner.host.placement(replica).observeVersion(model, version)
 }
 
-// logIntent appends the intent to send a load order, and reports whether it is in
-// the log.
-func (o *orderer) logIntent(ctx context.Context, replica, model string) bool {
-	ctx, cancel := context.WithTimeout(ctx, intentTimeout)
+// logIntent appends the intent to send a load order, and returns the time until which the
+// order may be sent, or the zero time if the intent is not in the log. The intent cannot be
+// in the log before its append began, so a host that read it knows until when the order was
+// sent. Other appends may be under way before that.
+func (o *orderer) logIntent(ctx context.Context, replica, model string) time.Time {
+	limit := intentTime(o.runner.host.store.Small())
+	ctx, cancel := context.WithTimeout(ctx, 2*limit)
 	defer cancel()
-	return o.runner.appendAndWait(ctx, o.placementRecords(replica, model))
+	outcome := o.runner.appendAndWait(ctx, o.placementRecords(replica, model, limit))
+	if !outcome.appended {
+		return time.Time{}
+	}
+	return outcome.began.Add(limit)
 }
 
 // publishPlacement publishes which model a replica is loading, if any, and which
 // versions it has, so that the runners of all models know it.
 func (o *orderer) publishPlacement(replica, loading string) {
-	o.runner.queueRecords(o.placementRecords(replica, loading))
+	o.runner.queueRecords(o.placementRecords(replica, loading, 0))
 }
 
 // placementRecords returns the placement record of a replica, with the model that it
-// is loading, if any. The placement in memory changes only when the record is in the
-// log.
-func (o *orderer) placementRecords(replica, loading string) []logstore.Record {
+// is loading, if any, and the time of the intent if it is one. The placement in memory
+// changes only when the record is in the log.
+func (o *orderer) placementRecords(replica, loading string, intent time.Duration) []logstore.Record {
 	h := o.runner.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := *h.placement(replica)
-	p.Loading, p.OrderOwner = loading, h.member
+	p.Loading, p.OrderOwner, p.IntentMs = loading, h.member, intent.Milliseconds()
 	return o.record(replica, &p)
 }
 
--- a/internal/fronthost/placement.go
+++ b/internal/fronthost/placement.go
@@ -33,6 +33,9 @@
 	Versions   map[string]int64 `json:"versions,omitempty"`
 	Loading    string           `json:"loading,omitempty"` // model that is being loaded
 	OrderOwner string           `json:"holder,omitempty"`  // member that sent the last order or is about to send one
+	// IntentMs is the time, in milliseconds, within which the order owner sends the order
+	// after it began to append the intent; 0 means minIntentTime.
+	IntentMs int64 `json:"intent_ms,omitempty"`
 	// lastIntent is when this host read the last intent of an order owner to send an
 	// order, which is a placement record with Loading set. A placement read from a
 	// listing counts as an intent, because it does not show when the last order was
@@ -67,7 +70,7 @@
 	known := h.placement(id)
 	known.Serves, known.Loading, known.OrderOwner = p.Serves, p.Loading, p.OrderOwner
 	if p.Loading != "" || fromListing {
-		known.lastIntent = now
+		known.lastIntent, known.IntentMs = now, p.IntentMs
 	}
 	for model, version := range p.Versions {
 		known.observeVersion(model, version)
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -94,8 +94,8 @@
 
 	mu              sync.Mutex
 	pendingCommits  []schedule.Commit
-	waiters         []chan bool        // receive whether the queued records were appended
-	queuedResults   map[resultKey]bool // results that are being committed
+	waiters         []chan appendOutcome // receive the outcome for the queued records
+	queuedResults   map[resultKey]bool   // results that are being committed
 	pendingRecords  []logstore.Record
 	pendingPartials []schedule.ItemPartial // partial outputs to be stored
 	appendSignal    chan struct{}
