End the reads of payloads with their runner or job

Cause: a runner's reads of the payloads of a job were repeated until they succeeded or the host stopped, also after the partition had been released or the job had ended: after a restart of many hosts, on which partitions move, former owners went on to read from a busy store.

Change: before each attempt the host checks that a runner still has the state that the payloads are for, and that the job is open.

Measured: TestPayloadsAreReadForRunningJobsOnly failed without the check ("the payloads are still being read" 20 s after the release) and passes with it, with -race.

--- a/internal/fronthost/load.go
+++ b/internal/fronthost/load.go
@@ -46,11 +46,11 @@
 }
 
 // loadJob reads a job's payloads and partial outputs into the state of a runner. It
-// retries until the payloads are read or the host stops.
+// retries until the payloads are read, the runner or the job ends, or the host stops.
 func (h *Host) loadJob(e *jobs.Entry, state *runState, refs map[string]jobs.BlobRef) {
 	ctx := h.baseCtx
 	partials := h.readPartials(ctx, e.Partition, refs)
-	for timeout := confirmTimeout; ctx.Err() == nil; timeout = min(2*timeout, maxLoadTimeout) {
+	for timeout := confirmTimeout; ctx.Err() == nil && h.needsPayloads(e, state); timeout = min(2*timeout, maxLoadTimeout) {
 		attemptCtx, cancel := context.WithTimeout(ctx, timeout)
 		payloads, err := h.readPayloads(attemptCtx, e)
 		cancel()
@@ -73,6 +73,21 @@
 	}
 }
 
+// needsPayloads reports whether a runner with the given state runs a job.
+func (h *Host) needsPayloads(e *jobs.Entry, state *runState) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if known := h.jobs.Get(e.Job.ID); known == nil || known.Ended {
+		return false
+	}
+	for _, r := range h.runners {
+		if r.runState == state {
+			return true
+		}
+	}
+	return false
+}
+
 // readPartials reads stored partial outputs. Items whose partial output cannot be
 // read start from the beginning.
 func (h *Host) readPartials(ctx context.Context, partition int, refs map[string]jobs.BlobRef) map[string]jobs.Partial {
