Keep an intent in the records of assignments

Cause: found by reading. Placements have one key for each replica. A record that assigns models to a replica, written from memory while the intent of an order is being appended, replaced the intent in listings: a new order owner that lists the partition saw the former order owner or none, and might send an order within a lease. Intents that take longer widen the window.

Change: the record of an assignment holds the intent that is being appended, and is queued before intents that are decided in the same tick.

Measured: TestAssignmentDoesNotReplaceAnIntent had no wait at all before the change (a negative one, at least 600 ms are needed) and passes now with -race, as do the other tests of orders.

--- a/internal/fronthost/intent_test.go
+++ b/internal/fronthost/intent_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sesamestand/sesamestand/internal/core/rollout"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 	"github.com/sesamestand/sesamestand/internal/settings"
 )
@@ -83,3 +84,20 @@
 		}
 	}
 }
+
+// Guards against a new order owner that reads from a listing a record which replaced the
+// intent of an order, and sends an order within a lease.
+func TestAssignmentDoesNotReplaceAnIntent(t *testing.T) {
+	c := newTestCluster(t, 1)
+	a, b := c.startHost("a"), c.newEntryHost("b")
+	c.waitUntil("the host is ready", a.Ready)
+	o := newOrderer(newRunner(a.Host, controlPartition, 1))
+	o.states["replica-0"] = &replicaState{}
+	o.placementRecords("replica-0", testModel, minIntentTime) // the intent is being appended
+	a.mu.Lock()
+	records := o.assignments([]string{"replica-0"}, []*rollout.Replica{{ID: "replica-0", Serves: map[string]bool{testModel: true}}})
+	a.mu.Unlock()
+	must.SliceLen(t, 1, records)
+	b.applyWork(controlPartition, logstore.Batch{Complete: true, Records: records})
+	must.Greater(t, b.settings.Timing.OrderLease, orderDelay(b, newOrderer(newRunner(b.Host, controlPartition, 1))))
+}
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -80,6 +80,7 @@
 	loading     string    // model of the order in progress
 	acceptedAt  time.Time // when the replica accepted that order
 	notBefore   time.Time
+	intent      *placement // intent to send an order that is being appended, or nil
 }
 
 func newOrderer(r *runner) *orderer {
@@ -129,11 +130,11 @@
 	if o.mayOrder() {
 		orders = rollout.Next(rollout.Defaults(), replicas, models, now)
 	}
+	o.runner.queueRecords(records) // before the intents of the orders
 	for _, order := range orders {
 		o.startOrder(ctx, order)
 	}
 	h.mu.Unlock()
-	o.runner.queueRecords(records)
 }
 
 // planInput copies the replicas and models that the plan needs. The caller holds
@@ -206,12 +207,21 @@
 				}
 			}
 			h.recorder.RecordDecision("place", "", "replica", id, "serves", p.Serves, "versions", r.Versions)
-			records = append(records, o.record(id, p)...)
+			records = append(records, o.record(id, o.withIntent(id, *p))...)
 		}
 	}
 	return records
 }
 
+// withIntent returns the placement of a replica with the intent that is being appended, if
+// any: a record without it would replace it in listings. The caller holds host.mu.
+func (o *orderer) withIntent(replica string, p placement) *placement {
+	if rs := o.states[replica]; rs != nil && rs.intent != nil {
+		p.Loading, p.OrderOwner, p.IntentMs = rs.intent.Loading, rs.intent.OrderOwner, rs.intent.IntentMs
+	}
+	return &p
+}
+
 // removals removes the placements of replicas that have been unregistered for longer
 // than placementRetention, and returns their tombstones. The caller holds host.mu.
 func (o *orderer) removals(now time.Time) []logstore.Record {
@@ -454,12 +464,23 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*limit)
 	defer cancel()
 	outcome := o.runner.appendAndWait(ctx, o.placementRecords(replica, model, limit))
+	o.endIntent(replica)
 	if !outcome.appended {
 		return time.Time{}
 	}
 	return outcome.began.Add(limit)
 }
 
+// endIntent records that an intent was appended, and is in memory, or that its order is not
+// sent.
+func (o *orderer) endIntent(replica string) {
+	o.runner.host.mu.Lock()
+	defer o.runner.host.mu.Unlock()
+	if rs := o.states[replica]; rs != nil {
+		rs.intent = nil
+	}
+}
+
 // publishPlacement publishes which model a replica is loading, if any, and which
 // versions it has, so that the runners of all models know it.
 func (o *orderer) publishPlacement(replica, loading string) {
@@ -475,6 +496,9 @@
 	defer h.mu.Unlock()
 	p := *h.placement(replica)
 	p.Loading, p.OrderOwner, p.IntentMs = loading, h.member, intent.Milliseconds()
+	if rs := o.states[replica]; rs != nil && intent > 0 {
+		rs.intent = &p
+	}
 	return o.record(replica, &p)
 }
 
