--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -17,13 +17,16 @@
 
 // Timeouts and intervals of load orders.
 const (
-	// intentTimeout bounds the time from the decision to send an order until it is
-	// sent. An order that was not sent by then is abandoned.
-	intentTimeout = 600 * time.Millisecond
-	// leaseMargin is added to the lease that a new order owner waits after the
-	// former owner's last intent to send an order. It covers the time until the order
-	// was sent and the time that messages are in flight.
-	leaseMargin = intentTimeout + 300*time.Millisecond
+	// minIntentTime bounds the time from the append of an intent to send an order until the
+	// order is sent, while the store answers soon. An order that was not sent by then is
+	// abandoned. While the store is slow, the time is longer, up to maxIntentTime, and the
+	// intent says so.
+	minIntentTime = 600 * time.Millisecond
+	maxIntentTime = 2500 * time.Millisecond
+	// orderTransit is the time that an order is in flight. A new order owner waits for it,
+	// and for the time of the intent, in addition to the lease after the former owner's last
+	// intent.
+	orderTransit = 300 * time.Millisecond
 	// firstReportDelay is how long after an accepted order the first report is read
 	// as long as no load time has been measured.
 	firstReportDelay = 700 * time.Millisecond
@@ -77,6 +80,7 @@
 	loading     string    // model of the order in progress
 	acceptedAt  time.Time // when the replica accepted that order
 	notBefore   time.Time
+	intent      *placement // intent to send an order that is being appended, or nil
 }
 
 func newOrderer(r *runner) *orderer {
@@ -96,13 +100,24 @@
 func (o *orderer) earliestOrder(rs *replicaState, p *placement) time.Time {
 	from := rs.notBefore
 	if p.OrderOwner != "" && p.OrderOwner != o.runner.host.member {
-		if lease := p.lastIntent.Add(o.runner.host.settings.Timing.OrderLease + leaseMargin); lease.After(from) {
+		if lease := p.lastIntent.Add(o.runner.host.settings.Timing.OrderLease + p.intentTime() + orderTransit); lease.After(from) {
 			return lease
 		}
 	}
 	return from
 }
 
+// intentTime returns the time of an intent for a store that takes some time for an append.
+func intentTime(latency time.Duration) time.Duration {
+	return min(max(2*latency, minIntentTime), maxIntentTime)
+}
+
+// intentTime returns the time within which the last order was sent after the append of its
+// intent began.
+func (p *placement) intentTime() time.Duration {
+	return max(time.Duration(p.IntentMs)*time.Millisecond, minIntentTime)
+}
+
 // tick assigns replicas to models and sends the orders that are due.
 func (o *orderer) tick(ctx context.Context) {
 	h := o.runner.host
@@ -115,11 +130,11 @@
 	if o.mayOrder() {
 		orders = rollout.Next(rollout.Defaults(), replicas, models, now)
 	}
+	o.runner.queueRecords(records) // before the intents of the orders
 	for _, order := range orders {
 		o.startOrder(ctx, order)
 	}
 	h.mu.Unlock()
-	o.runner.queueRecords(records)
 }
 
 // planInput copies the replicas and models that the plan needs. The caller holds
@@ -192,12 +207,21 @@
 				}
 			}
 			h.recorder.RecordDecision("place", "", "replica", id, "serves", p.Serves, "versions", r.Versions)
-			records = append(records, o.record(id, p)...)
+			records = append(records, o.record(id, o.withIntent(id, *p))...)
 		}
 	}
 	return records
 }
 
+// withIntent returns the placement of a replica with the intent that is being appended, if
+// any: a record without it would replace it in listings. The caller holds host.mu.
+func (o *orderer) withIntent(replica string, p placement) *placement {
+	if rs := o.states[replica]; rs != nil && rs.intent != nil {
+		p.Loading, p.OrderOwner, p.IntentMs = rs.intent.Loading, rs.intent.OrderOwner, rs.intent.IntentMs
+	}
+	return &p
+}
+
 // removals removes the placements of replicas that have been unregistered for longer
 // than placementRetention, and returns their tombstones. The caller holds host.mu.
 func (o *orderer) removals(now time.Time) []logstore.Record {
@@ -290,8 +314,7 @@
 		o.release(rs, 0)
 		return
 	}
-	decided := time.Now()
-	if !o.logIntent(ctx, target.ID, order.Model) || !o.mayOrder() || time.Since(decided) > intentTimeout {
+	if until := o.logIntent(ctx, target.ID, order.Model); !o.mayOrder() || time.Now().After(until) {
 		klog.InfoS("order not sent: intent not logged in time or partition lost", "replica", target.ID, "model", order.Model, "version", order.Version)
 		o.publishPlacement(target.ID, "")
 		o.release(rs, orderRetryDelay)
@@ -432,29 +455,50 @@
 	o.runner.host.placement(replica).observeVersion(model, version)
 }
 
-// logIntent appends the intent to send a load order, and reports whether it is in
-// the log.
-func (o *orderer) logIntent(ctx context.Context, replica, model string) bool {
-	ctx, cancel := context.WithTimeout(ctx, intentTimeout)
+// logIntent appends the intent to send a load order, and returns the time until which the
+// order may be sent, or the zero time if the intent is not in the log. The intent cannot be
+// in the log before its append began, so a host that read it knows until when the order was
+// sent. Other appends may be under way before that.
+func (o *orderer) logIntent(ctx context.Context, replica, model string) time.Time {
+	limit := intentTime(o.runner.host.store.Small())
+	ctx, cancel := context.WithTimeout(ctx, 2*limit)
 	defer cancel()
-	return o.runner.appendAndWait(ctx, o.placementRecords(replica, model))
+	outcome := o.runner.appendAndWait(ctx, o.placementRecords(replica, model, limit))
+	o.endIntent(replica)
+	if !outcome.appended {
+		return time.Time{}
+	}
+	return outcome.began.Add(limit)
+}
+
+// endIntent records that an intent was appended, and is in memory, or that its order is not
+// sent.
+func (o *orderer) endIntent(replica string) {
+	o.runner.host.mu.Lock()
+	defer o.runner.host.mu.Unlock()
+	if rs := o.states[replica]; rs != nil {
+		rs.intent = nil
+	}
 }
 
 // publishPlacement publishes which model a replica is loading, if any, and which
 // versions it has, so that the runners of all models know it.
 func (o *orderer) publishPlacement(replica, loading string) {
-	o.runner.queueRecords(o.placementRecords(replica, loading))
+	o.runner.queueRecords(o.placementRecords(replica, loading, 0))
 }
 
 // placementRecords returns the placement record of a replica, with the model that it
-// is loading, if any. The placement in memory changes only when the record is in the
-// log.
-func (o *orderer) placementRecords(replica, loading string) []logstore.Record {
+// is loading, if any, and the time of the intent if it is one. The placement in memory
+// changes only when the record is in the log.
+func (o *orderer) placementRecords(replica, loading string, intent time.Duration) []logstore.Record {
 	h := o.runner.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := *h.placement(replica)
-	p.Loading, p.OrderOwner = loading, h.member
+	p.Loading, p.OrderOwner, p.IntentMs = loading, h.member, intent.Milliseconds()
+	if rs := o.states[replica]; rs != nil && intent > 0 {
+		rs.intent = &p
+	}
 	return o.record(replica, &p)
 }
 
