Add a failing test of a time of completeness that goes back

An answer to an older read sets completeAsOf to the time of that read although a newer read was answered before it, so that an owner suspends its starts.

Measured: the test fails on, "goes back by 500ms".

--- a/internal/logstore/suspension_test.go
+++ b/internal/logstore/suspension_test.go
@@ -1,7 +1,10 @@
 package logstore_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -40,3 +43,34 @@
 	suspended = suspension
 	must.EqOp(t, suspension, f.Staleness())
 }
+
+// firstSlowStore is a store whose first read takes a while.
+type firstSlowStore struct {
+	*memlog.Store
+	reads atomic.Int64
+}
+
+func (s *firstSlowStore) Read(ctx context.Context, p logstore.Partition, from int64, maxBytes int, wait time.Duration) (logstore.Page, error) {
+	if s.reads.Add(1) == 1 {
+		time.Sleep(800 * time.Millisecond)
+	}
+	return s.Store.Read(ctx, p, from, maxBytes, wait)
+}
+
+// Guards against an owner that suspends its starts because a late answer to an older read
+// replaces what a newer read has shown.
+func TestLateAnswerLeavesTheNewerTimeOfCompleteness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &firstSlowStore{Store: memlog.New(2)}
+		f := logstore.NewFollower(store, testPartition, func(logstore.Batch) {})
+		f.SetClock(time.Now)
+		f.StartFromLog()
+		late := make(chan error)
+		go func() { late <- f.Step(t.Context()) }()
+		time.Sleep(500 * time.Millisecond)
+		must.NoError(t, f.CatchUp(t.Context()))
+		before := f.CompleteAsOf()
+		must.NoError(t, <-late)
+		must.False(t, f.CompleteAsOf().Before(before), must.Sprintf("goes back by %s", before.Sub(f.CompleteAsOf())))
+	})
+}
