Add a failing test of a run that is preempted while nothing may start

stopStalled ends a run that waits in the queue of its server, because another server has a free slot, also while the permission to start has expired. The item loses its place and waits until the partition is read again.

--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -469,3 +469,26 @@
 	in.Outdated = false
 	must.Positive(t, len(s.scheduler.Tick(in).Starts))
 }
+
+// Guards against an item that loses its place in the queue of a server while it may not
+// start at another.
+func TestWaitingRunKeepsItsPlaceWhileOutdated(t *testing.T) {
+	s := newStep(rand.New(rand.NewPCG(1, 6)), 2, 2, 2, 8)
+	for id := range s.lengths {
+		s.lengths[id] = 150
+	}
+	s.scheduler.AddJob(s.entry, func(string) (jobs.Partial, bool) { return jobs.Partial{}, false })
+	starts := s.scheduler.Tick(s.input()).Starts
+	must.SliceLen(t, 4, starts)
+	for elapsed := time.Duration(0); elapsed < Defaults().FirstEventTimeout-testEventInterval; elapsed += testEventInterval {
+		s.now = s.now.Add(testEventInterval)
+		for _, start := range starts[1:] {
+			task := s.scheduler.taskOfRun(start.Run)
+			s.scheduler.RecordEvent(start.Run, task.partial.LastID+1, "event", 1, s.now)
+		}
+		in := s.input()
+		in.Outdated = true
+		actions := s.scheduler.Tick(in)
+		must.SliceLen(t, 0, actions.Stops, must.Sprintf("after %s: %v", elapsed, actions.Stops))
+	}
+}
