Keep the newest time up to which a partition was read

A late answer to an older read, for example a patient one, replaced the time up to which the records are complete by an older one, so that starts were suspended without need and results were read again. And an answer that came before its long poll had passed counted as one that was held open if the host applied it late: up to 0.5 s too new.

--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -198,7 +198,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pacing.answered(answered.latency)
-	f.applyPage(answered.page, read, answered.sent, answered.wait)
+	f.applyPage(answered, read)
 	return nil
 }
 
@@ -261,14 +261,24 @@
 	f.apply(Batch{Records: complete.Records, Complete: true, LastOutageEnd: f.lastOutageEnd})
 	f.advanceTo(max(complete.End, f.nextOffset))
 	if len(complete.Records) == len(page.Records) {
-		f.completeAsOf, f.completeRead = sent, max(f.completeRead, read)
+		f.recordComplete(sent, read)
 	}
 	return nil
 }
 
+// recordComplete records that the delivered records are complete up to a time, according
+// to a read. A late answer to an older read changes nothing. The caller holds mu.
+func (f *Follower) recordComplete(asOf time.Time, read int64) {
+	if asOf.After(f.completeAsOf) {
+		f.completeAsOf = asOf
+	}
+	f.completeRead = max(f.completeRead, read)
+}
+
 // applyPage delivers the records of a page that were not delivered yet. The caller holds
 // mu.
-func (f *Follower) applyPage(page Page, read int64, sent time.Time, wait time.Duration) {
+func (f *Follower) applyPage(answered answeredRead, read int64) {
+	page := answered.page
 	f.recordResponse()
 	if page.Truncated {
 		f.pacing.truncated()
@@ -290,11 +300,12 @@
 		f.synced, f.everSynced, f.fromLog = true, true, false
 	}
 	if f.nextOffset >= page.End {
-		f.completeAsOf, f.completeRead = sent, max(f.completeRead, read)
-		if len(page.Records) == 0 && f.now().Sub(sent) >= wait {
+		asOf := answered.sent
+		if len(page.Records) == 0 && answered.latency >= 0 {
 			// The store held the read open and nothing was appended meanwhile.
-			f.completeAsOf = sent.Add(wait)
+			asOf = asOf.Add(answered.wait)
 		}
+		f.recordComplete(asOf, read)
 	}
 }
 
