Leave queued runs where they are while nothing may start

A run that waits in the queue of its server was stopped for a free slot elsewhere, where it may not start while the permission has expired.

TestWaitingRunKeepsItsPlaceWhileOutdated failed before: a stop after 440 ms.

--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -178,7 +178,7 @@
 		if !onTime {
 			limit *= delayedTimeoutFactor
 		}
-		preempted := onTime && silent >= s.config.PreemptTimeout && s.makesProgress(r.replica, in.Now)
+		preempted := onTime && !in.Outdated && silent >= s.config.PreemptTimeout && s.makesProgress(r.replica, in.Now)
 		if silent < limit && !(preempted && s.hasCapacityElsewhere(t, in)) {
 			return true
 		}
