Rest the permission to start on all partitions of a job

A job that was submitted under two configurations lies in two partitions, and its end in the one that its host has read first.

Jobs remember in which other partitions their chunks were read, and the permission is as old as the oldest read of these.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -126,10 +126,13 @@
 // Entry is the state of one job according to the log.
 type Entry struct {
 	Partition int
-	Job       *Job // nil until all chunks have been read
-	Results   []Result
-	Ended     bool // the end record was read
-	Removed   bool // the tombstone of a chunk was read
+	// AlsoIn holds the other partitions to which the job was submitted. Its end may lie in
+	// any of them.
+	AlsoIn  []int
+	Job     *Job // nil until all chunks have been read
+	Results []Result
+	Ended   bool // the end record was read
+	Removed bool // the tombstone of a chunk was read
 	// ReadAt is the time at which this host had read all chunks of the job.
 	ReadAt time.Time
 	// Committed maps item IDs to the positions of their results.
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -145,6 +145,9 @@
 	}
 	e := t.entries.Get(id)
 	if e != nil && e.Partition != partition && e.excludes(kind, r) {
+		if kind == kindChunk && !slices.Contains(e.AlsoIn, partition) {
+			e.AlsoIn = append(e.AlsoIn, partition)
+		}
 		return fmt.Errorf("job %q lies in partition %d, its record in partition %d is not used", id, e.Partition, partition)
 	}
 	if r.IsTombstone() {
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -90,9 +90,11 @@
 	*tenure
 	*runState
 	orders *orderer // control partition only
-	// asOf is the time on the clock of boottime.Now up to which the partition was read to
-	// its end at the last tick. Only the goroutine of run uses it.
+	// asOf is the time on the clock of boottime.Now up to which the partition, and alsoRead,
+	// were read to their end at the last tick. Only the goroutine of run uses both.
 	asOf time.Time
+	// alsoRead holds the other partitions in which the end of an open job may lie.
+	alsoRead []int
 	// outdated is set while nothing is started because asOf is too long ago.
 	outdated bool
 
@@ -191,16 +193,19 @@
 func (r *runner) tick() {
 	h := r.host
 	now := time.Now()
-	if f := h.follower(r.partition); f != nil {
-		r.asOf = f.CompleteAsOf() // before mu is locked, see there
-	}
+	r.asOf = h.completeAsOf(append(r.alsoRead, r.partition)) // before mu is locked, see there
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if r.isStopping() {
 		return
 	}
+	r.alsoRead = r.alsoRead[:0]
 	h.jobs.Each(func(e *jobs.Entry) bool {
-		if e.Partition == r.partition && !e.Ended && r.loadPayloads(e) {
+		if e.Partition != r.partition || e.Ended {
+			return true
+		}
+		r.alsoRead = append(r.alsoRead, e.AlsoIn...)
+		if r.loadPayloads(e) {
 			r.scheduler.AddJob(e, r.takePartial)
 		}
 		return true
@@ -229,6 +234,22 @@
 	r.queueCommits(actions.Commits)
 }
 
+// completeAsOf returns the time up to which all of some partitions were read to their end;
+// zero if one was not.
+func (h *Host) completeAsOf(partitions []int) time.Time {
+	var oldest time.Time
+	for i, p := range partitions {
+		f := h.follower(p)
+		if f == nil {
+			return time.Time{}
+		}
+		if asOf := f.CompleteAsOf(); i == 0 || asOf.Before(oldest) {
+			oldest = asOf
+		}
+	}
+	return oldest
+}
+
 // isOutdated reports whether the partition was read so long ago that its jobs may have
 // ended elsewhere, and logs when that changes.
 func (r *runner) isOutdated() bool {
