Follow the partitions of a configuration's models when it is applied

TestStartingHostServesBeforeItHasReadAllJobs failed once in a whole run of the package with -race, beside a load of some 35: a job was refused as not ready, and the log has no "following partition" of the job's partition before it. The host unlocks its state between the configuration and the followers of its models. A caller that comes in between finds the configuration, so the host can forward, but no follower, so a job is refused.

Both now change under one lock. The new test looks for the state in between: it failed in 3 of 3 runs before the change and passes in 3 of 3 after it.

--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -14,7 +14,6 @@
 func (h *Host) applyOperators(b logstore.Batch) {
 	for _, r := range b.Records {
 		change := h.feeds.Operators.Decode(r)
-		var applied *deployment.Config
 		h.mu.Lock()
 		if change.Invalid == nil {
 			h.skipped.clear("operators", r.Key)
@@ -24,7 +23,7 @@
 			if h.state.SetConfig(change.Config) {
 				klog.InfoS("configuration applied", "version", change.Config.Version, "offset", r.Offset, "routes", len(change.Config.Routes), "services", len(change.Config.Services))
 				h.wakeRunners()
-				applied = change.Config
+				h.followModels(change.Config)
 			}
 		case change.Version != nil:
 			if h.state.SetVersion(*change.Version) {
@@ -35,9 +34,6 @@
 			h.recordSkipped("operators", change.Invalid)
 		}
 		h.mu.Unlock()
-		if applied != nil {
-			h.followModels(applied)
-		}
 	}
 }
 
--- a/internal/fronthost/apply_test.go
+++ b/internal/fronthost/apply_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -70,3 +71,28 @@
 		_ = h.Status()
 	})
 }
+
+// Guards against a host that has the configuration and refuses a job, because it does not
+// follow the partition of the job's model yet.
+func TestConfigurationIsAppliedWithTheFollowersOfItsModels(t *testing.T) {
+	c := newTestCluster(t, 1)
+	page, err := c.store.Read(t.Context(), operatorPartition, 0, 1, 0)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 200 {
+		h := c.newEntryHost("a")
+		h.baseCtx = ctx
+		h.group = logstore.NewGroup(h.store, logstore.Membership{}, func() {})
+		var applied sync.WaitGroup
+		applied.Go(func() { h.applyOperators(logstore.Batch{Records: page.Records}) })
+		var follower *logstore.Follower
+		for configured := false; !configured; {
+			h.mu.Lock()
+			configured, follower = h.state.Config != nil, h.followers[h.partitionOf(testModel)]
+			h.mu.Unlock()
+		}
+		applied.Wait()
+		must.NotNil(t, follower)
+	}
+}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -201,6 +201,11 @@
 func (h *Host) followPartition(ctx context.Context, partition int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.followPartitionLocked(ctx, partition)
+}
+
+// followPartitionLocked is followPartition for a caller that holds mu.
+func (h *Host) followPartitionLocked(ctx context.Context, partition int) {
 	if h.followers[partition] != nil {
 		return
 	}
@@ -242,6 +247,11 @@
 func (h *Host) modelPartitions(config *deployment.Config) []int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.modelPartitionsLocked(config)
+}
+
+// modelPartitionsLocked is modelPartitions for a caller that holds mu.
+func (h *Host) modelPartitionsLocked(config *deployment.Config) []int {
 	var partitions []int
 	for _, model := range config.Models() {
 		partitions = append(partitions, h.partitionOf(model))
@@ -250,10 +260,10 @@
 	return slices.Compact(partitions)
 }
 
-// followModels follows the partitions of all models of a configuration.
+// followModels follows the partitions of all models of a configuration. The caller holds mu.
 func (h *Host) followModels(config *deployment.Config) {
-	for _, p := range h.modelPartitions(config) {
-		h.followPartition(h.baseCtx, p)
+	for _, p := range h.modelPartitionsLocked(config) {
+		h.followPartitionLocked(h.baseCtx, p)
 	}
 }
 
