Send reward calls while items may not be sent

The permission to start concerns items; a reward call is no item, and the score of a complete output is needed as soon as the store is back.

--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -13,7 +13,7 @@
 type TickInput struct {
 	Now time.Time
 	// Outdated is set if a job may have ended so long ago that none of its items may be
-	// sent any more, without the host knowing. Nothing starts then.
+	// sent any more, without the host knowing. No run starts or moves then.
 	Outdated bool
 	// Replicas returns the replicas of a job's service, with their state for the
 	// job's model.
@@ -48,12 +48,11 @@
 	s.updateUsage(in)
 	onTime := s.onTime(in.Now)
 	s.stopStalled(in, onTime, &actions)
-	if in.Outdated {
-		return actions
+	if !in.Outdated {
+		s.startWaiting(in, &actions)
 	}
-	s.startWaiting(in, &actions)
 	s.startScores(in, &actions)
-	if onTime {
+	if onTime && !in.Outdated {
 		s.moveRuns(in, &actions)
 	}
 	return actions
