Don't let reads of a busy store grow until they are given up

Reads grow only while an answer takes less than half of the time after which a read is given up. A host that has not read the jobs yet lists no blobs early.

TestReadsDoNotGrowUntilTheyAreGivenUp: 24 reads given up before, at most 2 now.

--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -228,6 +228,7 @@
 // learnRetained finds out which blobs of a partition were deleted from the log, once the
 // jobs of the partition were read.
 func (h *Host) learnRetained(ctx context.Context, partition int, f *logstore.Follower) {
+	h.blobs.claimEarlyListing(partition)
 	for !f.HasSynced() {
 		select {
 		case <-ctx.Done():
--- a/internal/logstore/pacing.go
+++ b/internal/logstore/pacing.go
@@ -27,6 +27,9 @@
 	// yieldReadBytes is the size of the first read of a host that yields. It tells the host
 	// whether the store is busy while the hosts that do not yield still read.
 	yieldReadBytes = 128 << 10
+	// growBelow is the time for an answer up to which the next read asks for more: an answer
+	// of twice the size is expected to arrive before its read is given up.
+	growBelow = patientTimeout / 2
 	// slowPage is the time for a page of a listing from which the store counts as busy.
 	slowPage = 250 * time.Millisecond
 	// yieldFactor is the pause after a slow page in multiples of its time.
@@ -49,7 +52,9 @@
 
 // succeeded records a read that returned what it asked for.
 func (p *pacing) succeeded() {
-	p.readBytes = min(2*p.readBytes, maxReadBytes)
+	if p.latency < growBelow {
+		p.readBytes = min(2*p.readBytes, maxReadBytes)
+	}
 	p.failures = 0
 }
 
--- a/internal/logstore/pacing_test.go
+++ b/internal/logstore/pacing_test.go
@@ -22,6 +22,7 @@
 	mu             sync.Mutex
 	free           time.Time // when the link has sent what it was asked for
 	down           bool
+	givenUp        int // reads whose answers were not sent in time
 }
 
 func (s *slowLink) setDown(down bool) {
@@ -54,6 +55,7 @@
 		if begin.Before(deadline) {
 			s.free = deadline
 		}
+		s.givenUp++
 		s.mu.Unlock()
 		<-ctx.Done()
 		return logstore.Page{}, logstore.ErrOutcomeUnknown
@@ -238,3 +240,26 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against reads that grow until they are given up, again and again, so that part of
+// what a busy store sends is of no use to anyone.
+func TestReadsDoNotGrowUntilTheyAreGivenUp(t *testing.T) {
+	const link, records, size = 256 << 10, 128, 64 << 10 // a read of 1 MB takes 4 s
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowLink{Store: memlog.New(1), bytesPerSecond: link}
+		for i := range records {
+			_, err := store.Append(t.Context(), testPartition, []logstore.Record{{Key: fmt.Sprintf("key-%d", i), Value: make([]byte, size)}}, nil)
+			must.NoError(t, err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		f := logstore.NewFollower(store, testPartition, func(logstore.Batch) {})
+		f.StartFromLog()
+		go f.Run(ctx)
+		for !f.HasSynced() {
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.LessEq(t, 2, store.givenUp) // the first read, which may be sent twice
+		cancel()
+		synctest.Wait()
+	})
+}
