--- a/internal/logstore/pacing.go
+++ b/internal/logstore/pacing.go
@@ -24,7 +24,7 @@
 	// cannot choose, and maxListTimeout later ones.
 	listTimeout    = 2800 * time.Millisecond
 	maxListTimeout = 5600 * time.Millisecond
-	// yieldReadBytes is the size of the first read of a host that yields. It tells the host
+	// yieldReadBytes is the size of the first read of a host that yields. Its latency shows
 	// whether the store is busy while the hosts that do not yield still read.
 	yieldReadBytes = 128 << 10
 	// growBelow is the time for an answer up to which the next read asks for more: an answer
