Send load orders sooner after the control partition was unavailable

Cause: a host that was assigned the control partition while the store did not answer it read old intents of the former order owner seconds later and waited for a lease after the read. Change: a former owner sends nothing after its membership has expired, so an intent that is read more than maxIntentTime after the assignment counts from the assignment and the time to live of a membership. Result: TestIntentReadLongAfterTheAssignmentDelaysNoOrder passes, and so do the tests of intents and orders.

--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -27,6 +27,9 @@
 	// and for the time of the intent, in addition to the lease after the former owner's last
 	// intent.
 	orderTransit = 300 * time.Millisecond
+	// orderTimeLimit bounds the time from the last check that this host is the order owner
+	// until an order has arrived. It is the timeout of the call, with the dial.
+	orderTimeLimit = time.Second
 	// firstReportDelay is how long after an accepted order the first report is read
 	// as long as no load time has been measured.
 	firstReportDelay = 700 * time.Millisecond
@@ -96,13 +99,20 @@
 // earliestOrder returns the time from which a replica may be sent an order: a lease
 // after the last order that another order owner may have sent to it. Every order
 // owner has its intent in the log before it sends an order, so an order without a
-// known intent was not sent.
+// known intent was not sent. Former order owners send nothing once their membership has
+// expired, so an intent that was read long after the partition was assigned to this host,
+// because the store did not answer, delays no order.
 func (o *orderer) earliestOrder(rs *replicaState, p *placement) time.Time {
 	from := rs.notBefore
-	if p.OrderOwner != "" && p.OrderOwner != o.runner.host.member {
-		if lease := p.lastIntent.Add(o.runner.host.settings.Timing.OrderLease + p.intentTime() + orderTransit); lease.After(from) {
-			return lease
-		}
+	if p.OrderOwner == "" || p.OrderOwner == o.runner.host.member {
+		return from
+	}
+	lastOrder := p.lastIntent.Add(p.intentTime() + orderTransit)
+	if p.lastIntent.After(o.runner.assignedAt.Add(maxIntentTime)) {
+		lastOrder = o.runner.assignedAt.Add(o.runner.host.memberTTL() + orderTimeLimit)
+	}
+	if lease := lastOrder.Add(o.runner.host.settings.Timing.OrderLease); lease.After(from) {
+		return lease
 	}
 	return from
 }
--- a/internal/fronthost/orders_test.go
+++ b/internal/fronthost/orders_test.go
@@ -51,6 +51,23 @@
 	must.Greater(t, h.settings.Timing.OrderLease, orderDelay(h, o))
 }
 
+// Guards against an order owner that waits for a lease after it reads old intents, although
+// the membership of their owner expired while the store did not answer. Replicas keep old
+// weights for that time, and the jobs of the next steps wait for them.
+func TestIntentReadLongAfterTheAssignmentDelaysNoOrder(t *testing.T) {
+	c := newTestCluster(t, 1)
+	h := c.newEntryHost("a")
+	r := newRunner(h.Host, controlPartition, 1)
+	o := newOrderer(r)
+	h.applyWork(controlPartition, logstore.Batch{Records: []logstore.Record{placementRecord(t, testModel, "b")}})
+	lease := h.settings.Timing.OrderLease
+	must.Greater(t, lease, orderDelay(h, o))
+	r.assignedAt = time.Now().Add(-maxIntentTime + time.Second)
+	must.Greater(t, lease, orderDelay(h, o))
+	r.assignedAt = time.Now().Add(-h.memberTTL() - orderTimeLimit - lease - maxIntentTime)
+	must.LessEq(t, 0, orderDelay(h, o))
+}
+
 // Guards against an order that was planned before a job began to require a single
 // version, and that replaces the weights under the job's runs.
 func TestOrderLetsRunsFinishIfAJobRequiresItSinceThePlan(t *testing.T) {
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -84,8 +84,11 @@
 type runner struct {
 	host      *Host
 	partition int
-	cancel    context.CancelFunc
-	wakeups   chan struct{}
+	// assignedAt is when this host learned that the partition is assigned to it. The
+	// membership of the former owner had expired by then, or expires within its TTL.
+	assignedAt time.Time
+	cancel     context.CancelFunc
+	wakeups    chan struct{}
 
 	*tenure
 	*runState
@@ -120,7 +123,7 @@
 
 func newRunner(h *Host, partition int, epoch int64) *runner {
 	return &runner{
-		host: h, partition: partition, tenure: &tenure{epoch: epoch, appenderDone: make(chan struct{})}, wakeups: make(chan struct{}, 1),
+		host: h, partition: partition, assignedAt: time.Now(), tenure: &tenure{epoch: epoch, appenderDone: make(chan struct{})}, wakeups: make(chan struct{}, 1),
 		runState: newRunState(), queuedResults: make(map[resultKey]bool), appendSignal: make(chan struct{}, 1),
 	}
 }
