--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -13,6 +13,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/core/leaving"
 	"github.com/sesamestand/sesamestand/internal/core/table"
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
 )
 
 // Kind determines how the requests of a route are executed.
@@ -51,6 +52,7 @@
 	SingleVersion bool          // a result must be generated under a single weight version
 	Due           time.Duration // time after its submission at which a job's results are due
 	Retention     time.Duration // time after its submission from which an item may be abandoned
+	Public        bool          // requests need no key
 }
 
 // Pick maps a number in [0, 1) to a service, in proportion to the weights of the
@@ -102,6 +104,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces are the declared workspaces; nil if there are none.
+	Workspaces *workspace.Directory
 
 	byHost map[string][]*Route // routes by host name, longest prefix first
 }
--- a/internal/core/workspace/workspace.go
+++ b/internal/core/workspace/workspace.go
@@ -49,6 +49,8 @@
 	Keys        []string
 	Priority    int
 	HasPriority bool
+	// Invalid is why the declaration could not be decoded, or empty.
+	Invalid string
 }
 
 // WholeWorkspace is the key index of a Problem that concerns no single key.
@@ -186,6 +188,8 @@
 // invalid returns why a declaration cannot be used, apart from its keys, or "".
 func (d *Declared) invalid() string {
 	switch {
+	case d.Invalid != "":
+		return d.Invalid
 	case d.Name == "":
 		return "name is empty"
 	case len(d.Name) > MaxNameBytes:
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -73,6 +73,7 @@
 
 	floatKey("limits", "cpu_share", "share", "1", 0.01, 1024, "share of its cores that the process may use; hosts with less than half a core in total leave partition ownership to larger hosts", func(s *Settings) *float64 { return &s.Limits.CPUShare }),
 	floatKey("limits", "memory", "MB", "0", 0, 1<<20, "memory limit of the process; above 80 % of it, garbage is collected more often; 0 means no limit", func(s *Settings) *float64 { return &s.Limits.MemoryMB }),
+	boolKey("limits", "strict_revocation", "no request that is sent later than revoke_within after its key was removed may run; a host that has not read the store for nine tenths of that time refuses requests with keys", func(s *Settings) *bool { return &s.Limits.StrictRevocation }),
 	floatKey("limits", "cores", "cores", "1", 0.01, 1024, "number of CPU cores of the host", func(s *Settings) *float64 { return &s.Limits.Cores }),
 
 	durationKey("timing", "progress_timeout", "5s", 10*time.Millisecond, time.Hour, "longest gap between two chunks of a stream", func(s *Settings) *time.Duration { return &s.Timing.ProgressTimeout }),
@@ -90,6 +91,7 @@
 	durationKey("timing", "stop_grace", "8s", time.Second, time.Hour, "time from SIGTERM until the platform kills the process", func(s *Settings) *time.Duration { return &s.Timing.StopGrace }),
 	durationKey("timing", "job_end_grace", "3s", time.Second, time.Hour, "how long after the end of a job was acknowledged its items may still reach backend servers; hosts that have not read the store for about this time start none", func(s *Settings) *time.Duration { return &s.Timing.JobEndGrace }),
 	durationKey("timing", "job_retention", "120s", time.Second, 24*time.Hour, "how long after its submission a job's results can be read", func(s *Settings) *time.Duration { return &s.Timing.JobRetention }),
+	durationKey("timing", "revoke_within", "5s", time.Second, time.Hour, "how long after the removal of a key was acknowledged its requests may still run, where strict_revocation is set", func(s *Settings) *time.Duration { return &s.Timing.RevokeWithin }),
 
 	textKey("tls", "cert_file", "certificate (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.CertFile }),
 	textKey("tls", "key_file", "private key (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.KeyFile }),
@@ -141,6 +143,19 @@
 		get: func(s *Settings) string { return strconv.FormatInt(int64(*field(s)), 10) }}
 }
 
+func boolKey(section, name, doc string, field func(*Settings) *bool) key {
+	return key{section: section, name: name, unit: "switch", defaultText: "false", bounds: "true or false", doc: doc,
+		set: func(s *Settings, value string) error {
+			on, err := strconv.ParseBool(value)
+			if err != nil {
+				return fmt.Errorf("%q is not true or false", value)
+			}
+			*field(s) = on
+			return nil
+		},
+		get: func(s *Settings) string { return strconv.FormatBool(*field(s)) }}
+}
+
 func floatKey(section, name, unit, defaultText string, low, high float64, doc string, field func(*Settings) *float64) key {
 	return key{section: section, name: name, unit: unit, defaultText: defaultText, doc: doc,
 		bounds: fmt.Sprintf("%g to %g", low, high),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,6 +101,7 @@
 	CPUShare           float64 // share of Cores that the process may use
 	MemoryMB           float64 // 0 means no limit
 	Cores              float64
+	StrictRevocation   bool // requests with a removed key must not run after RevokeWithin
 }
 
 // Timing holds timeouts, intervals and retention times. Section [timing].
@@ -119,6 +120,7 @@
 	StopGrace       time.Duration // from SIGTERM to SIGKILL
 	JobRetention    time.Duration // how long after submission results can be read
 	JobEndGrace     time.Duration // how long after the end of a job its items may reach backend servers
+	RevokeWithin    time.Duration // how long after its removal a key may be used
 }
 
 // TLS holds the paths of the certificate and key files, which are reloaded when
