Require keys of workspaces and separate their jobs on a log store

Cause: any caller could use every route and every job. Change: where the configuration declares workspaces, the ingress refuses unknown and missing keys with 401 before it reads the body. The key is not forwarded; the header with the workspace's name is set or removed. With strict_revocation, requests and streams need a recent complete read of the operators' partition at their arrival and at each send, and connections carry its end. The follower of that partition reads more often while its read is old. IDs of jobs and items carry a digest of the workspace, so that tables, records, outputs and reuse are separate; logs have the caller's ID. Fingerprints of suspected requests include the workspace.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -16,9 +16,9 @@
 	// ErrOutcomeUnknown reports that no valid response arrived; the request may have
 	// run.
 	ErrOutcomeUnknown = errors.New("no valid answer from the backend server")
-	// ErrExpired reports that a run was not sent because its permission had expired. It
-	// comes with ErrNotSent.
-	ErrExpired = errors.New("permission to start the run has expired")
+	// ErrExpired reports that a run or a request was not sent because its permission had
+	// expired. It comes with ErrNotSent.
+	ErrExpired = errors.New("permission to send has expired")
 )
 
 // Target identifies a backend server and the address at which it is registered.
@@ -38,6 +38,19 @@
 	HostName string // value of the Host header
 	Header   http.Header
 	Body     []byte
+	Sender
+	// Expires is the time on the clock of boottime.Now after which the request must not
+	// reach the server; zero means no limit.
+	Expires time.Time
+}
+
+// Sender says for whom a request is sent.
+type Sender struct {
+	// Workspace is the name of the workspace, or empty.
+	Workspace string
+	// Checked is set if the host decided on the workspace: what the request itself says of
+	// it, and the key, are not sent.
+	Checked bool
 }
 
 // Response is a complete response of a backend server.
@@ -71,6 +84,7 @@
 	// Expires is the time on the clock of boottime.Now after which the run must not reach
 	// the server; zero means no limit.
 	Expires time.Time
+	Sender
 }
 
 // Event is one event of a run.
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -147,6 +147,7 @@
 	ReasonDraining        Reason = "draining"
 	ReasonNotReady        Reason = "not-ready"
 	ReasonUnauthorized    Reason = "unauthorized"
+	ReasonNoPermission    Reason = "no-permission" // the host's configuration is too old for requests with keys
 	ReasonBadRequest      Reason = "bad-request"
 	ReasonTooLarge        Reason = "too-large"
 	ReasonUnknownName     Reason = "unknown-name"
--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -67,7 +67,7 @@
 
 // Item is one request of a job.
 type Item struct {
-	ID    string `json:"id"`
+	ID    string `json:"id"` // qualified by the job's workspace
 	Group string `json:"group,omitempty"`
 	// PromptTokens is the number of prompt tokens, MaxOutput the limit on generated
 	// tokens and ExpectedOutput an estimate of them. Zero means unknown.
@@ -81,7 +81,9 @@
 
 // Job is a batch of items that were submitted together.
 type Job struct {
-	ID string `json:"id"`
+	ID string `json:"id"` // qualified by the workspace
+	// Workspace is the name of the workspace that submitted the job, or empty.
+	Workspace string `json:"workspace,omitempty"`
 	// Host and Path are the host name and the URL path of the submission.
 	Host         string `json:"host"`
 	Path         string `json:"path"`
--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -103,6 +103,15 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
+// InWorkspace returns the fingerprint of a request that a workspace sends. The same content
+// of two workspaces has two fingerprints, so that none can have another's requests refused.
+func InWorkspace(workspace, fingerprint string) string {
+	if workspace == "" {
+		return fingerprint
+	}
+	return Fingerprint(workspace, "", fingerprint, 0, 0)
+}
+
 // Verdict returns how a request with the given fingerprint may run.
 func (t *Table) Verdict(fingerprint string) Verdict {
 	r := t.rows.Get(fingerprint)
--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -273,10 +273,10 @@
 		}
 		record, err := jobs.EncodeResult(commit.Job, next[commit.Job], commit.Result)
 		if err != nil {
-			klog.ErrorS(err, "result could not be encoded", "job", commit.Job, "item", commit.Result.Item)
+			klog.ErrorS(err, "result could not be encoded", "job", jobs.CallerID(commit.Job), "item", jobs.CallerID(commit.Result.Item))
 			continue
 		}
-		h.recorder.RecordDecision("list", commit.Result.Item, "job", commit.Job, "position", next[commit.Job], "failed", commit.Result.Failed, "versions", commit.Result.Versions)
+		h.recorder.RecordDecision("list", jobs.CallerID(commit.Result.Item), "job", jobs.CallerID(commit.Job), "position", next[commit.Job], "failed", commit.Result.Failed, "versions", commit.Result.Versions)
 		next[commit.Job]++
 		records = append(records, record)
 	}
@@ -318,7 +318,7 @@
 	for i, p := range partials {
 		data, err := json.Marshal(p.Partial)
 		if err != nil {
-			klog.ErrorS(err, "partial output could not be encoded", "job", p.Job, "item", p.Item)
+			klog.ErrorS(err, "partial output could not be encoded", "job", jobs.CallerID(p.Job), "item", jobs.CallerID(p.Item))
 			return nil
 		}
 		items[i] = blob{key: "c/" + p.Item, data: data, mutable: true}
@@ -332,7 +332,7 @@
 	for i, ref := range refs {
 		record, err := jobs.EncodePartial(partials[i].Job, partials[i].Item, ref)
 		if err != nil {
-			klog.ErrorS(err, "reference to a partial output could not be encoded", "item", partials[i].Item)
+			klog.ErrorS(err, "reference to a partial output could not be encoded", "item", jobs.CallerID(partials[i].Item))
 			continue
 		}
 		records = append(records, record)
--- a/internal/fronthost/drain.go
+++ b/internal/fronthost/drain.go
@@ -10,6 +10,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/drain"
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
 )
 
 // Timeouts of draining.
@@ -76,7 +77,7 @@
 
 // refuseJobCall is refuseStopping for calls on jobs.
 func (h *Host) refuseJobCall(id string) *Refusal {
-	return h.refuseStopping(id, "", time.Now().Add(jobCallTimeout)).withCause(causeStopping)
+	return h.refuseStopping(jobs.CallerID(id), "", time.Now().Add(jobCallTimeout)).withCause(causeStopping)
 }
 
 // drain releases the partitions, leaves the load balancer time to notice that the
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -13,6 +13,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/forward"
 	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
 )
 
 // maxRefusals is the number of refusals by servers, because they are full or the
@@ -37,6 +38,7 @@
 // attempt is one send of a request to one server.
 type attempt struct {
 	server   deployment.Server
+	request  *backend.Request
 	sent     time.Time
 	hedge    bool
 	response *backend.Response
@@ -47,6 +49,8 @@
 // Type streaming extends it for streams.
 type forwarding struct {
 	host         *Host
+	caller       Caller
+	denied       workspace.Verdict // why the last send was not allowed, or workspace.Admitted
 	request      *backend.Request
 	route        *deployment.Route
 	service      string
@@ -67,8 +71,10 @@
 
 // newForwarding returns the state of a request and a context that ends at the
 // request's deadline.
-func (h *Host) newForwarding(ctx context.Context, request *backend.Request, route *deployment.Route, deadline time.Time) (*forwarding, context.Context, func()) {
+func (h *Host) newForwarding(ctx context.Context, caller Caller, request *backend.Request, route *deployment.Route, deadline time.Time) (*forwarding, context.Context, func()) {
 	now := time.Now()
+	sent := *request
+	sent.Sender = caller.sender()
 	if limit := now.Add(route.Timeout); route.Timeout > 0 && (deadline.IsZero() || limit.Before(deadline)) {
 		deadline = limit
 	}
@@ -76,12 +82,12 @@
 		deadline = now.Add(h.settings.Timing.RequestTimeout)
 	}
 	f := &forwarding{
-		host: h, request: request, route: route, deadline: deadline,
+		host: h, caller: caller, request: &sent, route: route, deadline: deadline,
 		service:     serviceOf(route, request.ID),
 		call:        backend.CallRequest,
 		results:     make(chan *attempt, route.MaxAttempts+maxRefusals+1),
 		excluded:    make(map[string]bool),
-		fingerprint: suspect.Fingerprint(route.Name, request.Method+" "+request.URI, string(request.Body), 0, 0),
+		fingerprint: suspect.InWorkspace(caller.Workspace(), suspect.Fingerprint(route.Name, request.Method+" "+request.URI, string(request.Body), 0, 0)),
 	}
 	ctx, release := h.withStop(ctx)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -121,9 +127,9 @@
 
 // Forward sends a request that is neither a job nor a stream to a backend server, and
 // returns the server's response or the host's refusal.
-func (h *Host) Forward(ctx context.Context, request *backend.Request, route *deployment.Route, deadline time.Time) (*backend.Response, *Refusal) {
+func (h *Host) Forward(ctx context.Context, caller Caller, request *backend.Request, route *deployment.Route, deadline time.Time) (*backend.Response, *Refusal) {
 	began := time.Now()
-	f, ctx, cancel := h.newForwarding(ctx, request, route, deadline)
+	f, ctx, cancel := h.newForwarding(ctx, caller, request, route, deadline)
 	defer cancel()
 	if refusal := f.refuseUnsent(); refusal != nil {
 		f.recordOutcome(nil, refusal, 0)
@@ -203,7 +209,14 @@
 	if server == nil {
 		return nil
 	}
-	a := &attempt{server: *server, sent: time.Now(), hedge: hedge}
+	// The request may have waited for its turn.
+	expires, verdict := h.readmit(f.caller)
+	if f.denied = verdict; verdict != workspace.Admitted {
+		return nil
+	}
+	request := *f.request
+	request.Expires = expires
+	a := &attempt{server: *server, request: &request, sent: time.Now(), hedge: hedge}
 	h.mu.Lock()
 	h.forward.RecordSent(&a.server, hedge)
 	h.mu.Unlock()
@@ -223,7 +236,7 @@
 	h := f.host
 	f.inFlight++
 	go func() {
-		a.response, a.err = h.backends.Call(ctx, targetOf(&a.server), f.request, time.Until(f.deadline))
+		a.response, a.err = h.backends.Call(ctx, targetOf(&a.server), a.request, time.Until(f.deadline))
 		h.recordAttempt(a, ctx.Err() != nil)
 		f.results <- a
 	}()
@@ -233,7 +246,7 @@
 func (h *Host) recordAttempt(a *attempt, abandoned bool) {
 	result := forward.Answered
 	switch {
-	case a.err != nil && abandoned:
+	case a.err != nil && (abandoned || errors.Is(a.err, backend.ErrExpired)):
 		result = forward.Abandoned
 	case a.err != nil:
 		result = forward.Failure
@@ -323,6 +336,9 @@
 	if f.possibleRuns > 0 {
 		return nil, unknownRefusal(cluster.ReasonBackendFailed, "the backend server broke off")
 	}
+	if f.denied != workspace.Admitted {
+		return nil, f.host.accessRefusal(f.denied)
+	}
 	if len(f.rateLimited) > 0 {
 		refusal := notRunRefusal(cluster.ReasonRateLimited, "the backend servers accept no further request now")
 		refusal.RetryAfter = f.host.limits.RetryAfter(f.rateLimited, time.Until(f.deadline))
--- a/internal/fronthost/forwarding_test.go
+++ b/internal/fronthost/forwarding_test.go
@@ -29,7 +29,7 @@
 	route := h.Config().Match(testHost, prefix)
 	must.NotNil(t, route)
 	request := &backend.Request{ID: "r1", Method: http.MethodPost, URI: prefix + "x", HostName: testHost, Header: http.Header{}}
-	response, refusal := h.Forward(context.Background(), request, route, time.Now().Add(time.Second))
+	response, refusal := h.Forward(context.Background(), Caller{}, request, route, time.Now().Add(time.Second))
 	return response, refusal, sends
 }
 
@@ -100,7 +100,7 @@
 	route := *h.Config().Match(testHost, "/pages/")
 	route.Timeout = 0
 	request := &backend.Request{ID: "r1", Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}
-	response, refusal := h.Forward(context.Background(), request, &route, time.Time{})
+	response, refusal := h.Forward(context.Background(), Caller{}, request, &route, time.Time{})
 	must.Nil(t, refusal)
 	must.EqOp(t, http.StatusOK, response.Status)
 }
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -100,6 +100,7 @@
 	keepUp         keepup.Config
 	behind         chan struct{} // receives when a runner does not keep up
 
+	permission       *permission
 	operatorFollower *logstore.Follower
 	serverFollower   *logstore.Follower
 
@@ -154,6 +155,10 @@
 	backends.ObserveLeaving(h.observeLeaving)
 	h.blobs = newBlobStore(metered, s.Platform.Store.RecordBytes, s.Platform.Store.AppendBytes)
 	h.operatorFollower = logstore.NewFollower(metered, feeds.Operators.Partition, h.applyOperators)
+	h.permission = newPermission(s, h.operatorFollower.CompleteAsOf)
+	if h.permission.terms.Strict {
+		h.operatorFollower.KeepFresh(s.Timing.RevokeWithin / freshChecks)
+	}
 	h.serverFollower = logstore.NewFollower(metered, feeds.Servers.Partition, h.applyServers)
 	return h
 }
@@ -184,6 +189,7 @@
 	go h.watchAssignments(ctx, changed)
 	go every(ctx, assignedCheckInterval, func() { h.followAssigned(ctx) })
 	go every(ctx, housekeepingInterval, h.removeServers)
+	go every(ctx, housekeepingInterval, h.permission.observe)
 	go h.survey(ctx)
 	go h.watchReadiness(ctx, time.Now())
 }
--- a/internal/fronthost/jobcalls.go
+++ b/internal/fronthost/jobcalls.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
 )
 
 // jobCall is a kind of call on an accepted job.
@@ -91,11 +92,11 @@
 	outcome := "answered"
 	if refusal != nil {
 		outcome = string(refusal.cause)
-		h.recorder.RecordDecision("job-refused", id, "call", call, "cause", refusal.cause, "took_ms", now.Sub(started).Milliseconds(), "message", refusal.Message)
+		h.recorder.RecordDecision("job-refused", jobs.CallerID(id), "call", call, "cause", refusal.cause, "took_ms", now.Sub(started).Milliseconds(), "message", refusal.Message)
 	}
 	h.recorder.Count("job_calls_total", "call", string(call), "outcome", outcome)
 	if lasted, refused := h.jobCalls.observe(now, refusal); refused != nil {
-		h.recorder.RecordDecision("job-calls-resumed", id, "first_refused_ms", lasted.Milliseconds(), "refused", refused)
+		h.recorder.RecordDecision("job-calls-resumed", jobs.CallerID(id), "first_refused_ms", lasted.Milliseconds(), "refused", refused)
 	}
 }
 
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -59,7 +59,7 @@
 		outcome = string(refusal.Reason)
 		details = append(details, "message", refusal.Message, "not_run", refusal.Outcome == cluster.OutcomeNotRun)
 	}
-	h.recorder.RecordDecision("submit", job.ID, append(details, "outcome", outcome)...)
+	h.recorder.RecordDecision("submit", jobs.CallerID(job.ID), append(details, "outcome", outcome)...)
 	h.recorder.Count("jobs_submitted_total", "outcome", outcome)
 	return refusal
 }
@@ -93,7 +93,7 @@
 		return refusal
 	}
 	if follower == nil {
-		return h.RefuseNotReady(job.ID)
+		return h.RefuseNotReady(jobs.CallerID(job.ID))
 	}
 	if follower.StoreUnavailable() {
 		return storeUnavailableRefusal()
@@ -128,7 +128,7 @@
 	select {
 	case <-h.surveyed:
 	case <-time.After(confirmTimeout):
-		h.recorder.RecordDecision("job-uncertain", id, "err", "the partitions that hold jobs are not known yet")
+		h.recorder.RecordDecision("job-uncertain", jobs.CallerID(id), "err", "the partitions that hold jobs are not known yet")
 		refusal := notRunRefusal(cluster.ReasonLogUnavailable, "the store does not say which partitions hold jobs")
 		refusal.RetryAfter = storeRetryAfter
 		return false, refusal
@@ -141,7 +141,7 @@
 	h.mu.Unlock()
 	for p, f := range followers {
 		if p != controlPartition && !slices.Contains(present, p) && !f.HasSynced() {
-			return false, h.RefuseNotReady(id)
+			return false, h.RefuseNotReady(jobs.CallerID(id))
 		}
 	}
 	return h.jobEntry(id) != nil, nil
@@ -255,10 +255,10 @@
 	}
 	if !h.CaughtUp() {
 		// The job may be in a partition that this host has not read yet.
-		return nil, h.RefuseNotReady(id).withCause(causeNotReady)
+		return nil, h.RefuseNotReady(jobs.CallerID(id)).withCause(causeNotReady)
 	}
 	if slices.ContainsFunc(h.allFollowers(), (*logstore.Follower).StoreUnavailable) {
-		h.recorder.RecordDecision("job-uncertain", id, "err", "the store does not answer")
+		h.recorder.RecordDecision("job-uncertain", jobs.CallerID(id), "err", "the store does not answer")
 		return nil, storeUnavailableRefusal().withCause(causeOutage)
 	}
 	failed := h.catchUp(ctx)
@@ -266,14 +266,14 @@
 		return e, nil
 	}
 	if failed != nil {
-		h.recorder.RecordDecision("job-uncertain", id, "err", failed.Error())
+		h.recorder.RecordDecision("job-uncertain", jobs.CallerID(id), "err", failed.Error())
 		return nil, refuseCall(causeNoAnswer, cluster.ReasonLogUnavailable, "the store does not say whether the job exists")
 	}
 	h.mu.Lock()
 	unreadable := h.jobs.Unreadable(id)
 	h.mu.Unlock()
 	if unreadable {
-		h.recorder.RecordDecision("job-uncertain", id, "err", "records of the job are missing or invalid")
+		h.recorder.RecordDecision("job-uncertain", jobs.CallerID(id), "err", "records of the job are missing or invalid")
 		return nil, refuseCall(causeRecords, cluster.ReasonLogUnavailable, "the store has no complete records of the job")
 	}
 	h.recordDenied(id)
@@ -323,7 +323,7 @@
 		offset, staleness := followers[n].Progress()
 		details = append(details, fmt.Sprintf("partition_%d", n), fmt.Sprintf("read to offset %d, %d ms ago", offset, staleness.Milliseconds()))
 	}
-	h.recorder.RecordDecision("job-denied", id, details...)
+	h.recorder.RecordDecision("job-denied", jobs.CallerID(id), details...)
 	h.recorder.Count("jobs_denied_total")
 }
 
@@ -428,7 +428,7 @@
 		page.Outputs = append(page.Outputs, string(output))
 	}
 	if err != nil {
-		h.recorder.RecordDecision("texts-unavailable", e.Job.ID, "after", page.Next-len(page.Results), "wanted", len(refs), "read", len(page.Outputs), "cause", blobCause(err), "err", err.Error())
+		h.recorder.RecordDecision("texts-unavailable", jobs.CallerID(e.Job.ID), "after", page.Next-len(page.Results), "wanted", len(refs), "read", len(page.Outputs), "cause", blobCause(err), "err", err.Error())
 	}
 	if len(page.Outputs) == 0 {
 		return nil, refuseCall(blobCause(err), cluster.ReasonLogUnavailable, "the store does not return the texts")
@@ -465,7 +465,7 @@
 	}
 	payloads, err := h.readPayloads(ctx, e)
 	if err != nil {
-		h.recorder.RecordDecision("body-unavailable", item, "job", job, "cause", blobCause(err), "err", err.Error())
+		h.recorder.RecordDecision("body-unavailable", jobs.CallerID(item), "job", jobs.CallerID(job), "cause", blobCause(err), "err", err.Error())
 		return nil, false, refuseCall(blobCause(err), cluster.ReasonLogUnavailable, "the store does not return the item")
 	}
 	return payloads[i].Body, true, nil
@@ -482,7 +482,7 @@
 		return nil, eris.Wrap(err, "decode payloads")
 	}
 	if len(payloads) != len(e.Job.Items) {
-		return nil, fmt.Errorf("job %s has %d items and %d payloads", e.Job.ID, len(e.Job.Items), len(payloads))
+		return nil, fmt.Errorf("job %s has %d items and %d payloads", jobs.CallerID(e.Job.ID), len(e.Job.Items), len(payloads))
 	}
 	return payloads, nil
 }
@@ -510,18 +510,18 @@
 		return true, nil
 	}
 	if f := h.follower(e.Partition); f != nil && f.StoreUnavailable() {
-		h.recorder.RecordDecision("end", id, "outcome", "the store does not answer")
+		h.recorder.RecordDecision("end", jobs.CallerID(id), "outcome", "the store does not answer")
 		return true, storeUnavailableRefusal().withCause(causeOutage)
 	}
 	records := []logstore.Record{jobs.EncodeEnd(id)}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitTimeout)
 	defer cancel()
 	if err := h.appendAll(ctx, e.Partition, records); err != nil {
-		h.recorder.RecordDecision("end", id, "outcome", err.Error())
+		h.recorder.RecordDecision("end", jobs.CallerID(id), "outcome", err.Error())
 		return true, appendErrorRefusal(err).withCause(causeNoAnswer)
 	}
 	h.applyAppended(e.Partition, records)
-	h.recorder.RecordDecision("end", id, "outcome", "ended")
+	h.recorder.RecordDecision("end", jobs.CallerID(id), "outcome", "ended")
 	return true, nil
 }
 
--- a/internal/fronthost/jobs_test.go
+++ b/internal/fronthost/jobs_test.go
@@ -414,7 +414,7 @@
 	c.waitUntil("the host can forward", h.CanForward)
 	jobPartition.Store(int32(modelPartition(h)))
 	must.False(t, h.Ready())
-	response, refusal := h.Forward(ctx, &backend.Request{ID: "r1", Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}, h.Config().Match(testHost, "/pages/x"), time.Now().Add(time.Second))
+	response, refusal := h.Forward(ctx, Caller{}, &backend.Request{ID: "r1", Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}, h.Config().Match(testHost, "/pages/x"), time.Now().Add(time.Second))
 	must.Nil(t, refusal)
 	must.EqOp(t, http.StatusOK, response.Status)
 	job, payloads := newJob("job-1", 4, 1)
--- a/internal/fronthost/leaving_test.go
+++ b/internal/fronthost/leaving_test.go
@@ -58,7 +58,7 @@
 // page sends a request to the plain service.
 func (h *hostHandle) page(id string) *Refusal {
 	request := &backend.Request{ID: id, Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}
-	_, refusal := h.Forward(context.Background(), request, h.Config().Match(testHost, "/pages/x"), time.Now().Add(2*time.Second))
+	_, refusal := h.Forward(context.Background(), Caller{}, request, h.Config().Match(testHost, "/pages/x"), time.Now().Add(2*time.Second))
 	return refusal
 }
 
@@ -102,7 +102,7 @@
 		},
 		"stream": func(h *hostHandle, n int) {
 			request := &backend.Request{ID: fmt.Sprint("r", n), Method: http.MethodPost, URI: "/live/x", HostName: testHost, Header: http.Header{}}
-			end := h.Stream(context.Background(), request, h.Config().Match(testHost, "/live/x"), time.Now().Add(2*time.Second), 0, n%2 == 0, &streamCaller{})
+			end := h.Stream(context.Background(), Caller{}, request, h.Config().Match(testHost, "/live/x"), time.Now().Add(2*time.Second), 0, n%2 == 0, &streamCaller{})
 			must.True(t, end == StreamEnd{})
 		},
 	}
@@ -240,7 +240,7 @@
 func TestRequestThatWaitedIsNotSentToServerThatLeavesMeanwhile(t *testing.T) {
 	_, h := newLeavingCluster(t)
 	request := &backend.Request{ID: "waits", Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}
-	f, ctx, cancel := h.newForwarding(context.Background(), request, h.Config().Match(testHost, "/pages/x"), time.Now().Add(time.Minute))
+	f, ctx, cancel := h.newForwarding(context.Background(), Caller{}, request, h.Config().Match(testHost, "/pages/x"), time.Now().Add(time.Minute))
 	defer cancel()
 	selection := f.choose()
 	must.NotNil(t, f.current(selection, selection.Server.ID))
--- a/internal/fronthost/limits_test.go
+++ b/internal/fronthost/limits_test.go
@@ -77,7 +77,7 @@
 		h := hosts[n%len(hosts)]
 		calls.Go(func() {
 			request := &backend.Request{ID: fmt.Sprintf("page-%d", n), Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}}
-			_, refusal := h.Forward(context.Background(), request, h.Config().Match(testHost, "/pages/x"), time.Now().Add(2*time.Second))
+			_, refusal := h.Forward(context.Background(), Caller{}, request, h.Config().Match(testHost, "/pages/x"), time.Now().Add(2*time.Second))
 			mu.Lock()
 			defer mu.Unlock()
 			if refusal == nil {
@@ -314,7 +314,7 @@
 		refused := 0
 		for range 20 {
 			began := time.Now()
-			_, refusal := hosts[0].Forward(context.Background(), request, route, time.Now().Add(2*time.Second))
+			_, refusal := hosts[0].Forward(context.Background(), Caller{}, request, route, time.Now().Add(2*time.Second))
 			if refusal == nil {
 				continue
 			}
--- a/internal/fronthost/load.go
+++ b/internal/fronthost/load.go
@@ -55,7 +55,7 @@
 		payloads, err := h.readPayloads(attemptCtx, e)
 		cancel()
 		if err != nil {
-			klog.InfoS("payloads not read, retrying", "job", e.Job.ID, "err", err)
+			klog.InfoS("payloads not read, retrying", "job", jobs.CallerID(e.Job.ID), "err", err)
 			select {
 			case <-ctx.Done():
 			case <-time.After(loadRetry):
@@ -99,7 +99,7 @@
 		reads.Go(func() error {
 			p, err := h.readPartial(ctx, partition, ref)
 			if err != nil {
-				klog.InfoS("partial output not used", "item", id, "err", err)
+				klog.InfoS("partial output not used", "item", jobs.CallerID(id), "err", err)
 				return nil
 			}
 			mu.Lock()
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -364,11 +364,11 @@
 	r.cancels[s.Run] = cancel
 	payload := r.payloads[s.Job.Job.ID][s.Job.Index(s.Item.ID)]
 	request := &backend.Run{
-		ID: s.Item.ID, HostName: s.Job.Job.Host, Path: payload.Path, Headers: payload.Headers, Body: payload.Body,
+		ID: jobs.CallerID(s.Item.ID), HostName: s.Job.Job.Host, Path: payload.Path, Headers: payload.Headers, Body: payload.Body,
 		Version: s.Version, LastEventID: s.Partial.LastID, Resumed: len(s.Partial.Events) > 0,
-		Expires: h.permitTerms().Expiry(r.asOf),
+		Expires: h.permitTerms().Expiry(r.asOf), Sender: h.senderOf(s.Job.Job),
 	}
-	h.recorder.RecordDecision("run", s.Item.ID, "job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Partial.Events), "expected", s.Item.ExpectedOutput, "read_age_ms", boottime.Now().Sub(r.asOf).Milliseconds(), "why", s.Reason)
+	h.recorder.RecordDecision("run", request.ID, "job", jobs.CallerID(s.Job.Job.ID), "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Partial.Events), "expected", s.Item.ExpectedOutput, "read_age_ms", boottime.Now().Sub(r.asOf).Milliseconds(), "why", s.Reason)
 	go h.execute(runCtx, cancel, r.runState, target, request, s, route.MaxAttempts)
 }
 
@@ -410,7 +410,7 @@
 	state.scheduler.RecordEnd(s.Run, outcome, attempts, now)
 	h.wakeRunners()
 	h.mu.Unlock()
-	details := []any{"job", s.Job.Job.ID, "run", s.Run, "replica", target.ID, "outcome", outcome.String(), "events", events, "took_ms", now.Sub(started).Milliseconds(), "sent_after_ms", end.SentAfter.Milliseconds()}
+	details := []any{"job", jobs.CallerID(s.Job.Job.ID), "run", s.Run, "replica", target.ID, "outcome", outcome.String(), "events", events, "took_ms", now.Sub(started).Milliseconds(), "sent_after_ms", end.SentAfter.Milliseconds()}
 	if end.Err != nil {
 		details = append(details, "err", end.Err.Error())
 	}
@@ -486,7 +486,7 @@
 		if e.Partition == r.partition && now.Sub(e.ReadAt) > 2*h.settings.Timing.JobRetention && (e.Ended || len(e.Results) == len(e.Job.Items)) {
 			records = append(records, jobs.Tombstones(e)...)
 			r.removed[e.Job.ID] = e
-			klog.InfoS("job removed", "job", e.Job.ID, "age", now.Sub(e.ReadAt))
+			klog.InfoS("job removed", "job", jobs.CallerID(e.Job.ID), "age", now.Sub(e.ReadAt))
 		}
 		return len(records) < maxRemovals
 	})
--- a/internal/fronthost/scoring.go
+++ b/internal/fronthost/scoring.go
@@ -69,7 +69,7 @@
 	}
 	ctx, cancel := context.WithCancel(h.baseCtx)
 	r.cancels[s.Call] = cancel
-	h.recorder.RecordDecision("score", s.Item.ID, "job", s.Job.Job.ID, "call", s.Call, "request", call.ID, "route", route.Name, "timeout_ms", s.Timeout.Milliseconds(), "why", s.Reason)
+	h.recorder.RecordDecision("score", jobs.CallerID(s.Item.ID), "job", jobs.CallerID(s.Job.Job.ID), "call", s.Call, "request", call.ID, "route", route.Name, "timeout_ms", s.Timeout.Milliseconds(), "why", s.Reason)
 	attempts := max(route.MaxAttempts, jobRoute.MaxAttempts)
 	go h.score(ctx, cancel, r.runState, call, route, attempts, s)
 }
@@ -91,7 +91,7 @@
 	if !counted {
 		outcome = scoreLate
 	}
-	h.recorder.RecordDecision("score-end", s.Item.ID, "job", s.Job.Job.ID, "call", s.Call, "request", call.ID, "outcome", outcome, "failures", end.Failures, "took_ms", now.Sub(started).Milliseconds(), "since_output_ms", waited.Milliseconds())
+	h.recorder.RecordDecision("score-end", jobs.CallerID(s.Item.ID), "job", jobs.CallerID(s.Job.Job.ID), "call", s.Call, "request", call.ID, "outcome", outcome, "failures", end.Failures, "took_ms", now.Sub(started).Milliseconds(), "since_output_ms", waited.Milliseconds())
 	h.recorder.Count("score_calls_total", "outcome", outcome)
 	if outcome == scoreObtained {
 		h.recorder.Observe("score_wait_seconds", waited.Seconds())
@@ -103,7 +103,7 @@
 // under it nor counted as a suspicion.
 func (h *Host) sendScore(ctx context.Context, request *backend.Request, route *deployment.Route, deadline time.Time) schedule.ScoreEnd {
 	began := time.Now()
-	f, ctx, cancel := h.newForwarding(ctx, request, route, deadline)
+	f, ctx, cancel := h.newForwarding(ctx, Caller{}, request, route, deadline)
 	defer cancel()
 	f.fingerprint, f.background = "", true
 	response, refusal := f.run(ctx)
--- a/internal/fronthost/status.go
+++ b/internal/fronthost/status.go
@@ -43,6 +43,7 @@
 // JobStatus is one job in the host's tables.
 type JobStatus struct {
 	ID         string `json:"id"`
+	Workspace  string `json:"workspace,omitempty"`
 	Model      string `json:"model"`
 	Step       int64  `json:"step"`
 	MinVersion int64  `json:"min_version"`
@@ -80,7 +81,7 @@
 	}
 	h.jobs.Each(func(e *jobs.Entry) bool {
 		s.Jobs = append(s.Jobs, JobStatus{
-			ID: e.Job.ID, Model: e.Job.Model, Step: e.Job.Step, MinVersion: e.Job.MinVersion, Partition: e.Partition,
+			ID: jobs.CallerID(e.Job.ID), Workspace: e.Job.Workspace, Model: e.Job.Model, Step: e.Job.Step, MinVersion: e.Job.MinVersion, Partition: e.Partition,
 			Items: len(e.Job.Items), Committed: len(e.Results), Ended: e.Ended, AgeMs: now.Sub(e.ReadAt).Milliseconds(),
 		})
 		return true
--- a/internal/fronthost/streaming.go
+++ b/internal/fronthost/streaming.go
@@ -62,9 +62,9 @@
 // Stream forwards a request and passes on the events of the response as a backend
 // server sends them. A stream that breaks off is resumed at another server if the
 // route allows it. If resumed is set, the caller already has the events up to after.
-func (h *Host) Stream(ctx context.Context, request *backend.Request, route *deployment.Route, deadline time.Time, after int64, resumed bool, writer StreamWriter) StreamEnd {
+func (h *Host) Stream(ctx context.Context, caller Caller, request *backend.Request, route *deployment.Route, deadline time.Time, after int64, resumed bool, writer StreamWriter) StreamEnd {
 	began := time.Now()
-	f, ctx, cancel := h.newForwarding(ctx, request, route, deadline)
+	f, ctx, cancel := h.newForwarding(ctx, caller, request, route, deadline)
 	defer cancel()
 	f.call = backend.CallStream
 	s := &streaming{forwarding: f, writer: writer, lastID: after, resumed: resumed}
@@ -131,7 +131,7 @@
 	defer cancel()
 	watch := s.watchSilence(a, cancel)
 	end := s.host.backends.Stream(ctx, targetOf(&a.server), &backend.Stream{
-		Request: s.request, LastEventID: s.lastID, Resumed: s.resumed, Timeout: time.Until(s.deadline),
+		Request: a.request, LastEventID: s.lastID, Resumed: s.resumed, Timeout: time.Until(s.deadline),
 		OnHeaders: func(response *backend.Response) {
 			if s.head == nil {
 				s.head = response
--- a/internal/fronthost/streaming_test.go
+++ b/internal/fronthost/streaming_test.go
@@ -59,7 +59,7 @@
 	must.NotNil(t, route)
 	caller := &streamCaller{}
 	request := &backend.Request{ID: "r1", Method: http.MethodPost, URI: prefix + "x", HostName: testHost, Header: http.Header{}}
-	end := h.Stream(context.Background(), request, route, time.Now().Add(8*time.Second), 0, false, caller)
+	end := h.Stream(context.Background(), Caller{}, request, route, time.Now().Add(8*time.Second), 0, false, caller)
 	return caller, end, sends
 }
 
@@ -242,9 +242,9 @@
 	h := c.startHost("a")
 	route := h.Config().Match(testHost, "/live/")
 	request := &backend.Request{ID: "r1", Method: http.MethodPost, URI: "/live/x", HostName: testHost, Header: http.Header{}}
-	end := h.Stream(context.Background(), request, route, time.Now().Add(8*time.Second), 0, false, &streamCaller{})
+	end := h.Stream(context.Background(), Caller{}, request, route, time.Now().Add(8*time.Second), 0, false, &streamCaller{})
 	must.EqOp(t, cluster.OutcomeUnknown, end.Refusal.Outcome)
 	silent = false
 	request.ID = "r2"
-	must.Eq(t, StreamEnd{}, h.Stream(context.Background(), request, route, time.Now().Add(8*time.Second), 0, false, &streamCaller{}))
+	must.Eq(t, StreamEnd{}, h.Stream(context.Background(), Caller{}, request, route, time.Now().Add(8*time.Second), 0, false, &streamCaller{}))
 }
--- a/internal/httpapi/refusal.go
+++ b/internal/httpapi/refusal.go
@@ -58,6 +58,7 @@
 	cluster.ReasonDraining:        http.StatusServiceUnavailable,
 	cluster.ReasonNotReady:        http.StatusServiceUnavailable,
 	cluster.ReasonUnauthorized:    http.StatusUnauthorized,
+	cluster.ReasonNoPermission:    http.StatusServiceUnavailable,
 	cluster.ReasonBadRequest:      http.StatusBadRequest,
 	cluster.ReasonTooLarge:        http.StatusRequestEntityTooLarge,
 	cluster.ReasonUnknownName:     http.StatusNotFound,
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -47,6 +47,7 @@
 	partition Partition
 	apply     func(Batch)
 	yields    func() bool      // see YieldWhile
+	keepFresh time.Duration    // see KeepFresh; 0 if unset
 	now       func() time.Time // runs while the machine is suspended
 
 	mu            sync.Mutex
@@ -78,6 +79,12 @@
 // sooner get more of the store's bandwidth. It must be called before Run.
 func (f *Follower) YieldWhile(yields func() bool) { f.yields = yields }
 
+// KeepFresh makes the follower send patient reads, at this interval at most, whenever its
+// newest complete read is older than age, also while others are under way. On a store that
+// takes patientTimeout for an answer, CompleteAsOf is then older than that by age at most.
+// It must be called before Run.
+func (f *Follower) KeepFresh(age time.Duration) { f.keepFresh = age }
+
 // unknownEnd is the end of a log of which no page was read yet.
 const unknownEnd = -1
 
@@ -94,6 +101,9 @@
 		f.pacing.readBytes = yieldReadBytes
 	}
 	f.mu.Unlock()
+	if f.keepFresh > 0 {
+		go f.refresh(ctx)
+	}
 	var yielded time.Duration
 	for ctx.Err() == nil {
 		began, listing := time.Now(), !f.isSynced()
@@ -137,6 +147,26 @@
 	}()
 }
 
+// refreshChecks is the number of checks within the age of KeepFresh.
+const refreshChecks = 10
+
+// refresh implements KeepFresh until ctx ends.
+func (f *Follower) refresh(ctx context.Context) {
+	var sent time.Time
+	for ; ctx.Err() == nil; sleep(ctx, f.keepFresh/refreshChecks) {
+		now := f.now()
+		if now.Sub(sent) < f.keepFresh || !f.isSynced() || f.Staleness() < f.keepFresh {
+			continue
+		}
+		sent = now
+		go func() {
+			if err := f.read(ctx, 0, patientTimeout, patientTimeout); err != nil && ctx.Err() == nil {
+				klog.V(1).InfoS("log store gave no answer to a read that keeps a partition fresh", "partition", f.partition, "err", err)
+			}
+		}()
+	}
+}
+
 func (f *Follower) isSynced() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
