--- a/internal/logstore/suspension_test.go
+++ b/internal/logstore/suspension_test.go
@@ -74,3 +74,29 @@
 		must.False(t, f.CompleteAsOf().Before(before), must.Sprintf("goes back by %s", before.Sub(f.CompleteAsOf())))
 	})
 }
+
+// Guards against a host that stops because the configuration counts as old although the
+// store answers, if slowly, and against more reads than that needs.
+func TestPartitionStaysFreshOnASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &cutStore{slowStore: slowStore{Store: memlog.New(2)}}
+		f := logstore.NewFollower(store, testPartition, func(logstore.Batch) {})
+		f.SetClock(time.Now)
+		f.KeepFresh(time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		oldest := func(d time.Duration) (age time.Duration) {
+			for began := time.Now(); time.Since(began) < d; time.Sleep(syncPoll) {
+				age = max(age, f.Staleness())
+			}
+			return age
+		}
+		time.Sleep(time.Second)
+		must.Less(t, 600*time.Millisecond, oldest(20*time.Second))
+		store.setLatency(2750 * time.Millisecond)
+		must.Less(t, 4500*time.Millisecond, oldest(60*time.Second))
+		cancel()
+		synctest.Wait()
+		must.Less(t, 250, store.reads.Load())
+	})
+}
