--- a/internal/core/workspace/workspace.go
+++ b/internal/core/workspace/workspace.go
@@ -75,9 +75,9 @@
 // Directory finds the workspace of a key. It is immutable; a nil Directory has no
 // workspaces.
 type Directory struct {
-	declared   int
-	workspaces []*Workspace
-	byKey      map[KeyHash]*Workspace
+	declared int
+	byName   map[string]*Workspace
+	byKey    map[KeyHash]*Workspace
 }
 
 // NewDirectory returns the directory of the valid declarations and the problems of the
@@ -86,7 +86,7 @@
 // its workspace are.
 func NewDirectory(declared []Declared) (*Directory, []Problem) {
 	b := builder{
-		directory: &Directory{declared: len(declared), byKey: make(map[KeyHash]*Workspace)},
+		directory: &Directory{declared: len(declared), byName: make(map[string]*Workspace), byKey: make(map[KeyHash]*Workspace)},
 		firstName: make(map[string]int), firstUse: make(map[KeyHash]keyUse),
 	}
 	for i, d := range declared {
@@ -112,7 +112,15 @@
 	if d == nil {
 		return 0
 	}
-	return len(d.workspaces)
+	return len(d.byName)
+}
+
+// Named returns the workspace of a name, or nil if none in use has it.
+func (d *Directory) Named(name string) *Workspace {
+	if d == nil {
+		return nil
+	}
+	return d.byName[name]
 }
 
 // keyUse is the first use of a key.
@@ -151,7 +159,7 @@
 		b.report(i, d.Name, WholeWorkspace, reason)
 	} else {
 		w = &Workspace{Name: d.Name, Priority: d.Priority, HasPriority: d.HasPriority}
-		b.directory.workspaces = append(b.directory.workspaces, w)
+		b.directory.byName[d.Name] = w
 	}
 	for k, key := range d.Keys {
 		if reason := invalidKey(key); reason != "" {
--- a/internal/fronthost/access.go
+++ b/internal/fronthost/access.go
@@ -1,7 +1,6 @@
 package fronthost
 
 import (
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -53,25 +52,29 @@
 	asOf func() time.Time
 	now  func() time.Time
 
-	mu     sync.Mutex
-	lapsed bool
+	lapsed bool // at the last observation
 }
 
 func newPermission(s settings.Settings, asOf func() time.Time) *permission {
 	return &permission{
 		terms: workspace.Terms{Strict: s.Limits.StrictRevocation, RevokeWithin: s.Timing.RevokeWithin},
-		asOf:  asOf, now: boottime.Now,
+		asOf:  asOf, now: boottime.Now, lapsed: s.Limits.StrictRevocation,
 	}
 }
 
-// observe logs when the permission lapses and returns.
-func (p *permission) observe() {
+// observePermission logs when the permission lapses and returns. It is called by one
+// goroutine.
+func (h *Host) observePermission() {
+	p := h.permission
 	asOf, now := p.asOf(), p.now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if lapsed := !p.terms.Allows(asOf, now); lapsed != p.lapsed {
-		p.lapsed = lapsed
-		klog.InfoS("permission to run requests with keys lapsed or returned", "lapsed", lapsed, "read_age", now.Sub(asOf), "revoke_within", p.terms.RevokeWithin)
+	lapsed := !p.terms.Allows(asOf, now)
+	if lapsed == p.lapsed {
+		return
+	}
+	p.lapsed = lapsed
+	klog.InfoS("permission to run requests with keys lapsed or returned", "lapsed", lapsed, "read_age", now.Sub(asOf), "revoke_within", p.terms.RevokeWithin)
+	if lapsed {
+		h.recorder.Count("permission_lapses_total")
 	}
 }
 
--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -21,9 +21,10 @@
 		switch {
 		case change.Config != nil:
 			if h.state.SetConfig(change.Config) {
-				klog.InfoS("configuration applied", "version", change.Config.Version, "offset", r.Offset, "routes", len(change.Config.Routes), "services", len(change.Config.Services))
+				klog.InfoS("configuration applied", "version", change.Config.Version, "offset", r.Offset, "routes", len(change.Config.Routes), "services", len(change.Config.Services), "workspaces", change.Config.Workspaces.Len())
 				h.wakeRunners()
 				h.followModels(change.Config)
+				h.turns.Retain(change.Config.Workspaces)
 			}
 		case change.Version != nil:
 			if h.state.SetVersion(*change.Version) {
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -148,7 +148,11 @@
 		f.host.durations.Record(f.route.Name, took, time.Now())
 		f.host.mu.Unlock()
 	}
+	f.recordTurn(response != nil)
 	details := []any{"route", f.route.Name, "service", f.service, "outcome", outcome, "status", status, "sends", f.possibleRuns, "refusals", f.refusals, "took_ms", took.Milliseconds(), "left_ms", time.Until(f.deadline).Milliseconds()}
+	if f.caller.workspace != nil {
+		details = append(details, "workspace", f.caller.Workspace())
+	}
 	if refusal != nil {
 		details = append(details, "reason", string(refusal.Reason), "not_run", refusal.Outcome == cluster.OutcomeNotRun)
 	}
@@ -157,6 +161,19 @@
 	f.host.recorder.Observe("request_seconds", took.Seconds(), "route", f.route.Name)
 }
 
+// recordTurn records whether the request of a workspace was served. A key may have been
+// removed meanwhile, and with it the workspace.
+func (f *forwarding) recordTurn(served bool) {
+	if f.caller.workspace == nil {
+		return
+	}
+	f.host.mu.Lock()
+	defer f.host.mu.Unlock()
+	if f.host.state.Config.Workspaces.Named(f.caller.Workspace()) != nil {
+		f.host.turns.Record(f.caller.Workspace(), served, time.Now())
+	}
+}
+
 func (f *forwarding) run(ctx context.Context) (*backend.Response, *Refusal) {
 	f.send(ctx, false)
 	hedge := f.hedgeTimer()
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -30,6 +30,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/keepup"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -125,6 +126,7 @@
 	lags              map[string]int64 // number of versions behind the newest that a model's trainer allows
 	forward           *forward.Balancer
 	suspects          *suspect.Table
+	turns             *workspace.Turns
 	durations         *drain.Durations           // of the requests of each route
 	followers         map[int]*logstore.Follower // of topicWork
 	runners           map[int]*runner
@@ -141,7 +143,7 @@
 		settings: s, store: metered, backends: backends, feeds: feeds, recorder: recorder,
 		member: s.Host.ID + "-" + uuid.NewString()[:8],
 		state:  deployment.NewState(), jobs: jobs.NewTable(), placements: make(map[string]*placement),
-		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), durations: drain.NewDurations(),
+		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), turns: workspace.NewTurns(), durations: drain.NewDurations(),
 		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastTenures: make(map[int]*tenure), skipped: make(skippedRecords),
 	}
 	h.keepUp, h.behind = keepup.Defaults(), make(chan struct{}, 1)
@@ -189,7 +191,7 @@
 	go h.watchAssignments(ctx, changed)
 	go every(ctx, assignedCheckInterval, func() { h.followAssigned(ctx) })
 	go every(ctx, housekeepingInterval, h.removeServers)
-	go every(ctx, housekeepingInterval, h.permission.observe)
+	go every(ctx, housekeepingInterval, h.observePermission)
 	go h.survey(ctx)
 	go h.watchReadiness(ctx, time.Now())
 }
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -54,6 +54,9 @@
 	defer cancel()
 	refusal := h.submit(ctx, job, payloads)
 	details := []any{"model", job.Model, "step", job.Step, "items", len(job.Items), "min_version", job.MinVersion, "took_ms", time.Since(started).Milliseconds()}
+	if job.Workspace != "" {
+		details = append(details, "workspace", job.Workspace)
+	}
 	outcome := "accepted"
 	if refusal != nil {
 		outcome = string(refusal.Reason)
--- a/internal/fronthost/limits.go
+++ b/internal/fronthost/limits.go
@@ -204,7 +204,7 @@
 		f.allLeaving = selection.Leaving
 		request := limits.Request{
 			ID: f.request.ID, Service: f.service, Strained: selection.Strained, Slower: selection.Slower, Limited: candidatesOf(selection.NeedGrant),
-			Patience: f.patience(), Hedge: hedge, Failing: selection.Failing, Background: f.background,
+			Patience: f.patience(), Hedge: hedge, Failing: selection.Failing, Background: f.background || f.yields(selection),
 		}
 		if selection.Server != nil {
 			best := candidateOf(selection.Server)
@@ -224,6 +224,17 @@
 	return nil
 }
 
+// yields reports whether the request should leave its turn at servers with a rate limit to
+// those of another workspace.
+func (f *forwarding) yields(selection forward.Selection) bool {
+	if f.caller.workspace == nil || len(selection.NeedGrant) == 0 {
+		return false
+	}
+	f.host.mu.Lock()
+	defer f.host.mu.Unlock()
+	return f.host.turns.Yields(f.caller.Workspace(), time.Now())
+}
+
 // current returns a selected server if it has not left while the request waited.
 func (f *forwarding) current(selection forward.Selection, id string) *deployment.Server {
 	now := time.Now()
--- a/internal/fronthost/status.go
+++ b/internal/fronthost/status.go
@@ -23,12 +23,21 @@
 	Draining      bool              `json:"draining"`
 	InFlight      int64             `json:"in_flight"`
 	ConfigVersion int64             `json:"config_version"`
+	Access        *AccessStatus     `json:"access,omitempty"` // nil if no workspaces are declared
 	Partitions    []PartitionStatus `json:"partitions"`
 	Jobs          []JobStatus       `json:"jobs"`
 	Servers       []ServerStatus    `json:"servers"`
 	Counters      []telemetry.Total `json:"counters"`
 }
 
+// AccessStatus is what decides on requests with keys.
+type AccessStatus struct {
+	Workspaces int `json:"workspaces"` // in use
+	// ReadAgeMs is the age of the newest complete read of the configuration.
+	ReadAgeMs int64 `json:"read_age_ms"`
+	Permitted bool  `json:"permitted"` // requests with keys may run
+}
+
 // PartitionStatus is one partition that the host follows.
 type PartitionStatus struct {
 	Number int `json:"number"` // 0 is the control partition
@@ -73,6 +82,7 @@
 		Ready: h.Ready(), Draining: h.draining.Load(), InFlight: int64(h.active.Count()), Counters: h.recorder.Totals(),
 	}
 	s.Partitions = h.partitionStatus()
+	s.Access = h.accessStatus()
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -99,6 +109,19 @@
 	return s
 }
 
+// accessStatus asks the follower of the configuration, and so must not be called while mu
+// is held.
+func (h *Host) accessStatus() *AccessStatus {
+	config := h.Config()
+	if config == nil || !config.Workspaces.Enabled() {
+		return nil
+	}
+	asOf, now := h.permission.asOf(), h.permission.now()
+	return &AccessStatus{
+		Workspaces: config.Workspaces.Len(), ReadAgeMs: now.Sub(asOf).Milliseconds(), Permitted: h.permission.terms.Allows(asOf, now),
+	}
+}
+
 // partitionStatus returns the state of the followed partitions. A follower locks itself
 // before mu when it applies records, so it must not be asked while mu is held.
 func (h *Host) partitionStatus() []PartitionStatus {
