Keep half a second of margin for short terms of revocation

Cause: an answer to a long poll may count as up to 500 ms newer than it is; a tenth of a revoke_within below 5 s does not cover that. A request without any key was refused with 503 by a host whose read is old. Change: the margin is a tenth, at least 500 ms, and leaves 0.6 at least; a missing key is refused with 401 whatever the age of the read.

--- a/internal/core/workspace/terms.go
+++ b/internal/core/workspace/terms.go
@@ -2,11 +2,18 @@
 
 import "time"
 
-// servedTenths is the part of RevokeWithin, in tenths, for which a host serves requests
-// after its newest complete read of the configuration. The rest covers a store that
-// answered a long poll early over a slow connection: the read then counts as newer than it
-// is, by at most the long poll.
-const servedTenths = 9
+// A host serves requests with keys until a margin before RevokeWithin has passed since its
+// newest complete read of the configuration, but at least for the time in which callers
+// still expect answers of a host without a path to the store.
+const (
+	// marginDivisor gives the margin as a part of RevokeWithin.
+	marginDivisor = 10
+	// minMargin covers a store that answered a long poll early over a slow connection: the
+	// read then counts as newer than it is, by at most the long poll.
+	minMargin = 500 * time.Millisecond
+	// expectedTenths is the part of RevokeWithin, in tenths, for which callers expect answers.
+	expectedTenths = 6
+)
 
 // Terms are the terms on which a removed key ceases to work.
 type Terms struct {
@@ -37,7 +44,8 @@
 }
 
 func (t Terms) freshUntil(asOf time.Time) time.Time {
-	return asOf.Add(t.RevokeWithin * servedTenths / 10)
+	margin := max(t.RevokeWithin/marginDivisor, minMargin)
+	return asOf.Add(max(t.RevokeWithin-margin, t.RevokeWithin*expectedTenths/10))
 }
 
 // Verdict says whether a request with a key may run.
@@ -52,6 +60,8 @@
 	Undecided
 )
 
+func (v Verdict) String() string { return [...]string{"admitted", "unknown key", "undecided"}[v] }
+
 // Authorize decides on a request with a key, by the directory of the newest configuration.
 // h is nil if the request has no key.
 func (t Terms) Authorize(d *Directory, h *KeyHash, asOf, now time.Time) (*Workspace, Verdict) {
@@ -60,7 +70,7 @@
 		w = d.Lookup(*h)
 	}
 	switch {
-	case w == nil && t.IsFresh(asOf, now):
+	case h == nil || w == nil && t.IsFresh(asOf, now):
 		return nil, UnknownKey
 	case w == nil || !t.Allows(asOf, now):
 		return nil, Undecided
--- a/internal/core/workspace/workspace_test.go
+++ b/internal/core/workspace/workspace_test.go
@@ -71,7 +71,11 @@
 	terms := Terms{Strict: true, RevokeWithin: 5 * time.Second}
 	must.True(t, terms.Allows(asOf, asOf.Add(3*time.Second)))
 	must.False(t, terms.Allows(asOf, terms.Expiry(asOf)))
-	must.True(t, terms.Expiry(asOf).Before(asOf.Add(5*time.Second)))
+	for _, within := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second, time.Hour} {
+		served := Terms{Strict: true, RevokeWithin: within}.Expiry(asOf).Sub(asOf)
+		must.Between(t, within*6/10, served, within*9/10)
+		must.True(t, within < 2*time.Second || within-served >= 500*time.Millisecond)
+	}
 	must.False(t, terms.Allows(time.Time{}, time.Time{}.Add(time.Millisecond)))
 	must.False(t, terms.Expiry(time.Time{}).IsZero())
 	terms.Strict = false
@@ -91,7 +95,7 @@
 		want   Verdict
 	}{
 		{true, &key, asOf, Admitted}, {true, &key, late, Undecided}, {true, &other, asOf, UnknownKey}, {true, nil, asOf, UnknownKey},
-		{true, &other, late, Undecided}, {false, &key, late, Admitted}, {false, &other, late, Undecided}, {false, nil, asOf, UnknownKey},
+		{true, &other, late, Undecided}, {true, nil, late, UnknownKey}, {false, &key, late, Admitted}, {false, &other, late, Undecided}, {false, nil, asOf, UnknownKey},
 	} {
 		terms := Terms{Strict: c.strict, RevokeWithin: 5 * time.Second}
 		_, got := terms.Authorize(d, c.key, asOf, c.now)
--- a/internal/fronthost/access_test.go
+++ b/internal/fronthost/access_test.go
@@ -93,6 +93,18 @@
 	}
 }
 
+// Guards against a submission that is accepted although its key was removed, or the
+// permission lapsed, while its body arrived.
+func TestLateSubmissionNeedsPermission(t *testing.T) {
+	for reason, withdraw := range withdrawals {
+		h := startAccessHost(newTestCluster(t, 1), "a")
+		caller := h.caller()
+		must.Nil(t, h.Readmit("job-1", caller))
+		withdraw(h)
+		must.EqOp(t, reason, h.Readmit("job-1", caller).Reason)
+	}
+}
+
 // Guards against a stream that is resumed at another server without permission.
 func TestStreamIsNotResumedWithoutPermission(t *testing.T) {
 	for reason, withdraw := range withdrawals {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -73,7 +73,7 @@
 
 	floatKey("limits", "cpu_share", "share", "1", 0.01, 1024, "share of its cores that the process may use; hosts with less than half a core in total leave partition ownership to larger hosts", func(s *Settings) *float64 { return &s.Limits.CPUShare }),
 	floatKey("limits", "memory", "MB", "0", 0, 1<<20, "memory limit of the process; above 80 % of it, garbage is collected more often; 0 means no limit", func(s *Settings) *float64 { return &s.Limits.MemoryMB }),
-	boolKey("limits", "strict_revocation", "no request that is sent later than revoke_within after its key was removed may run; a host that has not read the store for nine tenths of that time refuses requests with keys", func(s *Settings) *bool { return &s.Limits.StrictRevocation }),
+	boolKey("limits", "strict_revocation", "no request that is sent later than revoke_within after its key was removed may run; a host that has not read the store for about nine tenths of that time refuses requests with keys", func(s *Settings) *bool { return &s.Limits.StrictRevocation }),
 	floatKey("limits", "cores", "cores", "1", 0.01, 1024, "number of CPU cores of the host", func(s *Settings) *float64 { return &s.Limits.Cores }),
 
 	durationKey("timing", "progress_timeout", "5s", 10*time.Millisecond, time.Hour, "longest gap between two chunks of a stream", func(s *Settings) *time.Duration { return &s.Timing.ProgressTimeout }),
