--- a/internal/fronthost/status.go
+++ b/internal/fronthost/status.go
@@ -23,12 +23,21 @@
 	Draining      bool              `json:"draining"`
 	InFlight      int64             `json:"in_flight"`
 	ConfigVersion int64             `json:"config_version"`
+	Access        *AccessStatus     `json:"access,omitempty"` // nil if no workspaces are declared
 	Partitions    []PartitionStatus `json:"partitions"`
 	Jobs          []JobStatus       `json:"jobs"`
 	Servers       []ServerStatus    `json:"servers"`
 	Counters      []telemetry.Total `json:"counters"`
 }
 
+// AccessStatus is what decides on requests with keys.
+type AccessStatus struct {
+	Workspaces int `json:"workspaces"` // in use
+	// ReadAgeMs is the age of the newest complete read of the configuration.
+	ReadAgeMs int64 `json:"read_age_ms"`
+	Permitted bool  `json:"permitted"` // requests with keys may run
+}
+
 // PartitionStatus is one partition that the host follows.
 type PartitionStatus struct {
 	Number int `json:"number"` // 0 is the control partition
@@ -43,6 +52,7 @@
 // JobStatus is one job in the host's tables.
 type JobStatus struct {
 	ID         string `json:"id"`
+	Workspace  string `json:"workspace,omitempty"`
 	Model      string `json:"model"`
 	Step       int64  `json:"step"`
 	MinVersion int64  `json:"min_version"`
@@ -72,6 +82,7 @@
 		Ready: h.Ready(), Draining: h.draining.Load(), InFlight: int64(h.active.Count()), Counters: h.recorder.Totals(),
 	}
 	s.Partitions = h.partitionStatus()
+	s.Access = h.accessStatus()
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -80,7 +91,7 @@
 	}
 	h.jobs.Each(func(e *jobs.Entry) bool {
 		s.Jobs = append(s.Jobs, JobStatus{
-			ID: e.Job.ID, Model: e.Job.Model, Step: e.Job.Step, MinVersion: e.Job.MinVersion, Partition: e.Partition,
+			ID: jobs.CallerID(e.Job.ID), Workspace: e.Job.Workspace, Model: e.Job.Model, Step: e.Job.Step, MinVersion: e.Job.MinVersion, Partition: e.Partition,
 			Items: len(e.Job.Items), Committed: len(e.Results), Ended: e.Ended, AgeMs: now.Sub(e.ReadAt).Milliseconds(),
 		})
 		return true
@@ -98,6 +109,19 @@
 	return s
 }
 
+// accessStatus asks the follower of the configuration, and so must not be called while mu
+// is held.
+func (h *Host) accessStatus() *AccessStatus {
+	config := h.Config()
+	if config == nil || !config.Workspaces.Enabled() {
+		return nil
+	}
+	asOf, now := h.permission.asOf(), h.permission.now()
+	return &AccessStatus{
+		Workspaces: config.Workspaces.Len(), ReadAgeMs: now.Sub(asOf).Milliseconds(), Permitted: h.permission.terms.Allows(asOf, now),
+	}
+}
+
 // partitionStatus returns the state of the followed partitions. A follower locks itself
 // before mu when it applies records, so it must not be asked while mu is held.
 func (h *Host) partitionStatus() []PartitionStatus {
