--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/sesamestand/sesamestand/internal/logstore"
 )
@@ -17,6 +18,9 @@
 	// Fence is the fencing number: the epoch at which the host acquired the control
 	// partition. It increases when the holder changes.
 	Fence int64
+	// Expires is the time on the clock of boottime.Now after which a call must not reach
+	// the API. Office.Call sets it; zero means no limit.
+	Expires time.Time
 }
 
 // UsageReport has the requests that began to run in one window. The
@@ -41,12 +45,13 @@
 	Scale(context.Context, Tenure, ScaleOrder) error
 }
 
-// Errors of ControlAPI. A call without one of them, or nil, was not sent.
+// Errors of ControlAPI.
 var (
 	// ErrFenced: the API has seen a call with a higher fencing number for the subject.
 	ErrFenced = errors.New("the control API has seen a higher fencing number")
-	// ErrRefused: nothing was done, because of too many calls or a failure of the API.
-	ErrRefused = errors.New("the control API refused the call")
+	// ErrRefused: nothing was done, because the API was not reached, has too many calls, or
+	// has failed.
+	ErrRefused = errors.New("the control API refused the call or was not reached")
 	// ErrNoCapacity: the ordered servers are not available at the moment.
 	ErrNoCapacity = errors.New("the ordered servers are not available")
 	// ErrOutcomeUnknown: there was no response. The call may be executed seconds later,
@@ -76,8 +81,7 @@
 	Subject string
 	// Records are stored together with the intent to call.
 	Records []logstore.Record
-	// Send makes the call, once the records are stored. Its context ends when the call
-	// may not be sent any more. It returns an error of ControlAPI.
+	// Send makes the call, once the records are stored. It returns an error of ControlAPI.
 	Send func(context.Context, Tenure) error
 }
 
@@ -86,22 +90,24 @@
 type Office interface {
 	Tenure() Tenure
 	// Records returns the newest records of the control partition whose keys begin with
-	// KeyPrefix and prefix, without removed ones and in the order of their keys. They
-	// include those of former holders. The values must not be changed.
+	// prefix, without removed ones and in the order of their keys. They include all those
+	// of former holders. For a moment, they may show an older value of a key that this host
+	// itself has written. The values must not be changed.
 	Records(prefix string) []logstore.Record
-	// Append stores records whose keys begin with KeyPrefix. Those without a value remove
-	// their key. Without an error they are stored, and Records has them.
+	// Append stores records whose keys begin with KeyPrefix, in their order. Those without
+	// a value remove their key. Without an error they are stored.
 	Append(context.Context, []logstore.Record) error
 	// Call waits until calls of former holders cannot arrive any more and the rate of
 	// calls allows it, stores the intent with the call's records, and sends the call. It
-	// returns the error of Send, or an error above if the call was not sent. A canceled
-	// context ends the waiting.
+	// returns the error of Send. If the call was not sent, it returns an error of Office, or
+	// that of the context.
 	Call(context.Context, Call) error
 }
 
 // Duty is work that the holder does.
 type Duty interface {
 	// Hold does the work until ctx ends, which it does when the tenure is no longer
-	// certain. It is called once for each tenure; the calls do not overlap.
+	// certain. It is called again if the tenure becomes certain again or another one
+	// begins; the calls do not overlap.
 	Hold(ctx context.Context, office Office)
 }
