Report usage through the holder of the duties

Cause: the platform expects one report per window of the requests that began to run for each workspace, from one host at a time.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -38,6 +38,8 @@
 	HostName string // value of the Host header
 	Header   http.Header
 	Body     []byte
+	// Workspace is the caller's workspace; empty if there is none.
+	Workspace string
 }
 
 // Response is a complete response of a backend server.
@@ -47,6 +49,8 @@
 	Body   []byte
 	// Signature is the server's signature of the response, or empty.
 	Signature string
+	// SentAfter is how long after the call the request was written.
+	SentAfter time.Duration
 	// NotRun is set if the server has not run the request and never will.
 	NotRun bool
 	// InstanceMismatch is set if a server other than the target answered, because it
--- a/internal/core/duty/gate_test.go
+++ b/internal/core/duty/gate_test.go
@@ -61,12 +61,6 @@
 	must.LessEq(t, deadline, g.Earliest(testSubject, next).Sub(testStart)+callTime)
 }
 
-func TestIntentTimeFollowsTheStore(t *testing.T) {
-	must.EqOp(t, MinIntentTime, IntentTime(10*time.Millisecond))
-	must.EqOp(t, 1600*time.Millisecond, IntentTime(800*time.Millisecond))
-	must.EqOp(t, MaxIntentTime, IntentTime(time.Minute))
-}
-
 // simulatedCall is a call with the time of its execution.
 type simulatedCall struct {
 	caller Caller
--- a/internal/core/usage/collector.go
+++ b/internal/core/usage/collector.go
@@ -22,6 +22,9 @@
 	Counts map[string]int64 `json:"counts"`
 }
 
+// Total returns the number of requests of all workspaces.
+func (r Report) Total() int64 { return total(r.Counts) }
+
 // Collector collects the counts of all hosts during one tenure of the holder. Its memory is
 // bounded by the hosts, the windows that are open, and the workspaces of the configuration.
 type Collector struct {
@@ -124,7 +127,7 @@
 	switch {
 	case c.next < c.windows.oldest(now):
 		return c.next, Skip
-	case now.Before(end.Add(finalDelay)), now.Before(c.began.Add(minTenure)):
+	case c.next > c.windows.LastFinal(now), now.Before(c.began.Add(minTenure)):
 		return c.next, Wait
 	case !now.Before(c.windows.Deadline(c.next)) && !c.anyCounted():
 		return c.next, Skip
--- a/internal/core/usage/counter.go
+++ b/internal/core/usage/counter.go
@@ -20,9 +20,13 @@
 	Final bool
 }
 
-func (c Counts) total() int64 {
+// LastFinal returns the newest window whose counts are final at a time.
+func (w Windows) LastFinal(now time.Time) int64 { return w.At(now.Add(-finalDelay)) - 1 }
+
+// total returns the number of requests of all workspaces.
+func total(byWorkspace map[string]int64) int64 {
 	sum := int64(0)
-	for _, n := range c.ByWorkspace {
+	for _, n := range byWorkspace {
 		sum += n
 	}
 	return sum
@@ -131,7 +135,7 @@
 	var pending []Counts
 	for _, n := range slices.Sorted(maps.Keys(c.counts)) {
 		w := c.counts[n]
-		ended := !now.Before(c.windows.End(n).Add(finalDelay))
+		ended := n <= c.windows.LastFinal(now)
 		if !w.changed && (w.final || !ended) {
 			continue
 		}
@@ -146,7 +150,7 @@
 func (c *Counter) Delivered(sent []Counts) {
 	for _, counts := range sent {
 		if w := c.counts[counts.Window]; w != nil {
-			w.final, w.delivered = w.final || counts.Final, counts.total()
+			w.final, w.delivered = w.final || counts.Final, total(counts.ByWorkspace)
 		}
 	}
 }
@@ -168,7 +172,7 @@
 	c.settled = window
 	for n, w := range c.counts {
 		if n <= window {
-			c.dropped += max(Counts{ByWorkspace: w.byWorkspace}.total()-w.delivered, 0)
+			c.dropped += max(total(w.byWorkspace)-w.delivered, 0)
 			delete(c.counts, n)
 		}
 	}
--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -7,6 +7,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/duties"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 )
 
@@ -103,6 +104,9 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if partition == controlPartition && b.Complete {
+		h.duties.records.RemoveAbsent(b.Records)
+	}
 	for _, r := range b.Records {
 		if err := h.applyWorkRecord(partition, r, b.Complete, now); err != nil {
 			h.recordSkipped(topicWork, &deployment.InvalidChange{Key: r.Key, Reason: err.Error()})
@@ -127,6 +131,8 @@
 		return h.applyLimit(r, now)
 	case r.Key == limitAllocatorKey:
 		return h.applyLimitAllocator(r)
+	case duties.IsKey(r.Key):
+		return h.applyDuty(r)
 	}
 	return errUnknownKey
 }
--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/duties"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 	"github.com/sesamestand/sesamestand/internal/logstore/memlog"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
@@ -107,6 +108,8 @@
 	runStarts []runStart
 	// streams handles the streams that hosts send to the servers of testApp.
 	streams func(ctx context.Context, t backend.Target, s *backend.Stream) backend.RunEnd
+	// control is the control API; nil if there is none.
+	control duties.ControlAPI
 }
 
 func newTestCluster(t *testing.T, replicas int) *testCluster {
@@ -185,10 +188,14 @@
 	s.Platform.Store.Partitions = 4
 	s.Platform.Store.MinTTL = 200 * time.Millisecond
 	s.Timing.OrderLease = 600 * time.Millisecond
+	s.Timing.UsageWindow, s.Timing.UsageDue = 500*time.Millisecond, 10*time.Second
+	if c.control != nil {
+		s.Platform.Control.Addr = "control"
+	}
 	h := New(s, view, &hostBackends{testCluster: c, host: id}, Feeds{
 		Operators: Feed{Partition: operatorPartition, Decode: decodeOperator},
 		Servers:   Feed{Partition: serverPartition, Decode: decodeServer},
-	}, c, recorder)
+	}, c, c.control, recorder)
 	c.mu.Lock()
 	c.hosts[id] = h
 	c.mu.Unlock()
@@ -363,6 +370,19 @@
 	return h.limits.Acquire(ctx, request)
 }
 
+// ReportUsage implements usage.Peers.
+func (c *testCluster) ReportUsage(ctx context.Context, addr string, counts *peerpb.UsageCounts) (*peerpb.UsageReply, error) {
+	c.mu.Lock()
+	h := c.hosts[addr]
+	unreachable := h == nil || c.unreachable[addr]
+	c.mu.Unlock()
+	if unreachable {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return h.duties.usage.ReportUsage(ctx, counts)
+}
+
 // CloseUnused implements Backends.
 func (c *testCluster) CloseUnused(func(backend.Target) bool) {}
 
--- a/internal/fronthost/commits.go
+++ b/internal/fronthost/commits.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/boottime"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/schedule"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -47,10 +48,12 @@
 	r.signalAppend()
 }
 
-// appendOutcome reports whether records were appended, and when their append began.
+// appendOutcome reports whether records were appended, and when their append began, also on
+// the clock of boottime.Now.
 type appendOutcome struct {
-	appended bool
-	began    time.Time
+	appended    bool
+	began       time.Time
+	beganSteady time.Time
 }
 
 // appendAndWait appends records and returns the outcome. It stops waiting when ctx ends; the
@@ -170,7 +173,7 @@
 func (r *runner) appendQueued(ctx context.Context) bool {
 	batch := r.takeBatch()
 	commits, records := batch.commits, batch.records
-	outcome := appendOutcome{began: time.Now()}
+	outcome := appendOutcome{began: time.Now(), beganSteady: boottime.Now()}
 	defer func() {
 		for _, w := range batch.waiters {
 			w <- outcome
--- a/internal/fronthost/drain.go
+++ b/internal/fronthost/drain.go
@@ -113,6 +113,7 @@
 		h.stopServing()
 		h.awaitResponses(time.Now().Add(finalResponseTime))
 	}
+	h.flushUsage()
 }
 
 // awaitResponses waits until all responses were sent, at most until the given time.
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -13,6 +13,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/forward"
 	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/usage"
 )
 
 // maxRefusals is the number of refusals by servers, because they are full or the
@@ -38,6 +39,7 @@
 type attempt struct {
 	server   deployment.Server
 	sent     time.Time
+	ended    time.Time // the response or the error arrived
 	hedge    bool
 	response *backend.Response
 	err      error
@@ -58,6 +60,8 @@
 	possibleRuns int // sends that a server may have run
 	inFlight     int // sends without a result
 	refusals     int
+	usage        *usage.Request        // nil if the request is not counted
+	firstSend    *attempt              // send by which usage counts the request
 	background   bool                  // the request can be sent later
 	rateLimited  []ratelimit.Candidate // servers for which no request was granted
 	allLeaving   bool                  // the servers that were not tried are all leaving
@@ -85,6 +89,7 @@
 	}
 	ctx, release := h.withStop(ctx)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
+	f.usage = h.duties.usage.NewRequest(request.Workspace)
 	return f, ctx, func() {
 		cancel()
 		release()
@@ -222,8 +227,10 @@
 	}
 	h := f.host
 	f.inFlight++
+	f.countSend(a)
 	go func() {
 		a.response, a.err = h.backends.Call(ctx, targetOf(&a.server), f.request, time.Until(f.deadline))
+		a.ended = time.Now()
 		h.recordAttempt(a, ctx.Err() != nil)
 		f.results <- a
 	}()
@@ -250,10 +257,30 @@
 	h.mu.Unlock()
 }
 
+// countSend counts the request by its first send.
+func (f *forwarding) countSend(a *attempt) {
+	if f.firstSend == nil {
+		f.firstSend = a
+		f.usage.Began(a.sent)
+	}
+}
+
+// countResult corrects when the request began, or that it did not run so far.
+func (f *forwarding) countResult(a *attempt) {
+	switch {
+	case f.possibleRuns == 0:
+		f.firstSend = nil
+		f.usage.Refused()
+	case a == f.firstSend && a.err == nil && !a.response.NotRun:
+		f.usage.Answered(a.server.Service, a.sent.Add(a.response.SentAfter), a.ended)
+	}
+}
+
 // handleResult returns the response for the caller, or nil if the attempt did not
 // settle the request.
 func (f *forwarding) handleResult(a *attempt) *backend.Response {
 	f.inFlight--
+	defer f.countResult(a)
 	if a.err == nil && a.response.Status == http.StatusInternalServerError {
 		f.failures++
 	}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -30,6 +30,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/keepup"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/duties"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -96,6 +97,7 @@
 	limits   *limits.Controller
 	// limitAllocator grants the requests to servers with a rate limit; nil if unknown.
 	limitAllocator atomic.Pointer[limits.Allocator]
+	duties         hostDuties
 	blobs          *blobStore
 	keepUp         keepup.Config
 	behind         chan struct{} // receives when a runner does not keep up
@@ -133,8 +135,9 @@
 	serversByService  map[string][]deployment.Server
 }
 
-// New returns a host that is not running yet.
-func New(s settings.Settings, store logstore.Store, backends Backends, feeds Feeds, peers limits.Peers, recorder *telemetry.Recorder) *Host {
+// New returns a host that is not running yet. control is nil if the platform has no control
+// API.
+func New(s settings.Settings, store logstore.Store, backends Backends, feeds Feeds, peers Peers, control duties.ControlAPI, recorder *telemetry.Recorder) *Host {
 	metered := &meteredStore{Store: store, recorder: recorder}
 	h := &Host{
 		settings: s, store: metered, backends: backends, feeds: feeds, recorder: recorder,
@@ -150,6 +153,7 @@
 		h.member = s.Host.ID + smallMarker + uuid.NewString()[:8]
 	}
 	h.limits = limits.New(h.member, (*limitDirectory)(h), peers, recorder)
+	h.duties = h.newDuties(peers, control)
 	backends.ObserveLimits(h.observeLimit)
 	backends.ObserveLeaving(h.observeLeaving)
 	h.blobs = newBlobStore(metered, s.Platform.Store.RecordBytes, s.Platform.Store.AppendBytes)
@@ -186,6 +190,9 @@
 	go every(ctx, housekeepingInterval, h.removeServers)
 	go h.survey(ctx)
 	go h.watchReadiness(ctx, time.Now())
+	if h.duties.usage != nil {
+		go h.duties.usage.Run(ctx)
+	}
 }
 
 // memberTTL returns the time after which the partitions of a host that does not
--- a/internal/fronthost/intent_test.go
+++ b/internal/fronthost/intent_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sesamestand/sesamestand/internal/core/duty"
 	"github.com/sesamestand/sesamestand/internal/core/rollout"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 	"github.com/sesamestand/sesamestand/internal/settings"
@@ -28,10 +29,10 @@
 }
 
 func TestIntentTime(t *testing.T) {
-	must.EqOp(t, minIntentTime, intentTime(0))
-	must.EqOp(t, minIntentTime, intentTime(minIntentTime/2))
-	must.EqOp(t, 1600*time.Millisecond, intentTime(800*time.Millisecond))
-	must.EqOp(t, maxIntentTime, intentTime(time.Minute))
+	must.EqOp(t, minIntentTime, duty.IntentTime(0))
+	must.EqOp(t, minIntentTime, duty.IntentTime(minIntentTime/2))
+	must.EqOp(t, 1600*time.Millisecond, duty.IntentTime(800*time.Millisecond))
+	must.EqOp(t, maxIntentTime, duty.IntentTime(time.Minute))
 }
 
 // Guards against two order owners that send orders to one replica within a lease while
--- a/internal/fronthost/orders.go
+++ b/internal/fronthost/orders.go
@@ -10,6 +10,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/duty"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/rollout"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -21,8 +22,8 @@
 	// order is sent, while the store answers soon. An order that was not sent by then is
 	// abandoned. While the store is slow, the time is longer, up to maxIntentTime, and the
 	// intent says so.
-	minIntentTime = 600 * time.Millisecond
-	maxIntentTime = 2500 * time.Millisecond
+	minIntentTime = duty.MinIntentTime
+	maxIntentTime = duty.MaxIntentTime
 	// orderTransit is the time that an order is in flight. A new order owner waits for it,
 	// and for the time of the intent, in addition to the lease after the former owner's last
 	// intent.
@@ -88,10 +89,7 @@
 }
 
 // mayOrder reports whether this host is certain to be the order owner.
-func (o *orderer) mayOrder() bool {
-	epoch, owned := o.runner.host.group.Owned()[controlPartition]
-	return owned && epoch == o.runner.epoch && !o.runner.isStopping()
-}
+func (o *orderer) mayOrder() bool { return o.runner.isCertainOwner() }
 
 // earliestOrder returns the time from which a replica may be sent an order: a lease
 // after the last order that another order owner may have sent to it. Every order
@@ -107,11 +105,6 @@
 	return from
 }
 
-// intentTime returns the time of an intent for a store that takes some time for an append.
-func intentTime(latency time.Duration) time.Duration {
-	return min(max(2*latency, minIntentTime), maxIntentTime)
-}
-
 // intentTime returns the time within which the last order was sent after the append of its
 // intent began.
 func (p *placement) intentTime() time.Duration {
@@ -460,7 +453,7 @@
 // in the log before its append began, so a host that read it knows until when the order was
 // sent. Other appends may be under way before that.
 func (o *orderer) logIntent(ctx context.Context, replica, model string) time.Time {
-	limit := intentTime(o.runner.host.store.Small())
+	limit := duty.IntentTime(o.runner.host.store.Small())
 	ctx, cancel := context.WithTimeout(ctx, 2*limit)
 	defer cancel()
 	outcome := o.runner.appendAndWait(ctx, o.placementRecords(replica, model, limit))
--- a/internal/fronthost/restart_test.go
+++ b/internal/fronthost/restart_test.go
@@ -35,20 +35,20 @@
 	mu      sync.Mutex
 	waiting []*transfer
 	next    int // index in waiting of the answer whose turn it is
-	usage   map[string]*usage
+	usage   map[string]*readUsage
 }
 
 // transfer is an answer that is being sent.
 type transfer struct {
 	ctx      context.Context
-	usage    *usage
+	usage    *readUsage
 	left     int
 	sent     int
 	finished chan struct{} // closed when all was sent
 }
 
-// usage is what the answers to one kind of call took.
-type usage struct {
+// readUsage is what the answers to one kind of call took.
+type readUsage struct {
 	calls, givenUp int
 	bytes          int
 }
@@ -116,7 +116,7 @@
 	t := &transfer{ctx: ctx, left: size, finished: make(chan struct{})}
 	s.mu.Lock()
 	if s.usage[kind] == nil {
-		s.usage[kind] = &usage{}
+		s.usage[kind] = &readUsage{}
 	}
 	t.usage = s.usage[kind]
 	t.usage.calls++
@@ -355,7 +355,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newTestCluster(t, replicas)
 				written := writeJobs(t, c)
-				store := &sharedReads{Store: c.store, bytesPerSecond: bytesPerSecond, sideBySide: order.sideBySide, toTheEnd: order.toTheEnd, usage: make(map[string]*usage)}
+				store := &sharedReads{Store: c.store, bytesPerSecond: bytesPerSecond, sideBySide: order.sideBySide, toTheEnd: order.toTheEnd, usage: make(map[string]*readUsage)}
 				ctx, cancel := context.WithCancel(context.Background())
 				defer time.Sleep(waitTimeout) // until the hosts have ended
 				defer cancel()
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -143,6 +143,7 @@
 	if r.partition == controlPartition {
 		r.orders = newOrderer(r)
 		r.becomeAllocator()
+		go r.holdDuties(ctx)
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/fronthost/serve.go
+++ b/internal/fronthost/serve.go
@@ -100,6 +100,9 @@
 func (h *Host) servePeers(failed chan<- error) (*grpc.Server, error) {
 	server := grpc.NewServer(peer.ServerOptions(h.settings.Auth.ClusterToken, nil)...)
 	peerpb.RegisterLimitsServer(server, &peer.LimitsServer{LimitsHandler: h.limits})
+	if h.duties.usage != nil {
+		peerpb.RegisterUsageServer(server, &peer.UsageServer{UsageHandler: h.duties.usage})
+	}
 	if h.settings.Host.PeerAddr == "" {
 		return server, nil
 	}
--- a/internal/fronthost/streaming.go
+++ b/internal/fronthost/streaming.go
@@ -68,6 +68,9 @@
 	defer cancel()
 	f.call = backend.CallStream
 	s := &streaming{forwarding: f, writer: writer, lastID: after, resumed: resumed}
+	if resumed {
+		f.usage = nil // counted at its first event, which the caller has
+	}
 	end := StreamEnd{Refusal: f.refuseUnsent()}
 	if end.Refusal == nil {
 		end = s.run(ctx)
@@ -139,6 +142,7 @@
 		},
 		OnEvent: func(e backend.Event) {
 			watch.recordEvent()
+			s.usage.Began(time.Now())
 			s.sendHead()
 			s.lastID, s.resumed, s.delivered = e.ID, true, true
 			s.writer.WriteEvent(e)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,6 +87,15 @@
 	return peerpb.NewLimitsClient(c.conn).Acquire(ctx, request)
 }
 
+// ReportUsage calls the Usage service of the host at an address.
+func (p *Pool) ReportUsage(ctx context.Context, addr string, counts *peerpb.UsageCounts) (*peerpb.UsageReply, error) {
+	c, err := p.connection(addr)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewUsageClient(c.conn).ReportUsage(ctx, counts)
+}
+
 // connection returns the connection to an address, and creates it if absent.
 func (p *Pool) connection(addr string) (*connection, error) {
 	p.mu.Lock()
@@ -145,6 +155,9 @@
 	return metadata.AppendToOutgoingContext(ctx, tokenHeader, p.token)
 }
 
+// shortCalls are the methods whose calls have a short deadline and a cheap handler.
+var shortCalls = []string{peerpb.Peer_Exchange_FullMethodName, peerpb.Limits_Acquire_FullMethodName, peerpb.Usage_ReportUsage_FullMethodName}
+
 // observeUnary returns an interceptor that adds the cluster token to calls, and
 // that replaces c when calls with a short deadline time out on it, because a new
 // connection to the same peer may work. The handlers of these calls are cheap, so that
@@ -152,7 +165,7 @@
 func (p *Pool) observeUnary(addr string, c *connection) grpc.UnaryClientInterceptor {
 	return func(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts ...grpc.CallOption) error {
 		err := invoker(p.authorize(ctx), method, req, reply, cc, opts...)
-		if method != peerpb.Peer_Exchange_FullMethodName && method != peerpb.Limits_Acquire_FullMethodName {
+		if !slices.Contains(shortCalls, method) {
 			return err
 		}
 		switch {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -55,6 +55,17 @@
 	LimitsHandler
 }
 
+// UsageHandler collects the requests that other hosts have counted.
+type UsageHandler interface {
+	ReportUsage(context.Context, *peerpb.UsageCounts) (*peerpb.UsageReply, error)
+}
+
+// UsageServer implements the Usage service.
+type UsageServer struct {
+	peerpb.UnsafeUsageServer
+	UsageHandler
+}
+
 // Server implements the Peer service with one handler per role.
 type Server struct {
 	peerpb.UnsafePeerServer
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -55,6 +55,10 @@
 	intKey("platform", "append_bytes", "bytes", "2097152", 4096, 64<<20, "maximum total size of one append to the log store", func(s *Settings) *int { return &s.Platform.Store.AppendBytes }),
 	durationKey("platform", "min_member_ttl", "1s", 100*time.Millisecond, time.Minute, "shortest TTL that the log store allows for a member of a consumer group", func(s *Settings) *time.Duration { return &s.Platform.Store.MinTTL }),
 
+	addrKey("platform", "control_addr", "control API; if empty, there are no calls of it", false, func(s *Settings) *string { return &s.Platform.Control.Addr }),
+	floatKey("platform", "control_calls_per_second", "calls/s", "50", 0.1, 10000, "calls that the control API accepts from all hosts together", func(s *Settings) *float64 { return &s.Platform.Control.CallsPerSecond }),
+	textKey("platform", "control_duties", "names of the duties for which the control API is called, separated by commas; if empty, all", false, func(s *Settings) *string { return &s.Platform.Control.Duties }),
+
 	{section: "auth", name: "caller_tokens", unit: "token list", doc: "tokens that callers may use; if empty, callers are not authenticated", set: setCallerTokens,
 		get: func(s *Settings) string { return strings.Join(s.Auth.CallerTokens, ", ") }},
 	textKey("auth", "operator_token", "token for status, explain and metrics; if empty, these are not authenticated", false, func(s *Settings) *string { return &s.Auth.OperatorToken }),
@@ -90,6 +94,8 @@
 	durationKey("timing", "stop_grace", "8s", time.Second, time.Hour, "time from SIGTERM until the platform kills the process", func(s *Settings) *time.Duration { return &s.Timing.StopGrace }),
 	durationKey("timing", "job_end_grace", "3s", time.Second, time.Hour, "how long after the end of a job was acknowledged its items may still reach backend servers; hosts that have not read the store for about this time start none", func(s *Settings) *time.Duration { return &s.Timing.JobEndGrace }),
 	durationKey("timing", "job_retention", "120s", time.Second, 24*time.Hour, "how long after its submission a job's results can be read", func(s *Settings) *time.Duration { return &s.Timing.JobRetention }),
+	durationKey("timing", "usage_window", "5s", 100*time.Millisecond, time.Hour, "length of the windows in which the requests of workspaces are reported", func(s *Settings) *time.Duration { return &s.Timing.UsageWindow }),
+	durationKey("timing", "usage_due", "10s", 100*time.Millisecond, time.Hour, "time from the end of a window until its usage report is due", func(s *Settings) *time.Duration { return &s.Timing.UsageDue }),
 
 	textKey("tls", "cert_file", "certificate (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.CertFile }),
 	textKey("tls", "key_file", "private key (PEM), read again when it changes", false, func(s *Settings) *string { return &s.TLS.KeyFile }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -65,6 +66,7 @@
 	HostsAddr   string
 	WeightsAddr string
 	Store       Store
+	Control     Control
 }
 
 // Store holds the limits of the partitioned log store. Section [platform].
@@ -75,6 +77,28 @@
 	MinTTL      time.Duration // shortest TTL of a consumer group member
 }
 
+// Control holds the control API. Section [platform].
+type Control struct {
+	Addr           string // empty means that there is none
+	CallsPerSecond float64
+	Duties         string // names, separated by commas; empty means all
+}
+
+// DutyUsage is the name of the duty to report usage.
+const DutyUsage = "usage"
+
+// HasDuty reports whether the platform expects a duty.
+func (c Control) HasDuty(name string) bool {
+	names := dutyNames(c.Duties)
+	return c.Addr != "" && (len(names) == 0 || slices.Contains(names, name))
+}
+
+// dutyNames returns the names in a list, which the platform may render with brackets and
+// quotes.
+func dutyNames(list string) []string {
+	return strings.FieldsFunc(list, func(r rune) bool { return strings.ContainsRune("[]\"', \t", r) })
+}
+
 // OnLogStore reports whether the host runs on a partitioned log store.
 func (p Platform) OnLogStore() bool { return p.Kind == PlatformLogStore }
 
@@ -119,6 +143,8 @@
 	StopGrace       time.Duration // from SIGTERM to SIGKILL
 	JobRetention    time.Duration // how long after submission results can be read
 	JobEndGrace     time.Duration // how long after the end of a job its items may reach backend servers
+	UsageWindow     time.Duration // length of a window of usage reports
+	UsageDue        time.Duration // from the end of a window until its report is due
 }
 
 // TLS holds the paths of the certificate and key files, which are reloaded when
@@ -226,6 +252,9 @@
 	if s.Limits.InitialConcurrency > s.Limits.MaxConcurrency {
 		findings.Add(file, 0, "limits.initial_concurrency", "is above max_concurrency")
 	}
+	if s.Platform.Control.HasDuty(DutyUsage) && s.Host.PeerAddr == "" {
+		findings.Add(file, 0, "host.peer_addr", "must not be empty with platform.control_addr: hosts send their counts of requests to each other")
+	}
 }
 
 func knownSection(name string) bool {
--- /dev/null
+++ b/internal/usage/service_test.go
@@ -0,0 +1,216 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/core/usage"
+	"github.com/sesamestand/sesamestand/internal/duties"
+	"github.com/sesamestand/sesamestand/internal/limits"
+	"github.com/sesamestand/sesamestand/internal/logstore"
+	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
+	"github.com/sesamestand/sesamestand/internal/telemetry"
+)
+
+// testNetwork has two services with a directory, an API and a partition in common. It
+// implements Directory for the service "a", Peers, duties.ControlAPI and duties.Office.
+type testNetwork struct {
+	mu       sync.Mutex
+	holder   limits.Allocator
+	services map[string]*Service
+	cut      bool // messages between hosts are lost
+	records  map[string]logstore.Record
+	answers  error // of the API
+	reports  map[int64][]map[string]int64
+	fences   []int64
+}
+
+var errCut = errors.New("cut")
+
+func (n *testNetwork) Allocator(string) (limits.Allocator, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.holder, n.holder.Addr != ""
+}
+
+func (n *testNetwork) LearnAllocator(limits.Allocator) {}
+
+func (n *testNetwork) ReportUsage(ctx context.Context, addr string, counts *peerpb.UsageCounts) (*peerpb.UsageReply, error) {
+	n.mu.Lock()
+	s, cut := n.services[addr], n.cut
+	n.mu.Unlock()
+	if cut {
+		return nil, errCut
+	}
+	return s.ReportUsage(ctx, counts)
+}
+
+// testAPI is the control API of a network.
+type testAPI struct{ *testNetwork }
+
+func (a testAPI) ReportUsage(_ context.Context, tenure duties.Tenure, r duties.UsageReport) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reports[r.Window] = append(a.reports[r.Window], maps.Clone(r.Counts))
+	a.fences = append(a.fences, tenure.Fence)
+	return a.answers
+}
+
+func (a testAPI) Scale(context.Context, duties.Tenure, duties.ScaleOrder) error { return nil }
+
+// testOffice implements duties.Office.
+type testOffice struct {
+	*testNetwork
+	fence int64
+}
+
+func (o testOffice) Tenure() duties.Tenure { return duties.Tenure{Fence: o.fence} }
+
+func (o testOffice) Records(prefix string) []logstore.Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var found []logstore.Record
+	for _, key := range slices.Sorted(maps.Keys(o.records)) {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, o.records[key])
+		}
+	}
+	return found
+}
+
+func (o testOffice) Append(_ context.Context, records []logstore.Record) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range records {
+		o.records[r.Key] = r
+		if r.IsTombstone() {
+			delete(o.records, r.Key)
+		}
+	}
+	return nil
+}
+
+func (o testOffice) Call(ctx context.Context, c duties.Call) error { return c.Send(ctx, o.Tenure()) }
+
+var testWindows = usage.Windows{Length: 300 * time.Millisecond, Due: 2 * time.Second}
+
+func newTestNetwork(t *testing.T, names ...string) *testNetwork {
+	n := &testNetwork{services: make(map[string]*Service), records: make(map[string]logstore.Record), reports: make(map[int64][]map[string]int64)}
+	for _, name := range names {
+		recorder, err := telemetry.NewRecorder(name, 0)
+		must.NoError(t, err)
+		s := New(Config{Process: name, Windows: testWindows, RecordBytes: keyBytes + 20}, n, n, testAPI{n}, recorder, time.Now)
+		n.services[name] = s
+		go s.Run(t.Context())
+	}
+	return n
+}
+
+// hold makes a service the holder until the returned function is called.
+func (n *testNetwork) hold(t *testing.T, name string, fence int64) (lose func()) {
+	n.mu.Lock()
+	n.holder = limits.Allocator{Addr: name, Epoch: fence}
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		n.services[name].Hold(ctx, testOffice{n, fence})
+		close(ended)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+// reported returns the requests of a workspace in all windows, and fails if a window was
+// reported with different counts.
+func (n *testNetwork) reported(t *testing.T, workspace string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := int64(0)
+	for window, reports := range n.reports {
+		sum += reports[0][workspace]
+		for _, r := range reports {
+			must.Eq(t, reports[0], r, must.Sprintf("window %d", window))
+		}
+	}
+	return sum
+}
+
+func (n *testNetwork) awaitReported(t *testing.T, workspace string, want int64) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); n.reported(t, workspace) != want; time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(deadline), must.Sprintf("%d requests reported", n.reported(t, workspace)))
+	}
+}
+
+// Guards against requests that are lost, counted twice, or reported with different counts
+// when messages are lost, the API does not answer, and the holder changes in between.
+func TestReportsOfTwoHolders(t *testing.T) {
+	n := newTestNetwork(t, "a", "b")
+	lose := n.hold(t, "a", 1)
+	begin := func(host, workspace string) *Request {
+		r := n.services[host].NewRequest(workspace)
+		r.Began(time.Now())
+		return r
+	}
+	for range 10 {
+		begin("b", "x")
+		begin("b", "x").Refused()
+	}
+	begin("a", "y")
+	n.awaitReported(t, "x", 10)
+	n.awaitReported(t, "y", 1)
+
+	n.mu.Lock()
+	n.cut, n.answers = true, duties.ErrOutcomeUnknown
+	n.mu.Unlock()
+	for range 5 {
+		begin("b", "z")
+	}
+	lose()
+	n.mu.Lock()
+	n.cut, n.answers = false, nil
+	n.mu.Unlock()
+	defer n.hold(t, "b", 2)()
+	n.awaitReported(t, "z", 5)
+	n.awaitReported(t, "x", 10)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	must.True(t, slices.IsSorted(n.fences))
+}
+
+// Guards against a report of which a part was not stored, and which is sent as if the others
+// were all.
+func TestIncompleteReportIsRemoved(t *testing.T) {
+	whole := usage.Report{Window: 1, Counts: map[string]int64{"workspace": 1}}
+	broken := usage.Report{Window: 2, Counts: map[string]int64{"workspace": 2}}
+	records, err := reportRecords(whole, keyBytes+20)
+	must.NoError(t, err)
+	second, err := reportRecords(broken, keyBytes+20)
+	must.NoError(t, err)
+	must.Greater(t, 1, len(second))
+	reports, incomplete := storedReports(append(records, second[:len(second)-1]...))
+	must.Eq(t, []usage.Report{whole}, reports)
+	must.Eq(t, second[:len(second)-1], incomplete)
+}
+
+// Guards against a host without usage reports, or a request without a workspace, that fails.
+func TestUncountedRequests(t *testing.T) {
+	var s *Service
+	r := s.NewRequest("x")
+	r.Began(time.Now())
+	r.Answered("pages", time.Now(), time.Now())
+	r.Refused()
+	s.Flush(t.Context())
+	must.Nil(t, newTestNetwork(t, "a").services["a"].NewRequest(""))
+}
