--- a/internal/usage/sender.go
+++ b/internal/usage/sender.go
@@ -13,8 +13,12 @@
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 )
 
-// sendTimeout bounds one message to the holder. It is sent again after that.
-const sendTimeout = time.Second
+const (
+	// sendTimeout bounds one message to the holder. It is sent again after that.
+	sendTimeout = time.Second
+	// retryInterval is the least time between two messages after one was not delivered.
+	retryInterval = 250 * time.Millisecond
+)
 
 // sender is the state of the messages to the holder.
 type sender struct {
@@ -71,6 +75,7 @@
 	if err != nil {
 		klog.V(1).InfoS("counts of requests not sent to the holder, retrying", "holder", holder.Addr, "epoch", holder.Epoch, "windows", len(pending), "err", err)
 		s.counter.Lost(pending)
+		s.sender.interval = max(s.sender.interval, retryInterval)
 		s.recorder.Count("usage_send_errors_total")
 		return
 	}
