--- a/internal/fronthost/duties_test.go
+++ b/internal/fronthost/duties_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,8 +68,9 @@
 	c := newTestCluster(t, 1)
 	control := &testControl{reports: make(map[int64]map[string]int64)}
 	c.control = control
+	var allFull atomic.Bool
 	c.calls = func(id string) *backend.Response {
-		if id == "app-full" {
+		if id == "app-full" || allFull.Load() {
 			return full(id)
 		}
 		return good(id)
@@ -91,9 +93,12 @@
 				continue
 			}
 			_, refusal := h.Forward(context.Background(), request, route, time.Now().Add(time.Second))
-			must.Nil(t, refusal)
+			must.EqOp(t, allFull.Load(), refusal != nil)
 		}
 	}
+	allFull.Store(true)
+	send(hosts[0], "/pages/", "refused", 3)
+	allFull.Store(false)
 	for _, h := range hosts {
 		send(h, "/pages/", "x", 4)
 	}
@@ -110,6 +115,7 @@
 	})
 	send(next, "/once/", "z", 3)
 	c.waitUntil("the requests are reported", func() bool { return control.requests("z") == 3 })
+	must.EqOp(t, 0, control.requests("refused"))
 	control.mu.Lock()
 	defer control.mu.Unlock()
 	must.Len(t, 0, control.changed)
--- a/internal/usage/service_test.go
+++ b/internal/usage/service_test.go
@@ -27,10 +27,14 @@
 	holder   limits.Allocator
 	services map[string]*Service
 	cut      bool // messages between hosts are lost
-	records  map[string]logstore.Record
-	answers  error // of the API
-	reports  map[int64][]map[string]int64
-	fences   []int64
+	// delivered are the requests of each workspace that reached a holder as final, and
+	// unstored is set while nothing is stored.
+	delivered map[string]int64
+	unstored  bool
+	records   map[string]logstore.Record
+	answers   error // of the API
+	reports   map[int64][]map[string]int64
+	fences    []int64
 }
 
 var errCut = errors.New("cut")
@@ -50,7 +54,17 @@
 	if cut {
 		return nil, errCut
 	}
-	return s.ReportUsage(ctx, counts)
+	reply, err := s.ReportUsage(ctx, counts)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range counts.GetWindows() {
+		for workspace, requests := range w.GetCounts() {
+			if w.GetFinal() && !reply.GetNotHolder() {
+				n.delivered[workspace] = max(n.delivered[workspace], requests)
+			}
+		}
+	}
+	return reply, err
 }
 
 // testAPI is the control API of a network.
@@ -89,6 +103,9 @@
 func (o testOffice) Append(_ context.Context, records []logstore.Record) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.unstored {
+		return duties.ErrNotStored
+	}
 	for _, r := range records {
 		o.records[r.Key] = r
 		if r.IsTombstone() {
@@ -103,7 +120,7 @@
 var testWindows = usage.Windows{Length: 300 * time.Millisecond, Due: 2 * time.Second}
 
 func newTestNetwork(t *testing.T, names ...string) *testNetwork {
-	n := &testNetwork{services: make(map[string]*Service), records: make(map[string]logstore.Record), reports: make(map[int64][]map[string]int64)}
+	n := &testNetwork{services: make(map[string]*Service), records: make(map[string]logstore.Record), reports: make(map[int64][]map[string]int64), delivered: make(map[string]int64)}
 	for _, name := range names {
 		recorder, err := telemetry.NewRecorder(name, 0)
 		must.NoError(t, err)
@@ -148,11 +165,22 @@
 
 func (n *testNetwork) awaitReported(t *testing.T, workspace string, want int64) {
 	t.Helper()
-	for deadline := time.Now().Add(20 * time.Second); n.reported(t, workspace) != want; time.Sleep(10 * time.Millisecond) {
-		must.True(t, time.Now().Before(deadline), must.Sprintf("%d requests reported", n.reported(t, workspace)))
+	await(t, func() bool { return n.reported(t, workspace) == want })
+}
+
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(deadline))
 	}
 }
 
+func (n *testNetwork) set(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
 // Guards against requests that are lost, counted twice, or reported with different counts
 // when messages are lost, the API does not answer, and the holder changes in between.
 func TestReportsOfTwoHolders(t *testing.T) {
@@ -171,18 +199,20 @@
 	n.awaitReported(t, "x", 10)
 	n.awaitReported(t, "y", 1)
 
-	n.mu.Lock()
-	n.cut, n.answers = true, duties.ErrOutcomeUnknown
-	n.mu.Unlock()
-	for range 5 {
-		begin("b", "z")
-	}
+	n.set(func() { n.unstored, n.answers = true, duties.ErrOutcomeUnknown })
+	begin("b", "received")
+	await(t, func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.delivered["received"] == 1
+	})
+	n.set(func() { n.cut = true })
+	begin("b", "lost")
 	lose()
-	n.mu.Lock()
-	n.cut, n.answers = false, nil
-	n.mu.Unlock()
+	n.set(func() { n.unstored, n.cut, n.answers = false, false, nil })
 	defer n.hold(t, "b", 2)()
-	n.awaitReported(t, "z", 5)
+	n.awaitReported(t, "received", 1)
+	n.awaitReported(t, "lost", 1)
 	n.awaitReported(t, "x", 10)
 	n.mu.Lock()
 	defer n.mu.Unlock()
