--- a/internal/usage/tenure.go
+++ b/internal/usage/tenure.go
@@ -1,167 +1,190 @@
-package pool
+package usage
 
 import (
+	"context"
+	"sync"
 	"time"
 
-	"github.com/sesamestand/sesamestand/internal/core/deployment"
-)
+	"k8s.io/klog/v2"
 
-// fleet is the state of the servers of one kind in one data centre.
-type fleet struct {
-	key    Key
-	config *Config
-	// startUp is the time until an ordered server serves.
-	startUp time.Duration
-	serving map[string]bool
-	leaving map[string]bool
-	// missing holds since when servers are gone, or leave, without an order or a reclaim.
-	// They may still be part of the number that the platform has.
-	missing map[string]time.Time
-	// coming is the number of ordered servers that have not arrived, and releasing that of
-	// servers that an order drains and that do not leave yet. Both are given up at effectBy.
-	coming, releasing int
-	effectBy          time.Time
-	inFlight          bool
-	// ordered is the number in the newest order that was or may have been accepted. It is
-	// part of the floor until orderedUntil.
-	ordered      int
-	orderedUntil time.Time
-	// avoidUntil is the time until which other data centres are preferred.
-	avoidUntil time.Time
-	// refusals counts the refusals in succession; nothing is ordered until retryAt.
-	refusals int
-	retryAt  time.Time
-}
+	"github.com/sesamestand/sesamestand/internal/core/usage"
+	"github.com/sesamestand/sesamestand/internal/duties"
+	"github.com/sesamestand/sesamestand/internal/logstore"
+	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
+)
 
-// expected returns the number of servers that serve or come.
-func (f *fleet) expected() int { return len(f.serving) + f.coming }
+// subject is that of all calls: an old report must not follow a new one of another holder.
+const subject = "usage"
 
-// possible returns the number of servers that may be there soon: a lower number in an
-// order may drain some.
-func (f *fleet) possible() int { return f.expected() + len(f.missing) }
+// tenure is the work of this host as the holder. Its fields are guarded by Service.mu.
+type tenure struct {
+	session   int64
+	collector *usage.Collector
+	outgoing  *usage.Outgoing
+}
 
-// floor returns the least number that an increase may order: what may be there, and what
-// was ordered, because an earlier order may still be carried out.
-func (f *fleet) floor(now time.Time) int {
-	if now.Before(f.orderedUntil) {
-		return max(f.possible(), f.ordered)
+// Hold implements duties.Duty. It closes the windows, and stores and sends their reports.
+func (s *Service) Hold(ctx context.Context, office duties.Office) {
+	stored, incomplete := storedReports(office.Records(keyPrefix))
+	if len(incomplete) > 0 && office.Append(ctx, tombstones(incomplete)) != nil {
+		return
 	}
-	return f.possible()
+	s.begin(stored)
+	defer s.end()
+	var sending sync.WaitGroup
+	sending.Go(func() { every(ctx, func() { s.sendReport(ctx, office) }) })
+	every(ctx, func() {
+		for s.closeWindow(ctx, office) {
+		}
+	})
+	sending.Wait()
 }
 
-// canOrder reports whether an order can be sent now.
-func (f *fleet) canOrder(now time.Time) bool { return !f.inFlight && !now.Before(f.retryAt) }
-
-// observe updates the state to the registered servers. It reports whether servers were
-// lost, i.e. left without an order, or did not arrive.
-func (f *fleet) observe(servers []*deployment.Server, now time.Time) (disturbed bool) {
-	serving, leaving := make(map[string]bool), make(map[string]bool)
-	for _, s := range servers {
-		if s.Leaving {
-			leaving[s.ID] = true
-			continue
+// every calls f at each tick until ctx ends.
+func every(ctx context.Context, f func()) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
 		}
-		serving[s.ID] = true
-		f.arrive(s.ID)
 	}
-	for id := range f.serving {
-		if !serving[id] && !f.depart(id, leaving[id], now) {
-			disturbed = true
-		}
+}
+
+// begin begins to collect counts after the windows whose reports are stored.
+func (s *Service) begin(stored []usage.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, any := int64(0), false
+	for _, r := range stored {
+		last, any = max(last, r.Window), true
 	}
-	f.serving, f.leaving = serving, leaving
-	for id, since := range f.missing {
-		if now.Sub(since) >= f.config.MissingRetention {
-			delete(f.missing, id)
-		}
+	now := s.now()
+	s.tenure = &tenure{
+		session:   now.UnixNano(),
+		collector: usage.NewCollector(s.config.Windows, now, last, any),
+		outgoing:  usage.NewOutgoing(s.config.Windows, stored),
 	}
-	return f.expire(now) || disturbed || len(f.missing) > 0
+	klog.InfoS("collecting the requests of workspaces", "next_window", s.tenure.collector.Closed()+1, "stored", len(stored))
 }
 
-// arrive records that a server serves.
-func (f *fleet) arrive(id string) {
-	if _, returned := f.missing[id]; returned {
-		delete(f.missing, id)
-		return
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tenure = nil
+}
+
+// ReportUsage collects the counts of a host. It implements peer.UsageHandler.
+func (s *Service) ReportUsage(_ context.Context, message *peerpb.UsageCounts) (*peerpb.UsageReply, error) {
+	reply := &peerpb.UsageReply{}
+	if a, known := s.directory.Allocator(""); known {
+		reply.Holder = &peerpb.Allocator{Addr: a.Addr, Epoch: a.Epoch}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tenure == nil {
+		reply.NotHolder = true
+		return reply, nil
 	}
-	if !f.serving[id] && f.coming > 0 {
-		f.coming--
+	c := s.tenure.collector
+	c.Add(message.GetHost(), decodeCounts(message.GetWindows()), s.now())
+	if message.GetLeaving() {
+		c.Leave(message.GetHost())
 	}
+	reply.Session, reply.Closed, reply.IntervalMs = s.tenure.session, c.Closed(), c.Interval().Milliseconds()
+	return reply, nil
 }
 
-// depart records that a server does not serve any more. It reports whether an order was the
-// cause.
-func (f *fleet) depart(id string, leaving bool, now time.Time) bool {
-	if f.releasing > 0 {
-		f.releasing--
-		return true
+// closeWindow closes the next window if that is due, and reports whether another one may be
+// due.
+func (s *Service) closeWindow(ctx context.Context, office duties.Office) bool {
+	s.mu.Lock()
+	now := s.now()
+	window, decision := s.tenure.collector.Next(now)
+	var report usage.Report
+	switch decision {
+	case usage.Skip:
+		s.tenure.collector.Advance(now)
+		s.recorder.Count("usage_windows_skipped_total")
+	case usage.Close:
+		report = s.tenure.collector.Report()
 	}
-	f.avoidUntil = now.Add(f.config.LossHold)
-	if f.key.Spot && leaving {
-		f.ordered = max(f.ordered-1, 0) // reclaimed
-		return false
+	s.mu.Unlock()
+	switch decision {
+	case usage.Close:
+		return s.store(ctx, office, report)
+	case usage.Skip:
+		klog.V(1).InfoS("window skipped: nobody is known to have counted it in time", "window", window)
+		return true
 	}
-	f.missing[id] = now
 	return false
 }
 
-// expire gives up what an order should have changed by now, and reports whether an
-// increase had no effect.
-func (f *fleet) expire(now time.Time) bool {
-	if f.inFlight || now.Before(f.effectBy) {
+// store stores a report, and removes those that are answered. It reports whether it is
+// stored.
+func (s *Service) store(ctx context.Context, office duties.Office, report usage.Report) bool {
+	records, err := reportRecords(report, s.config.RecordBytes)
+	if err != nil {
+		klog.ErrorS(err, "usage report could not be encoded", "window", report.Window)
 		return false
 	}
-	failed := f.coming > 0
-	if failed {
-		f.avoidUntil = now.Add(f.config.LossHold)
+	s.mu.Lock()
+	done, unanswered := s.tenure.outgoing.Done(s.now())
+	s.mu.Unlock()
+	for _, window := range done {
+		records = append(records, tombstones(office.Records(windowPrefix(window)))...)
 	}
-	f.coming, f.releasing = 0, 0
-	return failed
-}
-
-// order returns an order that changes the number of servers.
-func (f *fleet) order(change int, reason string, now time.Time) Order {
-	o := Order{Key: f.key, Count: max(f.possible()+change, f.floor(now)), Change: change, Reason: reason}
-	if change < 0 {
-		o.Count = len(f.serving) + change
-	}
-	f.expect(change, now)
-	f.inFlight = true
-	return o
-}
-
-// expect records the change that an order will make.
-func (f *fleet) expect(change int, now time.Time) {
-	f.coming += max(change, 0)
-	f.releasing += max(-change, 0)
-	f.effectBy = now.Add(f.startUp + f.config.ArrivalLag)
+	if err := office.Append(ctx, records); err != nil {
+		klog.InfoS("usage report not stored", "window", report.Window, "err", err)
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tenure.outgoing.Add(report)
+	for _, window := range done {
+		s.tenure.outgoing.Remove(window)
+	}
+	late := s.now().Sub(s.config.Windows.End(report.Window))
+	s.tenure.collector.Advance(s.now())
+	s.recorder.Add("usage_reports_lost_total", int64(unanswered))
+	s.recorder.RecordDecision("usage-window", "", "window", report.Window, "workspaces", len(report.Counts), "requests", report.Total(), "closed_after_ms", late.Milliseconds())
+	return true
 }
 
-// recordOutcome records the outcome of an order.
-func (f *fleet) recordOutcome(o Order, outcome Outcome, now time.Time) {
-	f.inFlight = false
-	switch outcome {
-	case Accepted:
-		f.ordered, f.refusals = o.Count, 0
-	case Unknown:
-		// A later order with a higher number may be followed by this one.
-		f.ordered, f.avoidUntil = max(f.ordered, o.Count), now.Add(f.config.LateWindow)
-	case Refused, NoCapacity:
-		f.coming = max(f.coming-max(o.Change, 0), 0)
-		f.releasing = max(f.releasing-max(-o.Change, 0), 0)
-		f.retryAt = now.Add(min(f.config.MinBackoff<<min(f.refusals, maxDoublings), f.config.MaxBackoff))
-		f.refusals++
+// sendReport sends the report that is next, if there is one.
+func (s *Service) sendReport(ctx context.Context, office duties.Office) {
+	s.mu.Lock()
+	report, due := s.tenure.outgoing.Next(s.now())
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	err := office.Call(ctx, duties.Call{Subject: subject, Send: func(ctx context.Context, t duties.Tenure) error {
+		return s.api.ReportUsage(ctx, t, duties.UsageReport{Window: report.Window, Counts: report.Counts})
+	}})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.tenure.outgoing.Sent(report.Window, err == nil, now)
+	if err != nil {
+		klog.InfoS("usage report not answered", "window", report.Window, "err", err)
 		return
 	}
-	f.orderedUntil = now.Add(f.config.MissingRetention)
-	f.effectBy = now.Add(f.startUp + f.config.ArrivalLag)
+	outcome := "in-time"
+	if now.After(s.config.Windows.Deadline(report.Window)) {
+		outcome = "late"
+	}
+	s.recorder.Count("usage_reports_total", "outcome", outcome)
+	s.recorder.RecordDecision("usage-report", "", "window", report.Window, "outcome", outcome, "answered_after_ms", now.Sub(s.config.Windows.End(report.Window)).Milliseconds())
 }
 
-// maxDoublings keeps the backoff in the range of its type.
-const maxDoublings = 10
-
-// restore takes over an order of a former holder, which may have been sent just now.
-func (f *fleet) restore(o Order, now time.Time) {
-	f.expect(o.Count-len(f.serving), now)
-	f.ordered, f.orderedUntil = o.Count, now.Add(f.config.MissingRetention)
+func tombstones(records []logstore.Record) []logstore.Record {
+	removed := make([]logstore.Record, len(records))
+	for i, r := range records {
+		removed[i] = logstore.Record{Key: r.Key}
+	}
+	return removed
 }
