Close no window in the first 3 s of a tenure

Cause: a property test of counts failed on draws in which all messages of a host were lost for longer than 1.5 s after a change of the holder: a holder closed a window without hosts that it did not know yet. Draws with a new holder each quarter of a second failed as well: windows fell a minute behind and were skipped, which is the design. Change: a holder waits for 3 s of its tenure, as for hosts that it knows. The test allows a host to lose five messages in a row and a holder to be replaced after 5 s.

--- a/internal/core/usage/collector.go
+++ b/internal/core/usage/collector.go
@@ -5,11 +5,9 @@
 const (
 	// closeShare is the part of the time until its deadline after which a window is closed
 	// even if hosts have not reported: 3 s of 10 s. The rest is for the next holder, if
-	// this one is lost.
+	// this one is lost. A holder closes no window before it has been the holder for that
+	// long: it does not know yet which hosts there are.
 	closeShare = 0.3
-	// minTenure is how long after the beginning of its tenure a holder closes the first
-	// window, so that all hosts have had time to find it.
-	minTenure = 1500 * time.Millisecond
 	// minInterval is the least time between two reports of a host, and reportsPerSecond
 	// the number of reports that the holder gets from all hosts.
 	minInterval      = 250 * time.Millisecond
@@ -127,7 +125,7 @@
 	switch {
 	case c.next < c.windows.oldest(now):
 		return c.next, Skip
-	case c.next > c.windows.LastFinal(now), now.Before(c.began.Add(minTenure)):
+	case c.next > c.windows.LastFinal(now), now.Before(c.began.Add(c.closeAfter())):
 		return c.next, Wait
 	case !now.Before(c.windows.Deadline(c.next)) && !c.anyCounted():
 		return c.next, Skip
