Take over the estimate of true time from a holder with a longer history

Cause: a process that starts while its wall clock has jumped counts in wrong windows until half of its samples are right, and one host of ten is more than 5% of the requests. Change: the reply to its counts has the holder's estimate and its number of samples. The counter also takes requests of windows before its start. Result: a test starts a clock during a jump of 7 s.

--- a/internal/core/usage/clock.go
+++ b/internal/core/usage/clock.go
@@ -19,6 +19,10 @@
 	// maxSamples is the number of samples whose median is used. A jump of the wall clock
 	// has no effect if it is taken back within half of their time.
 	maxSamples = 600
+	// adoptSamples is how many samples more than this one another host's clock has whose
+	// estimate is taken over: half a minute. A jump that was there at the start of this
+	// process has no effect then.
+	adoptSamples = 30
 )
 
 // Clock estimates true time. A wall clock is right except for jumps, which may be taken
@@ -49,6 +53,20 @@
 	c.offset = sorted[(len(sorted)-1)/2]
 }
 
+// Samples returns the number of samples that the estimate rests on.
+func (c *Clock) Samples() int { return len(c.samples) }
+
+// Adopt takes over the estimate of another host that rests on far more samples, and reports
+// whether it does. The other host estimated true time at a time of this steady clock.
+func (c *Clock) Adopt(estimate, steady time.Time, samples int) bool {
+	if samples < len(c.samples)+adoptSamples {
+		return false
+	}
+	c.offset = estimate.Round(0).Sub(steady.Round(0))
+	c.samples, c.oldest = slices.Repeat([]time.Duration{c.offset}, min(samples, maxSamples)), 0
+	return true
+}
+
 // True returns the estimate of true time at a time of the steady clock.
 func (c *Clock) True(steady time.Time) time.Time { return steady.Round(0).Add(c.offset) }
 
--- a/internal/core/usage/clock_test.go
+++ b/internal/core/usage/clock_test.go
@@ -37,6 +37,29 @@
 	must.EqOp(t, 2*time.Second, run(6*time.Minute, 2*time.Second), must.Sprint("a correction that stays"))
 }
 
+// Guards against a host that counts in wrong windows because it was started while its wall
+// clock had jumped, and against one that takes over the estimate of such a host.
+func TestYoungClockAdoptsAnOlderEstimate(t *testing.T) {
+	steady, jumped := time.Unix(50, 0), after(7*time.Second)
+	old, young := NewClock(testStart, time.Unix(9, 0)), NewClock(jumped, steady)
+	for i := range adoptSamples {
+		old.Sample(after(time.Duration(i)*SampleInterval), time.Unix(9, 0).Add(time.Duration(i)*SampleInterval))
+	}
+	must.False(t, old.Adopt(jumped, time.Unix(9, 0), young.Samples()))
+	must.EqOp(t, testStart, old.True(time.Unix(9, 0)))
+	must.True(t, young.Adopt(testStart, steady, old.Samples()))
+	must.False(t, young.Adopt(jumped, steady, old.Samples()))
+	must.EqOp(t, testStart, young.True(steady))
+	for i := range adoptSamples / 2 {
+		young.Sample(jumped.Add(time.Duration(i)*SampleInterval), steady.Add(time.Duration(i)*SampleInterval))
+	}
+	must.EqOp(t, testStart, young.True(steady))
+
+	counter := NewCounter(testWindows, jumped)
+	counter.Began("x", testStart)
+	must.EqOp(t, 0, counter.TakeDropped())
+}
+
 func TestWindowsOfTrueTime(t *testing.T) {
 	must.EqOp(t, testWindow, testWindows.At(testStart))
 	must.EqOp(t, testWindow-1, testWindows.At(after(-1)))
--- a/internal/core/usage/counter.go
+++ b/internal/core/usage/counter.go
@@ -44,6 +44,7 @@
 	windows Windows
 	counts  map[int64]*hostWindow
 	settled int64 // windows up to this one are reported or not retained
+	first   int64 // window in which the counter began
 	dropped int64
 }
 
@@ -55,9 +56,10 @@
 	delivered   int64 // total of the counts that the holder has
 }
 
-// NewCounter returns a counter that begins at a time. Earlier windows are not counted.
+// NewCounter returns a counter that begins at a time. Requests in earlier windows are
+// counted all the same: the clock may have been ahead.
 func NewCounter(w Windows, now time.Time) *Counter {
-	c := &Counter{windows: w, counts: make(map[int64]*hostWindow), settled: w.At(now) - 1}
+	c := &Counter{windows: w, counts: make(map[int64]*hostWindow), settled: w.oldest(now) - 1, first: w.At(now)}
 	c.Advance(now)
 	return c
 }
@@ -65,12 +67,14 @@
 // Advance begins the windows up to now, also those without requests, and releases those
 // that are not retained. Windows that are far ahead show that the clock was wrong.
 func (c *Counter) Advance(now time.Time) {
-	if current := c.windows.At(now); c.settled > current+retainedWindows {
+	current := c.windows.At(now)
+	if c.settled > current+retainedWindows {
 		c.Settle(math.MaxInt64)
-		c.settled = current - 1
+		c.settled = c.windows.oldest(now) - 1
 	}
+	c.first = min(c.first, current)
 	c.Settle(c.windows.oldest(now) - 1)
-	for w := c.settled + 1; w <= c.windows.At(now); w++ {
+	for w := max(c.settled+1, c.first); w <= current; w++ {
 		c.window(w)
 	}
 }
--- a/internal/usage/sender.go
+++ b/internal/usage/sender.go
@@ -18,6 +18,9 @@
 	sendTimeout = time.Second
 	// retryInterval is the least time between two messages after one was not delivered.
 	retryInterval = 250 * time.Millisecond
+	// maxTimeDelay bounds the time of a call whose reply is used for its estimate of true
+	// time. The estimate is off by half of it.
+	maxTimeDelay = 50 * time.Millisecond
 )
 
 // sender is the state of the messages to the holder.
@@ -69,7 +72,9 @@
 		Host: s.config.Process, Holder: &peerpb.Allocator{Addr: holder.Addr, Epoch: holder.Epoch},
 		Windows: encodeCounts(pending), Leaving: leaving,
 	}
+	called := boottime.Now()
 	reply, err := s.deliver(ctx, holder, message)
+	took := boottime.Now().Sub(called)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -79,9 +84,21 @@
 		s.recorder.Count("usage_send_errors_total")
 		return
 	}
+	if took <= maxTimeDelay && !holder.Self {
+		s.adoptTime(reply, called.Add(took/2))
+	}
 	s.applyReply(reply, pending)
 }
 
+// adoptTime takes over the holder's estimate of true time if this process has far fewer
+// samples. The holder replied at a time of the steady clock. The caller holds mu.
+func (s *Service) adoptTime(reply *peerpb.UsageReply, steady time.Time) {
+	before := s.clock.True(steady)
+	if s.clock.Adopt(time.Unix(0, reply.GetTimeNs()), steady, int(reply.GetTimeSamples())) {
+		klog.InfoS("estimate of true time taken over from the holder", "samples", reply.GetTimeSamples(), "change", s.clock.True(steady).Sub(before))
+	}
+}
+
 var errNotHolder = errors.New("the called host is not the holder")
 
 // deliver calls the holder, which may be this host.
--- a/internal/usage/tenure.go
+++ b/internal/usage/tenure.go
@@ -95,6 +95,7 @@
 		c.Leave(message.GetHost())
 	}
 	reply.Session, reply.Closed, reply.IntervalMs = s.tenure.session, c.Closed(), c.Interval().Milliseconds()
+	reply.TimeNs, reply.TimeSamples = s.now().UnixNano(), int32(s.clock.Samples())
 	return reply, nil
 }
 
