Move runs away from servers that are about to leave

Cause: a data centre's spot servers can be reclaimed 2 to 3 s after the notice. Runs on them went on until the connections broke, and resumed only then. The scheduler moves runs that cannot end before their server is gone, longest rest first, while other servers have room, before it starts waiting items. Results name the time of their runs, from which the elastic pool learns the throughput.

--- a/internal/core/deployment/deployment.go
+++ b/internal/core/deployment/deployment.go
@@ -86,6 +86,22 @@
 	// MemoryTokens is the number of tokens that an engine can hold in memory for
 	// running requests and shared prompts, or 0 if unknown.
 	MemoryTokens int
+	// Scale has the terms under which servers of the service can be ordered, or nil if
+	// their number is fixed.
+	Scale *Scale
+}
+
+// Scale has the terms under which the number of a service's servers can be changed.
+type Scale struct {
+	// Min and Max bound the servers of both kinds together in each data centre.
+	Min, Max int
+	// StartUp is the time from an order until its servers serve.
+	StartUp time.Duration
+	// SpotPrice is the price of a spot server as a share of that of an on-demand one, or 0
+	// if there are no spot servers.
+	SpotPrice float64
+	// Prices has the price of a server by data centre.
+	Prices map[string]float64
 }
 
 // Limits bounds the requests and connections of clients.
@@ -184,6 +200,11 @@
 	// LastResortUntil is the time until which a server that is leaving may get requests
 	// that no other server can take. It is zero if the record says that it is leaving.
 	LastResortUntil time.Time
+	// LeavesAt is the time at which a server that is leaving will be gone, or zero if the
+	// server does not say.
+	LeavesAt time.Time
+	// Spot is set if the platform may reclaim the server at short notice.
+	Spot bool
 	// Incarnation distinguishes successive processes with the same ID.
 	Incarnation int64
 	// ColdUntil is the time at which the server expects to be warm.
@@ -305,9 +326,22 @@
 	delete(s.pendingRemovals, server.ID)
 	delete(s.discarded, server.ID)
 	s.applyNotice(&server)
+	s.keepEarliestLeave(&server)
 	s.Servers.Put(server.ID, server)
 }
 
+// keepEarliestLeave keeps the earliest time at which a process said that it will be gone.
+// The record gives the remaining time, and is read late by an unknown time.
+func (s *State) keepEarliestLeave(server *Server) {
+	known := s.Servers.Get(server.ID)
+	if known == nil || known.Incarnation != server.Incarnation || known.LeavesAt.IsZero() || !server.Leaving {
+		return
+	}
+	if server.LeavesAt.IsZero() || known.LeavesAt.Before(server.LeavesAt) {
+		server.LeavesAt = known.LeavesAt
+	}
+}
+
 // applyNotice marks a server as leaving if it has said so in a response. A record that
 // says so as well is older by an unknown time, so it allows no use as a last resort.
 func (s *State) applyNotice(server *Server) {
--- a/internal/core/deployment/leaving_test.go
+++ b/internal/core/deployment/leaving_test.go
@@ -30,6 +30,19 @@
 	must.True(t, s.Servers.Get("a").Leaving)
 }
 
+// Guards against a later estimate, read from a delayed record, that replaces an earlier
+// one, and against one of another process that is kept.
+func TestEarliestTimeOfLeavingCounts(t *testing.T) {
+	s := NewState()
+	for _, c := range []struct {
+		incarnation          int64
+		reported, wantedTime time.Time
+	}{{1, time.Time{}, time.Time{}}, {1, testTime, testTime}, {1, testTime.Add(time.Second), testTime}, {1, testTime.Add(-time.Second), testTime.Add(-time.Second)}, {1, time.Time{}, testTime.Add(-time.Second)}, {2, testTime, testTime}} {
+		s.SetServer(Server{ID: "a", Incarnation: c.incarnation, Leaving: true, LeavesAt: c.reported})
+		must.EqOp(t, c.wantedTime, s.Servers.Get("a").LeavesAt)
+	}
+}
+
 // Guards against a server that is used as a last resort after its record says that it is
 // leaving, or for longer because of a later notice.
 func TestRecordEndsUseAsLastResort(t *testing.T) {
--- a/internal/core/schedule/outcome.go
+++ b/internal/core/schedule/outcome.go
@@ -96,9 +96,9 @@
 		c.Result = jobs.Result{Item: t.item.ID, Failed: true}
 	case t.reused != nil:
 		c.Result = *t.reused
-		c.Result.Score, c.Result.ScoreKey = t.score, t.item.ScoreKey
+		c.Result.Score, c.Result.ScoreKey, c.Result.RunMs = t.score, t.item.ScoreKey, 0
 	default:
-		c.Result = jobs.Result{Item: t.item.ID, Versions: jobs.DistinctVersions(t.partial.Versions), Score: t.score, ScoreKey: t.item.ScoreKey}
+		c.Result = jobs.Result{Item: t.item.ID, Versions: jobs.DistinctVersions(t.partial.Versions), RunMs: t.ranFor.Milliseconds(), Score: t.score, ScoreKey: t.item.ScoreKey}
 		c.Output = strings.Join(t.partial.Events, "\n")
 	}
 	return c
--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -70,6 +70,9 @@
 	// Usable is set if the replica is registered, is not leaving and accepts runs
 	// of the model.
 	Usable bool
+	// LeavesAt is the time at which a replica that is leaving will be gone, or zero if
+	// that is unknown.
+	LeavesAt time.Time
 	// Version is the weight version of the model that the replica runs.
 	Version int64
 	// Unassigned is set if the replica is not assigned to the model.
@@ -107,8 +110,9 @@
 	reused *jobs.Result
 	// storedEvents is the number of events stored from earlier runs of the item.
 	storedEvents int
-	group        string    // see groupKey
-	latestStart  time.Time // time at which the item must start to be done when due
+	ranFor       time.Duration // time of the runs that ended
+	group        string        // see groupKey
+	latestStart  time.Time     // time at which the item must start to be done when due
 }
 
 // run is one run of an item.
@@ -165,6 +169,8 @@
 	// that failed during the tick. Both are valid for one tick.
 	eligible map[*jobs.Entry][]candidate
 	blocked  map[string]bool
+	// leaves caches the times at which replicas leave, for each job and one tick.
+	leaves map[*jobs.Entry]map[string]time.Time
 	// granted counts the runs that this tick started on replicas with a rate limit.
 	granted map[string]int
 }
@@ -358,6 +364,7 @@
 		delete(u.groups, t.run.countedGroup)
 	}
 	delete(s.byRun, t.run.id)
+	t.ranFor += t.run.lastEvent.Sub(t.run.started)
 	t.run = nil
 }
 
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -91,18 +91,7 @@
 	for len(s.completedAt) < len(s.lengths) {
 		must.Less(t, time.Minute, s.now.Sub(begin), must.Sprint("step not complete after one minute"))
 		s.scheduler.AddJob(s.entry, func(string) (jobs.Partial, bool) { return jobs.Partial{}, false })
-		actions := s.scheduler.Tick(s.input())
-		s.stops += len(actions.Stops)
-		for _, stop := range actions.Stops {
-			delete(s.runs, stop.Run)
-		}
-		for _, start := range actions.Starts {
-			if len(start.Partial.Events) > 0 {
-				s.resumed[start.Replica]++
-			}
-			s.runs[start.Run] = &simulatedRun{start: start, events: len(start.Partial.Events), nextEvent: s.now.Add(s.eventInterval(start.Replica))}
-		}
-		for _, commit := range actions.Commits {
+		for _, commit := range s.tick().Commits {
 			must.EqOp(t, s.lengths[commit.Result.Item], countEvents(commit.Output))
 			s.entry.Committed[commit.Result.Item] = len(s.entry.Committed)
 			s.completedAt[commit.Result.Item] = s.now.Sub(begin)
@@ -122,6 +111,22 @@
 	return ends
 }
 
+// tick runs one tick and carries out its stops and starts.
+func (s *trainerStep) tick() Actions {
+	actions := s.scheduler.Tick(s.input())
+	s.stops += len(actions.Stops)
+	for _, stop := range actions.Stops {
+		delete(s.runs, stop.Run)
+	}
+	for _, start := range actions.Starts {
+		if len(start.Partial.Events) > 0 {
+			s.resumed[start.Replica]++
+		}
+		s.runs[start.Run] = &simulatedRun{start: start, events: len(start.Partial.Events), nextEvent: s.now.Add(s.eventInterval(start.Replica))}
+	}
+	return actions
+}
+
 func (s *trainerStep) eventInterval(replica string) time.Duration {
 	return time.Duration(float64(testEventInterval) * max(s.slowdown[replica], 1))
 }
--- a/internal/core/schedule/score_test.go
+++ b/internal/core/schedule/score_test.go
@@ -100,7 +100,7 @@
 	must.True(t, counted)
 	commits := s.tick().Commits
 	must.Eq(t, []Commit{{Job: "job", Output: "first\nlast", Result: jobs.Result{
-		Item: "item-000", Versions: []int64{2}, Score: "signature", ScoreKey: "call-item-000"}}}, commits)
+		Item: "item-000", Versions: []int64{2}, RunMs: testTick.Milliseconds(), Score: "signature", ScoreKey: "call-item-000"}}}, commits)
 }
 
 // Guards against a score that a stopped call brings late: after the item expired, and
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -44,11 +44,13 @@
 	in.EventTokens = memoize(in.EventTokens)
 	in.SingleVersion, in.DueAfter, in.Expired = memoize(in.SingleVersion), memoize(in.DueAfter), memoize(in.Expired)
 	s.eligible, s.blocked, s.granted = make(map[*jobs.Entry][]candidate), make(map[string]bool), make(map[string]int)
+	s.leaves = make(map[*jobs.Entry]map[string]time.Time)
 	s.settleItems(in, &actions)
 	s.updateUsage(in)
 	onTime := s.onTime(in.Now)
 	s.stopStalled(in, onTime, &actions)
 	if !in.Outdated {
+		s.evacuate(in, &actions)
 		s.startWaiting(in, &actions)
 	}
 	s.startScores(in, &actions)
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -332,7 +332,7 @@
 	anyAssigned := false
 	for _, s := range servers {
 		p := h.placement(s.ID)
-		candidate := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, MemoryTokens: memory, Version: h.versionOf(s.ID, e.Job.Model)}
+		candidate := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, LeavesAt: s.LeavesAt, MemoryTokens: memory, Version: h.versionOf(s.ID, e.Job.Model)}
 		candidate.Grants, candidate.RateLimited = h.limits.Available(candidateOf(&s), now)
 		candidate.Usable = !s.Leaving && p.Loading != e.Job.Model
 		if p.serves(e.Job.Model) {
