Add the decisions of the elastic pool

Cause: the number of servers was fixed. Change: core/pool plans on-demand servers for what the trainers' rounds need and a reserve of spot servers, increases at once, decreases after an undisturbed observation, and never orders fewer servers than may be there because the registry lost entries. Result: in played loads no round is late after a reclaim, after doubled demand, lost and late orders and 10 s without capacity; nothing is ordered while the registry is outdated.

--- /dev/null
+++ b/internal/core/pool/demand.go
@@ -0,0 +1,139 @@
+package pool
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Demand is the work of a service's jobs.
+type Demand struct {
+	Rounds []Round
+	// EndedTokens and EndedTime are the expected output of recently ended items and the time
+	// that their runs took. Both are zero if none ended.
+	EndedTokens float64
+	EndedTime   time.Duration
+	// Unmeasured is set if the servers also do work that Rounds does not have.
+	Unmeasured bool
+}
+
+// Round is a job that a trainer submitted.
+type Round struct {
+	Trainer   string
+	Submitted time.Time
+	Due       time.Duration // after the submission
+	Tokens    float64       // expected output of all items
+	Open      float64       // expected output of the items without a result
+}
+
+const (
+	// defaultTokenTime is the time for one token until it is measured.
+	defaultTokenTime = 700 * time.Microsecond
+	// defaultDue is used for routes that do not say when results are due.
+	defaultDue = 8 * time.Second
+	// minGap is the least time between two rounds of a trainer. Rounds that a host read in
+	// its first listing seem to have been submitted together.
+	minGap = 500 * time.Millisecond
+	// newestRounds is the number of a trainer's newest rounds whose largest counts.
+	newestRounds = 3
+	// measuredGaps is the number of a trainer's newest gaps whose median is its period.
+	measuredGaps = 5
+	// A trainer counts until it has submitted nothing for activePeriods and for minActive.
+	activePeriods = 5
+	minActive     = 20 * time.Second
+)
+
+// need is the number of servers that a service needs, without a reserve.
+type need struct {
+	servers int
+	// period is the longest time between two rounds of a trainer, or 0 without rounds.
+	period time.Duration
+}
+
+// needOf returns the need of a service: the newest rounds of all trainers, if submitted
+// together, end in RoundShare of their periods, and what is open ends when it is due.
+func (c Config) needOf(s *Service, now time.Time) need {
+	perToken := s.Demand.tokenTime()
+	slots, period := 0.0, time.Duration(0)
+	for _, rounds := range byTrainer(s.Demand.Rounds) {
+		newest := rounds[len(rounds)-1]
+		p := periodOf(rounds)
+		if now.Sub(newest.Submitted) > max(activePeriods*p, minActive) {
+			continue
+		}
+		period = max(period, p)
+		slots += largest(rounds) * perToken.Seconds() / (c.RoundShare * min(p, newest.due()).Seconds())
+	}
+	slots = max(slots, backlogSlots(s.Demand.Rounds, perToken, s.Scale.StartUp, now))
+	return need{servers: int(math.Ceil(slots * c.Headroom / s.slotsPerServer())), period: period}
+}
+
+// tokenTime returns the time of a run for each token of the expected output. It includes
+// the bias of the expectations and the present speed of the servers.
+func (d *Demand) tokenTime() time.Duration {
+	if d.EndedTokens <= 0 || d.EndedTime <= 0 {
+		return defaultTokenTime
+	}
+	return time.Duration(float64(d.EndedTime) / d.EndedTokens)
+}
+
+func (r *Round) due() time.Duration {
+	if r.Due <= 0 {
+		return defaultDue
+	}
+	return r.Due
+}
+
+// byTrainer returns the rounds of each trainer in the order of their submission.
+func byTrainer(rounds []Round) map[string][]Round {
+	trainers := make(map[string][]Round)
+	for _, r := range rounds {
+		trainers[r.Trainer] = append(trainers[r.Trainer], r)
+	}
+	for _, list := range trainers {
+		slices.SortStableFunc(list, func(x, y Round) int { return x.Submitted.Compare(y.Submitted) })
+	}
+	return trainers
+}
+
+// periodOf returns the median time between a trainer's newest rounds, or half of the time
+// until results are due if no gap is known.
+func periodOf(rounds []Round) time.Duration {
+	var gaps []time.Duration
+	for i := len(rounds) - 1; i > 0 && len(gaps) < measuredGaps; i-- {
+		if gap := rounds[i].Submitted.Sub(rounds[i-1].Submitted); gap >= minGap {
+			gaps = append(gaps, gap)
+		}
+	}
+	if len(gaps) == 0 {
+		return rounds[len(rounds)-1].due() / 2
+	}
+	slices.Sort(gaps)
+	return gaps[len(gaps)/2]
+}
+
+// largest returns the expected output of the largest of a trainer's newest rounds.
+func largest(rounds []Round) float64 {
+	tokens := 0.0
+	for _, r := range rounds[max(len(rounds)-newestRounds, 0):] {
+		tokens = max(tokens, r.Tokens)
+	}
+	return tokens
+}
+
+// backlogSlots returns the number of slots with which all open work ends when it is due.
+// Servers that are ordered now do not help before they are started.
+func backlogSlots(rounds []Round, perToken, startUp time.Duration, now time.Time) float64 {
+	open := slices.Clone(rounds)
+	slices.SortStableFunc(open, func(x, y Round) int {
+		return cmp.Compare(x.Submitted.Add(x.due()).UnixNano(), y.Submitted.Add(y.due()).UnixNano())
+	})
+	slots, work := 0.0, 0.0
+	for _, r := range open {
+		work += r.Open * perToken.Seconds()
+		left := max(r.Submitted.Add(r.due()).Sub(now), startUp, time.Second)
+		slots = max(slots, work/left.Seconds())
+	}
+	return slots
+}
--- /dev/null
+++ b/internal/core/pool/pool_test.go
@@ -0,0 +1,199 @@
+package pool
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a decrease, and against further on-demand servers, before a usual day was
+// observed.
+func TestUsualDayBeginsWithTheServersThatAreThere(t *testing.T) {
+	w := newWorld(t, 680)
+	w.play(Defaults().MinObservation)
+	must.EqOp(t, 44, w.count(false))
+	must.LessEq(t, testDue, w.lateness)
+}
+
+// Guards against servers that stay idle on a quiet day, against a decrease below what rounds
+// need, and against a number that changes while the demand does not.
+func TestQuietDayReleasesServersAndThenRests(t *testing.T) {
+	w := newWorld(t, 340)
+	w.play(2 * time.Minute)
+	must.Less(t, 30, w.count(false)+w.count(true))
+	must.LessEq(t, testDue, w.lateness)
+	w.orders = nil
+	w.play(5 * time.Minute)
+	must.SliceEmpty(t, w.orders)
+	must.LessEq(t, testDue, w.lateness)
+}
+
+// Guards against a service without jobs that keeps its servers, and against one that falls
+// below the minimum.
+func TestIdleServiceKeepsTheMinimum(t *testing.T) {
+	w := newWorld(t, 0)
+	w.play(Defaults().IdleObservation)
+	must.SliceEmpty(t, w.orders)
+	w.play(4 * time.Minute)
+	must.EqOp(t, 3, w.count(false)+w.count(true))
+}
+
+// Guards against rounds that are late because of servers when the demand doubles.
+func TestDoubledDemandIsServedInTime(t *testing.T) {
+	for name, w := range map[string]*world{"usual": newWorld(t, 680), "quiet": newWorld(t, 340)} {
+		w.settle()
+		before := w.count(false)
+		w.tokens *= 2
+		w.play(40 * time.Second)
+		must.LessEq(t, testDue, w.lateness, must.Sprint(name))
+		must.Greater(t, before, w.count(false), must.Sprint(name))
+	}
+}
+
+// Guards against rounds that are late after a reclaim in their middle, and against a reserve
+// that is not replaced at once or is ordered where there is none. In the second case, no
+// data centre has servers for 10 s.
+func TestReclaimInTheMiddleOfARound(t *testing.T) {
+	for _, dry := range []bool{false, true} {
+		w := newWorld(t, 680)
+		w.settle()
+		least := w.count(false) + w.count(true) - Defaults().MinSurplus
+		reclaimed := largestReserve(w)
+		w.play(testPeriod / 2)
+		at := w.now
+		w.outcome = func(o Order) (Outcome, bool) {
+			if w.now.Sub(at) < 10*time.Second && (dry || o.DataCentre == reclaimed) {
+				return NoCapacity, false
+			}
+			return Accepted, true
+		}
+		w.reclaim(reclaimed)
+		w.play(10 * time.Second)
+		must.LessEq(t, testDue, w.lateness)
+		if !dry {
+			must.Greater(t, least, w.count(false)+w.count(true))
+			must.False(t, slices.ContainsFunc(w.orders, func(o Order) bool { return o.DataCentre == reclaimed }))
+		}
+		must.Less(t, 30, len(w.orders), must.Sprint("orders were repeated without a backoff"))
+		w.play(10 * time.Second)
+		must.Greater(t, least, w.count(false)+w.count(true))
+		must.LessEq(t, testDue, w.lateness)
+	}
+}
+
+func largestReserve(w *world) string {
+	counts := make(map[string]int)
+	best := ""
+	for _, s := range w.servers {
+		if s.Spot && !s.Leaving {
+			if counts[s.DataCentre]++; counts[s.DataCentre] > counts[best] {
+				best = s.DataCentre
+			}
+		}
+	}
+	return best
+}
+
+// Guards against an order that is lost, with or without a response, and is never repeated,
+// and against one that is repeated in the same data centre while others have room.
+func TestLostOrderIsRepeatedElsewhere(t *testing.T) {
+	for _, response := range []Outcome{Accepted, Unknown} {
+		w := newWorld(t, 680)
+		w.settle()
+		first := ""
+		w.outcome = func(o Order) (Outcome, bool) {
+			if first == "" {
+				first = o.DataCentre
+			}
+			if o.DataCentre == first {
+				return response, false
+			}
+			return Accepted, true
+		}
+		w.tokens *= 1.5
+		w.play(30 * time.Second)
+		must.LessEq(t, testDue, w.lateness)
+		must.Greater(t, 50, w.count(false))
+	}
+}
+
+// Guards against an order that is carried out after newer ones with a higher number, and
+// drains servers that rounds need.
+func TestOrderCarriedOutLateDoesNoHarm(t *testing.T) {
+	w := newWorld(t, 680)
+	w.settle()
+	var late []Order
+	w.outcome = func(o Order) (Outcome, bool) {
+		if len(late) < 2 {
+			late = append(late, o)
+			return Unknown, false
+		}
+		return Accepted, true
+	}
+	w.tokens *= 1.4
+	w.play(5 * time.Second)
+	w.tokens *= 1.3
+	w.play(4 * time.Second)
+	must.SliceLen(t, 2, late)
+	before := w.count(false)
+	for _, o := range late {
+		w.carryOut(o)
+	}
+	must.GreaterEq(t, before, w.count(false), must.Sprint("a late order drained servers"))
+	w.play(30 * time.Second)
+	must.LessEq(t, testDue, w.lateness)
+}
+
+// Guards against orders by a registry that is outdated or has lost the entries of servers
+// that are alive: no order may be lower than what is there, and nothing is ordered while
+// the registry is not read.
+func TestOutdatedRegistryDrainsNothing(t *testing.T) {
+	w := newWorld(t, 680)
+	w.settle()
+	before := w.count(false) + w.count(true)
+	w.outage = true
+	w.play(20 * time.Second)
+	must.SliceEmpty(t, w.orders)
+	w.outage = false
+	kept := w.servers
+	w.servers = w.servers[len(w.servers)/2:] // entries expired
+	w.play(6 * time.Second)
+	w.servers = append(w.servers, kept[:len(kept)/2]...)
+	must.False(t, slices.ContainsFunc(w.orders, func(o Order) bool { return o.Change <= 0 }))
+	must.GreaterEq(t, before, w.count(false)+w.count(true), must.Sprint("servers were drained"))
+	w.play(15 * time.Second)
+	must.GreaterEq(t, before, w.count(false)+w.count(true))
+}
+
+// Guards against a new holder that orders again what its predecessor ordered a moment ago,
+// and against one that never repeats an order that was stored but not sent.
+func TestNewHolderContinuesFromStoredOrders(t *testing.T) {
+	for _, sent := range []bool{true, false} {
+		w := newWorld(t, 680)
+		w.settle()
+		w.outcome = func(Order) (Outcome, bool) { return Unknown, sent }
+		w.tokens *= 1.5
+		w.play(testPeriod)
+		stored := w.orders
+		must.Positive(t, len(stored))
+		w.planner, w.orders = New(Defaults()), nil
+		w.outcome = accept
+		for _, o := range stored {
+			w.planner.Restore(o)
+		}
+		w.play(6 * time.Second)
+		must.EqOp(t, 0, len(w.orders), must.Sprintf("sent: %t", sent))
+		w.play(20 * time.Second)
+		must.EqOp(t, sent, len(w.orders) == 0)
+		must.Greater(t, 50, w.count(false))
+	}
+}
+
+// Guards against a decrease of a service whose other load is not measured.
+func TestServiceWithOtherLoadIsNotDecreased(t *testing.T) {
+	w := newWorld(t, 0)
+	s := &service{config: Defaults(), unmeasured: true, fleets: map[Key]*fleet{}, needs: []needSample{{at: w.now}}}
+	must.Nil(t, s.decrease(w.now.Add(time.Hour)))
+}
--- /dev/null
+++ b/internal/core/pool/service.go
@@ -0,0 +1,153 @@
+package pool
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
+)
+
+// service is the state of one service.
+type service struct {
+	config Config
+	scale  deployment.Scale
+	fleets map[Key]*fleet
+	need   need
+	// needs holds the greatest need of each second of the observation.
+	needs      []needSample
+	unmeasured bool
+	// steadySince is the time since which the observation was not disturbed.
+	steadySince  time.Time
+	lastDecrease time.Time
+}
+
+type needSample struct {
+	at      time.Time
+	servers int
+}
+
+// targets is the number of servers of each kind that a need requires.
+type targets struct{ onDemand, reserve int }
+
+func (t targets) total() int { return t.onDemand + t.reserve }
+
+// targetsFor returns the targets for a number of needed servers. On-demand servers cover the
+// need, so that a reclaim never makes a round late.
+func (s *service) targetsFor(servers int) targets {
+	t := targets{onDemand: servers}
+	if s.scale.SpotPrice > 0 {
+		t.reserve = int(math.Ceil(s.config.ReserveShare * float64(servers)))
+	}
+	return t
+}
+
+// fleet returns the state of the servers of one kind in a data centre, creating it with the
+// other kind, so that both can be ordered where the service runs.
+func (s *service) fleet(key Key) *fleet {
+	if s.fleets[key] == nil {
+		for _, spot := range []bool{false, true} {
+			each := Key{Service: key.Service, DataCentre: key.DataCentre, Spot: spot}
+			s.fleets[each] = &fleet{
+				key: each, config: &s.config, startUp: s.scale.StartUp,
+				serving: make(map[string]bool), leaving: make(map[string]bool), missing: make(map[string]time.Time),
+			}
+		}
+	}
+	return s.fleets[key]
+}
+
+// observe updates the state to the registered servers.
+func (s *service) observe(current *Service, now time.Time) {
+	s.scale, s.unmeasured = current.Scale, current.Demand.Unmeasured
+	byKey := make(map[Key][]*deployment.Server)
+	for i := range current.Servers {
+		key := keyOf(&current.Servers[i])
+		s.fleet(key)
+		byKey[key] = append(byKey[key], &current.Servers[i])
+	}
+	for key, f := range s.fleets {
+		f.startUp = s.scale.StartUp
+		if f.observe(byKey[key], now) {
+			s.steadySince = now
+		}
+	}
+}
+
+// updateNeed updates the need and its history. The need is unknown, and stays what it was,
+// while no server is registered to derive slots from.
+func (s *service) updateNeed(current *Service, now time.Time) {
+	if len(current.Servers) == 0 {
+		s.steadySince = now
+		return
+	}
+	s.need = s.config.needOf(current, now)
+	if n := len(s.needs); n > 0 && now.Sub(s.needs[n-1].at) < time.Second {
+		s.needs[n-1].servers = max(s.needs[n-1].servers, s.need.servers)
+	} else {
+		s.needs = append(s.needs, needSample{at: now, servers: s.need.servers})
+	}
+	s.needs = slices.DeleteFunc(s.needs, func(n needSample) bool { return now.Sub(n.at) > s.observation() })
+}
+
+// observation returns how long an observation must last before a decrease.
+func (s *service) observation() time.Duration {
+	if s.need.period == 0 {
+		return s.config.IdleObservation
+	}
+	return max(time.Duration(s.config.ObservedPeriods)*s.need.period, s.config.MinObservation)
+}
+
+// count returns the number of servers of one kind that serve or come.
+func (s *service) count(spot bool) int {
+	n := 0
+	for key, f := range s.fleets {
+		if key.Spot == spot {
+			n += f.expected() - f.releasing
+		}
+	}
+	return n
+}
+
+// increase returns the orders for servers that the need lacks now.
+func (s *service) increase(now time.Time) []Order {
+	want := s.targetsFor(s.need.servers)
+	onDemand, spot := s.count(false), s.count(true)
+	reason := fmt.Sprintf("%d servers are needed with a reserve of %d, %d on-demand and %d spot servers serve or come", want.onDemand, want.reserve, onDemand, spot)
+	orders := s.place(false, want.onDemand-onDemand, want.onDemand, reason, now)
+	return append(orders, s.place(true, want.total()-max(onDemand, want.onDemand)-spot, want.reserve, reason, now)...)
+}
+
+// decrease returns an order for fewer servers, if a long and steady observation shows that
+// more are there than any second of it needed, or one that replaces on-demand servers by a
+// reserve of spot servers.
+func (s *service) decrease(now time.Time) []Order {
+	if s.unmeasured || now.Sub(s.steadySince) < s.observation() || now.Sub(s.lastDecrease) < s.need.period || !s.settled() {
+		return nil
+	}
+	greatest := slices.MaxFunc(s.needs, func(x, y needSample) int { return x.servers - y.servers })
+	want := s.targetsFor(greatest.servers)
+	onDemand, spot := s.count(false), s.count(true)
+	reason := fmt.Sprintf("at most %d servers were needed for %s with a reserve of %d, %d on-demand and %d spot servers serve", want.onDemand, s.observation(), want.reserve, onDemand, spot)
+	surplus := onDemand + spot - want.total()
+	switch {
+	case surplus >= s.config.MinSurplus && onDemand-want.onDemand >= s.config.MinSurplus:
+		return s.remove(false, min(surplus, onDemand-want.onDemand), want.onDemand, reason, now)
+	case surplus >= s.config.MinSurplus && spot > 0:
+		return s.remove(true, min(surplus, spot), want.reserve, reason, now)
+	case onDemand-want.onDemand >= s.config.MinSurplus && spot < want.reserve:
+		return s.place(true, min(onDemand-want.onDemand, want.reserve-spot), want.reserve, reason, now)
+	}
+	return nil
+}
+
+// settled reports whether the registry shows the result of all orders.
+func (s *service) settled() bool {
+	for _, f := range s.fleets {
+		if f.inFlight || f.coming > 0 || f.releasing > 0 || len(f.leaving) > 0 || len(f.missing) > 0 {
+			return false
+		}
+	}
+	return true
+}
