--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -33,6 +33,7 @@
 
 	mu         sync.Mutex
 	counters   map[string]metric.Int64Counter
+	gauges     map[string]metric.Int64Gauge
 	histograms map[string]metric.Float64Histogram
 	totals     map[string]int64
 	decisions  []Decision // ring buffer of up to explainCapacity entries
@@ -61,6 +62,7 @@
 		meter:      provider.Meter("sesamestand"),
 		limiter:    rate.NewLimiter(rate.Limit(decisionsPerSecond), decisionsPerSecond),
 		counters:   make(map[string]metric.Int64Counter),
+		gauges:     make(map[string]metric.Int64Gauge),
 		histograms: make(map[string]metric.Float64Histogram),
 		totals:     make(map[string]int64),
 	}, nil
@@ -120,6 +122,22 @@
 	counter.Add(context.Background(), n, metric.WithAttributes(attributes(labels)...))
 }
 
+// Set sets a gauge. Labels alternate names and values.
+func (r *Recorder) Set(name string, value int64, labels ...string) {
+	r.mu.Lock()
+	gauge, ok := r.gauges[name]
+	if !ok {
+		var err error
+		gauge, err = r.meter.Int64Gauge("sesamestand_" + name)
+		if err != nil {
+			klog.ErrorS(err, "failed to create gauge", "name", name)
+		}
+		r.gauges[name] = gauge
+	}
+	r.mu.Unlock()
+	gauge.Record(context.Background(), value, metric.WithAttributes(attributes(labels)...))
+}
+
 // Observe records a value in a histogram. The name must end in the unit, for
 // example "queue_wait_seconds". Labels alternate names and values.
 func (r *Recorder) Observe(name string, value float64, labels ...string) {
