--- a/internal/fronthost/duties.go
+++ b/internal/fronthost/duties.go
@@ -9,6 +9,7 @@
 	"github.com/sesamestand/sesamestand/internal/duties"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/logstore"
+	"github.com/sesamestand/sesamestand/internal/pool"
 	"github.com/sesamestand/sesamestand/internal/settings"
 	"github.com/sesamestand/sesamestand/internal/usage"
 )
@@ -45,6 +46,9 @@
 		}, (*limitDirectory)(h), peers, control, h.recorder, time.Now)
 		held = append(held, d.usage)
 	}
+	if h.settings.Platform.Control.HasDuty(settings.DutyScale) {
+		held = append(held, pool.New(&poolSource{host: h, demands: pool.NewDemands()}, control, h.recorder))
+	}
 	d.holder = duties.NewHolder(duties.Config{
 		Host: h.settings.Host.ID, Process: h.member, CallsPerSecond: h.settings.Platform.Control.CallsPerSecond,
 	}, d.records, h.recorder, held...)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -70,7 +70,7 @@
 		return
 	}
 	s.planner, s.fence = pool.New(pool.Defaults()), fence
-	for _, r := range office.Records(recordPrefix) {
+	for _, r := range office.Records(duties.KeyPrefix + recordPrefix) {
 		if o, ok := decodeOrder(r); ok {
 			s.planner.Restore(o)
 		}
@@ -179,7 +179,7 @@
 	if errors.Is(err, duties.ErrNoCapacity) {
 		return pool.NoCapacity
 	}
-	for _, notDone := range []error{duties.ErrRefused, duties.ErrFenced, duties.ErrNotHolder, duties.ErrNotStored, duties.ErrExpired, errEncode} {
+	for _, notDone := range []error{duties.ErrRefused, duties.ErrFenced, duties.ErrNotHolder, duties.ErrNotStored, duties.ErrExpired, errEncode, context.Canceled} {
 		if errors.Is(err, notDone) {
 			return pool.Refused
 		}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -56,7 +56,7 @@
 func (p *testPlatform) Records(prefix string) []logstore.Record {
 	var records []logstore.Record
 	for key, value := range p.records {
-		if strings.HasPrefix(key, duties.KeyPrefix+prefix) {
+		if strings.HasPrefix(key, prefix) {
 			records = append(records, logstore.Record{Key: key, Value: value})
 		}
 	}
@@ -101,7 +101,7 @@
 func (p *testPlatform) Scale(_ context.Context, _ duties.Tenure, o duties.ScaleOrder) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	stored := slices.ContainsFunc(p.Records(recordPrefix), func(r logstore.Record) bool {
+	stored := slices.ContainsFunc(p.Records(duties.KeyPrefix+recordPrefix), func(r logstore.Record) bool {
 		order, ok := decodeOrder(r)
 		return ok && order.Key == pool.Key{Service: o.Service, DataCentre: o.DataCentre, Spot: o.Spot} && order.Count == o.Count
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,8 +84,11 @@
 	Duties         string // names, separated by commas; empty means all
 }
 
-// DutyUsage is the name of the duty to report usage.
-const DutyUsage = "usage"
+// Names of duties.
+const (
+	DutyUsage = "usage"     // to report usage
+	DutyScale = "autoscale" // to order the number of backend servers
+)
 
 // HasDuty reports whether the platform expects a duty.
 func (c Control) HasDuty(name string) bool {
