Fill the minimum, and plan services without a registered server

Cause: a new holder with an empty registry knew neither slots nor data centres, and a reclaim could leave a data centre below its minimum.

--- a/internal/core/pool/place.go
+++ b/internal/core/pool/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -27,6 +28,22 @@
 	return orders
 }
 
+// fillMinimum returns orders for the data centres that have fewer servers than Min.
+func (s *service) fillMinimum(now time.Time) []Order {
+	var orders []Order
+	for key, f := range s.fleets {
+		if key.Spot || !f.canOrder(now) {
+			continue
+		}
+		key.Spot = true
+		if n := s.scale.Min - f.possible() - s.fleets[key].possible(); n > 0 {
+			orders = append(orders, f.order(n, fmt.Sprintf("the minimum is %d servers", s.scale.Min), now))
+		}
+	}
+	slices.SortFunc(orders, func(x, y Order) int { return x.compare(y.Key) })
+	return orders
+}
+
 // bestFor returns the servers to which one more is added, or nil if none can be.
 func (s *service) bestFor(spot bool, added map[*fleet]int, share int, now time.Time) *fleet {
 	var best *fleet
@@ -93,7 +110,7 @@
 	other := f.key
 	other.Spot = !other.Spot
 	evenShare := float64(total) / float64(len(s.fleets)/2)
-	keep := max(int(math.Ceil(evenShare/2)), s.scale.Min-len(s.fleets[other].serving))
+	keep := max(int(math.Ceil(evenShare/2)), s.scale.Min) // a reclaim leaves Min servers
 	if f.key.Spot {
 		keep = s.scale.Min - len(s.fleets[other].serving) // a reserve may be in one data centre
 	}
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -135,8 +135,11 @@
 
 // Service is a service whose number of servers can be changed.
 type Service struct {
-	Name    string
-	Scale   deployment.Scale
+	Name  string
+	Scale deployment.Scale
+	// Slots is the declared number of items that a server runs concurrently, which is used
+	// while no server is registered.
+	Slots   int
 	Servers []deployment.Server // registered servers
 	Demand  Demand
 }
@@ -148,7 +151,7 @@
 		slots += s.Servers[i].Slots
 	}
 	if slots == 0 {
-		return 1
+		return float64(max(s.Slots, 1))
 	}
 	return float64(slots) / float64(len(s.Servers))
 }
--- a/internal/core/pool/service.go
+++ b/internal/core/pool/service.go
@@ -67,6 +67,11 @@
 		s.fleet(key)
 		byKey[key] = append(byKey[key], &current.Servers[i])
 	}
+	if len(s.fleets) == 0 { // no server is known, so the prices have to say where it runs
+		for dataCentre := range s.scale.Prices {
+			s.fleet(Key{Service: current.Name, DataCentre: dataCentre})
+		}
+	}
 	for key, f := range s.fleets {
 		f.startUp = s.scale.StartUp
 		if f.observe(byKey[key], now) {
@@ -75,13 +80,8 @@
 	}
 }
 
-// updateNeed updates the need and its history. The need is unknown, and stays what it was,
-// while no server is registered to derive slots from.
+// updateNeed updates the need and its history.
 func (s *service) updateNeed(current *Service, now time.Time) {
-	if len(current.Servers) == 0 {
-		s.steadySince = now
-		return
-	}
 	s.need = s.config.needOf(current, now)
 	if n := len(s.needs); n > 0 && now.Sub(s.needs[n-1].at) < time.Second {
 		s.needs[n-1].servers = max(s.needs[n-1].servers, s.need.servers)
@@ -115,8 +115,9 @@
 	want := s.targetsFor(s.need.servers)
 	onDemand, spot := s.count(false), s.count(true)
 	reason := fmt.Sprintf("%d servers are needed with a reserve of %d, %d on-demand and %d spot servers serve or come", want.onDemand, want.reserve, onDemand, spot)
-	orders := s.place(false, want.onDemand-onDemand, want.onDemand, reason, now)
-	return append(orders, s.place(true, want.total()-max(onDemand, want.onDemand)-spot, want.reserve, reason, now)...)
+	orders := s.fillMinimum(now)
+	orders = append(orders, s.place(false, want.onDemand-s.count(false), want.onDemand, reason, now)...)
+	return append(orders, s.place(true, want.total()-max(s.count(false), want.onDemand)-spot, want.reserve, reason, now)...)
 }
 
 // decrease returns an order for fewer servers, if a long and steady observation shows that
--- a/internal/pool/demand.go
+++ b/internal/pool/demand.go
@@ -115,7 +115,7 @@
 		if s.Scale == nil {
 			continue
 		}
-		current := pool.Service{Name: name, Scale: *s.Scale, Servers: servers[name]}
+		current := pool.Service{Name: name, Scale: *s.Scale, Slots: s.Slots, Servers: servers[name]}
 		if demand := demands[name]; demand != nil {
 			current.Demand = *demand
 		}
