Simplify the driver of the elastic pool and the moves from leaving servers

Cause: the driver had a field for a constant, and runs without an event had a correction that the margin of the notice covers already. Change: both are removed; the time of a result's runs is described exactly. Result: the tests of schedule, pool and fronthost pass.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -104,8 +104,9 @@
 	Failed   bool    `json:"failed,omitempty"`
 	Output   BlobRef `json:"text"` // zero if the item failed
 	Versions []int64 `json:"versions,omitempty"`
-	// RunMs is the time that the runs of the item took, in milliseconds, or 0 if the output
-	// was reused. The number of servers is planned with it.
+	// RunMs is the time that the runs of the item took under the last owner of the
+	// partition, in milliseconds, or 0 if the output was reused. The number of servers is
+	// planned with it.
 	RunMs int64 `json:"run_ms,omitempty"`
 	// Score is the signature of the response to the reward call ScoreKey. Both are
 	// empty if the item failed or its output is not scored.
--- a/internal/core/schedule/evacuate.go
+++ b/internal/core/schedule/evacuate.go
@@ -61,9 +61,6 @@
 	}
 	rest := time.Duration(s.remainingEvents(t, in) * float64(s.expectedPace(t.run.replica, in.Now)))
 	left := leavesAt.Sub(in.Now)
-	if t.run.events == 0 {
-		left -= s.config.PreemptTimeout // the prompt is not processed yet
-	}
 	return leavingRun{task: t, rest: rest, left: left}, time.Duration(leaveSafety*float64(rest)) > left-leaveMargin
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -28,7 +28,6 @@
 	source   Source
 	control  duties.ControlAPI
 	recorder *telemetry.Recorder
-	interval time.Duration
 
 	// planner continues while the fencing number stays: the ownership of the control
 	// partition may be uncertain for a moment.
@@ -38,7 +37,7 @@
 
 // New returns a Service that plans every planInterval.
 func New(source Source, control duties.ControlAPI, recorder *telemetry.Recorder) *Service {
-	return &Service{source: source, control: control, recorder: recorder, interval: planInterval}
+	return &Service{source: source, control: control, recorder: recorder}
 }
 
 // Hold implements duties.Duty.
@@ -46,7 +45,7 @@
 	s.restore(office)
 	t := &tenure{Service: s, office: office, queues: make(map[string][]pool.Order), results: make(chan result)}
 	defer t.finish()
-	ticker := time.NewTicker(s.interval)
+	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for {
 		select {
