Test which lists of duties include orders of servers

Cause: only the duty to report usage was tested with the lists that the platform renders. Change: the same lists are tested for autoscale.

--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -28,6 +29,7 @@
 		"":                             false,
 		"control_duties = usage\n":     false,
 		"control_addr = 127.0.0.1:5\n": true,
+		"control_addr = 127.0.0.1:5\ncontrol_duties = usage\n":                     true,
 		"control_addr = 127.0.0.1:5\ncontrol_duties =\n":                           true,
 		"control_addr = 127.0.0.1:5\ncontrol_duties = [\"autoscale\",\"usage\"]\n": true,
 		"control_addr = 127.0.0.1:5\ncontrol_duties = autoscale, usage\n":          true,
@@ -36,6 +38,8 @@
 		s, err := parse(control)
 		must.NoError(t, err)
 		must.EqOp(t, want, s.Platform.Control.HasDuty(DutyUsage), must.Sprint(control))
+		scale := s.Platform.Control.Addr != "" && !strings.HasSuffix(control, "= usage\n")
+		must.EqOp(t, scale, s.Platform.Control.HasDuty(DutyScale), must.Sprint(control))
 	}
 	_, err := parse("control_addr = 127.0.0.1:5\n[host]\npeer_addr =\n")
 	must.Error(t, err)
