--- a/cmd/sesamestand/status.go
+++ b/cmd/sesamestand/status.go
@@ -90,13 +90,16 @@
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "host\t%s\nmember\t%s\ndata centre\t%s\nready\t%t\ndraining\t%t\nin flight\t%d\nconfiguration version\t%d\n",
 		status.Host, status.Member, status.DataCentre, status.Ready, status.Draining, status.InFlight, status.ConfigVersion)
+	if a := status.Access; a != nil {
+		fmt.Fprintf(w, "workspaces\t%d\nrequests with keys permitted\t%t\nconfiguration read, ms ago\t%d\n", a.Workspaces, a.Permitted, a.ReadAgeMs)
+	}
 	fmt.Fprintln(w, "\nPARTITION\tAGE, MS\tSTORE LOST\tEPOCH HELD")
 	for _, p := range status.Partitions {
 		fmt.Fprintf(w, "%d\t%d\t%t\t%d\n", p.Number, p.AgeMs, p.StoreUnavailable, p.Epoch)
 	}
 	fmt.Fprintln(w, "\nJOB\tMODEL\tSTEP\tMIN VERSION\tPARTITION\tLISTED\tENDED\tAGE, MS")
 	for _, j := range status.Jobs {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d/%d\t%t\t%d\n", j.ID, j.Model, j.Step, j.MinVersion, j.Partition, j.Committed, j.Items, j.Ended, j.AgeMs)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d/%d\t%t\t%d\n", j.Label(), j.Model, j.Step, j.MinVersion, j.Partition, j.Committed, j.Items, j.Ended, j.AgeMs)
 	}
 	fmt.Fprintln(w, "\nBACKEND SERVER\tSERVICE\tDATA CENTRE\tLEAVING\tSERVES\tVERSIONS\tLOADING\tORDERED BY")
 	for _, s := range status.Servers {
--- a/internal/fronthost/status.go
+++ b/internal/fronthost/status.go
@@ -63,6 +63,14 @@
 	AgeMs      int64  `json:"age_ms"` // since this host read the job
 }
 
+// Label returns the job's ID, after the name of its workspace if it has one.
+func (j *JobStatus) Label() string {
+	if j.Workspace == "" {
+		return j.ID
+	}
+	return j.Workspace + ": " + j.ID
+}
+
 // ServerStatus is one registered backend server.
 type ServerStatus struct {
 	ID         string           `json:"id"`
