Order no servers for work that the present ones end sooner

Cause: after an outage of the store most open items have run already, and what is late counted as work to be done within the start-up time. Change: the backlog needs servers only if the present slots don't end it before ordered servers can serve. Result: TestBacklogThatEndsBeforeNewServersServeNeedsNone, which failed on the former code.

--- a/internal/core/pool/demand.go
+++ b/internal/core/pool/demand.go
@@ -65,7 +65,7 @@
 		period = max(period, p)
 		slots += largest(rounds) * perToken.Seconds() / (c.RoundShare * min(p, newest.due()).Seconds())
 	}
-	slots = max(slots, backlogSlots(s.Demand.Rounds, perToken, s.Scale.StartUp, now))
+	slots = max(slots, backlogSlots(s.Demand.Rounds, perToken, s.Scale.StartUp+c.ArrivalLag, s.slots(), now))
 	return need{servers: int(math.Ceil(slots * c.Headroom / s.slotsPerServer())), period: period}
 }
 
@@ -122,9 +122,11 @@
 	return tokens
 }
 
-// backlogSlots returns the number of slots with which all open work ends when it is due.
-// Servers that are ordered now do not help before they are started.
-func backlogSlots(rounds []Round, perToken, startUp time.Duration, now time.Time) float64 {
+// backlogSlots returns the number of slots with which all open work ends when it is due, or
+// 0 if the present slots end it before servers that are ordered now can help. After an
+// outage much work is open that ran already, and each further server delays the load of the
+// next weight version on the others.
+func backlogSlots(rounds []Round, perToken, delay time.Duration, present float64, now time.Time) float64 {
 	open := slices.Clone(rounds)
 	slices.SortStableFunc(open, func(x, y Round) int {
 		return cmp.Compare(x.Submitted.Add(x.due()).UnixNano(), y.Submitted.Add(y.due()).UnixNano())
@@ -132,8 +134,11 @@
 	slots, work := 0.0, 0.0
 	for _, r := range open {
 		work += r.Open * perToken.Seconds()
-		left := max(r.Submitted.Add(r.due()).Sub(now), startUp, time.Second)
+		left := max(r.Submitted.Add(r.due()).Sub(now), delay, time.Second)
 		slots = max(slots, work/left.Seconds())
 	}
+	if work <= present*delay.Seconds() {
+		return 0
+	}
 	return slots
 }
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -144,6 +144,18 @@
 	Demand  Demand
 }
 
+// slots returns the number of items that the servers run concurrently, without those that
+// are leaving.
+func (s *Service) slots() float64 {
+	slots := 0
+	for i := range s.Servers {
+		if !s.Servers[i].Leaving {
+			slots += s.Servers[i].Slots
+		}
+	}
+	return float64(slots)
+}
+
 // slotsPerServer returns the mean number of items that a server runs concurrently.
 func (s *Service) slotsPerServer() float64 {
 	slots := 0
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -1,11 +1,14 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
 )
 
 // Guards against a decrease, and against further on-demand servers, before a usual day was
@@ -216,3 +219,24 @@
 	}
 	must.Greater(t, needed(0), needed(1e5))
 }
+
+// Guards against servers that are ordered for the work that is open after an outage of the
+// store, although the present ones end it before new ones serve. Each further server delays
+// the load of the next weight version on the others.
+func TestBacklogThatEndsBeforeNewServersServeNeedsNone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &Service{Scale: testScale, Slots: testSlots}
+	for range 44 {
+		s.Servers = append(s.Servers, deployment.Server{Slots: testSlots})
+	}
+	perTrainer := 680 / 4 * 14 * 69.0
+	for i := range 4 * 3 {
+		submitted := now.Add(time.Duration(i/4-3) * testPeriod)
+		s.Demand.Rounds = append(s.Demand.Rounds, Round{Trainer: fmt.Sprint(i % 4), Submitted: submitted, Due: testDue, Tokens: perTrainer})
+	}
+	usual := Defaults().needOf(s, now).servers
+	for i := range s.Demand.Rounds {
+		s.Demand.Rounds[i].Open = s.Demand.Rounds[i].Tokens
+	}
+	must.EqOp(t, usual, Defaults().needOf(s, now).servers)
+}
