--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -52,6 +52,7 @@
 	incarnation  int64
 	inFlight     int
 	latency      time.Duration // exponential moving average of responses
+	answeredAt   time.Time     // last change of latency
 	failures     int
 	blockedUntil time.Time
 }
@@ -227,10 +228,12 @@
 			stats.latency = took
 		}
 		stats.latency += time.Duration(latencyWeight * float64(took-stats.latency))
+		stats.answeredAt = now
 	case Abandoned:
 		// The latency of the response is unknown, but at least took.
 		if took > stats.latency {
 			stats.latency += time.Duration(latencyWeight * float64(took-stats.latency))
+			stats.answeredAt = now
 		}
 	case Full:
 		stats.blockedUntil = now.Add(b.config.FullBackoff)
--- /dev/null
+++ b/internal/core/forward/spill.go
@@ -0,0 +1,143 @@
+package forward
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
+	"github.com/sesamestand/sesamestand/internal/core/spill"
+)
+
+// Spillover is what the decision needs whether a request leaves its data centre.
+type Spillover struct {
+	Gate      *spill.Gate
+	Service   string
+	Key       uint64        // hash of the request's ID
+	Objective time.Duration // latency objective of the route; 0 if it has none
+	Bytes     int           // expected in both directions
+	// ClaimAge is the age of this host's knowledge of claims.
+	ClaimAge time.Duration
+}
+
+// Estimates for requests without observations.
+const (
+	// defaultLatency is the expected latency of a server that has not answered this host.
+	defaultLatency = 25 * time.Millisecond
+	// defaultObjective replaces the objective of a route without one.
+	defaultObjective = 500 * time.Millisecond
+	// coldDelay is the delay of a server that is not warm yet.
+	coldDelay = 50 * time.Millisecond
+	// observationHalfLife is how long after its last response the latency of a server
+	// counts for half.
+	observationHalfLife = 2 * time.Second
+)
+
+// SpillChoice is the result of ChooseWithSpillover.
+type SpillChoice struct {
+	Selection
+	// Verdict says why the request leaves or stays.
+	Verdict spill.Verdict
+	// Claims have to be published so that requests may leave.
+	Claims []spill.Claim
+}
+
+// ChooseWithSpillover selects a server as Choose does, but one in another data centre
+// only if no local server can take the request or if leaving pays off.
+func (b *Balancer) ChooseWithSpillover(servers []deployment.Server, dataCentre string, exclude map[string]bool, state func(*deployment.Server) ratelimit.State, in Spillover, now time.Time) SpillChoice {
+	byDataCentre := groupByDataCentre(servers)
+	local := b.Choose(byDataCentre[dataCentre], dataCentre, exclude, state, now)
+	if local.Server == nil || local.LastResort || now.Before(b.serverStats(local.Server).blockedUntil) {
+		return b.chooseAnywhere(servers, dataCentre, exclude, state, in, now)
+	}
+	work := in.work(b.expected(local.Server, now))
+	remote := make(map[string]Selection, len(byDataCentre))
+	for _, name := range slices.Sorted(maps.Keys(byDataCentre)) {
+		s := b.Choose(byDataCentre[name], dataCentre, exclude, state, now)
+		if name == dataCentre || s.Server == nil || s.LastResort || now.Before(b.serverStats(s.Server).blockedUntil) {
+			continue
+		}
+		remote[name] = s
+		work.Options = append(work.Options, spill.Option{
+			DataCentre: name, Pressure: in.pressure(b.expected(s.Server, now)),
+			Open: in.Gate.Directions.MayLeave(in.Service, dataCentre, name, in.ClaimAge, now),
+		})
+	}
+	choice := SpillChoice{Selection: local, Verdict: in.Gate.Decide(work, now)}
+	choice.Claims = in.Gate.Claims(work, dataCentre, now)
+	if choice.Verdict.Leaves() {
+		choice.Selection = remote[choice.Verdict.DataCentre]
+	}
+	return choice
+}
+
+// chooseAnywhere selects a server when no local one can take the request without delay.
+// Data centres that cannot be reached are used only if there is no other.
+func (b *Balancer) chooseAnywhere(servers []deployment.Server, dataCentre string, exclude map[string]bool, state func(*deployment.Server) ratelimit.State, in Spillover, now time.Time) SpillChoice {
+	reachable := make([]deployment.Server, 0, len(servers))
+	for _, s := range servers {
+		if s.DataCentre == dataCentre || in.Gate.Reachable(s.DataCentre, now) {
+			reachable = append(reachable, s)
+		}
+	}
+	selection := b.Choose(reachable, dataCentre, exclude, state, now)
+	if selection.Server == nil && len(selection.NeedGrant) == 0 {
+		selection = b.Choose(servers, dataCentre, exclude, state, now)
+	}
+	verdict := spill.Verdict{Reason: spill.NoLocalServer}
+	if s := selection.Server; s != nil && s.DataCentre != dataCentre {
+		verdict.DataCentre = s.DataCentre
+	}
+	return SpillChoice{Selection: selection, Verdict: verdict}
+}
+
+func groupByDataCentre(servers []deployment.Server) map[string][]deployment.Server {
+	groups := make(map[string][]deployment.Server)
+	for _, s := range servers {
+		groups[s.DataCentre] = append(groups[s.DataCentre], s)
+	}
+	return groups
+}
+
+// expected returns the time in which a server is expected to answer another request:
+// its latency, and a wait if the requests of this host take all of its slots.
+func (b *Balancer) expected(s *deployment.Server, now time.Time) time.Duration {
+	stats := b.serverStats(s)
+	latency := defaultLatency
+	if stats.latency > 0 {
+		lives := max(now.Sub(stats.answeredAt), 0) / observationHalfLife
+		latency = max(stats.latency>>min(lives, maxHalvings), min(stats.latency, defaultLatency))
+	}
+	slots := max(s.Slots, 1)
+	rounds := 1 + float64(max(stats.inFlight+1-slots, 0))/float64(slots)
+	expected := time.Duration(rounds * float64(latency))
+	if now.Before(s.ColdUntil) {
+		expected += coldDelay
+	}
+	return expected
+}
+
+// maxHalvings bounds the shift of a latency that was observed long ago.
+const maxHalvings = 16
+
+func (in *Spillover) limit() time.Duration {
+	if in.Objective > 0 {
+		return in.Objective
+	}
+	return defaultObjective
+}
+
+func (in *Spillover) pressure(d time.Duration) float64 {
+	return d.Seconds() / in.limit().Seconds()
+}
+
+// work returns the decision's input for a request that is expected to be answered here
+// in the given time.
+func (in *Spillover) work(here time.Duration) spill.Work {
+	config := in.Gate.Config()
+	return spill.Work{
+		Service: in.Service, Key: in.Key, Pressure: in.pressure(here),
+		Cost: in.pressure(config.Cost(in.Bytes, here <= in.limit())),
+	}
+}
--- /dev/null
+++ b/internal/core/spill/share.go
@@ -0,0 +1,86 @@
+package spill
+
+import "time"
+
+// share is the share of a service's work that may leave.
+type share struct {
+	value     float64
+	updatedAt time.Time
+}
+
+// Share returns the share of a service's work that may leave.
+func (g *Gate) Share(service string) float64 {
+	if s := g.shares[service]; s != nil {
+		return s.value
+	}
+	return 0
+}
+
+// RetainServices removes the shares of services that are no longer configured.
+func (g *Gate) RetainServices(configured func(service string) bool) {
+	for service := range g.shares {
+		if !configured(service) {
+			delete(g.shares, service)
+		}
+	}
+}
+
+// updateShare grows the share with the pressure at once, and shrinks it slowly and only
+// below ReleasePressure, so that it does not swing with the work that comes back.
+func (g *Gate) updateShare(service string, pressure float64, now time.Time) float64 {
+	s := g.shares[service]
+	if s == nil {
+		s = &share{updatedAt: now}
+		g.shares[service] = s
+	}
+	c := g.config
+	elapsed := max(now.Sub(s.updatedAt), 0)
+	s.updatedAt = now
+	target := min((pressure-c.StartPressure)/(c.FullPressure-c.StartPressure), 1) * c.MaxShare
+	switch {
+	case target > s.value:
+		s.value = target
+	case pressure < c.ReleasePressure:
+		s.value = max(s.value-c.ShrinkPerSecond*elapsed.Seconds(), 0)
+	}
+	return s.value
+}
+
+// covers reports whether work with a key belongs to the share that may leave.
+func covers(share float64, key uint64) bool {
+	const steps = 1 << 53 // numbers that a float64 can hold exactly
+	return float64(key>>11)/steps < share
+}
+
+// link is the state of the path to another data centre.
+type link struct {
+	failures    int // sends in a row without a response
+	closedUntil time.Time
+}
+
+// RecordSend records whether a send to another data centre got any response.
+func (g *Gate) RecordSend(dataCentre string, responded bool, now time.Time) {
+	if responded {
+		delete(g.links, dataCentre)
+		return
+	}
+	l := g.links[dataCentre]
+	if l == nil {
+		l = &link{}
+		g.links[dataCentre] = l
+	}
+	l.failures++
+	if beyond := l.failures - g.config.FailuresToClose; beyond >= 0 && !now.Before(l.closedUntil) {
+		l.closedUntil = now.Add(min(g.config.CloseTime<<min(beyond, maxCloseDoublings), g.config.MaxCloseTime))
+	}
+}
+
+// maxCloseDoublings bounds the shift of CloseTime.
+const maxCloseDoublings = 8
+
+// Reachable reports whether work may be sent to another data centre. Once the time of a
+// closed one has passed, work that is sent there shows whether it can be reached.
+func (g *Gate) Reachable(dataCentre string, now time.Time) bool {
+	l := g.links[dataCentre]
+	return l == nil || !now.Before(l.closedUntil)
+}
