Use core/spill for requests, items and completions

Cause: the fixed cost of another data centre neither grows with a shortage nor weighs the bytes. Change: [limits] spillover = off|on, default off. With on, forwarding chooses by share, cost and direction, the scheduler adds the cost of leaving to scores and moves, and the router decides by load rows. Claims on directions are records of the control partition. Bytes between data centres and work that left are counted. With off no choice changes.

--- a/internal/callers/call.go
+++ b/internal/callers/call.go
@@ -35,6 +35,7 @@
 	}
 	c.mu.Lock()
 	corrected := c.pending.apply(candidates, self.ID, now)
+	request.Spill = c.spillVerdict(request, candidates, now)
 	c.mu.Unlock()
 	var choice route.Choice
 	c.owner.WithPrefixIndex(func(prefixes *route.PrefixIndex) {
@@ -48,8 +49,9 @@
 	if r.gen.OnReplicaChosen != nil {
 		r.gen.OnReplicaChosen(choice.Chosen.Replica)
 	}
-	c.recorder.RecordDecision("route", r.gen.RequestID, "chosen", choice.Chosen.Replica, "owner", choice.Chosen.Owner,
-		"solo", isolated, "resume", r.tracker.Delivered(), "removed", choice.Removed.String(), "scores", choice.Scores())
+	details := []any{"chosen", choice.Chosen.Replica, "owner", choice.Chosen.Owner,
+		"solo", isolated, "resume", r.tracker.Delivered(), "removed", choice.Removed.String(), "scores", choice.Scores()}
+	c.recorder.RecordDecision("route", r.gen.RequestID, append(details, c.placeDetails(request, choice.Chosen)...)...)
 	return choice.Chosen
 }
 
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -20,6 +20,7 @@
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/flight"
 	"github.com/sesamestand/sesamestand/internal/core/route"
+	"github.com/sesamestand/sesamestand/internal/core/spill"
 	"github.com/sesamestand/sesamestand/internal/owner"
 	"github.com/sesamestand/sesamestand/internal/peer"
 	"github.com/sesamestand/sesamestand/internal/telemetry"
@@ -59,6 +60,8 @@
 	Coordinator flight.CoordinatorConfig
 	// RoutingWeights holds the weights for the selection of replicas.
 	RoutingWeights route.Weights
+	// Spillover lets the loads of the data centres decide how many requests leave this one.
+	Spillover bool
 }
 
 func (c Config) withDefaults() Config {
@@ -103,10 +106,11 @@
 	recorder  *telemetry.Recorder
 	refuser   cluster.Refuser
 
-	mu       sync.Mutex // guards budget, rotation and pending
+	mu       sync.Mutex // guards budget, rotation, pending and spill
 	budget   *flight.Budget
 	rotation route.RoundRobin
 	pending  pendingRequests
+	spill    *spill.Gate // nil if spillover is off
 
 	// coordinatorMu guards coordinator, claims and memberSets.
 	coordinatorMu sync.Mutex
@@ -132,7 +136,7 @@
 	versions cluster.Versions, inventory cluster.Inventory, ownerController *owner.Controller, peers peer.Clients,
 	recorder *telemetry.Recorder) *Controller {
 	config = config.withDefaults()
-	return &Controller{
+	c := &Controller{
 		config: config, members: members, ownership: ownership, configs: configs, versions: versions,
 		inventory: inventory, owner: ownerController, peers: peers, recorder: recorder,
 		budget:      flight.NewBudget(config.RetryShare, config.RetryReserve),
@@ -141,4 +145,8 @@
 		claims:      make(map[string]activeClaim),
 		started:     time.Now(),
 	}
+	if config.Spillover {
+		c.spill = spill.NewGate(spill.Defaults())
+	}
+	return c
 }
--- a/internal/core/route/filter.go
+++ b/internal/core/route/filter.go
@@ -39,6 +39,9 @@
 			eligible = append(eligible, c)
 		}
 	}
+	if request.Spill != nil {
+		return applySpill(request, eligible, &removed)
+	}
 	return preferLocal(request, eligible, &removed)
 }
 
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sesamestand/sesamestand/internal/core/spill"
 )
 
 // Candidate describes one replica as known to the router.
@@ -64,6 +66,9 @@
 	Isolated bool
 	// Seed selects among candidates with nearly equal scores.
 	Seed uint64
+	// Spill decides whether the request leaves its data centre. If it is nil, the load of
+	// the local replicas does.
+	Spill *spill.Verdict
 }
 
 // Weights holds the weights of the scores. With a weight of 1, a full score
--- a/internal/core/schedule/choose.go
+++ b/internal/core/schedule/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/core/spill"
 )
 
 // Costs that are added to a replica's score for an item. The score itself is the
@@ -36,6 +37,7 @@
 	replica    *Replica
 	score      float64
 	candidates int
+	verdict    spill.Verdict // why the item leaves its data centre or stays; zero if that makes no difference
 }
 
 // candidate is a replica that is eligible to run items of a job during a tick.
@@ -88,17 +90,19 @@
 	var best choice
 	list := s.candidates(t.job, in)
 	events, memoryNeed, group := s.remainingEvents(t, in), s.memoryNeed(t, in), groupKey(t)
+	leaving := s.leavingCost(t, in, events, avoid)
 	for i := range list {
 		c := &list[i]
 		if !s.canStart(c) || c.ID == avoid || s.blocked[c.ID] {
 			continue
 		}
-		cost := c.score(events, memoryNeed, group)
+		cost := c.score(events, memoryNeed, group) + leaving.add(c.Replica)
 		if best.replica == nil || cost < best.score {
 			best.replica, best.score = c.Replica, cost
 		}
 		best.candidates++
 	}
+	best.verdict = leaving.verdict(best.replica)
 	return best
 }
 
--- a/internal/core/schedule/move.go
+++ b/internal/core/schedule/move.go
@@ -66,7 +66,7 @@
 		actions.Stops = append(actions.Stops, Stop{Run: m.task.run.id, Reason: fmt.Sprintf(
 			"replica %s produces an event every %s, %s is expected to produce one every %s: saves %s", from, s.pace(from).perEvent, current.to.replica.ID, s.expectedPace(current.to.replica.ID, in.Now), current.saving)})
 		s.release(m.task)
-		actions.Starts = append(actions.Starts, s.start(m.task, current.to.replica, in, "moved from "+from+", "+s.explain(current.to)))
+		actions.Starts = append(actions.Starts, s.start(m.task, current.to, in, "moved from "+from+", "+s.explain(current.to)))
 	}
 }
 
@@ -92,6 +92,6 @@
 		return move{}, false
 	}
 	timeThere := time.Duration(events * float64(s.expectedPace(to.replica.ID, in.Now)))
-	saving := timeHere - timeThere - moveCost
+	saving := timeHere - timeThere - moveCost - s.moveLeaves(t, in, to, events)
 	return move{task: t, saving: saving, to: to}, saving >= minSaving && saving >= time.Duration(minSavingShare*float64(timeHere))
 }
--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/core/spill"
 	"github.com/sesamestand/sesamestand/internal/core/table"
 )
 
@@ -190,6 +191,9 @@
 	Partial jobs.Partial
 	// Reason explains the choice of the replica in the decision log.
 	Reason string
+	// Verdict says why the run leaves the data centre of the scheduler or stays. It is
+	// zero if TickInput.Leaving is not set.
+	Verdict spill.Verdict
 }
 
 // Stop requests the end of a run or of a reward call. Their IDs are distinct.
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -34,6 +34,8 @@
 	// ScoreTarget returns the service that answers an item's reward call, and false
 	// if no route leads to one.
 	ScoreTarget func(*jobs.Entry, *jobs.Item) (ScoreTarget, bool)
+	// Leaving is set if runs on replicas in other data centres have a cost.
+	Leaving *Leaving
 }
 
 // Tick decides which runs to stop and start and which results to commit.
@@ -219,7 +221,7 @@
 func (s *Scheduler) startWaiting(in TickInput, actions *Actions) {
 	for _, t := range s.runnable(in) {
 		if c := s.choose(t, in, ""); c.replica != nil {
-			actions.Starts = append(actions.Starts, s.start(t, c.replica, in, s.explain(c)))
+			actions.Starts = append(actions.Starts, s.start(t, c, in, s.explain(c)))
 		}
 	}
 	actions.NeedGrant = s.needGrant(in)
@@ -252,7 +254,8 @@
 
 // start creates a run of an item on a replica. It discards a partial output that
 // the job does not allow to continue there.
-func (s *Scheduler) start(t *task, to *Replica, in TickInput, reason string) Start {
+func (s *Scheduler) start(t *task, c choice, in TickInput, reason string) Start {
+	to := c.replica
 	s.nextRun++
 	minVersion, single := t.job.Job.MinVersion, in.SingleVersion(t.job)
 	if !jobs.VersionsAllowed(t.partial.Versions, minVersion, single) || (single && len(t.partial.Versions) > 0 && t.partial.Versions[0] != to.Version) {
@@ -264,7 +267,7 @@
 	s.addUsage(t, in)
 	return Start{
 		Run: t.run.id, Job: t.job, Item: t.item, Replica: to.ID, Version: to.Version,
-		Partial: t.partial, Reason: reason,
+		Partial: t.partial, Reason: reason, Verdict: c.verdict,
 	}
 }
 
--- a/internal/core/spill/share.go
+++ b/internal/core/spill/share.go
@@ -1,6 +1,9 @@
 package spill
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // share is the share of a service's work that may leave.
 type share struct {
@@ -11,11 +14,19 @@
 // Share returns the share of a service's work that may leave.
 func (g *Gate) Share(service string) float64 {
 	if s := g.shares[service]; s != nil {
-		return s.value
+		return math.Floor(s.value*shareSteps+shareRounding) / shareSteps
 	}
 	return 0
 }
 
+const (
+	// shareSteps is the inverse of the least change of a share.
+	shareSteps = 10
+	// shareRounding keeps a share that is a whole number of steps from being rounded to
+	// the one below.
+	shareRounding = 1e-9
+)
+
 // RetainServices removes the shares of services that are no longer configured.
 func (g *Gate) RetainServices(configured func(service string) bool) {
 	for service := range g.shares {
@@ -43,7 +54,7 @@
 	case pressure < c.ReleasePressure:
 		s.value = max(s.value-c.ShrinkPerSecond*elapsed.Seconds(), 0)
 	}
-	return s.value
+	return g.Share(service)
 }
 
 // covers reports whether work with a key belongs to the share that may leave.
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -100,7 +100,7 @@
 	return callers.Config{
 		Policy: s.Policy, ProgressTimeout: s.Timing.ProgressTimeout, RequestTimeout: s.Timing.RequestTimeout,
 		MaxBodyBytes: int64(s.Limits.BodyBytes), RetryShare: s.Limits.RetryShare, RetryReserve: s.Limits.RetryReserve,
-		Coordinator: coordinator,
+		Coordinator: coordinator, Spillover: s.Limits.Spillover,
 	}
 }
 
--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -125,6 +125,8 @@
 		return h.applySuspicion(r, now)
 	case isLimitKey(r.Key):
 		return h.applyLimit(r, now)
+	case isClaimKey(r.Key):
+		return h.applyClaim(r, now)
 	case r.Key == limitAllocatorKey:
 		return h.applyLimitAllocator(r)
 	}
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -7,11 +7,14 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 	"github.com/sesamestand/sesamestand/internal/core/forward"
 	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
+	"github.com/sesamestand/sesamestand/internal/core/spill"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
 )
 
@@ -39,6 +42,7 @@
 	server   deployment.Server
 	sent     time.Time
 	hedge    bool
+	began    bool // a stream began
 	response *backend.Response
 	err      error
 }
@@ -61,6 +65,7 @@
 	background   bool                  // the request can be sent later
 	rateLimited  []ratelimit.Candidate // servers for which no request was granted
 	allLeaving   bool                  // the servers that were not tried are all leaving
+	verdict      spill.Verdict         // why the last selected server is local or not
 	lastFailure  *backend.Response     // last response with a status of 500 or above
 	failures     int                   // responses with status 500: the server ran the request and failed
 }
@@ -91,6 +96,13 @@
 	}
 }
 
+// serviceOf returns the service of a route for a request or a job. It is the same
+// for an ID as long as the route does not change.
+func serviceOf(route *deployment.Route, id string) string {
+	const steps = 1 << 53 // numbers that a float64 can hold exactly
+	return route.Pick(float64(xxhash.Sum64String(id)>>11) / steps)
+}
+
 // refuseUnsent returns a refusal of a caller's request that must not be sent to any
 // server: its content has crashed too many of them, or the host is stopping.
 func (f *forwarding) refuseUnsent() *Refusal {
@@ -209,7 +221,9 @@
 	h.mu.Unlock()
 	f.excluded[a.server.ID] = true
 	f.possibleRuns++
-	h.recorder.RecordDecision("send", f.request.ID, "server", a.server.ID, "service", f.service, "hedge", hedge, "left_ms", time.Until(f.deadline).Milliseconds())
+	details := []any{"server", a.server.ID, "service", f.service, "hedge", hedge, "left_ms", time.Until(f.deadline).Milliseconds()}
+	details = append(details, h.placeDetails(f.call, a.server.DataCentre, f.placeReason(a.server.DataCentre))...)
+	h.recorder.RecordDecision("send", f.request.ID, details...)
 	return a
 }
 
@@ -247,6 +261,9 @@
 	now := time.Now()
 	h.mu.Lock()
 	h.forward.RecordResult(&a.server, result, now.Sub(a.sent), now)
+	if result != forward.Abandoned && !errors.Is(a.err, backend.ErrExpired) {
+		h.recordReach(a.server.ID, a.response != nil || a.began, now)
+	}
 	h.mu.Unlock()
 }
 
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -29,6 +29,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/forward"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/keepup"
+	"github.com/sesamestand/sesamestand/internal/core/spill"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
 	"github.com/sesamestand/sesamestand/internal/limits"
@@ -123,6 +124,7 @@
 	placements        map[string]*placement
 	lags              map[string]int64 // number of versions behind the newest that a model's trainer allows
 	forward           *forward.Balancer
+	spill             *spill.Gate // nil: servers in other data centres have a fixed cost
 	suspects          *suspect.Table
 	durations         *drain.Durations           // of the requests of each route
 	followers         map[int]*logstore.Follower // of topicWork
@@ -137,12 +139,16 @@
 func New(s settings.Settings, store logstore.Store, backends Backends, feeds Feeds, peers limits.Peers, recorder *telemetry.Recorder) *Host {
 	metered := &meteredStore{Store: store, recorder: recorder}
 	h := &Host{
-		settings: s, store: metered, backends: backends, feeds: feeds, recorder: recorder,
+		settings: s, store: metered, feeds: feeds, recorder: recorder,
 		member: s.Host.ID + "-" + uuid.NewString()[:8],
 		state:  deployment.NewState(), jobs: jobs.NewTable(), placements: make(map[string]*placement),
 		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), durations: drain.NewDurations(),
 		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastTenures: make(map[int]*tenure), skipped: make(skippedRecords),
 	}
+	h.backends = &countedBackends{Backends: backends, host: h}
+	if s.Limits.Spillover {
+		h.spill = spill.NewGate(spill.Defaults())
+	}
 	h.keepUp, h.behind = keepup.Defaults(), make(chan struct{}, 1)
 	h.surveyed = make(chan struct{})
 	h.serving, h.stopServing = context.WithCancel(context.Background())
--- a/internal/fronthost/limits.go
+++ b/internal/fronthost/limits.go
@@ -246,11 +246,14 @@
 func (f *forwarding) choose() forward.Selection {
 	h := f.host
 	now := time.Now()
+	claimAge := h.claimAge()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.forward.Choose(h.serversByService[f.service], h.settings.Host.DataCentre, f.excluded, func(s *deployment.Server) ratelimit.State {
-		return h.limits.State(candidateOf(s), now)
-	}, now)
+	state := func(s *deployment.Server) ratelimit.State { return h.limits.State(candidateOf(s), now) }
+	if h.spill != nil {
+		return f.chooseWithSpillover(state, claimAge, now)
+	}
+	return h.forward.Choose(h.serversByService[f.service], h.settings.Host.DataCentre, f.excluded, state, now)
 }
 
 // patience returns how long the request may wait for its turn. A longer queue would
@@ -263,3 +266,20 @@
 	}
 	return max(patience, 0)
 }
+
+// grantPatience is how far ahead runs on replicas with a rate limit are reserved.
+const grantPatience = 500 * time.Millisecond
+
+// requestGrants asks for runs on replicas with a rate limit, for items that no other
+// replica can take. The caller holds host.mu.
+func (r *runner) requestGrants(replicas []string) {
+	byService := make(map[string][]ratelimit.Candidate)
+	for _, id := range replicas {
+		if s := r.host.state.Servers.Get(id); s != nil {
+			byService[s.Service] = append(byService[s.Service], candidateOf(s))
+		}
+	}
+	for service, servers := range byService {
+		r.host.limits.Prefetch(r.host.baseCtx, service, servers, grantPatience, r.wake)
+	}
+}
--- a/internal/fronthost/placement.go
+++ b/internal/fronthost/placement.go
@@ -20,6 +20,7 @@
 	suspicionKeyPrefix = "s/"
 	limitKeyPrefix     = "l/"
 	limitAllocatorKey  = "limit-allocator"
+	claimKeyPrefix     = "x/"
 )
 
 var errUnknownKey = errors.New("unknown record key")
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
@@ -15,7 +14,6 @@
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/keepup"
 	"github.com/sesamestand/sesamestand/internal/core/permit"
-	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/core/schedule"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 )
@@ -297,6 +295,7 @@
 			return route == nil || now.Sub(e.ReadAt) > route.Retention+expiryMargin
 		},
 		ScoreTarget: r.scoreTarget,
+		Leaving:     h.leaving(),
 	}
 }
 
@@ -309,13 +308,6 @@
 	return jobs.RouteOf(h.state.Config, e.Job)
 }
 
-// serviceOf returns the service of a route for a request or a job. It is the same
-// for an ID as long as the route does not change.
-func serviceOf(route *deployment.Route, id string) string {
-	const steps = 1 << 53 // numbers that a float64 can hold exactly
-	return route.Pick(float64(xxhash.Sum64String(id)>>11) / steps)
-}
-
 // replicas returns the replicas for a job as input for the scheduler. If none is
 // assigned to the job's model, all count as assigned. The caller holds host.mu.
 func (r *runner) replicas(e *jobs.Entry) []schedule.Replica {
@@ -334,7 +326,7 @@
 		p := h.placement(s.ID)
 		candidate := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, MemoryTokens: memory, Version: h.versionOf(s.ID, e.Job.Model)}
 		candidate.Grants, candidate.RateLimited = h.limits.Available(candidateOf(&s), now)
-		candidate.Usable = !s.Leaving && p.Loading != e.Job.Model
+		candidate.Usable = !s.Leaving && p.Loading != e.Job.Model && h.isReachable(s.DataCentre, now)
 		if p.serves(e.Job.Model) {
 			anyAssigned = true
 		} else {
@@ -368,27 +360,12 @@
 		Version: s.Version, LastEventID: s.Partial.LastID, Resumed: len(s.Partial.Events) > 0,
 		Expires: h.permitTerms().Expiry(r.asOf),
 	}
-	h.recorder.RecordDecision("run", s.Item.ID, "job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Partial.Events), "expected", s.Item.ExpectedOutput, "read_age_ms", boottime.Now().Sub(r.asOf).Milliseconds(), "why", s.Reason)
+	details := []any{"job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Partial.Events), "expected", s.Item.ExpectedOutput, "read_age_ms", boottime.Now().Sub(r.asOf).Milliseconds(), "why", s.Reason}
+	details = append(details, h.placeDetails(backend.CallRun, server.DataCentre, s.Verdict.Reason)...)
+	h.recorder.RecordDecision("run", s.Item.ID, details...)
 	go h.execute(runCtx, cancel, r.runState, target, request, s, route.MaxAttempts)
 }
 
-// grantPatience is how far ahead runs on replicas with a rate limit are reserved.
-const grantPatience = 500 * time.Millisecond
-
-// requestGrants asks for runs on replicas with a rate limit, for items that no other
-// replica can take. The caller holds host.mu.
-func (r *runner) requestGrants(replicas []string) {
-	byService := make(map[string][]ratelimit.Candidate)
-	for _, id := range replicas {
-		if s := r.host.state.Servers.Get(id); s != nil {
-			byService[s.Service] = append(byService[s.Service], candidateOf(s))
-		}
-	}
-	for service, servers := range byService {
-		r.host.limits.Prefetch(r.host.baseCtx, service, servers, grantPatience, r.wake)
-	}
-}
-
 // execute runs an item to its end and reports the events and the outcome to the
 // scheduler. The runner that started the item may have been replaced in the meantime.
 func (h *Host) execute(ctx context.Context, cancel func(), state *runState, target backend.Target, request *backend.Run, s schedule.Start, attempts int) {
@@ -400,6 +377,9 @@
 		now := time.Now()
 		h.mu.Lock()
 		state.scheduler.RecordEvent(s.Run, e.ID, e.Data, e.Version, now)
+		if events == 1 {
+			h.recordReach(target.ID, true, now)
+		}
 		h.placement(target.ID).observeVersion(s.Job.Job.Model, e.Version)
 		h.mu.Unlock()
 	})
@@ -407,6 +387,7 @@
 	now := time.Now()
 	h.mu.Lock()
 	delete(state.cancels, s.Run)
+	h.recordRunReach(target.ID, events, end, ctx.Err() != nil, now.Sub(started), now)
 	state.scheduler.RecordEnd(s.Run, outcome, attempts, now)
 	h.wakeRunners()
 	h.mu.Unlock()
--- a/internal/fronthost/streaming.go
+++ b/internal/fronthost/streaming.go
@@ -133,6 +133,7 @@
 	end := s.host.backends.Stream(ctx, targetOf(&a.server), &backend.Stream{
 		Request: s.request, LastEventID: s.lastID, Resumed: s.resumed, Timeout: time.Until(s.deadline),
 		OnHeaders: func(response *backend.Response) {
+			a.began = true
 			if s.head == nil {
 				s.head = response
 			}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -70,6 +70,8 @@
 	intKey("limits", "retry_reserve", "retries", "3", 0, 1000, "retries allowed over 10 s regardless of retry_share", func(s *Settings) *int { return &s.Limits.RetryReserve }),
 	intKey("limits", "crashes_to_refuse", "crashes", "3", 1, 100, "crashes of backend servers after which a request's content is refused", func(s *Settings) *int { return &s.Limits.CrashesToRefuse }),
 	intKey("limits", "decision_log_per_second", "lines/s", "1000", 0, 100000, "maximum rate of decision log lines; lines above it are counted but not written", func(s *Settings) *int { return &s.Limits.DecisionLogPerSec }),
+	{section: "limits", name: "spillover", unit: "switch", defaultText: switchOff, bounds: switchOff + " or " + switchOn, doc: "whether work leaves its data centre according to the shortage there and the cost of bytes; if off, servers in other data centres have a fixed cost", set: setSpillover,
+		get: func(s *Settings) string { return switchText(s.Limits.Spillover) }},
 
 	floatKey("limits", "cpu_share", "share", "1", 0.01, 1024, "share of its cores that the process may use; hosts with less than half a core in total leave partition ownership to larger hosts", func(s *Settings) *float64 { return &s.Limits.CPUShare }),
 	floatKey("limits", "memory", "MB", "0", 0, 1<<20, "memory limit of the process; above 80 % of it, garbage is collected more often; 0 means no limit", func(s *Settings) *float64 { return &s.Limits.MemoryMB }),
@@ -200,6 +202,27 @@
 	return nil
 }
 
+// Values of switches.
+const (
+	switchOff = "off"
+	switchOn  = "on"
+)
+
+func setSpillover(s *Settings, value string) error {
+	if value != switchOff && value != switchOn {
+		return fmt.Errorf("%q is neither %s nor %s", value, switchOff, switchOn)
+	}
+	s.Limits.Spillover = value == switchOn
+	return nil
+}
+
+func switchText(on bool) string {
+	if on {
+		return switchOn
+	}
+	return switchOff
+}
+
 func setPlatformKind(s *Settings, value string) error {
 	if value != PlatformServices && value != PlatformLogStore {
 		return fmt.Errorf("%q is neither %s nor %s", value, PlatformServices, PlatformLogStore)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,6 +98,7 @@
 	RetryReserve       int     // retries allowed regardless of RetryShare
 	CrashesToRefuse    int
 	DecisionLogPerSec  int
+	Spillover          bool    // work leaves its data centre by core/spill
 	CPUShare           float64 // share of Cores that the process may use
 	MemoryMB           float64 // 0 means no limit
 	Cores              float64
