Let claims, not latencies, open a direction between data centres

Cause: a claim with the number of another one could replace it in the listing of newest records, so that a host that had just started held another direction (found by TestNeverBothDirections). A data centre that is full passed requests on whatever the direction, and one that was cut off got a burst at each trial. Change: the key of a claim holds the whole claim, the highest number and name take effect, obsolete claims are removed; requests that full local servers refused leave only in the open direction; a data centre that was closed gets one request or one replica's runs until it responds. Result: the played loads of core/forward hold.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -53,6 +53,7 @@
 	inFlight     int
 	latency      time.Duration // exponential moving average of responses
 	answeredAt   time.Time     // last change of latency
+	refusedAt    time.Time     // last refusal for lack of capacity
 	failures     int
 	blockedUntil time.Time
 }
@@ -237,6 +238,7 @@
 		}
 	case Full:
 		stats.blockedUntil = now.Add(b.config.FullBackoff)
+		stats.refusedAt = now
 	case Misdirected, Failure:
 		backoff := min(b.config.FailureBackoff<<min(stats.failures, 8), b.config.MaxBackoff)
 		stats.failures++
--- a/internal/core/forward/spill.go
+++ b/internal/core/forward/spill.go
@@ -32,6 +32,9 @@
 	// observationHalfLife is how long after its last response the latency of a server
 	// counts for half.
 	observationHalfLife = 2 * time.Second
+	// refusalMemory is how long a server that refused a request for lack of capacity gets
+	// none from another data centre.
+	refusalMemory = time.Second
 )
 
 // SpillChoice is the result of ChooseWithSpillover.
@@ -44,18 +47,22 @@
 }
 
 // ChooseWithSpillover selects a server as Choose does, but one in another data centre
-// only if no local server can take the request or if leaving pays off.
+// only if no local server can take the request or if leaving pays off. If the local
+// servers have refused the request because they are full and it may not leave, there is no
+// selection.
 func (b *Balancer) ChooseWithSpillover(servers []deployment.Server, dataCentre string, exclude map[string]bool, state func(*deployment.Server) ratelimit.State, in Spillover, now time.Time) SpillChoice {
 	byDataCentre := groupByDataCentre(servers)
 	local := b.Choose(byDataCentre[dataCentre], dataCentre, exclude, state, now)
-	if local.Server == nil || local.LastResort || now.Before(b.serverStats(local.Server).blockedUntil) {
+	full := local.Server == nil && b.allFull(byDataCentre[dataCentre], now)
+	if !full && (local.Server == nil || local.LastResort || b.isFailing(local.Server, now)) {
 		return b.chooseAnywhere(servers, dataCentre, exclude, state, in, now)
 	}
-	work := in.work(b.expected(local.Server, now))
+	work := in.work(b.localPressure(local, in, now))
+	delete(byDataCentre, dataCentre)
 	remote := make(map[string]Selection, len(byDataCentre))
 	for _, name := range slices.Sorted(maps.Keys(byDataCentre)) {
 		s := b.Choose(byDataCentre[name], dataCentre, exclude, state, now)
-		if name == dataCentre || s.Server == nil || s.LastResort || now.Before(b.serverStats(s.Server).blockedUntil) {
+		if s.Server == nil || s.LastResort || !b.hasRoom(s.Server, now) {
 			continue
 		}
 		remote[name] = s
@@ -64,7 +71,12 @@
 			Open: in.Gate.Directions.MayLeave(in.Service, dataCentre, name, in.ClaimAge, now),
 		})
 	}
-	choice := SpillChoice{Selection: local, Verdict: in.Gate.Decide(work, now)}
+	choice := SpillChoice{Selection: local}
+	if full {
+		choice.Verdict = in.Gate.Overflow(work, now)
+	} else {
+		choice.Verdict = in.Gate.Decide(work, now)
+	}
 	choice.Claims = in.Gate.Claims(work, dataCentre, now)
 	if choice.Verdict.Leaves() {
 		choice.Selection = remote[choice.Verdict.DataCentre]
@@ -72,6 +84,54 @@
 	return choice
 }
 
+// hasRoom reports whether requests may be added to the load of a server in another data
+// centre: nothing failed there, and it has not refused a request for a while.
+func (b *Balancer) hasRoom(s *deployment.Server, now time.Time) bool {
+	stats := b.serverStats(s)
+	return !now.Before(stats.blockedUntil) && now.Sub(stats.refusedAt) >= refusalMemory
+}
+
+// isFull reports whether a server refused the last request for lack of capacity.
+func (b *Balancer) isFull(s *deployment.Server, now time.Time) bool {
+	stats := b.serverStats(s)
+	return stats.failures == 0 && now.Before(stats.blockedUntil)
+}
+
+// isFailing reports whether a server is avoided because requests to it failed.
+func (b *Balancer) isFailing(s *deployment.Server, now time.Time) bool {
+	stats := b.serverStats(s)
+	return stats.failures > 0 && now.Before(stats.blockedUntil)
+}
+
+// allFull reports whether there are servers that are not leaving, and all of them refused
+// the last request for lack of capacity.
+func (b *Balancer) allFull(servers []deployment.Server, now time.Time) bool {
+	full := false
+	for i := range servers {
+		if s := &servers[i]; !s.Leaving {
+			if !b.isFull(s, now) {
+				return false
+			}
+			full = true
+		}
+	}
+	return full
+}
+
+// localPressure returns the pressure of the local servers. It is at least the one at which
+// MaxShare may leave if they have no free slot for the request.
+func (b *Balancer) localPressure(local Selection, in Spillover, now time.Time) float64 {
+	full := in.Gate.Config().FullPressure
+	if local.Server == nil {
+		return full
+	}
+	pressure := in.pressure(b.expected(local.Server, now))
+	if local.Strained {
+		pressure = max(pressure, full)
+	}
+	return pressure
+}
+
 // chooseAnywhere selects a server when no local one can take the request without delay.
 // Data centres that cannot be reached are used only if there is no other.
 func (b *Balancer) chooseAnywhere(servers []deployment.Server, dataCentre string, exclude map[string]bool, state func(*deployment.Server) ratelimit.State, in Spillover, now time.Time) SpillChoice {
@@ -132,12 +192,12 @@
 	return d.Seconds() / in.limit().Seconds()
 }
 
-// work returns the decision's input for a request that is expected to be answered here
-// in the given time.
-func (in *Spillover) work(here time.Duration) spill.Work {
+// work returns the decision's input for a request at the given pressure of the local
+// servers.
+func (in *Spillover) work(pressure float64) spill.Work {
 	config := in.Gate.Config()
 	return spill.Work{
-		Service: in.Service, Key: in.Key, Pressure: in.pressure(here),
-		Cost: in.pressure(config.Cost(in.Bytes, here <= in.limit())),
+		Service: in.Service, Key: in.Key, Pressure: pressure,
+		Cost: in.pressure(config.Cost(in.Bytes, pressure < config.FullPressure)),
 	}
 }
--- /dev/null
+++ b/internal/core/forward/spill_test.go
@@ -0,0 +1,254 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/spill"
+)
+
+const (
+	simObjective = 150 * time.Millisecond
+	simService   = 25 * time.Millisecond // a server with 6 slots answers 240 requests a second
+	simQueue     = 12                    // a server refuses requests beyond this number of waiting ones
+	simClaimWay  = 20 * time.Millisecond // until hosts have read a claim
+)
+
+// simServer has the times at which its slots are free.
+type simServer struct {
+	deployment.Server
+	free   []time.Duration
+	factor float64 // of simService
+	cut    bool    // unreachable from other data centres
+}
+
+// take returns how long a request takes that is sent at a time, and false if the server
+// is full.
+func (s *simServer) take(at time.Duration) (time.Duration, bool) {
+	first, waiting := 0, 0
+	for i, f := range s.free {
+		if f < s.free[first] {
+			first = i
+		}
+		waiting += int(max(f-at, 0) / simService)
+	}
+	if waiting >= simQueue+len(s.free) {
+		return 0, false
+	}
+	s.free[first] = max(s.free[first], at) + time.Duration(s.factor*float64(simService))
+	return s.free[first] - at, true
+}
+
+// simZone is a data centre with one host.
+type simZone struct {
+	name     string
+	balancer *Balancer
+	gate     *spill.Gate
+	rate     func(at time.Duration) float64 // requests per second
+	asked    int
+	inTime   int
+	rises    int // changes of the share from 0
+}
+
+// simWorld plays requests in steps of a millisecond.
+type simWorld struct {
+	random  *rand.Rand
+	servers []simServer
+	zones   []*simZone
+	events  map[time.Duration][]func(now time.Time)
+	left    map[[2]string]map[int]int // requests by from, to and second
+}
+
+func newSimWorld(rates ...func(time.Duration) float64) *simWorld {
+	w := &simWorld{random: rand.New(rand.NewPCG(1, 2)), events: make(map[time.Duration][]func(time.Time)), left: make(map[[2]string]map[int]int)}
+	for i, rate := range rates {
+		name := string(rune('a' + i))
+		w.servers = append(w.servers, simServer{Server: deployment.Server{ID: "s" + name, DataCentre: name, Slots: 6}, free: make([]time.Duration, 6), factor: 1})
+		w.zones = append(w.zones, &simZone{name: name, balancer: New(Defaults()), gate: spill.NewGate(spill.Defaults()), rate: rate})
+	}
+	return w
+}
+
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+func (w *simWorld) run(duration time.Duration) {
+	for at := time.Duration(0); at < duration; at += time.Millisecond {
+		now := testTime.Add(at)
+		for _, event := range w.events[at] {
+			event(now)
+		}
+		delete(w.events, at)
+		for _, z := range w.zones {
+			if w.random.Float64() < z.rate(at)/1000 {
+				z.asked++
+				w.send(z, at, at, make(map[string]bool))
+			}
+		}
+	}
+}
+
+func (w *simWorld) after(at, delay time.Duration, event func(now time.Time)) {
+	due := (at + max(delay, time.Millisecond)).Truncate(time.Millisecond)
+	w.events[due] = append(w.events[due], event)
+}
+
+// send sends a request that began at a time, and again after a refusal or a failure.
+func (w *simWorld) send(z *simZone, began, at time.Duration, tried map[string]bool) {
+	list := make([]deployment.Server, len(w.servers))
+	for i := range w.servers {
+		list[i] = w.servers[i].Server
+	}
+	now, before := testTime.Add(at), z.gate.Share("app")
+	choice := z.balancer.ChooseWithSpillover(list, z.name, tried, nil, Spillover{Gate: z.gate, Service: "app", Key: w.random.Uint64(), Objective: simObjective, Bytes: 2500}, now)
+	if before == 0 && z.gate.Share("app") > 0 {
+		z.rises++
+	}
+	for _, c := range choice.Claims {
+		w.after(at, simClaimWay, func(now time.Time) {
+			for _, reader := range w.zones {
+				reader.gate.Directions.Apply(c, now)
+			}
+		})
+	}
+	if choice.Server == nil {
+		return
+	}
+	server := &w.servers[int(choice.Server.DataCentre[0]-'a')]
+	tried[server.ID] = true
+	remote := server.DataCentre != z.name
+	if remote {
+		z.gate.RecordStart(server.DataCentre, now)
+		key := [2]string{z.name, server.DataCentre}
+		if w.left[key] == nil {
+			w.left[key] = make(map[int]int)
+		}
+		w.left[key][int(at/time.Second)]++
+	}
+	z.balancer.RecordSent(&server.Server, false)
+	took, ok := time.Duration(0), false
+	result := Failure
+	if !remote || !server.cut {
+		result = Full
+		if took, ok = server.take(at); ok {
+			result = Answered
+		}
+	} else {
+		took = 300 * time.Millisecond
+	}
+	w.after(at, took, func(now time.Time) {
+		z.balancer.RecordResult(&server.Server, result, took, now)
+		if remote {
+			z.gate.RecordSend(server.DataCentre, result != Failure, now)
+		}
+		if result != Answered {
+			w.send(z, began, at+max(took, time.Millisecond), tried)
+		} else if at+took-began <= simObjective {
+			z.inTime++
+		}
+	})
+}
+
+func (w *simWorld) leftFrom(zone string, fromSecond int) int {
+	n := 0
+	for key, seconds := range w.left {
+		for second, count := range seconds {
+			if key[0] == zone && second >= fromSecond {
+				n += count
+			}
+		}
+	}
+	return n
+}
+
+func (z *simZone) share() float64 { return float64(z.inTime) / float64(z.asked) }
+
+// Guards against callers who wait or are refused while another data centre has room, for
+// each zone that may be short, and against work that leaves while there is no shortage.
+func TestShortZoneSendsWhatItCannotServe(t *testing.T) {
+	for short := range 3 {
+		rates := []func(time.Duration) float64{steady(40), steady(40), steady(40)}
+		rates[short] = steady(360)
+		w := newSimWorld(rates...)
+		w.run(20 * time.Second)
+		for i, z := range w.zones {
+			must.Greater(t, 0.9, z.share(), must.Sprintf("zone %s while %d is short", z.name, short))
+			if i != short {
+				must.EqOp(t, 0, w.leftFrom(z.name, 0))
+			}
+		}
+		left := w.leftFrom(w.zones[short].name, 0)
+		must.Between(t, 120*20*9/10, left, 20*240, must.Sprint("what a server of 240 a second cannot serve leaves, but no more than that twice"))
+	}
+}
+
+// Guards against two short data centres that send to each other in place of serving.
+func TestShortZonesDoNotExchange(t *testing.T) {
+	w := newSimWorld(steady(300), steady(300))
+	w.run(20 * time.Second)
+	for second := range 20 {
+		must.True(t, w.left[[2]string{"a", "b"}][second] == 0 || w.left[[2]string{"b", "a"}][second] == 0)
+	}
+}
+
+// Guards against a share that swings while the load swings around the capacity, and
+// against one that stays after the load has fallen.
+func TestShareDoesNotSwing(t *testing.T) {
+	w := newSimWorld(func(at time.Duration) float64 {
+		switch {
+		case at > 20*time.Second:
+			return 40
+		case at/time.Second%2 == 0:
+			return 220
+		}
+		return 260
+	}, steady(40))
+	w.run(30 * time.Second)
+	must.LessEq(t, 4, w.zones[0].rises, must.Sprint("at most one rise in 5 s"))
+	must.EqOp(t, 0, w.leftFrom("a", 25))
+	must.Greater(t, 0.9, w.zones[0].share())
+}
+
+// Guards against callers who are kept at a slow local server while another data centre
+// answers fast.
+func TestSlowLocalServerIsLeft(t *testing.T) {
+	for slow := range 2 {
+		w := newSimWorld(steady(20), steady(20))
+		w.servers[slow].factor = 8 // 200 ms
+		w.run(20 * time.Second)
+		must.Greater(t, 0.75, w.zones[slow].share())
+		must.Greater(t, 0.99, w.zones[1-slow].share())
+	}
+}
+
+// Guards against requests that are sent again and again to a data centre that is cut off.
+func TestUnreachableDataCentreIsAvoided(t *testing.T) {
+	w := newSimWorld(steady(300), steady(40))
+	w.servers[1].cut = true
+	w.run(20 * time.Second)
+	must.Less(t, w.zones[0].asked/100, w.leftFrom("a", 0))
+	must.Greater(t, 0.99, w.zones[1].share())
+}
+
+// Guards against other choices than those without spillover where all servers are local.
+func TestSpilloverChangesNothingWithinDataCentre(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	balancer, gate := New(Defaults()), spill.NewGate(spill.Defaults())
+	list := servers("near", "near", "near")
+	for i := range 2000 {
+		now := testTime.Add(time.Duration(i) * 7 * time.Millisecond)
+		s := &list[random.IntN(len(list))]
+		balancer.RecordSent(s, false)
+		if random.IntN(4) > 0 {
+			balancer.RecordResult(s, Result(random.IntN(5)), time.Duration(random.IntN(300))*time.Millisecond, now)
+		}
+		tried := map[string]bool{list[random.IntN(len(list))].ID: random.IntN(2) == 0}
+		with := balancer.ChooseWithSpillover(list, "near", tried, nil, Spillover{Gate: gate, Service: "app"}, now)
+		must.Eq(t, balancer.Choose(list, "near", tried, nil, now), with.Selection)
+	}
+}
--- a/internal/core/spill/direction.go
+++ b/internal/core/spill/direction.go
@@ -1,9 +1,12 @@
 package spill
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Claim states that one data centre may send the requests of a service to another one,
-// and not the reverse. All hosts apply claims in the order of the log.
+// and not the reverse.
 type Claim struct {
 	Service string
 	From    string
@@ -23,9 +26,17 @@
 type direction struct {
 	from      string
 	number    int64
-	readAt    time.Time // when the newest claim that took effect was read
-	changedAt time.Time // when the direction changed
+	readAt    time.Time // when the claim in effect was read
+	changedAt time.Time // when the direction changed or was first read; zero without a claim
 	askedAt   time.Time // when this host last asked for a claim
+	obsolete  []Claim   // claims in the log with lower numbers
+}
+
+// exceeds reports whether a claim takes effect instead of the one that is in effect. Of
+// claims with the same number, the one whose data centre's name comes last does, so that
+// the result does not depend on the order in which claims are read.
+func (p *direction) exceeds(c Claim) bool {
+	return p.number > c.Number || p.number == c.Number && p.from >= c.From
 }
 
 // Directions holds the open direction of each pair of data centres. It keeps those of
@@ -41,27 +52,64 @@
 }
 
 // Apply applies a claim that was read from the log, and reports whether it changes the
-// direction of its pair. Only the highest number counts and, of claims with the same
-// number, the first. The newest claims of both directions therefore give the same result
-// as all claims.
+// direction of its pair. The first claim counts as a change, because a host that has just
+// started does not know how long it has been in the log.
 func (d *Directions) Apply(c Claim, now time.Time) bool {
 	p := d.pair(c.Service, c.From, c.To)
-	if c.Number <= p.number {
+	if p.number > 0 && p.exceeds(c) {
+		if p.number > c.Number {
+			p.addObsolete(c)
+		}
 		return false
 	}
-	changed := p.from != c.From
+	changed := p.from != c.From || p.number == 0
 	if changed {
 		p.changedAt = now
 	}
+	if p.number > 0 {
+		p.addObsolete(Claim{Service: c.Service, From: p.from, To: otherOf(c, p.from), Number: p.number})
+	}
 	p.from, p.number, p.readAt = c.From, c.Number, now
 	return changed
 }
 
-// MayLeave reports whether the direction is open. age is the age of this host's
+// otherOf returns the data centre of a claim that is not the given one.
+func otherOf(c Claim, dataCentre string) string {
+	if c.From == dataCentre {
+		return c.To
+	}
+	return c.From
+}
+
+// maxObsolete bounds the obsolete claims that are remembered for a pair. One more claim
+// makes one obsolete, and the host that publishes it has the former ones removed.
+const maxObsolete = 32
+
+func (p *direction) addObsolete(c Claim) {
+	if len(p.obsolete) < maxObsolete && !slices.Contains(p.obsolete, c) {
+		p.obsolete = append(p.obsolete, c)
+	}
+}
+
+// Removed records that a claim was removed from the log.
+func (d *Directions) Removed(c Claim) {
+	p := d.pair(c.Service, c.From, c.To)
+	p.obsolete = slices.DeleteFunc(p.obsolete, func(o Claim) bool { return o == c })
+}
+
+// Obsolete returns the claims of a claim's pair that can be removed from the log: claims
+// with higher numbers are in it.
+func (d *Directions) Obsolete(c Claim) []Claim {
+	p := d.pair(c.Service, c.From, c.To)
+	return slices.DeleteFunc(slices.Clone(p.obsolete), func(o Claim) bool { return o.Number >= p.number })
+}
+
+// MayLeave reports whether the direction is open. Without a claim it is open from the data
+// centre whose name comes first. age is the age of this host's
 // knowledge of claims.
 func (d *Directions) MayLeave(service, from, to string, age time.Duration, now time.Time) bool {
-	p := d.pairs[pairOf(service, from, to)]
-	return p != nil && p.from == from && age <= d.config.MaxAge && now.Sub(p.changedAt) >= d.config.SettleTime
+	p := d.pair(service, from, to)
+	return p.from == from && age <= d.config.MaxAge && now.Sub(p.changedAt) >= d.config.SettleTime
 }
 
 // Want returns the claim that has to be published so that work may leave, and false if
@@ -73,7 +121,7 @@
 	if p.from == from {
 		wait /= 2
 	}
-	if p.from != "" && now.Sub(p.readAt) < wait || now.Sub(p.askedAt) < claimRetry {
+	if p.number > 0 && now.Sub(p.readAt) < wait || now.Sub(p.askedAt) < claimRetry {
 		return Claim{}, false
 	}
 	p.askedAt = now
@@ -87,7 +135,7 @@
 	key := pairOf(service, from, to)
 	p := d.pairs[key]
 	if p == nil {
-		p = &direction{}
+		p = &direction{from: key.low}
 		d.pairs[key] = p
 	}
 	return p
--- a/internal/core/spill/share.go
+++ b/internal/core/spill/share.go
@@ -66,7 +66,11 @@
 // link is the state of the path to another data centre.
 type link struct {
 	failures    int // sends in a row without a response
+	closings    int // how often the data centre was closed
 	closedUntil time.Time
+	// countedUntil is the time until which further failures, of work that was sent before,
+	// do not close the data centre for longer.
+	countedUntil time.Time
 }
 
 // RecordSend records whether a send to another data centre got any response.
@@ -81,14 +85,39 @@
 		g.links[dataCentre] = l
 	}
 	l.failures++
-	if beyond := l.failures - g.config.FailuresToClose; beyond >= 0 && !now.Before(l.closedUntil) {
-		l.closedUntil = now.Add(min(g.config.CloseTime<<min(beyond, maxCloseDoublings), g.config.MaxCloseTime))
+	if l.failures >= g.config.FailuresToClose && !now.Before(l.countedUntil) {
+		closed := min(g.config.CloseTime<<min(l.closings, maxCloseDoublings), g.config.MaxCloseTime)
+		l.closings++
+		l.countedUntil = now.Add(closed)
+		l.closedUntil = later(l.closedUntil, l.countedUntil)
 	}
 }
 
 // maxCloseDoublings bounds the shift of CloseTime.
 const maxCloseDoublings = 8
 
+// RecordStart records that work is sent to another data centre. If that was closed, more
+// is sent only after a response, or after CloseTime.
+func (g *Gate) RecordStart(dataCentre string, now time.Time) {
+	if g.Doubtful(dataCentre) {
+		l := g.links[dataCentre]
+		l.closedUntil = later(l.closedUntil, now.Add(g.config.CloseTime))
+	}
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+// Doubtful reports whether nothing is known of a data centre since it was closed.
+func (g *Gate) Doubtful(dataCentre string) bool {
+	l := g.links[dataCentre]
+	return l != nil && l.failures >= g.config.FailuresToClose
+}
+
 // Reachable reports whether work may be sent to another data centre. Once the time of a
 // closed one has passed, work that is sent there shows whether it can be reached.
 func (g *Gate) Reachable(dataCentre string, now time.Time) bool {
--- a/internal/core/spill/spill.go
+++ b/internal/core/spill/spill.go
@@ -61,7 +61,7 @@
 // Reason says why work left or stayed.
 type Reason string
 
-// Reasons. Work leaves for NoLocalServer, Late and Faster.
+// Reasons. Work leaves for NoLocalServer, Late, Full and Faster.
 const (
 	InTime        Reason = "in-time"         // a local server is expected to end it in time
 	NoGain        Reason = "no-gain"         // leaving would not save enough
@@ -70,6 +70,7 @@
 	Unreachable   Reason = "unreachable"     // sends to the other data centres fail
 	NoLocalServer Reason = "no-local-server" // no local server can take it now
 	Late          Reason = "late"            // it would be late here
+	Full          Reason = "full"            // the local servers have refused it for lack of capacity
 	Faster        Reason = "faster"          // another data centre saves more than the bytes cost
 )
 
@@ -167,6 +168,18 @@
 	return Verdict{DataCentre: best.DataCentre, Reason: Late}
 }
 
+// Overflow decides on work that all local servers have refused because they are full. It
+// stays, without a server, if no direction is open: the other data centres may be full as
+// well and send here.
+func (g *Gate) Overflow(w Work, now time.Time) Verdict {
+	g.updateShare(w.Service, w.Pressure, now)
+	best, reason := g.best(w, now)
+	if best == nil {
+		return Verdict{Reason: reason}
+	}
+	return Verdict{DataCentre: best.DataCentre, Reason: Full}
+}
+
 // Claims returns the claims that have to be published so that the work of a service may
 // leave for the data centres that are worth it, as long as its share is above 0.
 func (g *Gate) Claims(w Work, from string, now time.Time) []Claim {
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -218,6 +218,7 @@
 	a := &attempt{server: *server, sent: time.Now(), hedge: hedge}
 	h.mu.Lock()
 	h.forward.RecordSent(&a.server, hedge)
+	h.recordLeaving(a.server.DataCentre, a.sent)
 	h.mu.Unlock()
 	f.excluded[a.server.ID] = true
 	f.possibleRuns++
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -326,7 +326,7 @@
 		p := h.placement(s.ID)
 		candidate := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, MemoryTokens: memory, Version: h.versionOf(s.ID, e.Job.Model)}
 		candidate.Grants, candidate.RateLimited = h.limits.Available(candidateOf(&s), now)
-		candidate.Usable = !s.Leaving && p.Loading != e.Job.Model && h.isReachable(s.DataCentre, now)
+		candidate.Usable = !s.Leaving && p.Loading != e.Job.Model
 		if p.serves(e.Job.Model) {
 			anyAssigned = true
 		} else {
@@ -339,6 +339,7 @@
 			candidates[i].Unassigned = false
 		}
 	}
+	h.excludeUnreachable(candidates, now)
 	return candidates
 }
 
@@ -361,6 +362,7 @@
 		Expires: h.permitTerms().Expiry(r.asOf),
 	}
 	details := []any{"job", s.Job.Job.ID, "run", s.Run, "replica", s.Replica, "version", s.Version, "events", len(s.Partial.Events), "expected", s.Item.ExpectedOutput, "read_age_ms", boottime.Now().Sub(r.asOf).Milliseconds(), "why", s.Reason}
+	h.recordLeaving(server.DataCentre, time.Now())
 	details = append(details, h.placeDetails(backend.CallRun, server.DataCentre, s.Verdict.Reason)...)
 	h.recorder.RecordDecision("run", s.Item.ID, details...)
 	go h.execute(runCtx, cancel, r.runState, target, request, s, route.MaxAttempts)
--- a/internal/fronthost/spill.go
+++ b/internal/fronthost/spill.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
@@ -30,55 +30,65 @@
 	expectedResponseBytes = 2048 // response to a plain request
 )
 
-// claimRecord is the value of a claim on a direction between two data centres.
-type claimRecord struct {
-	Service string `json:"service"`
-	From    string `json:"from"`
-	To      string `json:"to"`
-	Number  int64  `json:"number"`
-}
-
 func isClaimKey(key string) bool { return strings.HasPrefix(key, claimKeyPrefix) }
 
-func encodeClaim(c spill.Claim) (logstore.Record, error) {
-	data, err := json.Marshal(claimRecord(c))
-	if err != nil {
-		return logstore.Record{}, eris.Wrap(err, "encode a claim")
+// claimKey returns the key of a claim. It holds the whole claim, so that no claim replaces
+// another one in the log.
+func claimKey(c spill.Claim) string {
+	return fmt.Sprintf("%s%s/%s/%s/%d", claimKeyPrefix, url.PathEscape(c.Service), url.PathEscape(c.From), url.PathEscape(c.To), c.Number)
+}
+
+func decodeClaim(key string) (spill.Claim, error) {
+	parts := strings.Split(strings.TrimPrefix(key, claimKeyPrefix), "/")
+	if len(parts) != 4 {
+		return spill.Claim{}, errBadClaim
+	}
+	for i := range parts[:3] {
+		name, err := url.PathUnescape(parts[i])
+		if err != nil || name == "" {
+			return spill.Claim{}, errBadClaim
+		}
+		parts[i] = name
+	}
+	number, err := strconv.ParseInt(parts[3], 10, 64)
+	if err != nil || number <= 0 || parts[1] == parts[2] {
+		return spill.Claim{}, errBadClaim
 	}
-	key := claimKeyPrefix + url.PathEscape(c.Service) + "/" + url.PathEscape(c.From) + "/" + url.PathEscape(c.To)
-	return logstore.Record{Key: key, Value: data}, nil
+	return spill.Claim{Service: parts[0], From: parts[1], To: parts[2], Number: number}, nil
 }
 
-// applyClaim applies a claim. A host that keeps its work local needs none. The caller
-// holds mu.
+var errBadClaim = errors.New("the key is not a claim of one data centre on another")
+
+// applyClaim applies a claim or its removal. A host that keeps its work local needs none.
+// The caller holds mu.
 func (h *Host) applyClaim(r logstore.Record, now time.Time) error {
-	if h.spill == nil || r.IsTombstone() {
+	if h.spill == nil {
 		return nil
 	}
-	var c claimRecord
-	if err := json.Unmarshal(r.Value, &c); err != nil {
-		return eris.Wrap(err, "decode a claim")
-	}
-	if c.From == c.To || c.From == "" || c.To == "" {
-		return errors.New("a claim needs two data centres")
-	}
-	if h.spill.Directions.Apply(spill.Claim(c), now) {
+	c, err := decodeClaim(r.Key)
+	switch {
+	case err != nil:
+		return err
+	case r.IsTombstone():
+		h.spill.Directions.Removed(c)
+	case h.spill.Directions.Apply(c, now):
 		klog.InfoS("direction between data centres changed", "service", c.Service, "from", c.From, "to", c.To, "number", c.Number, "offset", r.Offset)
 	}
 	return nil
 }
 
-// publishClaims publishes claims in the background.
+// publishClaims publishes claims in the background, and removes those that are obsolete.
+// The caller holds mu.
 func (h *Host) publishClaims(claims []spill.Claim) {
 	for _, c := range claims {
+		records := []logstore.Record{{Key: claimKey(c), Value: []byte("{}")}}
+		for _, o := range h.spill.Directions.Obsolete(c) {
+			records = append(records, logstore.Record{Key: claimKey(o)})
+		}
 		go func() {
 			ctx, cancel := context.WithTimeout(h.baseCtx, publishClaimTimeout)
 			defer cancel()
-			record, err := encodeClaim(c)
-			if err == nil {
-				err = h.appendAll(ctx, controlPartition, []logstore.Record{record})
-			}
-			if err != nil {
+			if err := h.appendAll(ctx, controlPartition, records); err != nil {
 				klog.InfoS("claim on a direction not published", "service", c.Service, "from", c.From, "to", c.To, "err", err)
 			}
 		}()
@@ -140,6 +150,13 @@
 	return f.verdict.Reason
 }
 
+// recordLeaving records that work is sent to a data centre. The caller holds mu.
+func (h *Host) recordLeaving(dataCentre string, now time.Time) {
+	if h.spill != nil && dataCentre != h.settings.Host.DataCentre {
+		h.spill.RecordStart(dataCentre, now)
+	}
+}
+
 // recordReach records whether a server in another data centre sent any response. The
 // caller holds mu.
 func (h *Host) recordReach(server string, responded bool, now time.Time) {
@@ -164,9 +181,25 @@
 	}
 }
 
-// isReachable reports whether items may be sent to a data centre. The caller holds mu.
-func (h *Host) isReachable(dataCentre string, now time.Time) bool {
-	return h.spill == nil || dataCentre == h.settings.Host.DataCentre || h.spill.Reachable(dataCentre, now)
+// excludeUnreachable makes the replicas in data centres that cannot be reached unusable.
+// One replica of a data centre that may be reachable again remains, each time another one.
+// The caller holds mu.
+func (h *Host) excludeUnreachable(candidates []schedule.Replica, now time.Time) {
+	if h.spill == nil {
+		return
+	}
+	doubtful := make(map[string][]*schedule.Replica)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Usable && c.DataCentre != h.settings.Host.DataCentre && h.spill.Doubtful(c.DataCentre) {
+			doubtful[c.DataCentre] = append(doubtful[c.DataCentre], c)
+			c.Usable = false
+		}
+	}
+	for dataCentre, replicas := range doubtful {
+		turn := int(now.UnixNano() / int64(h.spill.Config().CloseTime))
+		replicas[turn%len(replicas)].Usable = h.spill.Reachable(dataCentre, now)
+	}
 }
 
 // leaving returns what runs in other data centres cost, or nil if spillover is off.
