--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -38,6 +38,8 @@
 	resumed     map[string]int // runs that continue another one, by replica
 	now         time.Time
 	completedAt map[string]time.Duration // by item, since the start of the step
+	leaving     *Leaving
+	startedIn   map[string][]string // items by data centre, counted with leaving
 }
 
 type simulatedRun struct {
@@ -80,6 +82,7 @@
 		Expired:       func(*jobs.Entry) bool { return false },
 		DueAfter:      func(*jobs.Entry) time.Duration { return 7500 * time.Millisecond },
 		EventTokens:   func(*jobs.Entry) int { return testEventTokens },
+		Leaving:       s.leaving,
 	}
 }
 
@@ -97,6 +100,9 @@
 			delete(s.runs, stop.Run)
 		}
 		for _, start := range actions.Starts {
+			if s.leaving != nil {
+				s.countStart(start)
+			}
 			if len(start.Partial.Events) > 0 {
 				s.resumed[start.Replica]++
 			}
--- a/internal/core/schedule/spill.go
+++ b/internal/core/schedule/spill.go
@@ -17,8 +17,8 @@
 }
 
 // inTimeShare is the share of the time until an item is due within which a run has to be
-// expected to end to count as in time: lengths are often far off.
-const inTimeShare = 0.7
+// expected to end to count as in time: some items are twice as long as their hint.
+const inTimeShare = 0.5
 
 // leavingCost is the cost of leaving for one item during a tick.
 type leavingCost struct {
@@ -46,6 +46,10 @@
 		l.inTime = l.inTime || events*c.pace.Seconds() <= inTimeShare*untilDue.Seconds()
 	}
 	l.seconds = l.cost(events, l.inTime).Seconds()
+	if l.inTime {
+		// An idle replica elsewhere is no reason to leave while local ones have free slots.
+		l.seconds += occupancyCost
+	}
 	return l
 }
 
--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -196,8 +196,10 @@
 }
 
 // startHost starts an entry host and waits until it is ready.
-func (c *testCluster) startHost(id string) *hostHandle {
-	h := c.newEntryHost(id)
+func (c *testCluster) startHost(id string) *hostHandle { return c.start(c.newEntryHost(id)) }
+
+// start starts a host and waits until it is ready.
+func (c *testCluster) start(h *hostHandle) *hostHandle {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.t.Cleanup(cancel)
 	h.kill = cancel
