Claim one direction at a time

Cause: a data centre that is short claimed the directions to all others: 15 records every 2 s with 16 data centres. Change: it repeats the claim on the best open direction, and otherwise claims the best closed one.

--- a/internal/core/forward/spill.go
+++ b/internal/core/forward/spill.go
@@ -43,8 +43,8 @@
 	Selection
 	// Verdict says why the request leaves or stays.
 	Verdict spill.Verdict
-	// Claims have to be published so that requests may leave.
-	Claims []spill.Claim
+	// Claim has to be published so that requests may leave; nil if there is none.
+	Claim *spill.Claim
 }
 
 // ChooseWithSpillover selects a server as Choose does, but one in another data centre
@@ -79,7 +79,7 @@
 	} else {
 		choice.Verdict = in.Gate.Decide(work, now)
 	}
-	choice.Claims = in.Gate.Claims(work, dataCentre, now)
+	choice.Claim = in.Gate.Claim(work, dataCentre, now)
 	if choice.Verdict.Leaves() {
 		choice.Selection = remote[choice.Verdict.DataCentre]
 	}
--- a/internal/core/forward/spill_test.go
+++ b/internal/core/forward/spill_test.go
@@ -110,10 +110,10 @@
 	if before == 0 && z.gate.Share("app") > 0 {
 		z.rises++
 	}
-	for _, c := range choice.Claims {
+	if c := choice.Claim; c != nil {
 		w.after(at, simClaimWay, func(now time.Time) {
 			for _, reader := range w.zones {
-				reader.gate.Directions.Apply(c, now)
+				reader.gate.Directions.Apply(*c, now)
 			}
 		})
 	}
--- a/internal/core/spill/spill.go
+++ b/internal/core/spill/spill.go
@@ -180,22 +180,27 @@
 	return Verdict{DataCentre: best.DataCentre, Reason: Full}
 }
 
-// Claims returns the claims that have to be published so that the work of a service may
-// leave for the data centres that are worth it, as long as its share is above 0.
-func (g *Gate) Claims(w Work, from string, now time.Time) []Claim {
+// Claim returns the claim that has to be published so that the work of a service may leave,
+// as long as its share is above 0: for the best data centre that is open, so that it
+// remains so, or else for the best one. It returns nil if none is needed.
+func (g *Gate) Claim(w Work, from string, now time.Time) *Claim {
 	if g.Share(w.Service) == 0 {
 		return nil
 	}
-	var claims []Claim
-	for _, o := range w.Options {
-		if !g.pays(w, o) || !g.Reachable(o.DataCentre, now) {
-			continue
-		}
-		if c, ok := g.Directions.Want(w.Service, from, o.DataCentre, now); ok {
-			claims = append(claims, c)
+	best, _ := g.best(w, now)
+	for i := range w.Options {
+		o := &w.Options[i]
+		if !o.Open && g.pays(w, *o) && g.Reachable(o.DataCentre, now) && (best == nil || !best.Open && o.Pressure < best.Pressure) {
+			best = o
 		}
 	}
-	return claims
+	if best == nil {
+		return nil
+	}
+	if c, ok := g.Directions.Want(w.Service, from, best.DataCentre, now); ok {
+		return &c
+	}
+	return nil
 }
 
 // best returns the open option with the lowest pressure, or why there is none.
--- a/internal/fronthost/spill.go
+++ b/internal/fronthost/spill.go
@@ -77,22 +77,20 @@
 	return nil
 }
 
-// publishClaims publishes claims in the background, and removes those that are obsolete.
+// publishClaim publishes a claim in the background, and removes those that are obsolete.
 // The caller holds mu.
-func (h *Host) publishClaims(claims []spill.Claim) {
-	for _, c := range claims {
-		records := []logstore.Record{{Key: claimKey(c), Value: []byte("{}")}}
-		for _, o := range h.spill.Directions.Obsolete(c) {
-			records = append(records, logstore.Record{Key: claimKey(o)})
+func (h *Host) publishClaim(c spill.Claim) {
+	records := []logstore.Record{{Key: claimKey(c), Value: []byte("{}")}}
+	for _, o := range h.spill.Directions.Obsolete(c) {
+		records = append(records, logstore.Record{Key: claimKey(o)})
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(h.baseCtx, publishClaimTimeout)
+		defer cancel()
+		if err := h.appendAll(ctx, controlPartition, records); err != nil {
+			klog.InfoS("claim on a direction not published", "service", c.Service, "from", c.From, "to", c.To, "err", err)
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(h.baseCtx, publishClaimTimeout)
-			defer cancel()
-			if err := h.appendAll(ctx, controlPartition, records); err != nil {
-				klog.InfoS("claim on a direction not published", "service", c.Service, "from", c.From, "to", c.To, "err", err)
-			}
-		}()
-	}
+	}()
 }
 
 // publishClaimTimeout bounds the append of a claim.
@@ -123,7 +121,9 @@
 	if after := h.spill.Share(f.service); after != before {
 		klog.InfoS("share of requests that may leave the data centre changed", "service", f.service, "before", before, "after", after)
 	}
-	h.publishClaims(choice.Claims)
+	if choice.Claim != nil {
+		h.publishClaim(*choice.Claim)
+	}
 	f.verdict = choice.Verdict
 	return choice.Selection
 }
