--- a/cmd/sesamestand/status.go
+++ b/cmd/sesamestand/status.go
@@ -128,13 +128,41 @@
 	return w.Flush()
 }
 
-// explainCommand prints the decisions that one entry host made for a request.
+// explainCommand prints the decisions that one entry host made for a request, or the one
+// that it would make now.
 type explainCommand struct {
-	RequestID string `arg:"positional,required" help:"identifier of the request"`
+	RequestID string `arg:"positional" help:"identifier of the request"`
+	Next      bool   `arg:"--next" help:"show where a request or an item of a job would go now, without sending it; on a log store only"`
+	HostName  string `arg:"--host" help:"with --next: host name of the request" placeholder:"NAME"`
+	Method    string `arg:"--method" default:"GET" help:"with --next: method of the request"`
+	Path      string `arg:"--path" help:"with --next: path of the request"`
+	Model     string `arg:"--model" help:"with --next: model of the job, in place of host name and path"`
 	adminTarget
 }
 
+// runNext prints the decision that the host would make now.
+func (c *explainCommand) runNext(ctx context.Context) error {
+	query := url.Values{"host": {c.HostName}, "method": {c.Method}, "path": {c.Path}, "model": {c.Model}, "id": {c.RequestID}}
+	var preview fronthost.Preview
+	if err := c.get(ctx, "/next?"+query.Encode(), &preview); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(preview)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "route\t%s\nservice\t%s\nserver\t%s\ndata centre\t%s\nwhy\t%s\nplace\t%s\nneed a grant\t%s\n",
+		preview.Route, preview.Service, preview.Server, preview.DataCentre, preview.Why, preview.PlaceWhy, strings.Join(preview.NeedGrant, ", "))
+	return w.Flush()
+}
+
 func (c *explainCommand) run(ctx context.Context) error {
+	if c.Next {
+		return c.runNext(ctx)
+	}
+	if c.RequestID == "" {
+		return eris.New("a request identifier or --next is needed")
+	}
 	var decisions []telemetry.Decision
 	if err := c.get(ctx, "/explain/"+url.PathEscape(c.RequestID), &decisions); err != nil {
 		return err
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -45,7 +45,7 @@
 	s.fastest = s.fastestPace(in.Now)
 	in.EventTokens = memoize(in.EventTokens)
 	in.SingleVersion, in.DueAfter, in.Expired = memoize(in.SingleVersion), memoize(in.DueAfter), memoize(in.Expired)
-	s.eligible, s.blocked, s.granted = make(map[*jobs.Entry][]candidate), make(map[string]bool), make(map[string]int)
+	s.resetTick()
 	s.settleItems(in, &actions)
 	s.updateUsage(in)
 	onTime := s.onTime(in.Now)
@@ -60,6 +60,22 @@
 	return actions
 }
 
+// resetTick clears what is valid for one tick.
+func (s *Scheduler) resetTick() {
+	s.eligible, s.blocked, s.granted = make(map[*jobs.Entry][]candidate), make(map[string]bool), make(map[string]int)
+}
+
+// Preview returns the start that an item of a job that was not added would get now. It
+// starts nothing. It returns false if no replica can take the item.
+func (s *Scheduler) Preview(in TickInput, e *jobs.Entry, item *jobs.Item) (Start, bool) {
+	s.resetTick()
+	c := s.choose(&task{job: e, item: item}, in, "")
+	if c.replica == nil {
+		return Start{}, false
+	}
+	return Start{Job: e, Item: item, Replica: c.replica.ID, Version: c.replica.Version, Reason: s.explain(c), Verdict: c.verdict}, true
+}
+
 // memoize caches the results of f for a tick.
 func memoize[T any](f func(*jobs.Entry) T) func(*jobs.Entry) T {
 	results := make(map[*jobs.Entry]T)
--- a/internal/core/spill/spill.go
+++ b/internal/core/spill/spill.go
@@ -149,6 +149,23 @@
 	return &Gate{config: config, shares: make(map[string]*share), links: make(map[string]*link), Directions: newDirections(config)}
 }
 
+// Clone returns a copy, with which decisions can be tried.
+func (g *Gate) Clone() *Gate {
+	c := &Gate{config: g.config, shares: clone(g.shares), links: clone(g.links)}
+	c.Directions = &Directions{config: g.config, pairs: clone(g.Directions.pairs)}
+	return c
+}
+
+// clone returns a copy of a map and of the values that it refers to.
+func clone[K comparable, V any](m map[K]*V) map[K]*V {
+	c := make(map[K]*V, len(m))
+	for k, v := range m {
+		value := *v
+		c[k] = &value
+	}
+	return c
+}
+
 // Config returns the parameters.
 func (g *Gate) Config() Config { return g.config }
 
--- a/internal/fronthost/spill.go
+++ b/internal/fronthost/spill.go
@@ -109,15 +109,21 @@
 	return boottime.Now().Sub(asOf)
 }
 
+// spilloverOf returns what the decision on a request needs.
+func spilloverOf(gate *spill.Gate, route *deployment.Route, service, id string, bodyBytes int, claimAge time.Duration) forward.Spillover {
+	return forward.Spillover{
+		Gate: gate, Service: service, Key: xxhash.Sum64String(id), Objective: route.Objective,
+		Bytes: bodyBytes + expectedResponseBytes, ClaimAge: claimAge,
+	}
+}
+
 // chooseWithSpillover selects a server for the request and records why it leaves or
 // stays. The caller holds host.mu.
 func (f *forwarding) chooseWithSpillover(state func(*deployment.Server) ratelimit.State, claimAge time.Duration, now time.Time) forward.Selection {
 	h := f.host
 	before := h.spill.Share(f.service)
-	choice := h.forward.ChooseWithSpillover(h.serversByService[f.service], h.settings.Host.DataCentre, f.excluded, state, forward.Spillover{
-		Gate: h.spill, Service: f.service, Key: xxhash.Sum64String(f.request.ID), Objective: f.route.Objective,
-		Bytes: len(f.request.Body) + expectedResponseBytes, ClaimAge: claimAge,
-	}, now)
+	in := spilloverOf(h.spill, f.route, f.service, f.request.ID, len(f.request.Body), claimAge)
+	choice := h.forward.ChooseWithSpillover(h.serversByService[f.service], h.settings.Host.DataCentre, f.excluded, state, in, now)
 	if after := h.spill.Share(f.service); after != before {
 		klog.InfoS("share of requests that may leave the data centre changed", "service", f.service, "before", before, "after", after)
 	}
--- a/internal/fronthost/status.go
+++ b/internal/fronthost/status.go
@@ -120,8 +120,8 @@
 	return partitions
 }
 
-// adminHandler serves the metrics, the status, and the decisions that were recorded
-// for a request or job ID.
+// adminHandler serves the metrics, the status, the decisions that were recorded for a
+// request or job ID, and previews of decisions.
 func (h *Host) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", h.recorder.Handler())
@@ -129,6 +129,14 @@
 	mux.HandleFunc("GET /explain/{id}", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, h.recorder.Explain(r.PathValue("id")))
 	})
+	mux.HandleFunc("GET /next", func(w http.ResponseWriter, r *http.Request) {
+		preview, err := h.preview(r.URL.Query())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+			return
+		}
+		writeJSON(w, preview)
+	})
 	return mux
 }
 
