Judge streams by slots, and settle a direction within a second

Cause: the recorded latency of a stream is its length, so that long streams counted as a shortage and left; a full data centre waited 1.5 s for its direction. Change: streams ignore latency; a host needs a copy of the control partition of at most 0.7 s, so a new direction settles after 1 s.

--- a/internal/core/forward/spill.go
+++ b/internal/core/forward/spill.go
@@ -18,6 +18,9 @@
 	Bytes     int           // expected in both directions
 	// ClaimAge is the age of this host's knowledge of claims.
 	ClaimAge time.Duration
+	// Stream is set for streams. The latency of servers is then the length of streams, which
+	// says nothing about the wait for the first event.
+	Stream bool
 	// choose selects among the included servers that were not tried.
 	choose func(included func(*deployment.Server) bool) Selection
 }
@@ -69,7 +72,7 @@
 		}
 		remote[name] = s
 		work.Options = append(work.Options, spill.Option{
-			DataCentre: name, Pressure: in.pressure(b.expected(s.Server, now)),
+			DataCentre: name, Pressure: in.pressure(b.expected(s.Server, in.Stream, now)),
 			Open: in.Gate.Directions.MayLeave(in.Service, dataCentre, name, in.ClaimAge, now),
 		})
 	}
@@ -127,7 +130,7 @@
 	if local.Server == nil {
 		return full
 	}
-	pressure := in.pressure(b.expected(local.Server, now))
+	pressure := in.pressure(b.expected(local.Server, in.Stream, now))
 	if local.Strained {
 		pressure = max(pressure, full)
 	}
@@ -166,12 +169,12 @@
 	return names
 }
 
-// expected returns the time in which a server is expected to answer another request:
-// its latency, and a wait if the requests of this host take all of its slots.
-func (b *Balancer) expected(s *deployment.Server, now time.Time) time.Duration {
+// expected returns the time in which a server is expected to answer another request, or
+// to send the first event of another stream: its latency, and a wait if the requests of this host take all of its slots.
+func (b *Balancer) expected(s *deployment.Server, stream bool, now time.Time) time.Duration {
 	stats := b.serverStats(s)
 	latency := defaultLatency
-	if stats.latency > 0 {
+	if stats.latency > 0 && !stream {
 		lives := max(now.Sub(stats.answeredAt), 0) / observationHalfLife
 		latency = max(stats.latency>>min(lives, maxHalvings), min(stats.latency, defaultLatency))
 	}
--- a/internal/core/forward/spill_test.go
+++ b/internal/core/forward/spill_test.go
@@ -236,6 +236,20 @@
 	must.Greater(t, 0.99, w.zones[1].share())
 }
 
+// Guards against streams that leave because they are long.
+func TestLongStreamsStay(t *testing.T) {
+	balancer, gate := New(Defaults()), spill.NewGate(spill.Defaults())
+	list := servers("a", "b")
+	for range 5 {
+		balancer.RecordSent(&list[0], false)
+		balancer.RecordResult(&list[0], Answered, 3*time.Second, testTime)
+	}
+	in := Spillover{Gate: gate, Service: "app", Objective: simObjective, Stream: true}
+	must.EqOp(t, "a", balancer.ChooseWithSpillover(list, "a", nil, nil, in, testTime).Server.ID)
+	in.Stream = false
+	must.EqOp(t, "b", balancer.ChooseWithSpillover(list, "a", nil, nil, in, testTime).Server.ID)
+}
+
 // Guards against other choices than those without spillover where all servers are local.
 func TestSpilloverChangesNothingWithinDataCentre(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
--- a/internal/core/spill/spill.go
+++ b/internal/core/spill/spill.go
@@ -54,7 +54,7 @@
 		StartPressure: 0.5, FullPressure: 1, ReleasePressure: 0.35, MaxShare: 0.9, ShrinkPerSecond: 0.25,
 		Margin: 0.1, LoadMargin: 0.25,
 		FailuresToClose: 3, CloseTime: 500 * time.Millisecond, MaxCloseTime: 4 * time.Second,
-		ClaimTerm: 4 * time.Second, SettleTime: 1500 * time.Millisecond, MaxAge: time.Second,
+		ClaimTerm: 4 * time.Second, SettleTime: time.Second, MaxAge: 700 * time.Millisecond, // a follower's reads of an idle partition last 500 ms
 	}
 }
 
--- a/internal/fronthost/spill.go
+++ b/internal/fronthost/spill.go
@@ -113,7 +113,7 @@
 func spilloverOf(gate *spill.Gate, route *deployment.Route, service, id string, bodyBytes int, claimAge time.Duration) forward.Spillover {
 	return forward.Spillover{
 		Gate: gate, Service: service, Key: xxhash.Sum64String(id), Objective: route.Objective,
-		Bytes: bodyBytes + expectedResponseBytes, ClaimAge: claimAge,
+		Bytes: bodyBytes + expectedResponseBytes, ClaimAge: claimAge, Stream: route.Kind == deployment.Stream,
 	}
 }
 
