Check the values of the spillover setting in tests

Cause: nothing guarded its default, its text form and its validation. Change: the tests of defaults and findings cover it. Result: they pass.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -42,7 +42,9 @@
 	must.Eq(t, 3*time.Second, s.Timing.LeaseTerm)
 	must.Eq(t, 5*time.Second, s.Timing.ProgressTimeout)
 	must.Eq(t, "abc", s.Auth.TrainerTokens["captions"])
+	must.False(t, s.Limits.Spillover)
 
+	s.Limits.Spillover = true
 	reparsed, err := Parse("host.ini", []byte(Format(s)))
 	must.NoError(t, err)
 	must.Eq(t, s, reparsed)
@@ -52,13 +54,14 @@
 // number.
 func TestParseReportsAllFindingsWithLocation(t *testing.T) {
 	bad := strings.Replace(valid, "127.0.0.1:8080", "entry.example:80", 1) +
-		"foo = 1\n[limits]\nretry_share = NaN\nbody_bytes = 3\n[wrong]\nx = 1\n"
+		"foo = 1\n[limits]\nretry_share = NaN\nbody_bytes = 3\nspillover = yes\n[wrong]\nx = 1\n"
 	must.Eq(t, []string{
 		`host.ini:4: http_addr: "entry.example:80" is not IP:port`,
 		`host.ini:21: foo: is not a known key of [timing]`,
 		`host.ini:23: retry_share: NaN is not in 0 to 1`,
 		`host.ini:24: body_bytes: 3 is not in 1024 to 67108864`,
-		`host.ini:25: wrong: is not a known section`,
+		`host.ini:25: spillover: "yes" is neither off nor on`,
+		`host.ini:26: wrong: is not a known section`,
 	}, findingsOf(t, bad))
 }
 
