--- a/internal/core/schedule/evacuate.go
+++ b/internal/core/schedule/evacuate.go
@@ -45,7 +45,7 @@
 		actions.Stops = append(actions.Stops, Stop{Run: l.task.run.id, Reason: fmt.Sprintf(
 			"replica %s leaves in %s, the run is expected to take %s", from, l.left, l.rest)})
 		s.release(l.task)
-		actions.Starts = append(actions.Starts, s.start(l.task, to.replica, in, "moved from leaving "+from+", "+s.explain(to)))
+		actions.Starts = append(actions.Starts, s.start(l.task, to, in, "moved from leaving "+from+", "+s.explain(to)))
 	}
 }
 
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -34,6 +34,8 @@
 	// ScoreTarget returns the service that answers an item's reward call, and false
 	// if no route leads to one.
 	ScoreTarget func(*jobs.Entry, *jobs.Item) (ScoreTarget, bool)
+	// Leaving is set if runs on replicas in other data centres have a cost.
+	Leaving *Leaving
 }
 
 // Tick decides which runs to stop and start and which results to commit.
@@ -43,8 +45,7 @@
 	s.fastest = s.fastestPace(in.Now)
 	in.EventTokens = memoize(in.EventTokens)
 	in.SingleVersion, in.DueAfter, in.Expired = memoize(in.SingleVersion), memoize(in.DueAfter), memoize(in.Expired)
-	s.eligible, s.blocked, s.granted = make(map[*jobs.Entry][]candidate), make(map[string]bool), make(map[string]int)
-	s.leaves = make(map[*jobs.Entry]map[string]time.Time)
+	s.resetTick()
 	s.settleItems(in, &actions)
 	s.updateUsage(in)
 	onTime := s.onTime(in.Now)
@@ -60,6 +61,23 @@
 	return actions
 }
 
+// resetTick clears what is valid for one tick.
+func (s *Scheduler) resetTick() {
+	s.eligible, s.blocked, s.granted = make(map[*jobs.Entry][]candidate), make(map[string]bool), make(map[string]int)
+	s.leaves = make(map[*jobs.Entry]map[string]time.Time)
+}
+
+// Preview returns the start that an item of a job that was not added would get now. It
+// starts nothing. It returns false if no replica can take the item.
+func (s *Scheduler) Preview(in TickInput, e *jobs.Entry, item *jobs.Item) (Start, bool) {
+	s.resetTick()
+	c := s.choose(&task{job: e, item: item}, in, "")
+	if c.replica == nil {
+		return Start{}, false
+	}
+	return Start{Job: e, Item: item, Replica: c.replica.ID, Version: c.replica.Version, Reason: s.explain(c), Verdict: c.verdict}, true
+}
+
 // memoize caches the results of f for a tick.
 func memoize[T any](f func(*jobs.Entry) T) func(*jobs.Entry) T {
 	results := make(map[*jobs.Entry]T)
@@ -221,7 +239,7 @@
 func (s *Scheduler) startWaiting(in TickInput, actions *Actions) {
 	for _, t := range s.runnable(in) {
 		if c := s.choose(t, in, ""); c.replica != nil {
-			actions.Starts = append(actions.Starts, s.start(t, c.replica, in, s.explain(c)))
+			actions.Starts = append(actions.Starts, s.start(t, c, in, s.explain(c)))
 		}
 	}
 	actions.NeedGrant = s.needGrant(in)
@@ -254,7 +272,8 @@
 
 // start creates a run of an item on a replica. It discards a partial output that
 // the job does not allow to continue there.
-func (s *Scheduler) start(t *task, to *Replica, in TickInput, reason string) Start {
+func (s *Scheduler) start(t *task, c choice, in TickInput, reason string) Start {
+	to := c.replica
 	s.nextRun++
 	minVersion, single := t.job.Job.MinVersion, in.SingleVersion(t.job)
 	if !jobs.VersionsAllowed(t.partial.Versions, minVersion, single) || (single && len(t.partial.Versions) > 0 && t.partial.Versions[0] != to.Version) {
@@ -266,7 +285,7 @@
 	s.addUsage(t, in)
 	return Start{
 		Run: t.run.id, Job: t.job, Item: t.item, Replica: to.ID, Version: to.Version,
-		Partial: t.partial, Reason: reason,
+		Partial: t.partial, Reason: reason, Verdict: c.verdict,
 	}
 }
 
