--- a/internal/fronthost/spill_test.go
+++ b/internal/fronthost/spill_test.go
@@ -53,7 +53,7 @@
 	call := func(h *hostHandle) bool {
 		calls++
 		request := &backend.Request{ID: fmt.Sprintf("page-%d", calls), Method: http.MethodGet, URI: "/pages/x", HostName: testHost, Header: http.Header{}, Body: []byte("body")}
-		_, refusal := h.Forward(context.Background(), request, h.Config().Match(testHost, "/pages/x"), time.Now().Add(2*time.Second))
+		_, refusal := h.Forward(context.Background(), Caller{}, request, h.Config().Match(testHost, "/pages/x"), time.Now().Add(2*time.Second))
 		return refusal == nil
 	}
 	must.False(t, call(second), must.Sprint("without a claim the direction is the other one"))
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,10 @@
 	templateField   = regexp.MustCompile(`\{\{([^}]*)\}\}`)
 )
 
+// tables are the fields that are tables. The platform renders a section of one for each of
+// its entries.
+var tables = map[string]int{"cloud": 3, "bounds": 9, "limits": 5, "provider": 12}
+
 // renderTemplate renders the deploy template as the platform does: sections of missing
 // fields, and missing fields themselves, are left out.
 func renderTemplate(t *testing.T, fields map[string]string) Settings {
@@ -25,7 +30,7 @@
 		if _, ok := fields[match[1]]; !ok {
 			return ""
 		}
-		return match[2]
+		return strings.Repeat(match[2], max(tables[match[1]], 1))
 	})
 	text = templateField.ReplaceAllStringFunc(text, func(s string) string { return fields[s[2:len(s)-2]] })
 	s, err := Parse("host.ini", []byte(text))
@@ -43,6 +48,7 @@
 	}
 	s := renderTemplate(t, fields)
 	must.False(t, s.Platform.Control.HasDuty(DutyUsage))
+	must.False(t, s.Limits.Spillover)
 	must.EqOp(t, 5*time.Second, s.Timing.UsageWindow)
 
 	for field, value := range map[string]string{
@@ -52,6 +58,7 @@
 	}
 	s = renderTemplate(t, fields)
 	must.True(t, s.Platform.Control.HasDuty(DutyUsage))
+	must.True(t, s.Limits.Spillover)
 	must.EqOp(t, 20, s.Platform.Control.CallsPerSecond)
 	must.EqOp(t, 4*time.Second, s.Timing.UsageWindow)
 	must.EqOp(t, 12500*time.Millisecond, s.Timing.UsageDue)
