Take rounds that were read late for no more work in the pool

Change: until five gaps between rounds are known, the period is at least half of the time until results are due. The reason of an order names the period, the trainers and the time a token.

--- a/internal/core/pool/demand.go
+++ b/internal/core/pool/demand.go
@@ -49,24 +49,29 @@
 	servers int
 	// period is the longest time between two rounds of a trainer, or 0 without rounds.
 	period time.Duration
+	// perToken is the time of a run for each token of the expected output, and trainers the
+	// number of those that submit rounds.
+	perToken time.Duration
+	trainers int
 }
 
 // needOf returns the need of a service: the newest rounds of all trainers, if submitted
 // together, end in RoundShare of their periods, and what is open ends when it is due.
 func (c Config) needOf(s *Service, now time.Time) need {
 	perToken := s.Demand.tokenTime()
-	slots, period := 0.0, time.Duration(0)
+	slots, period, trainers := 0.0, time.Duration(0), 0
 	for _, rounds := range byTrainer(s.Demand.Rounds) {
 		newest := rounds[len(rounds)-1]
 		p := periodOf(rounds)
 		if now.Sub(newest.Submitted) > max(activePeriods*p, minActive) {
 			continue
 		}
+		trainers++
 		period = max(period, p)
 		slots += largest(rounds) * perToken.Seconds() / (c.RoundShare * min(p, newest.due()).Seconds())
 	}
 	slots = max(slots, backlogSlots(s.Demand.Rounds, perToken, s.Scale.StartUp+c.ArrivalLag, s.slots(), now))
-	return need{servers: int(math.Ceil(slots * c.Headroom / s.slotsPerServer())), period: period}
+	return need{servers: int(math.Ceil(slots * c.Headroom / s.slotsPerServer())), period: period, perToken: perToken, trainers: trainers}
 }
 
 // tokenTime returns the time of a run for each token of the expected output. It includes
@@ -97,8 +102,9 @@
 	return trainers
 }
 
-// periodOf returns the median time between a trainer's newest rounds, or half of the time
-// until results are due if no gap is known.
+// periodOf returns the median time between a trainer's newest rounds. While fewer than
+// measuredGaps are known, it is half of the time until results are due at least: a host that
+// was cut off reads rounds of several periods within a second.
 func periodOf(rounds []Round) time.Duration {
 	var gaps []time.Duration
 	for i := len(rounds) - 1; i > 0 && len(gaps) < measuredGaps; i-- {
@@ -106,11 +112,16 @@
 			gaps = append(gaps, gap)
 		}
 	}
+	usual := rounds[len(rounds)-1].due() / 2
 	if len(gaps) == 0 {
-		return rounds[len(rounds)-1].due() / 2
+		return usual
 	}
 	slices.Sort(gaps)
-	return gaps[len(gaps)/2]
+	median := gaps[len(gaps)/2]
+	if len(gaps) < measuredGaps {
+		return max(median, usual)
+	}
+	return median
 }
 
 // largest returns the expected output of the largest of a trainer's newest rounds.
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -240,3 +240,18 @@
 	}
 	must.EqOp(t, usual, Defaults().needOf(s, now).servers)
 }
+
+// Guards against servers that are ordered because a host that was cut off read several rounds
+// of a trainer within a second, as if it submitted four times as often.
+func TestRoundsThatWereReadLateAreNotMoreWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	needed := func(readAt ...time.Duration) int {
+		s := &Service{Scale: testScale, Slots: testSlots}
+		for _, at := range readAt {
+			s.Demand.Rounds = append(s.Demand.Rounds, Round{Trainer: "t", Submitted: now.Add(at), Due: testDue, Tokens: 1e5})
+		}
+		return Defaults().needOf(s, now).servers
+	}
+	usual := needed(-8*time.Second, -4*time.Second, 0)
+	must.LessEq(t, usual+1, needed(-1700*time.Millisecond, -900*time.Millisecond, 0))
+}
--- a/internal/core/pool/service.go
+++ b/internal/core/pool/service.go
@@ -114,7 +114,8 @@
 func (s *service) increase(now time.Time) []Order {
 	want := s.targetsFor(s.need.servers)
 	onDemand, spot := s.count(false), s.count(true)
-	reason := fmt.Sprintf("%d servers are needed with a reserve of %d, %d on-demand and %d spot servers serve or come", want.onDemand, want.reserve, onDemand, spot)
+	reason := fmt.Sprintf("%d servers are needed for %d trainers with rounds every %s and %s a token, with a reserve of %d, %d on-demand and %d spot servers serve or come",
+		want.onDemand, s.need.trainers, s.need.period, s.need.perToken, want.reserve, onDemand, spot)
 	orders := s.fillMinimum(now)
 	orders = append(orders, s.place(false, want.onDemand-s.count(false), want.onDemand, reason, now)...)
 	return append(orders, s.place(true, want.total()-max(s.count(false), want.onDemand)-spot, want.reserve, reason, now)...)
