--- a/internal/testbed/starters.go
+++ b/internal/testbed/starters.go
@@ -102,6 +102,9 @@
 	<-p.ended
 }
 
+// Pid returns the process ID.
+func (p *childProcess) Pid() int { return p.command.Process.Pid }
+
 // Pause suspends the process until Resume.
 func (p *childProcess) Pause() error { return p.command.Process.Signal(syscall.SIGSTOP) }
 
