Bound memory and connections of all clients of a host

Cause: net/http and gRPC bound single heads (1 MB and 16 MB) and nothing bounded the heads, bodies and connections of all clients together. A short header line takes some 100 times its bytes once it is parsed and copied, bodies were read with io.ReadAll, and a body without progress stayed for ever.

Change: core/intake counts memory before it is taken and decides which connection is closed; internal/intake carries it out for all addresses of both ways in. New setting max_connections.

--- a/cmd/sesamestand/serve.go
+++ b/cmd/sesamestand/serve.go
@@ -28,6 +28,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * softMemoryShare * (1 << 20)))
+	}
 	if s.Platform.OnLogStore() {
 		return serveOnLogStore(ctx, s)
 	}
@@ -55,9 +58,6 @@
 		return err
 	}
 	defer flush(logFlushTimeout)
-	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * softMemoryShare * (1 << 20)))
-	}
 	host, err := platform.NewHost(s)
 	if err != nil {
 		return err
--- a/internal/callers/completions.go
+++ b/internal/callers/completions.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,6 +17,7 @@
 	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/intake"
 )
 
 const (
@@ -149,6 +151,9 @@
 	}
 }
 
+// decodedCopies is the memory of a decoded request in sizes of its body.
+const decodedCopies = 3
+
 // parse decodes and validates the request. It returns the generation to run and
 // whether the response is streamed, or a refusal.
 func (c *Controller) parse(w http.ResponseWriter, r *http.Request, id string) (cluster.Generation, bool, *cluster.Refusal) {
@@ -159,11 +164,14 @@
 		return refuse(cluster.ReasonBadRequest, "the request ID is longer than 128 bytes")
 	}
 	var body completionRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, c.config.MaxBodyBytes)).Decode(&body); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return refuse(cluster.ReasonTooLarge, "the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-		}
+	data, err := intake.ReadBody(w, r, c.config.MaxBodyBytes)
+	if err == nil {
+		err = intake.Reserve(r, decodedCopies*int64(len(data)))
+	}
+	if err != nil {
+		return cluster.Generation{}, false, intake.BodyRefusal(err)
+	}
+	if err := json.NewDecoder(bytes.NewReader(data)).Decode(&body); err != nil {
 		return refuse(cluster.ReasonBadRequest, "the body is not a completion request: "+err.Error())
 	}
 	set, version := c.configs.Current()
--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -249,7 +249,7 @@
 	h.owner = owner.New(owner.Config{Policy: policy, ExchangeInterval: 20 * time.Millisecond}, h, h, h, h, client, h, recorder)
 	h.controller = New(Config{Policy: policy, ReplicaWaitTimeout: 100 * time.Millisecond}, h, h, h, h, h, h.owner, h, recorder)
 	h.controller.started = time.Now().Add(-time.Hour) // old enough to know all earlier attempts
-	server := grpc.NewServer(peer.ServerOptions("token", nil)...)
+	server := grpc.NewServer(peer.ServerOptions("token", nil, nil)...)
 	peerpb.RegisterPeerServer(server, &peer.Server{RunHandler: h.owner, ExchangeHandler: h.owner, ClaimHandler: h.controller})
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
--- /dev/null
+++ b/internal/core/intake/intake.go
@@ -0,0 +1,342 @@
+// Package intake decides how much memory the connections of clients may hold, which of
+// them is closed when memory or connections run out, and which makes no progress. It
+// handles clients outside the operators' control that send many heads, heads without end
+// or many bodies at once, and leave their connections open.
+package intake
+
+import "time"
+
+// Address is a kind of address of a host, with connections of its own.
+type Address int
+
+// Kinds of addresses.
+const (
+	Callers   Address = iota
+	Operators         // readiness and metrics
+	Peers             // other entry hosts
+	addresses
+)
+
+// Phase is what a connection is doing.
+type Phase int
+
+// Phases of a connection.
+const (
+	Idle    Phase = iota // between two requests, or a peer that is known
+	Head                 // its head is arriving, or a peer that is not known yet
+	Body                 // its body is arriving
+	Running              // its request was read to its end and may have been passed on
+)
+
+// Reason says why a connection is closed or refused.
+type Reason string
+
+// Reasons.
+const (
+	NoConnection    Reason = "connections"
+	NoMemory        Reason = "memory"
+	LongHead        Reason = "long-head"
+	HeadTimeout     Reason = "head-timeout"
+	BodyTimeout     Reason = "body-timeout"
+	ResponseTimeout Reason = "response-timeout"
+)
+
+const (
+	// SmallBytes is what a connection may hold of the memory that is reserved for small
+	// requests.
+	SmallBytes = 64 << 10
+	// lineBytes is the memory of a header line beside its text: an entry of a map, a slice
+	// and two strings, in the request and in the copies that are forwarded.
+	lineBytes = 512
+	// headCopies is the number of copies of the text of a head.
+	headCopies = 3
+	// stepBytes is the progress after which a connection no longer counts as slow. Single
+	// bytes must not keep a connection from being closed.
+	stepBytes = 16 << 10
+	// idleStall is the time without progress after which an incomplete request is closed
+	// before an idle connection that a client keeps.
+	idleStall = time.Second
+	// minStall is the shortest time without progress after which a connection is closed for
+	// the sake of another one.
+	minStall = 250 * time.Millisecond
+)
+
+// HeadBytes returns the memory of a head.
+func HeadBytes(bytes, lines int) int64 { return int64(bytes*headCopies + lines*lineBytes) }
+
+// Limits bound what all connections together may take. They may change at any time.
+type Limits struct {
+	Connections [addresses]int
+	Memory      int64 // of all connections
+	LargeMemory int64 // of what connections hold beyond SmallBytes
+	// Times without progress after which a connection is closed.
+	HeadTimeout, BodyTimeout, ResponseTimeout time.Duration
+}
+
+// ID identifies a connection.
+type ID int64
+
+// Closing is a connection that must be closed.
+type Closing struct {
+	ID     ID
+	Reason Reason
+}
+
+// Verdict is the answer to a connection that needs memory.
+type Verdict int
+
+// Verdicts.
+const (
+	Granted Verdict = iota
+	Wait            // ask again when a connection has returned memory
+)
+
+type connection struct {
+	address  Address
+	phase    Phase
+	since    time.Time // of the phase
+	lastByte time.Time // that was received, or that the client took of a response
+	stepAt   time.Time // when the last stepBytes had arrived
+	step     int       // bytes since then
+	writing  bool
+	waiting  bool // for memory, so that its client can't make progress
+	held     int64
+	closing  bool
+}
+
+func (c *connection) large() int64 { return max(c.held-SmallBytes, 0) }
+
+// Table holds the connections of a process. It is not safe for concurrent use.
+type Table struct {
+	limits Limits
+	conns  map[ID]*connection
+	nextID ID
+	open   [addresses]int
+	held   int64
+	large  int64
+}
+
+// NewTable returns an empty table.
+func NewTable(limits Limits) *Table {
+	return &Table{limits: limits, conns: make(map[ID]*connection)}
+}
+
+// SetLimits replaces the limits.
+func (t *Table) SetLimits(limits Limits) { t.limits = limits }
+
+// Held returns the memory that all connections hold, and their number.
+func (t *Table) Held() (bytes int64, connections int) { return t.held, len(t.conns) }
+
+// HeldBy returns the memory that a connection holds.
+func (t *Table) HeldBy(id ID) int64 {
+	if c := t.conns[id]; c != nil {
+		return c.held
+	}
+	return 0
+}
+
+// Open adds a connection, which is expected to send a head. If the limit of its address is
+// reached, another one must be closed first; without one that may be closed, the new one
+// is refused.
+func (t *Table) Open(address Address, now time.Time) (id ID, closing []Closing, ok bool) {
+	if t.open[address] >= t.limits.Connections[address] {
+		victim, found := t.leastUseful(address, now)
+		if !found {
+			return 0, nil, false
+		}
+		closing = append(closing, t.close(victim, NoConnection))
+	}
+	t.nextID++
+	t.conns[t.nextID] = &connection{address: address, phase: Head, since: now, lastByte: now, stepAt: now}
+	t.open[address]++
+	return t.nextID, closing, true
+}
+
+// close marks a connection that must be closed. It no longer counts as open, and what it
+// holds counts until it is removed.
+func (t *Table) close(id ID, reason Reason) Closing {
+	c := t.conns[id]
+	c.closing = true
+	t.open[c.address]--
+	return Closing{id, reason}
+}
+
+// Remove removes a connection that is closed and whose request has ended.
+func (t *Table) Remove(id ID) {
+	c := t.conns[id]
+	if c == nil {
+		return
+	}
+	t.setHeld(c, 0)
+	if !c.closing {
+		t.open[c.address]--
+	}
+	delete(t.conns, id)
+}
+
+// Enter notes that a connection begins a phase.
+func (t *Table) Enter(id ID, phase Phase, now time.Time) {
+	c := t.conns[id]
+	if c == nil || c.phase == phase {
+		return
+	}
+	c.phase, c.since, c.lastByte, c.stepAt, c.step = phase, now, now, now, 0
+}
+
+// Progress notes that bytes of a head or body have arrived.
+func (t *Table) Progress(id ID, bytes int, now time.Time) {
+	c := t.conns[id]
+	if c == nil {
+		return
+	}
+	c.lastByte = now
+	if c.step += bytes; c.step >= stepBytes {
+		c.step, c.stepAt = 0, now
+	}
+}
+
+// Writing notes that a connection begins to write a response or that the client took some
+// of it, or that nothing is written any more.
+func (t *Table) Writing(id ID, writing bool, now time.Time) {
+	if c := t.conns[id]; c != nil {
+		c.writing, c.lastByte = writing, now
+	}
+}
+
+// Add adds to what a connection holds without a limit: a response exists already.
+func (t *Table) Add(id ID, bytes int64) {
+	if c := t.conns[id]; c != nil {
+		t.setHeld(c, c.held+bytes)
+	}
+}
+
+// Hold sets what a connection holds, if there is room. Otherwise it names connections that
+// must be closed, and the caller has to wait.
+func (t *Table) Hold(id ID, bytes int64, now time.Time) (Verdict, []Closing) {
+	c := t.conns[id]
+	if c == nil {
+		return Wait, nil
+	}
+	if c.waiting {
+		c.waiting, c.stepAt, c.lastByte = false, now, now
+	}
+	largeBefore := c.large()
+	more, large := bytes-c.held, max(bytes-SmallBytes, 0)-largeBefore
+	othersLarge := t.large - largeBefore
+	if more <= 0 || othersLarge == 0 && large > 0 {
+		t.setHeld(c, bytes)
+		return Granted, nil
+	}
+	needsLarge := large > 0 && t.large+large > t.limits.LargeMemory
+	if !needsLarge && t.held+more <= t.limits.Memory {
+		t.setHeld(c, bytes)
+		return Granted, nil
+	}
+	c.waiting = true
+	missing := t.held + more - t.limits.Memory
+	if needsLarge {
+		missing = max(missing, t.large+large-t.limits.LargeMemory)
+	}
+	return Wait, t.makeRoom(id, missing, needsLarge, now)
+}
+
+// makeRoom chooses connections to close until they return the missing bytes.
+func (t *Table) makeRoom(asking ID, missing int64, large bool, now time.Time) []Closing {
+	value := func(c *connection) int64 {
+		if large {
+			return c.large()
+		}
+		return c.held
+	}
+	for _, c := range t.conns {
+		if c.closing {
+			missing -= value(c)
+		}
+	}
+	var closing []Closing
+	for missing > 0 {
+		victim := t.slowest(asking, value, now)
+		if victim == 0 {
+			return closing
+		}
+		missing -= value(t.conns[victim])
+		closing = append(closing, t.close(victim, NoMemory))
+	}
+	return closing
+}
+
+// slowest returns the connection that holds memory and has made no progress for the longest
+// time, or 0. The request of a running one may have been passed on, and one that waits for
+// memory gets it or is refused soon.
+func (t *Table) slowest(asking ID, value func(*connection) int64, now time.Time) ID {
+	var slowest ID
+	for id, c := range t.conns {
+		if id == asking || c.closing || c.waiting || c.phase == Running || value(c) == 0 || now.Sub(c.stepAt) < minStall {
+			continue
+		}
+		if slowest == 0 || c.stepAt.Before(t.conns[slowest].stepAt) || c.stepAt.Equal(t.conns[slowest].stepAt) && id < slowest {
+			slowest = id
+		}
+	}
+	return slowest
+}
+
+// leastUseful returns the connection of an address that is closed for a new one.
+func (t *Table) leastUseful(address Address, now time.Time) (ID, bool) {
+	var best ID
+	for id, c := range t.conns {
+		if c.address != address || c.closing || c.phase == Running {
+			continue
+		}
+		if best == 0 || t.lessUseful(id, best, now) {
+			best = id
+		}
+	}
+	return best, best != 0
+}
+
+func (t *Table) lessUseful(a, b ID, now time.Time) bool {
+	x, y := t.conns[a], t.conns[b]
+	switch {
+	case x.use(now) != y.use(now):
+		return x.use(now) < y.use(now)
+	case !x.stepAt.Equal(y.stepAt):
+		return x.stepAt.Before(y.stepAt)
+	}
+	return a < b
+}
+
+// use orders connections for leastUseful: requests without progress, then idle connections,
+// then heads, then bodies.
+func (c *connection) use(now time.Time) int {
+	if c.phase != Idle && now.Sub(c.stepAt) >= idleStall {
+		return -1
+	}
+	return int(c.phase)
+}
+
+// Expired returns the connections without progress for too long.
+func (t *Table) Expired(now time.Time) []Closing {
+	var closing []Closing
+	for id, c := range t.conns {
+		if c.closing {
+			continue
+		}
+		switch {
+		case c.phase == Head && now.Sub(c.since) > t.limits.HeadTimeout:
+			closing = append(closing, t.close(id, HeadTimeout))
+		case c.phase == Body && now.Sub(c.lastByte) > t.limits.BodyTimeout:
+			closing = append(closing, t.close(id, BodyTimeout))
+		case c.phase == Running && c.writing && now.Sub(c.lastByte) > t.limits.ResponseTimeout:
+			closing = append(closing, t.close(id, ResponseTimeout))
+		}
+	}
+	return closing
+}
+
+func (t *Table) setHeld(c *connection, bytes int64) {
+	before := c.large()
+	t.held += bytes - c.held
+	c.held = bytes
+	t.large += c.large() - before
+}
--- /dev/null
+++ b/internal/core/intake/intake_test.go
@@ -0,0 +1,153 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	_ "github.com/sesamestand/sesamestand/internal/testseed" // fixes the seed
+)
+
+func testLimits() Limits {
+	return Limits{
+		Connections: [addresses]int{4, 2, 2}, Memory: 2 << 20, LargeMemory: 1 << 20,
+		HeadTimeout: 10 * time.Second, BodyTimeout: 30 * time.Second, ResponseTimeout: 30 * time.Second,
+	}
+}
+
+func open(t *testing.T, table *Table, phase Phase, now time.Time) ID {
+	t.Helper()
+	id, closing, ok := table.Open(Callers, now)
+	must.True(t, ok)
+	must.SliceEmpty(t, closing)
+	table.Enter(id, phase, now)
+	return id
+}
+
+// Guards against the close of a request that may have been passed on, or of one that makes
+// progress, when memory runs out.
+func TestSlowestIncompleteRequestIsClosedForMemory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(testLimits())
+	running, slow, fast := open(t, table, Running, now), open(t, table, Body, now), open(t, table, Body, now)
+	for _, id := range []ID{running, slow, fast} {
+		verdict, _ := table.Hold(id, SmallBytes+300<<10, now)
+		must.EqOp(t, Granted, verdict)
+	}
+	now = now.Add(time.Second)
+	table.Progress(fast, stepBytes, now)
+	asking := open(t, table, Body, now)
+	verdict, closing := table.Hold(asking, SmallBytes+300<<10, now)
+	must.EqOp(t, Wait, verdict)
+	must.Eq(t, []Closing{{slow, NoMemory}}, closing)
+	verdict, closing = table.Hold(asking, SmallBytes+300<<10, now)
+	must.EqOp(t, Wait, verdict)
+	must.SliceEmpty(t, closing, must.Sprint("another one is closed while the first still returns its memory"))
+	table.Remove(slow)
+	verdict, _ = table.Hold(asking, SmallBytes+300<<10, now)
+	must.EqOp(t, Granted, verdict)
+}
+
+// Guards against large bodies that take the memory of small requests, and against a large
+// body that is not served although it is the only one.
+func TestSmallRequestsHaveAReserve(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(testLimits())
+	large, other := open(t, table, Running, now), open(t, table, Running, now)
+	verdict, _ := table.Hold(large, SmallBytes+1<<20, now)
+	must.EqOp(t, Granted, verdict)
+	verdict, _ = table.Hold(other, SmallBytes+1, now)
+	must.EqOp(t, Wait, verdict)
+	verdict, _ = table.Hold(other, SmallBytes, now)
+	must.EqOp(t, Granted, verdict)
+	table.Remove(large)
+	verdict, _ = table.Hold(other, 64<<20, now)
+	must.EqOp(t, Granted, verdict)
+}
+
+// Guards against a crowd that takes the connections of clients that keep theirs, and
+// against a connection with a request that is closed for a new one.
+func TestConnectionWithoutUseIsClosedForANewOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(testLimits())
+	idle, head, running, body := open(t, table, Idle, now), open(t, table, Head, now), open(t, table, Running, now), open(t, table, Body, now)
+	now = now.Add(2 * idleStall)
+	table.Progress(body, stepBytes, now)
+	for _, want := range []ID{head, idle} {
+		id, closing, ok := table.Open(Callers, now)
+		must.True(t, ok)
+		must.Eq(t, []Closing{{want, NoConnection}}, closing)
+		table.Enter(id, Running, now)
+	}
+	id, closing, ok := table.Open(Callers, now)
+	must.True(t, ok)
+	must.Eq(t, []Closing{{body, NoConnection}}, closing)
+	table.Enter(id, Running, now)
+	_, _, ok = table.Open(Callers, now)
+	must.False(t, ok)
+	_, _, ok = table.Open(Operators, now)
+	must.True(t, ok)
+	must.EqOp(t, 0, table.HeldBy(running))
+}
+
+// Guards against connections without progress that stay open for ever.
+func TestConnectionsWithoutProgressExpire(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(testLimits())
+	head, body, idle, writing := open(t, table, Head, now), open(t, table, Body, now), open(t, table, Idle, now), open(t, table, Running, now)
+	table.Writing(writing, true, now)
+	now = now.Add(10 * time.Second)
+	must.SliceEmpty(t, table.Expired(now))
+	must.Eq(t, []Closing{{head, HeadTimeout}}, table.Expired(now.Add(time.Second)))
+	table.Progress(body, 1, now)
+	table.Writing(writing, true, now)
+	must.SliceEmpty(t, table.Expired(now.Add(30*time.Second)))
+	must.SliceContainsAll(t, []Closing{{body, BodyTimeout}, {writing, ResponseTimeout}}, table.Expired(now.Add(31*time.Second)))
+	must.EqOp(t, 0, table.HeldBy(idle))
+}
+
+// Guards against memory beyond the limits, memory that is not returned, and requests that
+// are closed although they may have been passed on.
+func TestMemoryStaysWithinTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, now, ids := NewTable(testLimits()), time.Unix(1000, 0), []ID{}
+		running := make(map[ID]bool)
+		check := func(closing []Closing) {
+			for _, c := range closing {
+				if running[c.ID] {
+					t.Fatalf("connection %d is closed for %s while its request runs", c.ID, c.Reason)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if id, closing, ok := table.Open(Callers, now); ok {
+				ids = append(ids, id)
+				check(closing)
+			}
+			id := rapid.SampledFrom(ids).Draw(t, "connection")
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0:
+				table.Remove(id)
+			case 1:
+				phase := rapid.SampledFrom([]Phase{Head, Body, Running}).Draw(t, "phase")
+				table.Enter(id, phase, now)
+				running[id] = phase == Running
+			default:
+				_, closing := table.Hold(id, int64(rapid.IntRange(0, 900<<10).Draw(t, "bytes")), now)
+				check(closing)
+			}
+			if held, _ := table.Held(); held > testLimits().Memory {
+				t.Fatalf("%d bytes are held", held)
+			}
+		}
+		for _, id := range ids {
+			table.Remove(id)
+		}
+		if held, connections := table.Held(); held != 0 || connections != 0 {
+			t.Fatalf("%d bytes are held by %d connections", held, connections)
+		}
+	})
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -20,7 +19,9 @@
 	"github.com/sesamestand/sesamestand/internal/callers"
 	"github.com/sesamestand/sesamestand/internal/configs"
 	"github.com/sesamestand/sesamestand/internal/core/drain"
+	core "github.com/sesamestand/sesamestand/internal/core/intake"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/intake"
 	"github.com/sesamestand/sesamestand/internal/inventory"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/members"
@@ -36,10 +37,6 @@
 	"github.com/sesamestand/sesamestand/internal/versions"
 )
 
-// readHeaderTimeout prevents requests with incomplete headers from occupying
-// connections.
-const readHeaderTimeout = 10 * time.Second
-
 // Host is one entry host with all its roles.
 type Host struct {
 	settings  settings.Settings
@@ -59,6 +56,7 @@
 
 	draining atomic.Bool
 	active   httpapi.ActiveConns
+	guard    *intake.Guard // of the addresses
 	// window is the time that the host has for requests, or nil while it is not stopping.
 	window atomic.Pointer[drain.Window]
 	// serving ends, by stopServing, when requests must be given up so that they are
@@ -81,18 +79,20 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	peerListener, err := peer.Listen(h.settings.Host.PeerAddr)
+	peerListener, err := peer.Listen(h.settings.Host.PeerAddr, h.guard.Peers)
 	if err != nil {
 		_ = httpListener.Close()
 		return err
 	}
-	httpServer := &http.Server{Handler: h.routes(), ReadHeaderTimeout: readHeaderTimeout, ConnState: h.active.Observe}
+	httpServer := h.guard.Server(h.routes(), h.active.Observe)
+	httpListener = h.guard.Listen(httpListener, core.Callers, h.tls != nil)
 	grpcServer := h.grpcServer()
 
 	// The roles must outlive ctx, because the drain needs them.
 	rolesCtx, stopRoles := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopRoles()
 	group, groupCtx := errgroup.WithContext(rolesCtx)
+	go h.guard.Run(rolesCtx)
 	group.Go(func() error { return h.serveHTTP(httpServer, httpListener) })
 	group.Go(func() error { return grpcServer.Serve(peerListener) })
 	for _, run := range []func(context.Context) error{
@@ -137,7 +137,7 @@
 }
 
 func (h *Host) grpcServer() *grpc.Server {
-	server := grpc.NewServer(peer.ServerOptions(h.settings.Auth.ClusterToken, h.tls)...)
+	server := grpc.NewServer(peer.ServerOptions(h.settings.Auth.ClusterToken, h.tls, h.guard.Known)...)
 	peerpb.RegisterPeerServer(server, &peer.Server{
 		RunHandler:      h.owner,
 		ClaimHandler:    h.callers,
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -13,6 +13,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/flight"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
 	"github.com/sesamestand/sesamestand/internal/engine"
+	"github.com/sesamestand/sesamestand/internal/intake"
 	"github.com/sesamestand/sesamestand/internal/inventory"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/members"
@@ -125,6 +126,7 @@
 		settings: s, recorder: recorder, tls: source, pool: pool, members: memberRole, orders: orderRole,
 		inventory: hostList, configs: configRole, owner: ownerRole, callers: callerRole,
 		services: serviceRole, trainers: trainerRole, versions: watcher, limits: limitRole, aborted: make(chan struct{}),
+		guard: intake.New(intake.Options{MemoryMB: s.Limits.MemoryMB, MaxConnections: s.Limits.MaxConnections, Recorder: recorder}),
 	}
 	h.serving, h.stopServing = context.WithCancel(context.Background())
 	callerRole.RefuseBy(h.refuseStopping)
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -31,6 +31,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/keepup"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/intake"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 	"github.com/sesamestand/sesamestand/internal/settings"
@@ -107,6 +108,7 @@
 	draining atomic.Bool
 	surveyed chan struct{} // closed when all job partitions were checked for records
 	active   httpapi.ActiveConns
+	guard    *intake.Guard // of the addresses
 	jobCalls callStats
 	// window is the time that the host has for requests, or nil while it is not stopping.
 	window atomic.Pointer[drain.Window]
@@ -143,6 +145,7 @@
 		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), durations: drain.NewDurations(),
 		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastTenures: make(map[int]*tenure), skipped: make(skippedRecords),
 	}
+	h.guard = intake.New(intake.Options{MemoryMB: s.Limits.MemoryMB, MaxConnections: s.Limits.MaxConnections, Recorder: recorder, Heads: h.headLimits})
 	h.keepUp, h.behind = keepup.Defaults(), make(chan struct{}, 1)
 	h.surveyed = make(chan struct{})
 	h.serving, h.stopServing = context.WithCancel(context.Background())
--- a/internal/fronthost/serve.go
+++ b/internal/fronthost/serve.go
@@ -14,20 +14,13 @@
 	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
+	core "github.com/sesamestand/sesamestand/internal/core/intake"
+	"github.com/sesamestand/sesamestand/internal/intake"
 	"github.com/sesamestand/sesamestand/internal/peer"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 	"github.com/sesamestand/sesamestand/internal/settings"
 )
 
-// Timeouts of the HTTP servers.
-const (
-	// readHeaderTimeout bounds how long a client may take to send a request header.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is far above the idle timeout that operators configure for
-	// clients, which may send on an idle connection until that timeout.
-	idleTimeout = 2 * time.Minute
-)
-
 // Ingress builds the handler of callers' requests and the handler of the readiness
 // check.
 type Ingress func(*Host) (front, ready http.Handler)
@@ -40,27 +33,28 @@
 	front, ready := ingress(h)
 	handler := negroni.New(negroni.HandlerFunc(h.closeWhileStopping))
 	handler.UseHandler(front)
-	frontServer := newServer(h.settings.Host.HTTPAddr, handler)
-	frontServer.ConnState = h.active.Observe
-	servers := []*http.Server{
-		frontServer,
-		newServer(h.settings.Host.ReadyAddr, ready),
+	addresses := []address{
+		{h.settings.Host.HTTPAddr, core.Callers, h.guard.Server(handler, h.active.Observe)},
+		{h.settings.Host.ReadyAddr, core.Operators, h.guard.Server(ready, nil)},
 	}
 	if h.settings.Host.MetricsAddr != "" {
-		servers = append(servers, newServer(h.settings.Host.MetricsAddr, h.adminHandler()))
+		addresses = append(addresses, address{h.settings.Host.MetricsAddr, core.Operators, h.guard.Server(h.adminHandler(), nil)})
 	}
-	failed := make(chan error, len(servers)+1)
-	for _, s := range servers {
-		listener, err := net.Listen("tcp", s.Addr)
+	failed := make(chan error, len(addresses)+1)
+	var servers []*http.Server
+	for _, a := range addresses {
+		listener, err := net.Listen("tcp", a.addr)
 		if err != nil {
-			return eris.Wrapf(err, "listen on %s", s.Addr)
+			return eris.Wrapf(err, "listen on %s", a.addr)
 		}
-		go func() { failed <- s.Serve(listener) }()
+		servers = append(servers, a.server)
+		go func() { failed <- a.server.Serve(h.guard.Listen(listener, a.kind, false)) }()
 	}
 	peers, err := h.servePeers(failed)
 	if err != nil {
 		return err
 	}
+	go h.guard.Run(baseCtx)
 	h.start(baseCtx)
 	go h.reload(baseCtx)
 	select {
@@ -83,7 +77,7 @@
 		defer close(closed)
 		for _, s := range servers {
 			if err := s.Close(); err != nil {
-				klog.V(1).InfoS("HTTP server not closed cleanly", "addr", s.Addr, "err", err)
+				klog.V(1).InfoS("HTTP server not closed cleanly", "err", err)
 			}
 		}
 		peers.Stop()
@@ -98,12 +92,12 @@
 
 // servePeers serves the other entry hosts.
 func (h *Host) servePeers(failed chan<- error) (*grpc.Server, error) {
-	server := grpc.NewServer(peer.ServerOptions(h.settings.Auth.ClusterToken, nil)...)
+	server := grpc.NewServer(peer.ServerOptions(h.settings.Auth.ClusterToken, nil, h.guard.Known)...)
 	peerpb.RegisterLimitsServer(server, &peer.LimitsServer{LimitsHandler: h.limits})
 	if h.settings.Host.PeerAddr == "" {
 		return server, nil
 	}
-	listener, err := peer.Listen(h.settings.Host.PeerAddr)
+	listener, err := peer.Listen(h.settings.Host.PeerAddr, h.guard.Peers)
 	if err != nil {
 		return nil, err
 	}
@@ -111,8 +105,20 @@
 	return server, nil
 }
 
-func newServer(addr string, handler http.Handler) *http.Server {
-	return &http.Server{Addr: addr, Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+// address is an address of the host with its server.
+type address struct {
+	addr   string
+	kind   core.Address
+	server *http.Server
+}
+
+// headLimits returns the limits of heads in the newest configuration.
+func (h *Host) headLimits() intake.HeadLimits {
+	config := h.Config()
+	if config == nil {
+		return intake.HeadLimits{}
+	}
+	return intake.HeadLimits{Bytes: config.Limits.HeaderBytes, Timeout: config.Limits.HeaderTimeout}
 }
 
 // reload reads and checks the settings file on SIGHUP, and logs whether a restart is
--- a/internal/httpapi/budget.go
+++ b/internal/httpapi/budget.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"slices"
 	"sync"
 )
 
@@ -19,7 +18,7 @@
 	// minBlockBytes is the size of the first block of a body.
 	minBlockBytes = 4 << 10
 	// bodyMemoryShare is the share of a process's memory limit for bodies. It allows one
-	// of 32 MiB, whose blocks are joined at its end, at 174 MB.
+	// of 32 MiB, which moves into its last block half-way, at 120 MB.
 	bodyMemoryShare = 0.4
 	// unlimitedBodyBytes is the budget of a process without a memory limit.
 	unlimitedBodyBytes = 512 << 20
@@ -50,15 +49,12 @@
 // Share returns the share of a body, which holds nothing yet. It must be released.
 func (b *BodyBudget) Share() *BodyShare { return &BodyShare{budget: b} }
 
-// Hold extends the share to the given size of the body. The first freeBodyBytes need no
+// Hold sets the share to the given size of the body. The first freeBodyBytes need no
 // budget.
 func (s *BodyShare) Hold(size int64) error {
-	more := size - freeBodyBytes - s.held
-	if more <= 0 {
-		return nil
-	}
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
+	more := max(size-freeBodyBytes, 0) - s.held
 	if more > s.budget.left {
 		return ErrBodyBudget
 	}
@@ -79,38 +75,77 @@
 func (b *BodyBudget) ReadAll(body io.Reader, limit int) ([]byte, error) {
 	share := b.Share()
 	defer share.Release()
-	var blocks [][]byte
-	total := 0
+	return ReadBody(body, -1, int64(limit), share.Hold)
+}
+
+// ReadBody reads a body of at most limit bytes to its end. length is the announced one, or
+// negative. hold is called with all memory of the body before more is taken: 1.5 times the
+// limit at most.
+func ReadBody(body io.Reader, length, limit int64, hold func(size int64) error) ([]byte, error) {
+	if length > limit {
+		return nil, ErrBodyTooLong
+	}
+	target := limit
+	if length >= 0 {
+		target = length
+	}
+	var buffer []byte
 	for {
-		size := min(max(total, minBlockBytes), freeBodyBytes, limit+1-total)
-		if err := share.Hold(int64(total + size)); err != nil {
-			return nil, err
+		if len(buffer) == cap(buffer) {
+			if int64(len(buffer)) == target {
+				if err := readEnd(body); err != nil {
+					return nil, err
+				}
+				return buffer, nil
+			}
+			var err error
+			if buffer, err = enlarge(buffer, nextBlock(int64(cap(buffer)), target), hold); err != nil {
+				return nil, err
+			}
 		}
-		block, err := readBlock(body, size)
-		blocks, total = append(blocks, block), total+len(block)
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
 		switch {
-		case total > limit:
-			return nil, ErrBodyTooLong
 		case errors.Is(err, io.EOF):
-			if err := share.Hold(2 * int64(total)); err != nil {
-				return nil, err
-			}
-			return slices.Concat(blocks...), nil
+			return buffer, nil
 		case err != nil:
 			return nil, err
 		}
 	}
 }
 
-// readBlock reads until the block is full, or up to an error.
-func readBlock(body io.Reader, size int) ([]byte, error) {
-	block, n := make([]byte, size), 0
-	for n < size {
-		read, err := body.Read(block[n:])
-		n += read
-		if err != nil {
-			return block[:n], err
+// enlarge moves a body into a larger block.
+func enlarge(buffer []byte, size int64, hold func(size int64) error) ([]byte, error) {
+	if err := hold(int64(cap(buffer)) + size); err != nil {
+		return nil, err
+	}
+	larger := make([]byte, len(buffer), size)
+	copy(larger, buffer)
+	return larger, hold(size)
+}
+
+// nextBlock returns the size of the block that follows one of the given size: of halves of
+// the target the smallest one that is larger, and at least minBlockBytes.
+func nextBlock(size, target int64) int64 {
+	next := target
+	for next/2 > size && next/2 >= minBlockBytes {
+		next /= 2
+	}
+	return next
+}
+
+// readEnd returns ErrBodyTooLong if a body goes on.
+func readEnd(body io.Reader) error {
+	var b [1]byte
+	for {
+		n, err := body.Read(b[:])
+		switch {
+		case n > 0:
+			return ErrBodyTooLong
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
 		}
 	}
-	return block, nil
 }
--- a/internal/peer/limits_bench_test.go
+++ b/internal/peer/limits_bench_test.go
@@ -23,7 +23,7 @@
 func BenchmarkAcquire(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(b, err)
-	server := grpc.NewServer(ServerOptions("", nil)...)
+	server := grpc.NewServer(ServerOptions("", nil, nil)...)
 	peerpb.RegisterLimitsServer(server, &LimitsServer{LimitsHandler: grantAll{}})
 	go func() { _ = server.Serve(listener) }()
 	b.Cleanup(server.Stop)
--- a/internal/peer/listen.go
+++ b/internal/peer/listen.go
@@ -11,12 +11,14 @@
 // Listen listens for other entry hosts. When the listener is closed, connections whose
 // handshake has not ended are closed with it: a gRPC server that stops waits for them, up
 // to two minutes for a host that has connected and is gone.
-func Listen(addr string) (net.Listener, error) {
+//
+// guard wraps the listener of the connections.
+func Listen(addr string, guard func(net.Listener) net.Listener) (net.Listener, error) {
 	inner, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s for entry hosts", addr)
 	}
-	return &listener{Listener: inner, starting: make(map[*startingConn]struct{})}, nil
+	return &listener{Listener: guard(inner), starting: make(map[*startingConn]struct{})}, nil
 }
 
 type listener struct {
--- a/internal/peer/listen_test.go
+++ b/internal/peer/listen_test.go
@@ -26,10 +26,10 @@
 // Guards against a stop that waits for a silent connection, and against one that cuts the
 // calls of established connections.
 func TestGracefulStopClosesOnlyConnectionsWithoutHandshake(t *testing.T) {
-	l, err := Listen("127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0", func(l net.Listener) net.Listener { return l })
 	must.NoError(t, err)
 	calls := &blockedLimits{entered: make(chan struct{}), released: make(chan struct{})}
-	server := grpc.NewServer(ServerOptions("", nil)...)
+	server := grpc.NewServer(ServerOptions("", nil, nil)...)
 	peerpb.RegisterLimitsServer(server, &LimitsServer{LimitsHandler: calls})
 	go func() { _ = server.Serve(l) }()
 	pool := NewPool("", nil)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +18,9 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
+	grpcpeer "google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
@@ -39,6 +42,15 @@
 	// maxMessageBytes limits the size of one gRPC message. Responses to the pull
 	// calls of trainers are the largest.
 	maxMessageBytes = 64 << 20
+
+	// maxHeadBytes limits the head of a call, whose fields count 32 bytes each beside their
+	// text. Calls of entry hosts have some ten fields.
+	maxHeadBytes = 16 << 10
+	// maxStreams limits the calls on one connection. A host has one call for each request
+	// of its callers to a replica of the peer.
+	maxStreams = 4096
+	// handshakeTimeout bounds the time until a connection speaks gRPC.
+	handshakeTimeout = 10 * time.Second
 )
 
 // ErrNotSent is the error of a stream that could not be opened, e.g. because the peer
@@ -201,22 +213,23 @@
 
 // ServerOptions returns the options of the gRPC server: authentication with the
 // cluster token, message limits, and TLS if source is not nil.
-func ServerOptions(token string, source *tlsfiles.Source) []grpc.ServerOption {
+func ServerOptions(token string, source *tlsfiles.Source, known func(net.Addr)) []grpc.ServerOption {
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
-		grpc.UnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
-			if err := checkToken(ctx, token); err != nil {
+		grpc.MaxHeaderListSize(maxHeadBytes),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		// Refuses a call before its message is read.
+		grpc.InTapHandle(func(ctx context.Context, info *tap.Info) (context.Context, error) {
+			if err := checkToken(info.Header, token); err != nil {
 				return nil, err
 			}
-			return handler(ctx, req)
-		}),
-		grpc.StreamInterceptor(func(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
-			if err := checkToken(stream.Context(), token); err != nil {
-				return err
+			if client, ok := grpcpeer.FromContext(ctx); ok && known != nil {
+				known(client.Addr)
 			}
-			return handler(srv, stream)
+			return ctx, nil
 		}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
 	}
 	if source != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(source.ServerConfig(true))))
@@ -224,8 +237,7 @@
 	return options
 }
 
-func checkToken(ctx context.Context, token string) error {
-	md, _ := metadata.FromIncomingContext(ctx)
+func checkToken(md metadata.MD, token string) error {
 	for _, given := range md.Get(tokenHeader) {
 		if subtle.ConstantTimeCompare([]byte(given), []byte(token)) == 1 {
 			return nil
--- a/internal/services/request.go
+++ b/internal/services/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"net/textproto"
 	"path"
@@ -15,6 +14,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/intent"
 	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/intake"
 )
 
 // pathPrefix precedes the name of the service in request paths.
@@ -69,13 +69,9 @@
 		return nil, notRun(cluster.ReasonBadRequest, err.Error())
 	}
 	deadline := time.Now().Add(timeout)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.config.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, notRun(cluster.ReasonTooLarge, "the body is over "+strconv.FormatInt(c.config.MaxBodyBytes, 10)+" bytes")
-	case err != nil:
-		return nil, notRun(cluster.ReasonBadRequest, "the body could not be read: "+err.Error())
+	body, err := intake.ReadBody(w, r, c.config.MaxBodyBytes)
+	if err != nil {
+		return nil, intake.BodyRefusal(err)
 	}
 	_, escaped, _ = strings.Cut(escaped, "/")
 	uri := "/" + escaped
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -63,6 +63,7 @@
 	textKey("auth", "platform_token", "token sent to the log, the host list and the weight store", false, func(s *Settings) *string { return &s.Auth.PlatformToken }),
 
 	intKey("limits", "body_bytes", "bytes", "1048576", 1024, 64<<20, "largest request body; a larger one gets 413", func(s *Settings) *int { return &s.Limits.BodyBytes }),
+	intKey("limits", "max_connections", "connections", "0", 0, 1<<20, "connections of clients to all addresses; beyond it idle and slow ones are closed; 0 means three quarters of the descriptors that the process may open", func(s *Settings) *int { return &s.Limits.MaxConnections }),
 	intKey("limits", "max_concurrency", "requests", "256", 1, 4096, "upper end of the adaptive concurrency limit per replica", func(s *Settings) *int { return &s.Limits.MaxConcurrency }),
 	intKey("limits", "initial_concurrency", "requests", "4", 1, 4096, "concurrency limit of a replica for which there are no measurements", func(s *Settings) *int { return &s.Limits.InitialConcurrency }),
 	floatKey("limits", "min_training_share", "share", "0.10", 0, 0.9, "minimum share of a replica for training under interactive load", func(s *Settings) *float64 { return &s.Limits.MinTrainingShare }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -91,6 +91,7 @@
 // Limits bounds sizes and rates. Section [limits].
 type Limits struct {
 	BodyBytes          int
+	MaxConnections     int // 0 means a share of the descriptors
 	MaxConcurrency     int // per replica
 	InitialConcurrency int
 	MinTrainingShare   float64
--- a/internal/trainers/http.go
+++ b/internal/trainers/http.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -14,6 +12,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/intake"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 )
 
@@ -50,13 +49,9 @@
 		httpapi.WriteRefusal(w, requestID, notRun(cluster.ReasonBadRequest, "trainer calls use POST"))
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.config.MaxBodyBytes))
+	body, err := intake.ReadBody(w, r, c.config.MaxBodyBytes)
 	if err != nil {
-		reason := cluster.ReasonBadRequest
-		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-			reason = cluster.ReasonTooLarge
-		}
-		httpapi.WriteRefusal(w, requestID, notRun(reason, "read the body: "+err.Error()))
+		httpapi.WriteRefusal(w, requestID, intake.BodyRefusal(err))
 		return
 	}
 	limit := time.Now().Add(forwardTimeout + c.pullWait(operation, body))
