Test that a response with an invalid status is no response

Cause: a failing backend server sent a response with the status 000, and the caller received it as an answer. The connection must be closed, which is awaited for 2 s.

--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -27,6 +28,7 @@
 type Server struct {
 	listener net.Listener
 	answer   func(*http.Request) (text string, end End)
+	open     atomic.Int64
 }
 
 // Listen starts a server that answers requests with the text that answer returns.
@@ -35,7 +37,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
-	s := &Server{listener, answer}
+	s := &Server{listener: listener, answer: answer}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -54,7 +56,12 @@
 // Close stops accepting connections.
 func (s *Server) Close() error { return s.listener.Close() }
 
+// Open returns the number of connections that neither side has closed.
+func (s *Server) Open() int64 { return s.open.Load() }
+
 func (s *Server) serve(c net.Conn) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
