Take no response with an invalid status

Cause: roundTrip skipped every status below 200, also 000, 099 and +20, as informational, and took what followed, a body that looks like a response, as the response. 600 and 999 were passed on. The clients on net/http took all of these statuses, and kept the connection for the next call.

The package is one of its own because httpapi depends on clients that use it. gRPC between hosts does not pass statuses of HTTP on.

--- a/internal/engine/admin.go
+++ b/internal/engine/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamestand/sesamestand/internal/httpclient"
 	"github.com/sesamestand/sesamestand/internal/netdial"
 	"github.com/sesamestand/sesamestand/internal/platform"
 )
@@ -46,10 +47,10 @@
 	dial := netdial.DiscardUnsent(new(net.Dialer).DialContext)
 	return &AdminClient{
 		token: backendToken,
-		states: &http.Client{Transport: &http.Transport{
+		states: &http.Client{Transport: httpclient.Transport{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: adminIdleConns, IdleConnTimeout: adminIdleTimeout,
-		}},
-		orders: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+		}}},
+		orders: &http.Client{Transport: httpclient.Transport{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}},
 	}
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamestand/sesamestand/internal/httpclient"
 	"github.com/sesamestand/sesamestand/internal/netdial"
 )
 
@@ -191,7 +192,7 @@
 	if c.config.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.config.Token)
 	}
-	response, err := c.transport(addr).RoundTrip(request)
+	response, err := httpclient.Transport{Transport: c.transport(addr)}.RoundTrip(request)
 	return response, eris.Wrapf(err, "call engine %s", addr)
 }
 
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/httpclient"
 )
 
 // callTimeout bounds each call to the platform, in addition to the wait of a
@@ -47,7 +48,7 @@
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     idleTimeout,
 	}
-	return httpClient{base: "http://" + addr, token: token, client: &http.Client{Transport: transport}}
+	return httpClient{base: "http://" + addr, token: token, client: &http.Client{Transport: httpclient.Transport{Transport: transport}}}
 }
 
 // statusError reports a response with a status other than 2xx.
--- a/internal/services/client.go
+++ b/internal/services/client.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/httpclient"
 	"github.com/sesamestand/sesamestand/internal/netdial"
 	"github.com/sesamestand/sesamestand/internal/platform"
 )
@@ -70,7 +71,7 @@
 	var connected atomic.Bool
 	transport := newTransport(&connected)
 	defer transport.CloseIdleConnections()
-	a, err = c.send(ctx, &http.Client{Transport: transport, CheckRedirect: noRedirect}, server, r, key)
+	a, err = c.send(ctx, &http.Client{Transport: httpclient.Transport{Transport: transport}, CheckRedirect: noRedirect}, server, r, key)
 	return a, connected.Load(), err
 }
 
--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -13,6 +13,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/sample"
+	"github.com/sesamestand/sesamestand/internal/httpclient"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/netdial"
 	"github.com/sesamestand/sesamestand/internal/peer"
@@ -169,9 +170,9 @@
 // newScorerClient returns a client that uses each connection for one call: the pool may
 // take bytes after the scores of one group for those of another.
 func newScorerClient(timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout, Transport: &http.Transport{
+	return &http.Client{Timeout: timeout, Transport: httpclient.Transport{Transport: &http.Transport{
 		DialContext: netdial.DiscardUnsent(new(net.Dialer).DialContext), DisableKeepAlives: true,
-	}}
+	}}}
 }
 
 // newEpoch returns a random epoch name. With 64 bits the probability of a
