--- a/internal/intake/handler_test.go
+++ b/internal/intake/handler_test.go
@@ -58,7 +58,14 @@
 
 func post(t *testing.T, client *http.Client, addr string, body io.Reader) string {
 	t.Helper()
-	response, err := client.Post("http://"+addr, "text/plain", body)
+	request, err := http.NewRequest(http.MethodPost, "http://"+addr, body)
+	must.NoError(t, err)
+	return do(t, client, request)
+}
+
+func do(t *testing.T, client *http.Client, request *http.Request) string {
+	t.Helper()
+	response, err := client.Do(request)
 	must.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
