--- a/internal/peer/usage_test.go
+++ b/internal/peer/usage_test.go
@@ -23,7 +23,7 @@
 func TestCountsReachTheHolder(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	server := grpc.NewServer(ServerOptions("token", nil)...)
+	server := grpc.NewServer(ServerOptions("token", nil, nil)...)
 	peerpb.RegisterUsageServer(server, &UsageServer{UsageHandler: countAll{}})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
