Keep servers while the partitions with jobs are not read

The pool checked the age of the registry only. While a partition with jobs could not be read, the need fell with the unread rounds and the pool drained servers that were needed, and work whose results were unread counted as open. Input.DemandAge is the age of the oldest of these partitions; above MaxRegistryAge no observation lasts and open work does not count.

--- a/internal/core/pool/demand.go
+++ b/internal/core/pool/demand.go
@@ -56,8 +56,9 @@
 }
 
 // needOf returns the need of a service: the newest rounds of all trainers, if submitted
-// together, end in RoundShare of their periods, and what is open ends when it is due.
-func (c Config) needOf(s *Service, now time.Time) need {
+// together, end in RoundShare of their periods, and what is open ends when it is due. Unless
+// the demand is complete, open work does not count: its results may not have been read.
+func (c Config) needOf(s *Service, complete bool, now time.Time) need {
 	perToken := s.Demand.tokenTime()
 	slots, period, trainers := 0.0, time.Duration(0), 0
 	for _, rounds := range byTrainer(s.Demand.Rounds) {
@@ -70,7 +71,9 @@
 		period = max(period, p)
 		slots += largest(rounds) * perToken.Seconds() / (c.RoundShare * min(p, newest.due()).Seconds())
 	}
-	slots = max(slots, backlogSlots(s.Demand.Rounds, perToken, s.Scale.StartUp+c.ArrivalLag, s.slots(), now))
+	if complete {
+		slots = max(slots, backlogSlots(s.Demand.Rounds, perToken, s.Scale.StartUp+c.ArrivalLag, s.slots(), now))
+	}
 	return need{servers: int(math.Ceil(slots * c.Headroom / s.slotsPerServer())), period: period, perToken: perToken, trainers: trainers}
 }
 
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -35,7 +35,8 @@
 	// ArrivalLag is the time, after the start-up time, until ordered servers are registered
 	// and have loaded their weights.
 	ArrivalLag time.Duration
-	// MaxRegistryAge is the age of the registry from which nothing is ordered, and Settle is
+	// MaxRegistryAge is the age of the registry from which nothing is ordered, and that of
+	// the demand from which nothing is removed or ordered for open work. Settle is
 	// how long it must have been read again before something is: entries that expired in an
 	// outage are renewed in that time.
 	MaxRegistryAge time.Duration
@@ -130,7 +131,10 @@
 	Now time.Time
 	// RegistryAge is the time since the registry was last read to its end.
 	RegistryAge time.Duration
-	Services    []Service
+	// DemandAge is the age of the oldest of the partitions with jobs, each as it was last
+	// read to its end. Rounds and results that are newer may be missing from the demand.
+	DemandAge time.Duration
+	Services  []Service
 }
 
 // Service is a service whose number of servers can be changed.
@@ -203,8 +207,12 @@
 	for i := range in.Services {
 		current := &in.Services[i]
 		s := p.service(current, in.Now)
+		complete := in.DemandAge <= p.config.MaxRegistryAge
 		s.observe(current, in.Now)
-		s.updateNeed(current, in.Now)
+		s.updateNeed(current, complete, in.Now)
+		if !complete {
+			s.steadySince = in.Now
+		}
 		if in.Now.Sub(p.freshSince) < p.config.Settle {
 			s.steadySince = in.Now
 			continue
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -215,7 +215,7 @@
 			submitted := now.Add(time.Duration(i-5) * testPeriod)
 			s.Demand.Rounds = append(s.Demand.Rounds, Round{Trainer: "t", Submitted: submitted, Due: testDue, Tokens: 1e5, Open: open})
 		}
-		return Defaults().needOf(s, now).servers
+		return Defaults().needOf(s, true, now).servers
 	}
 	must.Greater(t, needed(0), needed(1e5))
 }
@@ -234,11 +234,11 @@
 		submitted := now.Add(time.Duration(i/4-3) * testPeriod)
 		s.Demand.Rounds = append(s.Demand.Rounds, Round{Trainer: fmt.Sprint(i % 4), Submitted: submitted, Due: testDue, Tokens: perTrainer})
 	}
-	usual := Defaults().needOf(s, now).servers
+	usual := Defaults().needOf(s, true, now).servers
 	for i := range s.Demand.Rounds {
 		s.Demand.Rounds[i].Open = s.Demand.Rounds[i].Tokens
 	}
-	must.EqOp(t, usual, Defaults().needOf(s, now).servers)
+	must.EqOp(t, usual, Defaults().needOf(s, true, now).servers)
 }
 
 // Guards against servers that are ordered because a host that was cut off read several rounds
@@ -250,8 +250,23 @@
 		for _, at := range readAt {
 			s.Demand.Rounds = append(s.Demand.Rounds, Round{Trainer: "t", Submitted: now.Add(at), Due: testDue, Tokens: 1e5})
 		}
-		return Defaults().needOf(s, now).servers
+		return Defaults().needOf(s, true, now).servers
 	}
 	usual := needed(-8*time.Second, -4*time.Second, 0)
 	must.LessEq(t, usual+1, needed(-1700*time.Millisecond, -900*time.Millisecond, 0))
 }
+
+// Guards against servers that are drained, and against ones that are ordered for work that
+// has ended, while the partitions with jobs cannot be read but the registry can.
+func TestUnreadJobsChangeNothing(t *testing.T) {
+	w := newWorld(t, 680)
+	w.settle()
+	w.play(testStep)
+	w.unreadSince, w.read = w.now, slices.Clone(w.rounds)
+	must.True(t, slices.ContainsFunc(w.read, func(r Round) bool { return r.Open > 0 }))
+	w.play(2 * Defaults().IdleObservation)
+	must.SliceEmpty(t, w.orders)
+	w.unreadSince = time.Time{}
+	w.play(testPeriod)
+	must.LessEq(t, testDue, w.lateness)
+}
--- a/internal/core/pool/service.go
+++ b/internal/core/pool/service.go
@@ -80,9 +80,9 @@
 	}
 }
 
-// updateNeed updates the need and its history.
-func (s *service) updateNeed(current *Service, now time.Time) {
-	s.need = s.config.needOf(current, now)
+// updateNeed updates the need and its history. complete is set if the demand is up to date.
+func (s *service) updateNeed(current *Service, complete bool, now time.Time) {
+	s.need = s.config.needOf(current, complete, now)
 	if n := len(s.needs); n > 0 && now.Sub(s.needs[n-1].at) < time.Second {
 		s.needs[n-1].servers = max(s.needs[n-1].servers, s.need.servers)
 	} else {
--- a/internal/core/pool/world_test.go
+++ b/internal/core/pool/world_test.go
@@ -48,8 +48,12 @@
 	outcome func(Order) (Outcome, bool)
 	// outage of the store; other load that is not measured
 	outage, unmeasured bool
-	orders             []Order
-	lateness           time.Duration // longest time from the submission of a round to its end
+	// unreadSince is the time since which rounds and results are not read, and read are the
+	// rounds as of then.
+	unreadSince time.Time
+	read        []Round
+	orders      []Order
+	lateness    time.Duration // longest time from the submission of a round to its end
 }
 
 // newWorld returns a world with 44 on-demand servers and the given number of items, of 1,000
@@ -150,10 +154,17 @@
 	if len(w.registry) > int(testLag/testStep) {
 		w.registry = w.registry[1:]
 	}
+	rounds := w.rounds
+	if !w.unreadSince.IsZero() {
+		rounds = w.read
+	}
 	in := Input{Now: w.now, Services: []Service{{
 		Name: testService, Scale: testScale, Slots: testSlots, Servers: w.registry[0],
-		Demand: Demand{Rounds: w.rounds, EndedTokens: 1e6, EndedTime: 1e6 * testPerToken, Unmeasured: w.unmeasured},
+		Demand: Demand{Rounds: rounds, EndedTokens: 1e6, EndedTime: 1e6 * testPerToken, Unmeasured: w.unmeasured},
 	}}}
+	if !w.unreadSince.IsZero() {
+		in.DemandAge = w.now.Sub(w.unreadSince)
+	}
 	if w.outage {
 		in.RegistryAge = time.Minute
 	}
--- a/internal/fronthost/pool.go
+++ b/internal/fronthost/pool.go
@@ -18,7 +18,7 @@
 // PoolInput implements pool.Source.
 func (s *poolSource) PoolInput(now time.Time) corepool.Input {
 	h := s.host
-	in := corepool.Input{Now: now, RegistryAge: h.serverFollower.Staleness()}
+	in := corepool.Input{Now: now, RegistryAge: h.serverFollower.Staleness(), DemandAge: h.demandAge()}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.state.Config != nil {
@@ -27,6 +27,16 @@
 	return in
 }
 
+// demandAge returns the age of the oldest of the partitions with jobs, each as it was last
+// read to its end. It must not be called under mu.
+func (h *Host) demandAge() time.Duration {
+	config := h.Config()
+	if config == nil {
+		return 0
+	}
+	return h.partitionsAge(h.modelPartitions(config))
+}
+
 // demandOf returns the service of a job if its number of servers can be changed, and how
 // long after its submission its results are due. The caller holds mu.
 func (h *Host) demandOf(e *jobs.Entry) (string, time.Duration) {
--- a/internal/fronthost/spill.go
+++ b/internal/fronthost/spill.go
@@ -102,7 +102,16 @@
 	if h.spill == nil {
 		return 0
 	}
-	asOf := h.completeAsOf([]int{controlPartition})
+	return h.partitionsAge([]int{controlPartition})
+}
+
+// partitionsAge returns the time since the oldest of some partitions was read to its end. It
+// must not be called under mu.
+func (h *Host) partitionsAge(partitions []int) time.Duration {
+	if len(partitions) == 0 {
+		return 0
+	}
+	asOf := h.completeAsOf(partitions)
 	if asOf.IsZero() {
 		return math.MaxInt64
 	}
