Count a server that refused within a second as full

A server counted as full only during its backoff of 40 ms. With several servers in a data centre, the first ones were free of it again before the last one had refused, so the data centre did not count as full and requests left in any direction: two overloaded data centres with 2 or 3 servers each sent to each other in the same second. Now refusalMemory decides. The play with 1, 2 and 3 servers in each shows one direction only.

--- a/internal/core/forward/spill.go
+++ b/internal/core/forward/spill.go
@@ -36,8 +36,8 @@
 	// observationHalfLife is how long after its last response the latency of a server
 	// counts for half.
 	observationHalfLife = 2 * time.Second
-	// refusalMemory is how long a server that refused a request for lack of capacity gets
-	// none from another data centre.
+	// refusalMemory is how long a server that refused a request for lack of capacity counts
+	// as full and gets none from another data centre.
 	refusalMemory = time.Second
 )
 
@@ -96,10 +96,12 @@
 	return !now.Before(stats.blockedUntil) && now.Sub(stats.refusedAt) >= refusalMemory
 }
 
-// isFull reports whether a server refused the last request for lack of capacity.
+// isFull reports whether a server has refused a request for lack of capacity within
+// refusalMemory. The backoff after a refusal is too short for this: a request that several
+// servers refuse reaches the last one when that of the first has passed.
 func (b *Balancer) isFull(s *deployment.Server, now time.Time) bool {
 	stats := b.serverStats(s)
-	return stats.failures == 0 && now.Before(stats.blockedUntil)
+	return stats.failures == 0 && now.Sub(stats.refusedAt) < refusalMemory
 }
 
 // isFailing reports whether a server is avoided because requests to it failed.
@@ -109,7 +111,7 @@
 }
 
 // allFull reports whether a data centre has servers that are not leaving, and all of them
-// refused the last request for lack of capacity.
+// have refused a request for lack of capacity within refusalMemory.
 func (b *Balancer) allFull(servers []deployment.Server, dataCentre string, now time.Time) bool {
 	full := false
 	for i := range servers {
--- a/internal/core/forward/spill_test.go
+++ b/internal/core/forward/spill_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,11 +65,19 @@
 	left    map[[2]string]map[int]int // requests by from, to and second
 }
 
-func newSimWorld(rates ...func(time.Duration) float64) *simWorld {
+// newSimWorld returns a world with one server in each zone.
+func newSimWorld(rates ...func(time.Duration) float64) *simWorld { return newSimWorldOf(1, rates...) }
+
+// newSimWorldOf returns a world in which each zone has a number of servers with 6 slots in
+// total.
+func newSimWorldOf(perZone int, rates ...func(time.Duration) float64) *simWorld {
 	w := &simWorld{random: rand.New(rand.NewPCG(1, 2)), events: make(map[time.Duration][]func(time.Time)), left: make(map[[2]string]map[int]int)}
 	for i, rate := range rates {
 		name := string(rune('a' + i))
-		w.servers = append(w.servers, simServer{Server: deployment.Server{ID: "s" + name, DataCentre: name, Slots: 6}, free: make([]time.Duration, 6), factor: 1})
+		slots := 6 / perZone
+		for k := range perZone {
+			w.servers = append(w.servers, simServer{Server: deployment.Server{ID: fmt.Sprint("s", name, k), DataCentre: name, Slots: slots}, free: make([]time.Duration, slots), factor: 1})
+		}
 		w.zones = append(w.zones, &simZone{name: name, balancer: New(Defaults()), gate: spill.NewGate(spill.Defaults()), rate: rate})
 	}
 	return w
@@ -120,7 +129,7 @@
 	if choice.Server == nil {
 		return
 	}
-	server := &w.servers[int(choice.Server.DataCentre[0]-'a')]
+	server := &w.servers[slices.IndexFunc(w.servers, func(s simServer) bool { return s.ID == choice.Server.ID })]
 	tried[server.ID] = true
 	remote := server.DataCentre != z.name
 	if remote {
@@ -190,10 +199,15 @@
 
 // Guards against two short data centres that send to each other in place of serving.
 func TestShortZonesDoNotExchange(t *testing.T) {
-	w := newSimWorld(steady(300), steady(300))
-	w.run(20 * time.Second)
-	for second := range 20 {
-		must.True(t, w.left[[2]string{"a", "b"}][second] == 0 || w.left[[2]string{"b", "a"}][second] == 0)
+	for _, perZone := range []int{1, 2, 3} {
+		for _, rate := range []float64{300, 480} {
+			w := newSimWorldOf(perZone, steady(rate), steady(rate))
+			w.run(20 * time.Second)
+			for second := range 20 {
+				ab, ba := w.left[[2]string{"a", "b"}][second], w.left[[2]string{"b", "a"}][second]
+				must.True(t, ab == 0 || ba == 0, must.Sprintf("%d servers in each zone, %.0f requests a second: %d and %d in second %d", perZone, rate, ab, ba, second))
+			}
+		}
 	}
 }
 
