Look for room among all servers of another data centre

Of another data centre, the server with the best score was chosen first and then checked for room, so one refusal of an idle server hid the data centre for a second while its other servers had room. The check is part of the choice now. In the new test the request leaves for the next server instead of being refused.

--- a/internal/core/forward/spill.go
+++ b/internal/core/forward/spill.go
@@ -66,8 +66,8 @@
 	work := in.work(b.localPressure(local, in, now))
 	remote := make(map[string]Selection)
 	for _, name := range otherDataCentres(servers, dataCentre) {
-		s := in.choose(within(name))
-		if s.Server == nil || s.LastResort || !b.hasRoom(s.Server, now) {
+		s := in.choose(func(s *deployment.Server) bool { return s.DataCentre == name && b.hasRoom(s, now) })
+		if s.Server == nil || s.LastResort {
 			continue
 		}
 		remote[name] = s
--- a/internal/core/forward/spill_test.go
+++ b/internal/core/forward/spill_test.go
@@ -250,6 +250,24 @@
 	must.Greater(t, 0.99, w.zones[1].share())
 }
 
+// Guards against a data centre that gets nothing for a second because its server with the
+// best score has refused a request.
+func TestOneRefusalDoesNotHideADataCentre(t *testing.T) {
+	balancer, gate := New(Defaults()), spill.NewGate(spill.Defaults())
+	list := servers("a", "b", "b", "b")
+	for i := 2; i < len(list); i++ {
+		balancer.RecordSent(&list[i], false)
+	}
+	for i := range 2 { // the local server, and an idle one elsewhere that was full
+		balancer.RecordSent(&list[i], false)
+		balancer.RecordResult(&list[i], Full, time.Millisecond, testTime.Add(-200*time.Millisecond))
+	}
+	in := Spillover{Gate: gate, Service: "app", Objective: simObjective, Bytes: 2500}
+	choice := balancer.ChooseWithSpillover(list, "a", map[string]bool{list[0].ID: true}, nil, in, testTime)
+	must.EqOp(t, spill.Verdict{DataCentre: "b", Reason: spill.Full}, choice.Verdict)
+	must.EqOp(t, list[2].ID, choice.Server.ID)
+}
+
 // Guards against streams that leave because they are long.
 func TestLongStreamsStay(t *testing.T) {
 	balancer, gate := New(Defaults()), spill.NewGate(spill.Defaults())
