Take late reads and several workspaces for no more work in the pool

After a cut of 16 s, three of a trainer's five newest gaps are those between late reads, so the median made it a trainer that submits five times as often. A median below a quarter of the time until results are due is replaced by the mean of the gaps, which includes the cut. Trainers of two workspaces with the same host name and model counted as one with an odd period and half of the work; the workspace is part of the key now. The expected key in TestDemandIsDerivedFromJobs contains it as well.

--- a/internal/core/pool/demand.go
+++ b/internal/core/pool/demand.go
@@ -35,6 +35,9 @@
 	// minGap is the least time between two rounds of a trainer. Rounds that a host read in
 	// its first listing seem to have been submitted together.
 	minGap = 500 * time.Millisecond
+	// shortMedian is the share of the time until results are due below which the median gap
+	// is not taken for the period.
+	shortMedian = 0.25
 	// newestRounds is the number of a trainer's newest rounds whose largest counts.
 	newestRounds = 3
 	// measuredGaps is the number of a trainer's newest gaps whose median is its period.
@@ -107,7 +110,8 @@
 
 // periodOf returns the median time between a trainer's newest rounds. While fewer than
 // measuredGaps are known, it is half of the time until results are due at least: a host that
-// was cut off reads rounds of several periods within a second.
+// was cut off reads rounds of several periods within a second. After a longer cut most of
+// the newest gaps are short, so their mean replaces a short median: it includes the cut.
 func periodOf(rounds []Round) time.Duration {
 	var gaps []time.Duration
 	for i := len(rounds) - 1; i > 0 && len(gaps) < measuredGaps; i-- {
@@ -115,7 +119,8 @@
 			gaps = append(gaps, gap)
 		}
 	}
-	usual := rounds[len(rounds)-1].due() / 2
+	due := rounds[len(rounds)-1].due()
+	usual := due / 2
 	if len(gaps) == 0 {
 		return usual
 	}
@@ -124,9 +129,20 @@
 	if len(gaps) < measuredGaps {
 		return max(median, usual)
 	}
+	if median < time.Duration(shortMedian*float64(due)) {
+		return mean(gaps)
+	}
 	return median
 }
 
+func mean(gaps []time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, gap := range gaps {
+		sum += gap
+	}
+	return sum / time.Duration(len(gaps))
+}
+
 // largest returns the expected output of the largest of a trainer's newest rounds.
 func largest(rounds []Round) float64 {
 	tokens := 0.0
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -254,6 +254,9 @@
 	}
 	usual := needed(-8*time.Second, -4*time.Second, 0)
 	must.LessEq(t, usual+1, needed(-1700*time.Millisecond, -900*time.Millisecond, 0))
+	afterCut := []time.Duration{-2400 * time.Millisecond, -1600 * time.Millisecond, -800 * time.Millisecond, 0}
+	before := []time.Duration{-40 * time.Second, -36 * time.Second, -32 * time.Second, -28 * time.Second, -24 * time.Second, -20 * time.Second}
+	must.LessEq(t, usual+1, needed(append(before, afterCut...)...), must.Sprint("rounds before a cut of 16 s are known"))
 }
 
 // Guards against servers that are drained, and against ones that are ordered for work that
--- a/internal/pool/demand.go
+++ b/internal/pool/demand.go
@@ -48,7 +48,7 @@
 			demands[service] = demand
 		}
 		w := d.read(e)
-		round := pool.Round{Trainer: e.Job.Host + "/" + e.Job.Model, Submitted: e.ReadAt, Due: due, Tokens: w.total}
+		round := pool.Round{Trainer: trainerOf(e.Job), Submitted: e.ReadAt, Due: due, Tokens: w.total}
 		if !e.Ended {
 			round.Open = w.total - w.done
 		}
@@ -63,6 +63,9 @@
 	return demands
 }
 
+// trainerOf returns the name under which the rounds of a job's trainer are counted.
+func trainerOf(job *jobs.Job) string { return job.Workspace + "/" + job.Host + "/" + job.Model }
+
 // read returns the work of a job after reading its new results.
 func (d *Demands) read(e *jobs.Entry) *jobWork {
 	w := d.jobs[e]
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -174,6 +174,23 @@
 	}
 }
 
+// Guards against trainers of two workspaces that count as one, whose rounds would follow each
+// other at odd intervals and count only once.
+func TestTrainersOfWorkspacesAreDistinct(t *testing.T) {
+	now, table := time.Unix(1000, 0), jobs.NewTable()
+	for _, workspace := range []string{"v", "w"} {
+		job := &jobs.Job{ID: workspace + "/j", Workspace: workspace, Host: "h", Model: "m", Items: []jobs.Item{{ID: "1"}}}
+		records, err := jobs.EncodeJob(job, 1<<18)
+		must.NoError(t, err)
+		for _, r := range records {
+			must.NoError(t, table.Apply(1, r, now))
+		}
+	}
+	demand := NewDemands().Of(table, func(*jobs.Entry) (string, time.Duration) { return "llm", 0 }, now)["llm"]
+	must.SliceLen(t, 2, demand.Rounds)
+	must.NotEqOp(t, demand.Rounds[0].Trainer, demand.Rounds[1].Trainer)
+}
+
 // Guards against work that is counted twice, or after its job ended, against results that
 // were reused and count for the throughput, and against plain requests that go unnoticed.
 func TestDemandIsDerivedFromJobs(t *testing.T) {
@@ -183,14 +200,14 @@
 			must.NoError(t, table.Apply(1, r, now))
 		}
 	}
-	job := &jobs.Job{ID: "j", Host: "h", Model: "m", Items: []jobs.Item{{ID: "1", ExpectedOutput: 1000}, {ID: "2", ExpectedOutput: 400}, {ID: "3", MaxOutput: 100}, {ID: "4"}}}
+	job := &jobs.Job{ID: "j", Workspace: "w", Host: "h", Model: "m", Items: []jobs.Item{{ID: "1", ExpectedOutput: 1000}, {ID: "2", ExpectedOutput: 400}, {ID: "3", MaxOutput: 100}, {ID: "4"}}}
 	records, err := jobs.EncodeJob(job, 1<<18)
 	must.NoError(t, err)
 	apply(records...)
 	of := func(at time.Time) *pool.Demand {
 		return demands.Of(table, func(*jobs.Entry) (string, time.Duration) { return "llm", 7 * time.Second }, at)["llm"]
 	}
-	must.Eq(t, &pool.Demand{Rounds: []pool.Round{{Trainer: "h/m", Submitted: now, Due: 7 * time.Second, Tokens: 2000, Open: 2000}}}, of(now))
+	must.Eq(t, &pool.Demand{Rounds: []pool.Round{{Trainer: "w/h/m", Submitted: now, Due: 7 * time.Second, Tokens: 2000, Open: 2000}}}, of(now))
 	for i, r := range []jobs.Result{{Item: "1", RunMs: 700}, {Item: "2"}} {
 		record, err := jobs.EncodeResult("j", i, r)
 		must.NoError(t, err)
