Keep the number of servers while only the sizes of rounds vary

It counts from a fifth of the need now, and one below twice of that after a minute only.

TestReclaimInTheMiddleOfARound expected all but one of the former servers. It now expects the need and its reserve: a surplus that was not yet removed is not ordered again.

--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -55,9 +55,12 @@
 	IdleObservation time.Duration
 	// MaxDecrease is the largest share of the servers that one decrease removes.
 	MaxDecrease float64
-	// MinSurplus is the least number of servers that a decrease removes in total, because
-	// the need varies by single servers.
-	MinSurplus int
+	// MinSurplus is the least surplus that a decrease removes, and MinSurplusShare the least
+	// one as a share of the servers needed: the need varies with the sizes of rounds. A surplus
+	// below twice as many must have been observed for SmallObservation.
+	MinSurplus       int
+	MinSurplusShare  float64
+	SmallObservation time.Duration
 	// MinBackoff is the time before a refused order is repeated. It doubles up to
 	// MaxBackoff.
 	MinBackoff time.Duration
@@ -71,7 +74,7 @@
 		ArrivalLag: 3 * time.Second, MaxRegistryAge: 2 * time.Second, Settle: 3 * time.Second, // above two heartbeats of a server
 		LateWindow: 10 * time.Second, LossHold: 10 * time.Second, MissingRetention: time.Minute,
 		ObservedPeriods: 5, MinObservation: 20 * time.Second, IdleObservation: time.Minute,
-		MaxDecrease: 0.125, MinSurplus: 2,
+		MaxDecrease: 0.125, MinSurplus: 2, MinSurplusShare: 0.2, SmallObservation: time.Minute,
 		MinBackoff: 500 * time.Millisecond, MaxBackoff: 2 * time.Second, // half of a round
 	}
 }
--- a/internal/core/pool/service.go
+++ b/internal/core/pool/service.go
@@ -88,7 +88,7 @@
 	} else {
 		s.needs = append(s.needs, needSample{at: now, servers: s.need.servers})
 	}
-	s.needs = slices.DeleteFunc(s.needs, func(n needSample) bool { return now.Sub(n.at) > s.observation() })
+	s.needs = slices.DeleteFunc(s.needs, func(n needSample) bool { return now.Sub(n.at) > max(s.observation(), s.config.SmallObservation) })
 }
 
 // observation returns how long an observation must last before a decrease.
@@ -123,27 +123,55 @@
 
 // decrease returns an order for fewer servers, if a long and steady observation shows that
 // more are there than any second of it needed, or one that replaces on-demand servers by a
-// reserve of spot servers.
+// reserve of spot servers. A small surplus takes a longer observation than a large one.
 func (s *service) decrease(now time.Time) []Order {
-	if s.unmeasured || now.Sub(s.steadySince) < s.observation() || now.Sub(s.lastDecrease) < s.need.period || !s.settled() {
+	if s.unmeasured || now.Sub(s.lastDecrease) < s.need.period || !s.settled() {
 		return nil
 	}
-	greatest := slices.MaxFunc(s.needs, func(x, y needSample) int { return x.servers - y.servers })
-	want := s.targetsFor(greatest.servers)
+	orders := s.decreaseAfter(max(s.observation(), s.config.SmallObservation), 1, now)
+	if len(orders) == 0 {
+		orders = s.decreaseAfter(s.observation(), 2, now)
+	}
+	return orders
+}
+
+// decreaseAfter is decrease after an observation, for a surplus of factor times the least one.
+func (s *service) decreaseAfter(observation time.Duration, factor int, now time.Time) []Order {
+	if now.Sub(s.steadySince) < observation {
+		return nil
+	}
+	needed := s.greatestNeed(observation, now)
+	want, least := s.targetsFor(needed), factor*s.minSurplus(needed)
 	onDemand, spot := s.count(false), s.count(true)
-	reason := fmt.Sprintf("at most %d servers were needed for %s with a reserve of %d, %d on-demand and %d spot servers serve", want.onDemand, s.observation(), want.reserve, onDemand, spot)
+	reason := fmt.Sprintf("at most %d servers were needed for %s with a reserve of %d, %d on-demand and %d spot servers serve", want.onDemand, observation, want.reserve, onDemand, spot)
 	surplus := onDemand + spot - want.total()
 	switch {
-	case surplus >= s.config.MinSurplus && onDemand-want.onDemand >= s.config.MinSurplus:
+	case surplus >= least && onDemand-want.onDemand >= least:
 		return s.remove(false, min(surplus, onDemand-want.onDemand), want.onDemand, reason, now)
-	case surplus >= s.config.MinSurplus && spot > 0:
+	case surplus >= least && spot > 0:
 		return s.remove(true, min(surplus, spot), want.reserve, reason, now)
-	case onDemand-want.onDemand >= s.config.MinSurplus && spot < want.reserve:
+	case onDemand-want.onDemand >= least && spot < want.reserve:
 		return s.place(true, min(onDemand-want.onDemand, want.reserve-spot), want.reserve, reason, now)
 	}
 	return nil
 }
 
+// greatestNeed returns the greatest need of an observation.
+func (s *service) greatestNeed(observation time.Duration, now time.Time) int {
+	greatest := 0
+	for _, n := range s.needs {
+		if now.Sub(n.at) <= observation {
+			greatest = max(greatest, n.servers)
+		}
+	}
+	return greatest
+}
+
+// minSurplus returns the least surplus that a decrease removes.
+func (s *service) minSurplus(needed int) int {
+	return max(s.config.MinSurplus, int(math.Ceil(s.config.MinSurplusShare*float64(needed))))
+}
+
 // settled reports whether the registry shows the result of all orders.
 func (s *service) settled() bool {
 	for _, f := range s.fleets {
--- a/internal/core/pool/world_test.go
+++ b/internal/core/pool/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 	testLag      = time.Second // of the registry
 	testPerToken = 670 * time.Microsecond
 	testTrainers = 4
+	// roundRetention is how long rounds that ended can be read.
+	roundRetention = 2 * time.Minute
 )
 
 var testScale = deployment.Scale{
@@ -43,7 +46,9 @@
 	ordered  map[Key]int           // number that the platform has for a kind
 	rounds   []Round
 	tokens   float64 // in a round of one trainer
-	started  int
+	// draw returns the tokens of the next round, if they vary.
+	draw    func() float64
+	started int
 	// outcome returns the outcome of an order, and whether it is carried out now.
 	outcome func(Order) (Outcome, bool)
 	// outage of the store; other load that is not measured
@@ -110,6 +115,7 @@
 		w.submit()
 		w.work()
 		w.plan()
+		w.forget()
 	}
 }
 
@@ -117,11 +123,19 @@
 func (w *world) submit() {
 	for i := range testTrainers {
 		if w.now.Sub(time.Unix(1000, 0))%testPeriod == time.Duration(i)*time.Second && w.tokens > 0 {
+			if w.draw != nil {
+				w.tokens = w.draw()
+			}
 			w.rounds = append(w.rounds, Round{Trainer: fmt.Sprint(i), Submitted: w.now, Due: testDue, Tokens: w.tokens, Open: w.tokens})
 		}
 	}
 }
 
+// forget removes the rounds that ended long ago.
+func (w *world) forget() {
+	w.rounds = slices.DeleteFunc(w.rounds, func(r Round) bool { return r.Open == 0 && w.now.Sub(r.Submitted) > roundRetention })
+}
+
 // work works on the open rounds and records when they end.
 func (w *world) work() {
 	capacity := 0.0
@@ -204,6 +218,12 @@
 	return n
 }
 
+// wanted returns the number of servers that the need and its reserve require.
+func (w *world) wanted() int {
+	s := w.planner.services[testService]
+	return s.targetsFor(s.need.servers).total()
+}
+
 // settle plays a usual day until the pool has its reserve of spot servers.
 func (w *world) settle() {
 	w.play(2 * time.Minute)
