Bound orders of servers by the numbers that they have

Room was checked by the servers that may be there, but an order has at least the number of the last one: with 10 on-demand servers, max 12 and an earlier order of 9 spot servers, the next order was for 9. The check uses the number of the order now. An order without a response no longer takes the larger of its number and one whose time has passed, and the stored order of a former holder bounds orders for what remains of a minute since this host read it; before, it did so for a minute from the start of each tenure.

--- a/internal/core/pool/fleet.go
+++ b/internal/core/pool/fleet.go
@@ -145,6 +145,9 @@
 		f.ordered, f.refusals = o.Count, 0
 	case Unknown:
 		// A later order with a higher number may be followed by this one.
+		if !now.Before(f.orderedUntil) {
+			f.ordered = 0
+		}
 		f.ordered, f.avoidUntil = max(f.ordered, o.Count), now.Add(f.config.LateWindow)
 	case Refused, NoCapacity:
 		f.coming = max(f.coming-max(o.Change, 0), 0)
@@ -160,8 +163,9 @@
 // maxDoublings keeps the backoff in the range of its type.
 const maxDoublings = 10
 
-// restore takes over an order of a former holder, which may have been sent just now.
-func (f *fleet) restore(o Order, now time.Time) {
+// restore takes over an order of a former holder, which was stored some time ago but may
+// have been sent just now.
+func (f *fleet) restore(o Order, age time.Duration, now time.Time) {
 	f.expect(o.Count-len(f.serving), now)
-	f.ordered, f.orderedUntil = o.Count, now.Add(f.config.MissingRetention)
+	f.ordered, f.orderedUntil = o.Count, now.Add(f.config.MissingRetention-age)
 }
--- a/internal/core/pool/place.go
+++ b/internal/core/pool/place.go
@@ -56,7 +56,7 @@
 		)
 	}
 	for key, f := range s.fleets {
-		if key.Spot != spot || !f.canOrder(now) || s.room(f, added, now) < 1 {
+		if key.Spot != spot || !f.canOrder(now) || !s.hasRoom(f, added[f], now) {
 			continue
 		}
 		if best == nil || compare(f, best) < 0 {
@@ -66,14 +66,14 @@
 	return best
 }
 
-// room returns how many more servers may be ordered: Max bounds both kinds together,
-// including servers that are leaving.
-func (s *service) room(f *fleet, added map[*fleet]int, now time.Time) int {
+// hasRoom reports whether one more server may be ordered. Max bounds both kinds together,
+// including servers that are leaving, by the numbers that the orders have.
+func (s *service) hasRoom(f *fleet, added int, now time.Time) bool {
 	other := f.key
 	other.Spot = !other.Spot
 	o := s.fleets[other]
-	used := f.possible() + o.floor(now) + len(f.leaving) + len(o.leaving)
-	return s.scale.Max - used - added[f] - added[o]
+	count := max(f.possible()+added+1, f.floor(now))
+	return count+o.floor(now)+len(f.leaving)+len(o.leaving) <= s.scale.Max
 }
 
 // price returns the price of a server, relative to others of its kind.
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -181,7 +181,7 @@
 	config   Config
 	services map[string]*service
 	// restored holds the orders of former holders until the first plan for their service.
-	restored []Order
+	restored []restoredOrder
 	// freshSince is the time since which the registry was read without a break; zero if it
 	// is outdated.
 	freshSince time.Time
@@ -193,8 +193,17 @@
 }
 
 // Restore records the newest order of a former holder for some servers, whose outcome is
-// Accepted or Unknown. It precedes the first call of Plan.
-func (p *Planner) Restore(o Order) { p.restored = append(p.restored, o) }
+// Accepted or Unknown and which was stored at least age ago. It precedes the first call of
+// Plan.
+func (p *Planner) Restore(o Order, age time.Duration) {
+	p.restored = append(p.restored, restoredOrder{Order: o, age: age})
+}
+
+// restoredOrder is an order of a former holder.
+type restoredOrder struct {
+	Order
+	age time.Duration
+}
 
 // Plan returns the orders to send now. The outcome of each must be passed to Record; until
 // then, there is no other order for the same servers.
@@ -275,7 +284,7 @@
 	}
 	for _, o := range p.restored {
 		if o.Service == current.Name {
-			s.fleet(o.Key).restore(o, now)
+			s.fleet(o.Key).restore(o.Order, o.age, now)
 		}
 	}
 	return s
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -199,7 +199,7 @@
 		w.planner, w.orders = New(Defaults()), nil
 		w.outcome = accept
 		for _, o := range stored {
-			w.planner.Restore(o)
+			w.planner.Restore(o, 0)
 		}
 		w.play(6 * time.Second)
 		must.EqOp(t, 0, len(w.orders), must.Sprintf("sent: %t", sent))
@@ -294,3 +294,63 @@
 	w.play(testPeriod)
 	must.LessEq(t, testDue, w.lateness)
 }
+
+// planOne plans for a service in data centre "a" alone, with a number of on-demand servers
+// and a need of 16.
+func planOne(p *Planner, scale deployment.Scale, servers int, now time.Time) []Order {
+	scale.Prices = map[string]float64{"a": 1}
+	current := Service{Name: testService, Scale: scale, Slots: testSlots}
+	for i := range servers {
+		current.Servers = append(current.Servers, deployment.Server{ID: fmt.Sprint(i), Service: testService, DataCentre: "a", Slots: testSlots})
+	}
+	current.Demand.Rounds = []Round{{Trainer: "t", Submitted: now, Due: testDue, Tokens: 3e5}}
+	return p.Plan(Input{Now: now, Services: []Service{current}})
+}
+
+// Guards against orders that exceed the maximum because they repeat the number of an earlier
+// order, e.g. one of a former holder that had no effect.
+func TestOrdersStayBelowTheMaximum(t *testing.T) {
+	now, scale := time.Unix(1000, 0), testScale
+	scale.Max = 12
+	p := New(Defaults())
+	p.Restore(Order{Key: Key{testService, "a", true}, Count: 9, Change: 9}, 0)
+	ordered := map[bool]int{false: 10}
+	for range 60 * 4 * 3 {
+		for _, o := range planOne(p, scale, 10, now) {
+			ordered[o.Spot] = o.Count
+			must.LessEq(t, scale.Max, ordered[false]+ordered[true], must.Sprintf("%+v", o))
+			p.Record(o, Accepted, now)
+		}
+		now = now.Add(testStep)
+	}
+}
+
+// Guards against an ordered number that counts again after its time has passed, because a
+// later order had no response.
+func TestOrderedNumberEndsWithItsTime(t *testing.T) {
+	c, now := Defaults(), time.Unix(1000, 0)
+	f := &fleet{config: &c, serving: make(map[string]bool)}
+	f.recordOutcome(Order{Count: 20}, Accepted, now)
+	f.recordOutcome(Order{Count: 5}, Unknown, now.Add(c.MissingRetention/2))
+	must.EqOp(t, 20, f.floor(now.Add(c.MissingRetention)))
+	f.recordOutcome(Order{Count: 6}, Unknown, now.Add(3*c.MissingRetention))
+	must.EqOp(t, 6, f.floor(now.Add(3*c.MissingRetention)))
+}
+
+// Guards against a new holder that orders nothing for a minute, because an order of long ago
+// counts as what may still be there.
+func TestOldOrderOfAFormerHolderBoundsNothing(t *testing.T) {
+	now, scale := time.Unix(1000, 0), testScale
+	scale.Max = 20
+	p := New(Defaults())
+	p.Restore(Order{Key: Key{testService, "a", true}, Count: 9, Change: 9}, time.Hour)
+	more := 0
+	for range int(15 * time.Second / testStep) {
+		for _, o := range planOne(p, scale, 10, now) {
+			more = max(more, o.Count)
+			p.Record(o, Accepted, now)
+		}
+		now = now.Add(testStep)
+	}
+	must.Greater(t, 11, more)
+}
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -94,6 +94,9 @@
 	// of former holders. For a moment, they may show an older value of a key that this host
 	// itself has written. The values must not be changed.
 	Records(prefix string) []logstore.Record
+	// Age returns how long this host has known the newest record of a key. The record may be
+	// older, but not newer.
+	Age(key string) time.Duration
 	// Append stores records whose keys begin with KeyPrefix, in their order. Those without
 	// a value remove their key. Without an error they are stored.
 	Append(context.Context, []logstore.Record) error
--- a/internal/duties/holder.go
+++ b/internal/duties/holder.go
@@ -122,6 +122,9 @@
 // Records implements Office.
 func (o *office) Records(prefix string) []logstore.Record { return o.holder.records.withPrefix(prefix) }
 
+// Age implements Office.
+func (o *office) Age(key string) time.Duration { return o.holder.records.age(key, boottime.Now()) }
+
 // Append implements Office.
 func (o *office) Append(ctx context.Context, records []logstore.Record) error {
 	if _, stored := o.partition.Append(ctx, records); !stored {
--- a/internal/duties/holder_test.go
+++ b/internal/duties/holder_test.go
@@ -176,3 +176,19 @@
 		<-ended
 	})
 }
+
+// Guards against a record that counts as new because it was listed again, and against an age
+// that belongs to the former value.
+func TestAgeOfARecordIsThatOfItsValue(t *testing.T) {
+	records, now := NewRecords(testLease), boottime.Now()
+	key := KeyPrefix + "scale/x"
+	apply := func(offset int64, at time.Time) {
+		must.NoError(t, records.Apply(logstore.Record{Key: key, Value: []byte("{}"), Offset: offset}, at))
+	}
+	apply(7, now)
+	apply(7, now.Add(time.Minute))
+	must.EqOp(t, 2*time.Minute, records.age(key, now.Add(2*time.Minute)))
+	apply(8, now.Add(time.Minute))
+	must.EqOp(t, time.Minute, records.age(key, now.Add(2*time.Minute)))
+	must.EqOp(t, 0, records.age("other", now))
+}
--- a/internal/duties/records.go
+++ b/internal/duties/records.go
@@ -21,14 +21,21 @@
 // can become the holder. It is safe for concurrent use.
 type Records struct {
 	mu    sync.Mutex
-	byKey map[string]logstore.Record
+	byKey map[string]storedRecord
 	gate  *duty.Gate
 }
 
+// storedRecord is a record with the time on the clock of boottime.Now at which this host
+// read or appended it.
+type storedRecord struct {
+	logstore.Record
+	readAt time.Time
+}
+
 // NewRecords returns an empty table. Calls of two processes for one subject are at least a
 // lease apart.
 func NewRecords(lease time.Duration) *Records {
-	return &Records{byKey: make(map[string]logstore.Record), gate: duty.NewGate(lease)}
+	return &Records{byKey: make(map[string]storedRecord), gate: duty.NewGate(lease)}
 }
 
 // Apply applies a record that was read, or appended by this host, at a time on the clock of
@@ -52,7 +59,11 @@
 		t.gate.Observe(subject, intent, now)
 		return nil
 	}
-	t.byKey[r.Key] = r
+	stored := storedRecord{Record: r, readAt: now}
+	if former, ok := t.byKey[r.Key]; ok && r.Offset > 0 && former.Offset == r.Offset {
+		stored.readAt = former.readAt // listed again
+	}
+	t.byKey[r.Key] = stored
 	return nil
 }
 
@@ -65,7 +76,18 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.byKey, func(key string, r logstore.Record) bool { return r.Offset > 0 && !present[key] })
+	maps.DeleteFunc(t.byKey, func(key string, r storedRecord) bool { return r.Offset > 0 && !present[key] })
+}
+
+// age returns the time since this host read or appended the newest record of a key, and 0 if
+// there is none.
+func (t *Records) age(key string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.byKey[key]; ok {
+		return now.Sub(r.readAt)
+	}
+	return 0
 }
 
 // withPrefix returns the records whose keys begin with prefix, in the order of their keys.
@@ -75,7 +97,7 @@
 	var found []logstore.Record
 	for key, r := range t.byKey {
 		if strings.HasPrefix(key, prefix) {
-			found = append(found, r)
+			found = append(found, r.Record)
 		}
 	}
 	slices.SortFunc(found, func(a, b logstore.Record) int { return strings.Compare(a.Key, b.Key) })
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -71,7 +71,7 @@
 	s.planner, s.fence = pool.New(pool.Defaults()), fence
 	for _, r := range office.Records(duties.KeyPrefix + recordPrefix) {
 		if o, ok := decodeOrder(r); ok {
-			s.planner.Restore(o)
+			s.planner.Restore(o, office.Age(r.Key))
 		}
 	}
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -65,6 +65,8 @@
 	return records
 }
 
+func (p *testPlatform) Age(string) time.Duration { return 0 }
+
 func (p *testPlatform) Append(_ context.Context, records []logstore.Record) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
