Keep the servers of a data centre whose registry entries are gone

Missing servers and the ordered number now stay in the floor while no server of the data centre is registered, and for a minute afterwards.

--- a/internal/core/pool/fleet.go
+++ b/internal/core/pool/fleet.go
@@ -17,6 +17,9 @@
 	// missing holds since when servers are gone, or leave, without an order or a reclaim.
 	// They may still be part of the number that the platform has.
 	missing map[string]time.Time
+	// unregistered is set while the registry has no server of either kind in the data centre.
+	// They may all be alive, so what was known of them is kept.
+	unregistered bool
 	// coming is the number of ordered servers that have not arrived, and releasing that of
 	// servers that an order drains and that do not leave yet. Both are given up at effectBy.
 	coming, releasing int
@@ -43,12 +46,23 @@
 // floor returns the least number that an increase may order: what may be there, and what
 // was ordered, because an earlier order may still be carried out.
 func (f *fleet) floor(now time.Time) int {
-	if now.Before(f.orderedUntil) {
+	if f.unregistered || now.Before(f.orderedUntil) {
 		return max(f.possible(), f.ordered)
 	}
 	return f.possible()
 }
 
+// recent returns possible without the servers that have been missing for long.
+func (f *fleet) recent(now time.Time) int {
+	n := f.expected()
+	for _, since := range f.missing {
+		if now.Sub(since) < f.config.MissingRetention {
+			n++
+		}
+	}
+	return n
+}
+
 // canOrder reports whether an order can be sent now.
 func (f *fleet) canOrder(now time.Time) bool { return !f.inFlight && !now.Before(f.retryAt) }
 
@@ -71,13 +85,24 @@
 	}
 	f.serving, f.leaving = serving, leaving
 	for id, since := range f.missing {
-		if now.Sub(since) >= f.config.MissingRetention {
+		if !f.unregistered && now.Sub(since) >= f.config.MissingRetention {
 			delete(f.missing, id)
 		}
 	}
 	return f.expire(now) || disturbed || len(f.missing) > 0
 }
 
+// setUnregistered records whether the registry has no server in the data centre. Once it has
+// some again, the others have MissingRetention to be registered.
+func (f *fleet) setUnregistered(unregistered bool, now time.Time) {
+	if f.unregistered && !unregistered {
+		for id := range f.missing {
+			f.missing[id] = now
+		}
+	}
+	f.unregistered = unregistered
+}
+
 // arrive records that a server serves.
 func (f *fleet) arrive(id string) {
 	if _, returned := f.missing[id]; returned {
--- a/internal/core/pool/place.go
+++ b/internal/core/pool/place.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		key.Spot = true
-		if n := s.scale.Min - f.possible() - s.fleets[key].possible(); n > 0 {
+		if n := s.scale.Min - f.recent(now) - s.fleets[key].recent(now); n > 0 {
 			orders = append(orders, f.order(n, fmt.Sprintf("the minimum is %d servers", s.scale.Min), now))
 		}
 	}
@@ -69,9 +69,7 @@
 // hasRoom reports whether one more server may be ordered. Max bounds both kinds together,
 // including servers that are leaving, by the numbers that the orders have.
 func (s *service) hasRoom(f *fleet, added int, now time.Time) bool {
-	other := f.key
-	other.Spot = !other.Spot
-	o := s.fleets[other]
+	o := s.fleets[f.key.otherKind()]
 	count := max(f.possible()+added+1, f.floor(now))
 	return count+o.floor(now)+len(f.leaving)+len(o.leaving) <= s.scale.Max
 }
@@ -107,12 +105,10 @@
 
 // removable returns how many of the surplus servers may be removed by one order.
 func (s *service) removable(f *fleet, surplus, total int) int {
-	other := f.key
-	other.Spot = !other.Spot
 	evenShare := float64(total) / float64(len(s.fleets)/2)
 	keep := max(int(math.Ceil(evenShare/2)), s.scale.Min) // a reclaim leaves Min servers
 	if f.key.Spot {
-		keep = s.scale.Min - len(s.fleets[other].serving) // a reserve may be in one data centre
+		keep = s.scale.Min - len(s.fleets[f.key.otherKind()].serving) // a reserve may be in one data centre
 	}
 	step := max(int(s.config.MaxDecrease*float64(s.count(false)+s.count(true))), 1)
 	return min(surplus, step, len(f.serving)-max(keep, 0))
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -86,6 +86,12 @@
 	Spot       bool
 }
 
+// otherKind returns the key of the other kind in the same data centre.
+func (k Key) otherKind() Key {
+	k.Spot = !k.Spot
+	return k
+}
+
 // Kind returns the name of the kind of server.
 func (k Key) Kind() string {
 	if k.Spot {
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -354,3 +354,18 @@
 	}
 	must.Greater(t, 11, more)
 }
+
+// Guards against an order of the minimum that drains the servers of a data centre whose
+// entries in the registry are gone for longer than missing servers count.
+func TestUnregisteredDataCentreKeepsItsServers(t *testing.T) {
+	w := newWorld(t, 680)
+	w.settle()
+	const cut = "c"
+	before := w.countIf(func(s *testServer) bool { return s.DataCentre == cut })
+	for _, s := range w.servers {
+		s.expired = s.DataCentre == cut
+	}
+	w.play(2 * Defaults().MissingRetention)
+	must.GreaterEq(t, before, w.countIf(func(s *testServer) bool { return s.DataCentre == cut }), must.Sprint("servers were drained"))
+	must.True(t, slices.ContainsFunc(w.orders, func(o Order) bool { return o.DataCentre != cut && o.Change > 0 }), must.Sprint("not replaced elsewhere"))
+}
--- a/internal/core/pool/service.go
+++ b/internal/core/pool/service.go
@@ -74,6 +74,7 @@
 	}
 	for key, f := range s.fleets {
 		f.startUp = s.scale.StartUp
+		f.setUnregistered(len(byKey[key])+len(byKey[key.otherKind()]) == 0, now)
 		if f.observe(byKey[key], now) {
 			s.steadySince = now
 		}
