Move runs from leaving servers where they have memory and keep their output

The best replica by score was chosen for a move and then checked for memory, so a run stayed on a leaving server although the second best could take it. Replicas without memory are skipped in the choice of every move. A run of a job with a single weight version was moved to a replica with another version, which discards its output, although it was expected to end in time; the margins count for it no more. Both have a test that failed.

--- a/internal/core/schedule/choose.go
+++ b/internal/core/schedule/choose.go
@@ -85,7 +85,8 @@
 }
 
 // choose returns the replica with the lowest score for an item among those on which
-// another run may be started. It skips the replica avoid and those blocked during this tick.
+// another run may be started. It skips those blocked during this tick. For a task that has a
+// run on the replica avoid, it also skips that and those without the memory for the run.
 func (s *Scheduler) choose(t *task, in TickInput, avoid string) choice {
 	var best choice
 	list := s.candidates(t.job, in)
@@ -96,6 +97,9 @@
 		if !s.canStart(c) || c.ID == avoid || s.blocked[c.ID] {
 			continue
 		}
+		if avoid != "" && !s.hasMemoryFor(c.Replica, memoryNeed) {
+			continue
+		}
 		cost := c.score(events, memoryNeed, group) + leaving.add(c.Replica)
 		if best.replica == nil || cost < best.score {
 			best.replica, best.score = c.Replica, cost
--- a/internal/core/schedule/evacuate.go
+++ b/internal/core/schedule/evacuate.go
@@ -39,8 +39,8 @@
 	for _, l := range runs {
 		from := l.task.run.replica
 		to := s.choose(l.task, in, from)
-		if to.replica == nil || !s.hasMemoryFor(to.replica, l.task, in) {
-			continue
+		if to.replica == nil || l.rest <= l.left && discardsOutput(l.task, to.replica, in) {
+			continue // an output that would be discarded is completed here if it is expected to be in time
 		}
 		actions.Stops = append(actions.Stops, Stop{Run: l.task.run.id, Reason: fmt.Sprintf(
 			"replica %s leaves in %s, the run is expected to take %s", from, l.left, l.rest)})
--- a/internal/core/schedule/evacuate_test.go
+++ b/internal/core/schedule/evacuate_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,6 +11,18 @@
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 )
 
+// submit adds a job whose items have the same length hint and returns the runs
+// that start.
+func (s *trainerStep) submit(id string, items, hint int) []Start {
+	job := &jobs.Job{ID: id, MinVersion: 1}
+	for i := range items {
+		job.Items = append(job.Items, jobs.Item{ID: fmt.Sprintf("%s-%d", id, i), PromptTokens: testPrompt, ExpectedOutput: hint})
+	}
+	entry := &jobs.Entry{Job: job, ReadAt: s.now, Committed: make(map[string]int)}
+	s.scheduler.AddJob(entry, func(string) (jobs.Partial, bool) { return jobs.Partial{}, false })
+	return s.scheduler.Tick(s.input()).Starts
+}
+
 // reclaim makes some replicas leave after the given time, and returns when they are gone.
 func (s *trainerStep) reclaim(ids map[string]bool, notice time.Duration) time.Time {
 	gone := s.now.Add(notice)
@@ -78,3 +91,49 @@
 	s.now = gone
 	must.SliceEmpty(t, s.scheduler.Tick(s.input()).Starts, must.Sprint("started without a free slot"))
 }
+
+// startOne starts the only item of a job on the only usable replica, and delivers events under
+// weight version 1 until half of the hint is left.
+func startOne(t *testing.T, s *trainerStep) Start {
+	starts := s.submit("long", 1, 100*testEventTokens)
+	must.SliceLen(t, 1, starts)
+	for i := range 50 {
+		s.now = s.now.Add(50 * time.Millisecond)
+		s.scheduler.RecordEvent(starts[0].Run, int64(i), "x", 1, s.now)
+	}
+	return starts[0]
+}
+
+// Guards against a run that stays on a leaving replica because the best of the others lacks
+// the memory for it.
+func TestRunLeavesForAReplicaWithMemory(t *testing.T) {
+	s := newStep(rand.New(rand.NewPCG(1, 11)), 1, 1, 3, 4)
+	s.replicas[1].Usable, s.replicas[2].Usable = false, false
+	start := startOne(t, s)
+	must.EqOp(t, "r0", start.Replica)
+	for id, perEvent := range map[string]time.Duration{"r0": 50, "r1": 45, "r2": 90} {
+		*s.scheduler.pace(id) = pace{perEvent: perEvent * time.Millisecond, events: 20, measuredAt: s.now, wasReliable: true}
+	}
+	need := s.scheduler.memoryNeed(s.scheduler.tasks.Get(taskKey("long", "long-0")), s.input())
+	s.replicas[1].Usable, s.replicas[1].MemoryTokens = true, need-1
+	s.replicas[2].Usable, s.replicas[2].MemoryTokens = true, 100*need
+	s.reclaim(map[string]bool{"r0": true}, 2*time.Second)
+	moved := s.scheduler.Tick(s.input()).Starts
+	must.SliceLen(t, 1, moved)
+	must.EqOp(t, "r2", moved[0].Replica)
+}
+
+// Guards against a move that discards an output which the leaving replica can complete, and
+// against none where it cannot: the job allows a single weight version.
+func TestMoveDiscardsOutputOnlyIfItWouldBeLost(t *testing.T) {
+	for notice, moves := range map[time.Duration]int{2700 * time.Millisecond: 0, 2 * time.Second: 1} {
+		s := newStep(rand.New(rand.NewPCG(1, 12)), 1, 1, 2, 4)
+		s.replicas[0].Version, s.replicas[1].Version, s.replicas[1].Usable = 1, 2, false
+		start := startOne(t, s)
+		s.replicas[1].Usable = true
+		s.reclaim(map[string]bool{start.Replica: true}, notice) // the rest takes some 2.5 s
+		in := s.input()
+		in.SingleVersion = func(*jobs.Entry) bool { return true }
+		must.SliceLen(t, moves, s.scheduler.Tick(in).Starts, must.Sprint(notice))
+	}
+}
--- a/internal/core/schedule/move.go
+++ b/internal/core/schedule/move.go
@@ -88,7 +88,7 @@
 	}
 	to := s.choose(t, in, r.replica)
 	// A move to a replica with a rate limit would take the run of a waiting item.
-	if to.replica == nil || to.replica.RateLimited || !s.hasMemoryFor(to.replica, t, in) {
+	if to.replica == nil || to.replica.RateLimited {
 		return move{}, false
 	}
 	timeThere := time.Duration(events * float64(s.expectedPace(to.replica.ID, in.Now)))
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -269,18 +269,6 @@
 	must.EqOp(t, short[0].Replica, second[0].Replica)
 }
 
-// submit adds a job whose items have the same length hint and returns the runs
-// that start.
-func (s *trainerStep) submit(id string, items, hint int) []Start {
-	job := &jobs.Job{ID: id, MinVersion: 1}
-	for i := range items {
-		job.Items = append(job.Items, jobs.Item{ID: fmt.Sprintf("%s-%d", id, i), PromptTokens: testPrompt, ExpectedOutput: hint})
-	}
-	entry := &jobs.Entry{Job: job, ReadAt: s.now, Committed: make(map[string]int)}
-	s.scheduler.AddJob(entry, func(string) (jobs.Partial, bool) { return jobs.Partial{}, false })
-	return s.scheduler.Tick(s.input()).Starts
-}
-
 // Guards against a preempted run that waits for the event timeout. A replica that
 // is silent for one run while it produces events for others has preempted it: the
 // run must continue on another replica, and the replica must not count as failed.
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -224,14 +224,13 @@
 // hasCapacityElsewhere reports whether another replica has a free slot and enough
 // memory for a task's run.
 func (s *Scheduler) hasCapacityElsewhere(t *task, in TickInput) bool {
-	to := s.choose(t, in, t.run.replica)
-	return to.replica != nil && s.hasMemoryFor(to.replica, t, in)
+	return s.choose(t, in, t.run.replica).replica != nil
 }
 
 // hasMemoryFor reports whether a replica is expected to have enough memory for an
-// item until the end of its run.
-func (s *Scheduler) hasMemoryFor(r *Replica, t *task, in TickInput) bool {
-	return r.MemoryTokens == 0 || s.usage(r.ID).tokens+s.memoryNeed(t, in) <= r.MemoryTokens
+// item with the given need until the end of its run.
+func (s *Scheduler) hasMemoryFor(r *Replica, need int) bool {
+	return r.MemoryTokens == 0 || s.usage(r.ID).tokens+need <= r.MemoryTokens
 }
 
 // startWaiting starts runnable items in the order of urgency while replicas have
@@ -270,16 +269,22 @@
 	return t.run == nil && !t.decided && !t.outputComplete && !now.Before(t.notBefore)
 }
 
+// discardsOutput reports whether the job does not allow to continue a task's partial output
+// on a replica.
+func discardsOutput(t *task, to *Replica, in TickInput) bool {
+	versions, single := t.partial.Versions, in.SingleVersion(t.job)
+	return !jobs.VersionsAllowed(versions, t.job.Job.MinVersion, single) || (single && len(versions) > 0 && versions[0] != to.Version)
+}
+
 // start creates a run of an item on a replica. It discards a partial output that
 // the job does not allow to continue there.
 func (s *Scheduler) start(t *task, c choice, in TickInput, reason string) Start {
 	to := c.replica
 	s.nextRun++
-	minVersion, single := t.job.Job.MinVersion, in.SingleVersion(t.job)
-	if !jobs.VersionsAllowed(t.partial.Versions, minVersion, single) || (single && len(t.partial.Versions) > 0 && t.partial.Versions[0] != to.Version) {
+	if discardsOutput(t, to, in) {
 		t.partial = jobs.Partial{}
 	}
-	t.run = &run{id: s.nextRun, replica: to.ID, started: in.Now, lastEvent: in.Now, singleVersion: single}
+	t.run = &run{id: s.nextRun, replica: to.ID, started: in.Now, lastEvent: in.Now, singleVersion: in.SingleVersion(t.job)}
 	s.granted[to.ID]++
 	s.byRun[t.run.id] = taskKey(t.job.Job.ID, t.item.ID)
 	s.addUsage(t, in)
