Build the rows of replicas once per job and tick

The check for leaving replicas built the rows of each job a second time in each tick, also where nothing leaves, and built them for jobs with nothing waiting, which had none before. Tick reads them once for all, and AnyLeaving tells without them whether a replica leaves.

--- a/internal/core/schedule/evacuate.go
+++ b/internal/core/schedule/evacuate.go
@@ -52,7 +52,7 @@
 // leavingRun returns the run of a task if its replica will be gone before it is expected to
 // end. A run whose replica stays longer than that is not moved: a move delays the item.
 func (s *Scheduler) leavingRun(t *task, in TickInput) (leavingRun, bool) {
-	if t.run == nil {
+	if t.run == nil || !in.AnyLeaving(t.job) {
 		return leavingRun{}, false
 	}
 	leavesAt := s.leaveTimes(t, in)[t.run.replica]
--- a/internal/core/schedule/evacuate_test.go
+++ b/internal/core/schedule/evacuate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,10 @@
 	return s.scheduler.Tick(s.input()).Starts
 }
 
+func (s *trainerStep) anyLeaving(*jobs.Entry) bool {
+	return slices.ContainsFunc(s.replicas, func(r Replica) bool { return !r.LeavesAt.IsZero() })
+}
+
 // reclaim makes some replicas leave after the given time, and returns when they are gone.
 func (s *trainerStep) reclaim(ids map[string]bool, notice time.Duration) time.Time {
 	gone := s.now.Add(notice)
@@ -137,3 +142,23 @@
 		must.SliceLen(t, moves, s.scheduler.Tick(in).Starts, must.Sprint(notice))
 	}
 }
+
+// Guards against rows of replicas that are built several times in a tick, or for a job with
+// nothing to start while no replica is leaving.
+func TestReplicasAreReadOnceAndOnlyIfNeeded(t *testing.T) {
+	s := newStep(rand.New(rand.NewPCG(1, 13)), 1, 1, 2, 4)
+	s.replicas[1].Usable = false
+	startOne(t, s)
+	calls := 0
+	tick := func() int {
+		calls = 0
+		in := s.input()
+		in.Replicas = func(*jobs.Entry) []Replica { calls++; return s.replicas }
+		s.scheduler.Tick(in)
+		return calls
+	}
+	must.EqOp(t, 0, tick())
+	s.replicas[1].Usable = true
+	s.reclaim(map[string]bool{"r0": true}, time.Second)
+	must.EqOp(t, 1, tick())
+}
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -77,6 +77,7 @@
 	return TickInput{
 		Now:           s.now,
 		Replicas:      func(*jobs.Entry) []Replica { return s.replicas },
+		AnyLeaving:    s.anyLeaving,
 		SingleVersion: func(*jobs.Entry) bool { return false },
 		Finished:      func(string) (jobs.Result, bool) { return jobs.Result{}, false },
 		Expired:       func(*jobs.Entry) bool { return false },
--- a/internal/core/schedule/tick.go
+++ b/internal/core/schedule/tick.go
@@ -18,6 +18,9 @@
 	// Replicas returns the replicas of a job's service, with their state for the
 	// job's model.
 	Replicas func(*jobs.Entry) []Replica
+	// AnyLeaving reports whether the time is known at which one of them will be gone. It costs
+	// less than Replicas.
+	AnyLeaving func(*jobs.Entry) bool
 	// SingleVersion reports whether each result of a job must be generated under
 	// a single weight version.
 	SingleVersion func(*jobs.Entry) bool
@@ -43,7 +46,7 @@
 	var actions Actions
 	s.median = s.medianPace(in.Now)
 	s.fastest = s.fastestPace(in.Now)
-	in.EventTokens = memoize(in.EventTokens)
+	in.Replicas, in.AnyLeaving, in.EventTokens = memoize(in.Replicas), memoize(in.AnyLeaving), memoize(in.EventTokens)
 	in.SingleVersion, in.DueAfter, in.Expired = memoize(in.SingleVersion), memoize(in.DueAfter), memoize(in.Expired)
 	s.resetTick()
 	s.settleItems(in, &actions)
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -273,7 +273,7 @@
 	h := r.host
 	return schedule.TickInput{
 		Now:      now,
-		Replicas: r.replicas,
+		Replicas: r.replicas, AnyLeaving: r.anyLeaving,
 		SingleVersion: func(e *jobs.Entry) bool {
 			route := h.routeOf(e)
 			return route != nil && route.SingleVersion
@@ -312,41 +312,6 @@
 	return jobs.RouteOf(h.state.Config, e.Job)
 }
 
-// replicas returns the replicas for a job as input for the scheduler. If none is
-// assigned to the job's model, all count as assigned. The caller holds host.mu.
-func (r *runner) replicas(e *jobs.Entry) []schedule.Replica {
-	h := r.host
-	route := h.routeOf(e)
-	if route == nil {
-		return nil
-	}
-	service := serviceOf(route, e.Job.ID)
-	servers := h.serversByService[service]
-	memory := h.state.Config.Services[service].MemoryTokens
-	now := time.Now()
-	candidates := make([]schedule.Replica, 0, len(servers))
-	anyAssigned := false
-	for _, s := range servers {
-		p := h.placement(s.ID)
-		candidate := schedule.Replica{ID: s.ID, DataCentre: s.DataCentre, Slots: s.Slots, LeavesAt: s.LeavesAt, MemoryTokens: memory, Version: h.versionOf(s.ID, e.Job.Model)}
-		candidate.Grants, candidate.RateLimited = h.limits.Available(candidateOf(&s), now)
-		candidate.Usable = !s.Leaving && p.Loading != e.Job.Model
-		if p.serves(e.Job.Model) {
-			anyAssigned = true
-		} else {
-			candidate.Unassigned = true
-		}
-		candidates = append(candidates, candidate)
-	}
-	if !anyAssigned {
-		for i := range candidates {
-			candidates[i].Unassigned = false
-		}
-	}
-	h.excludeUnreachable(candidates, now)
-	return candidates
-}
-
 // start starts a run of an item. The caller holds host.mu.
 func (r *runner) start(s schedule.Start) {
 	h := r.host
