Evaluate other data centres only if work may leave

With spillover on, each request selected a server in every other data centre, also while the share that may leave was 0. The share is updated first now, and the local selection is returned if it is 0 and the local servers have not all refused. The router computes the loads of the data centres before it locks.

--- a/internal/callers/call.go
+++ b/internal/callers/call.go
@@ -33,9 +33,10 @@
 		defer c.mu.Unlock()
 		return c.rotation.Choose(request, candidates)
 	}
+	work := c.spillWork(request, candidates)
 	c.mu.Lock()
 	corrected := c.pending.apply(candidates, self.ID, now)
-	request.Spill = c.spillVerdict(request, candidates, now)
+	request.Spill = c.spillVerdict(work, now)
 	c.mu.Unlock()
 	var choice route.Choice
 	c.owner.WithPrefixIndex(func(prefixes *route.PrefixIndex) {
--- a/internal/callers/spill.go
+++ b/internal/callers/spill.go
@@ -9,16 +9,26 @@
 	"github.com/sesamestand/sesamestand/internal/core/spill"
 )
 
+// spillWork returns the input of spillVerdict, or nil if spillover is off. It reads all
+// candidates, so it is called without mu.
+func (c *Controller) spillWork(request route.Request, candidates []route.Candidate) *spill.Work {
+	if c.spill == nil {
+		return nil
+	}
+	work := route.SpillWork(request, candidates, c.spill.Config())
+	return &work
+}
+
 // spillVerdict decides whether a request leaves the data centre, or returns nil if
 // spillover is off. The caller holds mu.
-func (c *Controller) spillVerdict(request route.Request, candidates []route.Candidate, now time.Time) *spill.Verdict {
-	if c.spill == nil {
+func (c *Controller) spillVerdict(work *spill.Work, now time.Time) *spill.Verdict {
+	if work == nil {
 		return nil
 	}
-	before := c.spill.Share(request.Model)
-	verdict := c.spill.Decide(route.SpillWork(request, candidates, c.spill.Config()), now)
-	if after := c.spill.Share(request.Model); after != before {
-		klog.InfoS("share of requests that may leave the data centre changed", "service", request.Model, "before", before, "after", after)
+	before := c.spill.Share(work.Service)
+	verdict := c.spill.Decide(*work, now)
+	if after := c.spill.Share(work.Service); after != before {
+		klog.InfoS("share of requests that may leave the data centre changed", "service", work.Service, "before", before, "after", after)
 	}
 	return &verdict
 }
--- a/internal/core/forward/spill.go
+++ b/internal/core/forward/spill.go
@@ -63,7 +63,11 @@
 	if !full && (local.Server == nil || local.LastResort || b.isFailing(local.Server, now)) {
 		return in.chooseAnywhere(dataCentre, now)
 	}
-	work := in.work(b.localPressure(local, in, now))
+	pressure := b.localPressure(local, in, now)
+	if in.Gate.UpdateShare(in.Service, pressure, now) == 0 && !full {
+		return SpillChoice{Selection: local, Verdict: spill.Verdict{Reason: spill.InTime}}
+	}
+	work := in.work(pressure)
 	remote := make(map[string]Selection)
 	for _, name := range otherDataCentres(servers, dataCentre) {
 		s := in.choose(func(s *deployment.Server) bool { return s.DataCentre == name && b.hasRoom(s, now) })
--- a/internal/core/forward/spill_test.go
+++ b/internal/core/forward/spill_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/core/spill"
 )
 
@@ -268,6 +269,27 @@
 	must.EqOp(t, list[2].ID, choice.Server.ID)
 }
 
+// Guards against the work of evaluating other data centres while nothing may leave.
+func TestOtherDataCentresAreEvaluatedOnlyUnderPressure(t *testing.T) {
+	balancer, gate := New(Defaults()), spill.NewGate(spill.Defaults())
+	list, evaluated := servers("a", "b", "c"), 0
+	state := func(s *deployment.Server) ratelimit.State {
+		if s.DataCentre != "a" {
+			evaluated++
+		}
+		return ratelimit.Unlimited
+	}
+	in := Spillover{Gate: gate, Service: "app", Objective: simObjective}
+	choice := balancer.ChooseWithSpillover(list, "a", nil, state, in, testTime)
+	must.EqOp(t, spill.Verdict{Reason: spill.InTime}, choice.Verdict)
+	must.EqOp(t, "a", choice.Server.DataCentre)
+	must.EqOp(t, 0, evaluated)
+	balancer.RecordSent(&list[0], false)
+	balancer.RecordResult(&list[0], Answered, 3*simObjective, testTime)
+	balancer.ChooseWithSpillover(list, "a", nil, state, in, testTime)
+	must.EqOp(t, 2, evaluated)
+}
+
 // Guards against streams that leave because they are long.
 func TestLongStreamsStay(t *testing.T) {
 	balancer, gate := New(Defaults()), spill.NewGate(spill.Defaults())
--- a/internal/core/spill/share.go
+++ b/internal/core/spill/share.go
@@ -36,9 +36,10 @@
 	}
 }
 
-// updateShare grows the share with the pressure at once, and shrinks it slowly and only
-// below ReleasePressure, so that it does not swing with the work that comes back.
-func (g *Gate) updateShare(service string, pressure float64, now time.Time) float64 {
+// UpdateShare updates the share of a service's work that may leave, and returns it. It grows
+// with the pressure at once, and shrinks slowly and only below ReleasePressure, so that it
+// does not swing with the work that comes back.
+func (g *Gate) UpdateShare(service string, pressure float64, now time.Time) float64 {
 	s := g.shares[service]
 	if s == nil {
 		s = &share{updatedAt: now}
--- a/internal/core/spill/spill.go
+++ b/internal/core/spill/spill.go
@@ -171,7 +171,7 @@
 
 // Decide decides on a piece of work, and updates the share of its service.
 func (g *Gate) Decide(w Work, now time.Time) Verdict {
-	share := g.updateShare(w.Service, w.Pressure, now)
+	share := g.UpdateShare(w.Service, w.Pressure, now)
 	if share == 0 {
 		return Verdict{Reason: InTime}
 	}
@@ -189,7 +189,7 @@
 // stays, without a server, if no direction is open: the other data centres may be full as
 // well and send here.
 func (g *Gate) Overflow(w Work, now time.Time) Verdict {
-	g.updateShare(w.Service, w.Pressure, now)
+	g.UpdateShare(w.Service, w.Pressure, now)
 	best, reason := g.best(w, now)
 	if best == nil {
 		return Verdict{Reason: reason}
