Let work leave that all local servers have refused

It left only if the gain exceeded cost and margin, which a tight objective never allows: it was refused although an open, reachable data centre had room. Work.Refused replaces Overflow, so that claims on a direction follow the same rule. The new test refused the request at an objective of 25 ms and sends it now, in the open direction only.

--- a/internal/core/forward/spill.go
+++ b/internal/core/forward/spill.go
@@ -80,12 +80,8 @@
 			Open: in.Gate.Directions.MayLeave(in.Service, dataCentre, name, in.ClaimAge, now),
 		})
 	}
-	choice := SpillChoice{Selection: local}
-	if full {
-		choice.Verdict = in.Gate.Overflow(work, now)
-	} else {
-		choice.Verdict = in.Gate.Decide(work, now)
-	}
+	work.Refused = full
+	choice := SpillChoice{Selection: local, Verdict: in.Gate.Decide(work, now)}
 	choice.Claim = in.Gate.Claim(work, dataCentre, now)
 	if choice.Verdict.Leaves() {
 		choice.Selection = remote[choice.Verdict.DataCentre]
--- a/internal/core/forward/spill_test.go
+++ b/internal/core/forward/spill_test.go
@@ -290,6 +290,31 @@
 	must.EqOp(t, 2, evaluated)
 }
 
+// Guards against requests that are refused although another data centre has room, because
+// the cost and the margin exceed what a tight objective leaves, and against none that asks
+// for the direction.
+func TestRefusedRequestLeavesWhateverItsObjective(t *testing.T) {
+	for _, objective := range []time.Duration{25, 40, 110, 150} {
+		balancer := New(Defaults())
+		list := servers("a", "b")
+		balancer.RecordSent(&list[1], false)
+		balancer.RecordResult(&list[1], Answered, 100*time.Millisecond, testTime)
+		balancer.RecordSent(&list[0], false)
+		balancer.RecordResult(&list[0], Full, time.Millisecond, testTime)
+		tried := map[string]bool{list[0].ID: true}
+		for _, open := range []bool{true, false} {
+			in := Spillover{Gate: spill.NewGate(spill.Defaults()), Service: "app", Objective: objective * time.Millisecond, Bytes: 2500}
+			if !open {
+				in.Gate.Directions.Apply(spill.Claim{Service: "app", From: "b", To: "a", Number: 1}, testTime.Add(-time.Minute))
+			}
+			choice := balancer.ChooseWithSpillover(list, "a", tried, nil, in, testTime)
+			must.EqOp(t, open, choice.Server != nil, must.Sprintf("objective %d ms", objective))
+			must.EqOp(t, open, choice.Verdict.Reason == spill.Full, must.Sprintf("objective %d ms", objective))
+			must.NotNil(t, choice.Claim)
+		}
+	}
+}
+
 // Guards against streams that leave because they are long.
 func TestLongStreamsStay(t *testing.T) {
 	balancer, gate := New(Defaults()), spill.NewGate(spill.Defaults())
--- a/internal/core/spill/spill.go
+++ b/internal/core/spill/spill.go
@@ -134,6 +134,10 @@
 	// Cost is the cost of leaving, in the same unit.
 	Cost    float64
 	Options []Option
+	// Refused is set if all local servers have refused the work because they are full. It
+	// leaves whatever the share and the cost, but stays, without a server, if no direction is
+	// open: the other data centres may be full as well and send here.
+	Refused bool
 }
 
 // Gate decides which work leaves one data centre. It is not safe for concurrent use.
@@ -172,31 +176,21 @@
 // Decide decides on a piece of work, and updates the share of its service.
 func (g *Gate) Decide(w Work, now time.Time) Verdict {
 	share := g.UpdateShare(w.Service, w.Pressure, now)
-	if share == 0 {
+	if share == 0 && !w.Refused {
 		return Verdict{Reason: InTime}
 	}
 	best, reason := g.best(w, now)
 	switch {
 	case best == nil:
 		return Verdict{Reason: reason}
+	case w.Refused:
+		return Verdict{DataCentre: best.DataCentre, Reason: Full}
 	case !covers(share, w.Key):
 		return Verdict{Reason: WithinShare}
 	}
 	return Verdict{DataCentre: best.DataCentre, Reason: Late}
 }
 
-// Overflow decides on work that all local servers have refused because they are full. It
-// stays, without a server, if no direction is open: the other data centres may be full as
-// well and send here.
-func (g *Gate) Overflow(w Work, now time.Time) Verdict {
-	g.UpdateShare(w.Service, w.Pressure, now)
-	best, reason := g.best(w, now)
-	if best == nil {
-		return Verdict{Reason: reason}
-	}
-	return Verdict{DataCentre: best.DataCentre, Reason: Full}
-}
-
 // Claim returns the claim that has to be published so that the work of a service may leave,
 // as long as its share is above 0: for the best data centre that is open, so that it
 // remains so, or else for the best one. It returns nil if none is needed.
@@ -240,7 +234,7 @@
 }
 
 func (g *Gate) pays(w Work, o Option) bool {
-	return o.Pressure+w.Cost+g.config.Margin <= w.Pressure
+	return w.Refused || o.Pressure+w.Cost+g.config.Margin <= w.Pressure
 }
 
 // LoadAllows reports whether completions may leave a data centre with one mean load for
