Remove shares that are no longer used

Gate.RetainServices had no caller, and each service or model that was ever asked for kept an entry. A share of 0 is no entry now, and hosts remove the shares of services that a new configuration does not have.

--- a/internal/core/spill/share.go
+++ b/internal/core/spill/share.go
@@ -55,6 +55,9 @@
 	case pressure < c.ReleasePressure:
 		s.value = max(s.value-c.ShrinkPerSecond*elapsed.Seconds(), 0)
 	}
+	if s.value <= 0 {
+		delete(g.shares, service)
+	}
 	return g.Share(service)
 }
 
--- a/internal/core/spill/spill_test.go
+++ b/internal/core/spill/spill_test.go
@@ -1,6 +1,7 @@
 package spill
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -160,3 +161,17 @@
 		must.False(t, c.LoadAllows(x, y) && c.LoadAllows(y, x))
 	})
 }
+
+// Guards against memory for each service or model that was ever asked for.
+func TestOnlySharesInUseAreKept(t *testing.T) {
+	g := NewGate(Defaults())
+	for i := range 100 {
+		g.UpdateShare(fmt.Sprint(i), 0.4, testTime)
+	}
+	must.MapEmpty(t, g.shares)
+	g.UpdateShare("short", 1, testTime)
+	g.UpdateShare("removed", 1, testTime)
+	g.RetainServices(func(service string) bool { return service == "short" })
+	must.EqOp(t, 0.9, g.Share("short"))
+	must.MapLen(t, 1, g.shares)
+}
--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -26,6 +26,7 @@
 				h.wakeRunners()
 				h.followModels(change.Config)
 				h.turns.Retain(change.Config.Workspaces)
+				h.retainShares(change.Config)
 			}
 		case change.Version != nil:
 			if h.state.SetVersion(*change.Version) {
--- a/internal/fronthost/spill.go
+++ b/internal/fronthost/spill.go
@@ -105,6 +105,18 @@
 	return h.partitionsAge([]int{controlPartition})
 }
 
+// retainShares removes the shares of services that a configuration does not have. The caller
+// holds mu.
+func (h *Host) retainShares(config *deployment.Config) {
+	if h.spill == nil {
+		return
+	}
+	h.spill.RetainServices(func(service string) bool {
+		_, ok := config.Services[service]
+		return ok
+	})
+}
+
 // partitionsAge returns the time since the oldest of some partitions was read to its end. It
 // must not be called under mu.
 func (h *Host) partitionsAge(partitions []int) time.Duration {
--- a/internal/fronthost/spill_test.go
+++ b/internal/fronthost/spill_test.go
@@ -111,3 +111,24 @@
 	h.spill.RecordSend("centre-2", true, later)
 	must.EqOp(t, 3, usable(later))
 }
+
+// Guards against shares that are kept for services which were removed from the configuration.
+func TestSharesOfRemovedServicesAreRemoved(t *testing.T) {
+	c := newTestCluster(t, 1)
+	h := c.startSpilling("a", "centre-1")
+	share := func(service string) float64 {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.spill.Share(service)
+	}
+	h.mu.Lock()
+	for _, service := range []string{testApp, "removed"} {
+		h.spill.UpdateShare(service, 1, time.Now())
+	}
+	version := h.state.Config.Version
+	h.mu.Unlock()
+	must.Positive(t, share("removed"))
+	c.configure(version + 1)
+	c.waitUntil("the share is removed", func() bool { return share("removed") == 0 })
+	must.Positive(t, share(testApp))
+}
