Test the age of the demand on a host

A partition with jobs that a host does not read must make the demand outdated; the unit tests set the age directly.

--- a/internal/fronthost/pool_test.go
+++ b/internal/fronthost/pool_test.go
@@ -9,7 +9,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
+	corepool "github.com/sesamestand/sesamestand/internal/core/pool"
 	"github.com/sesamestand/sesamestand/internal/duties"
+	"github.com/sesamestand/sesamestand/internal/pool"
 )
 
 // poolControl is a control API that starts the ordered replicas.
@@ -87,6 +89,20 @@
 	must.EqOp(t, holder.settings.Host.ID, control.tenures[0].Holder)
 }
 
+// Guards against a demand that counts as up to date although a partition with jobs is not read.
+func TestDemandIsAsOldAsItsOldestPartition(t *testing.T) {
+	c := newTestCluster(t, 1)
+	h := c.startHost("a")
+	c.waitUntil("all partitions were read", func() bool { return h.demandAge() < time.Second })
+	partitions := h.modelPartitions(h.Config())
+	must.SliceNotEmpty(t, partitions)
+	h.mu.Lock()
+	delete(h.followers, partitions[len(partitions)-1])
+	h.mu.Unlock()
+	source := poolSource{host: h.Host, demands: pool.NewDemands()}
+	must.Greater(t, corepool.Defaults().MaxRegistryAge, source.PoolInput(time.Now()).DemandAge)
+}
+
 // Guards against a notice of a reclaim that does not reach the scheduler: runs must move to
 // another replica while the former one still serves, and continue their output there.
 func TestRunsLeaveAReclaimedReplica(t *testing.T) {
