--- a/internal/usage/service_test.go
+++ b/internal/usage/service_test.go
@@ -100,6 +100,8 @@
 	return found
 }
 
+func (o testOffice) Age(string) time.Duration { return 0 }
+
 func (o testOffice) Append(_ context.Context, records []logstore.Record) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
