--- a/internal/core/pool/demand.go
+++ b/internal/core/pool/demand.go
@@ -35,6 +35,9 @@
 	// minGap is the least time between two rounds of a trainer. Rounds that a host read in
 	// its first listing seem to have been submitted together.
 	minGap = 500 * time.Millisecond
+	// shortMedian is the share of the time until results are due below which the median gap
+	// is not taken for the period.
+	shortMedian = 0.25
 	// newestRounds is the number of a trainer's newest rounds whose largest counts.
 	newestRounds = 3
 	// measuredGaps is the number of a trainer's newest gaps whose median is its period.
@@ -56,8 +59,9 @@
 }
 
 // needOf returns the need of a service: the newest rounds of all trainers, if submitted
-// together, end in RoundShare of their periods, and what is open ends when it is due.
-func (c Config) needOf(s *Service, now time.Time) need {
+// together, end in RoundShare of their periods, and what is open ends when it is due. Unless
+// the demand is complete, open work does not count: its results may not have been read.
+func (c Config) needOf(s *Service, complete bool, now time.Time) need {
 	perToken := s.Demand.tokenTime()
 	slots, period, trainers := 0.0, time.Duration(0), 0
 	for _, rounds := range byTrainer(s.Demand.Rounds) {
@@ -70,7 +74,9 @@
 		period = max(period, p)
 		slots += largest(rounds) * perToken.Seconds() / (c.RoundShare * min(p, newest.due()).Seconds())
 	}
-	slots = max(slots, backlogSlots(s.Demand.Rounds, perToken, s.Scale.StartUp+c.ArrivalLag, s.slots(), now))
+	if complete {
+		slots = max(slots, backlogSlots(s.Demand.Rounds, perToken, s.Scale.StartUp+c.ArrivalLag, s.slots(), now))
+	}
 	return need{servers: int(math.Ceil(slots * c.Headroom / s.slotsPerServer())), period: period, perToken: perToken, trainers: trainers}
 }
 
@@ -104,7 +110,8 @@
 
 // periodOf returns the median time between a trainer's newest rounds. While fewer than
 // measuredGaps are known, it is half of the time until results are due at least: a host that
-// was cut off reads rounds of several periods within a second.
+// was cut off reads rounds of several periods within a second. After a longer cut most of
+// the newest gaps are short, so their mean replaces a short median: it includes the cut.
 func periodOf(rounds []Round) time.Duration {
 	var gaps []time.Duration
 	for i := len(rounds) - 1; i > 0 && len(gaps) < measuredGaps; i-- {
@@ -112,7 +119,8 @@
 			gaps = append(gaps, gap)
 		}
 	}
-	usual := rounds[len(rounds)-1].due() / 2
+	due := rounds[len(rounds)-1].due()
+	usual := due / 2
 	if len(gaps) == 0 {
 		return usual
 	}
@@ -121,9 +129,20 @@
 	if len(gaps) < measuredGaps {
 		return max(median, usual)
 	}
+	if median < time.Duration(shortMedian*float64(due)) {
+		return mean(gaps)
+	}
 	return median
 }
 
+func mean(gaps []time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, gap := range gaps {
+		sum += gap
+	}
+	return sum / time.Duration(len(gaps))
+}
+
 // largest returns the expected output of the largest of a trainer's newest rounds.
 func largest(rounds []Round) float64 {
 	tokens := 0.0
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -35,7 +35,8 @@
 	// ArrivalLag is the time, after the start-up time, until ordered servers are registered
 	// and have loaded their weights.
 	ArrivalLag time.Duration
-	// MaxRegistryAge is the age of the registry from which nothing is ordered, and Settle is
+	// MaxRegistryAge is the age of the registry from which nothing is ordered, and that of
+	// the demand from which nothing is removed or ordered for open work. Settle is
 	// how long it must have been read again before something is: entries that expired in an
 	// outage are renewed in that time.
 	MaxRegistryAge time.Duration
@@ -54,9 +55,12 @@
 	IdleObservation time.Duration
 	// MaxDecrease is the largest share of the servers that one decrease removes.
 	MaxDecrease float64
-	// MinSurplus is the least number of servers that a decrease removes in total, because
-	// the need varies by single servers.
-	MinSurplus int
+	// MinSurplus is the least surplus that a decrease removes, and MinSurplusShare the least
+	// one as a share of the servers needed: the need varies with the sizes of rounds. A surplus
+	// below twice as many must have been observed for SmallObservation.
+	MinSurplus       int
+	MinSurplusShare  float64
+	SmallObservation time.Duration
 	// MinBackoff is the time before a refused order is repeated. It doubles up to
 	// MaxBackoff.
 	MinBackoff time.Duration
@@ -70,7 +74,7 @@
 		ArrivalLag: 3 * time.Second, MaxRegistryAge: 2 * time.Second, Settle: 3 * time.Second, // above two heartbeats of a server
 		LateWindow: 10 * time.Second, LossHold: 10 * time.Second, MissingRetention: time.Minute,
 		ObservedPeriods: 5, MinObservation: 20 * time.Second, IdleObservation: time.Minute,
-		MaxDecrease: 0.125, MinSurplus: 2,
+		MaxDecrease: 0.125, MinSurplus: 2, MinSurplusShare: 0.2, SmallObservation: time.Minute,
 		MinBackoff: 500 * time.Millisecond, MaxBackoff: 2 * time.Second, // half of a round
 	}
 }
@@ -82,6 +86,12 @@
 	Spot       bool
 }
 
+// otherKind returns the key of the other kind in the same data centre.
+func (k Key) otherKind() Key {
+	k.Spot = !k.Spot
+	return k
+}
+
 // Kind returns the name of the kind of server.
 func (k Key) Kind() string {
 	if k.Spot {
@@ -130,7 +140,10 @@
 	Now time.Time
 	// RegistryAge is the time since the registry was last read to its end.
 	RegistryAge time.Duration
-	Services    []Service
+	// DemandAge is the age of the oldest of the partitions with jobs, each as it was last
+	// read to its end. Rounds and results that are newer may be missing from the demand.
+	DemandAge time.Duration
+	Services  []Service
 }
 
 // Service is a service whose number of servers can be changed.
@@ -174,7 +187,7 @@
 	config   Config
 	services map[string]*service
 	// restored holds the orders of former holders until the first plan for their service.
-	restored []Order
+	restored []restoredOrder
 	// freshSince is the time since which the registry was read without a break; zero if it
 	// is outdated.
 	freshSince time.Time
@@ -186,8 +199,17 @@
 }
 
 // Restore records the newest order of a former holder for some servers, whose outcome is
-// Accepted or Unknown. It precedes the first call of Plan.
-func (p *Planner) Restore(o Order) { p.restored = append(p.restored, o) }
+// Accepted or Unknown and which was stored at least age ago. It precedes the first call of
+// Plan.
+func (p *Planner) Restore(o Order, age time.Duration) {
+	p.restored = append(p.restored, restoredOrder{Order: o, age: age})
+}
+
+// restoredOrder is an order of a former holder.
+type restoredOrder struct {
+	Order
+	age time.Duration
+}
 
 // Plan returns the orders to send now. The outcome of each must be passed to Record; until
 // then, there is no other order for the same servers.
@@ -203,8 +225,12 @@
 	for i := range in.Services {
 		current := &in.Services[i]
 		s := p.service(current, in.Now)
+		complete := in.DemandAge <= p.config.MaxRegistryAge
 		s.observe(current, in.Now)
-		s.updateNeed(current, in.Now)
+		s.updateNeed(current, complete, in.Now)
+		if !complete {
+			s.steadySince = in.Now
+		}
 		if in.Now.Sub(p.freshSince) < p.config.Settle {
 			s.steadySince = in.Now
 			continue
@@ -264,7 +290,7 @@
 	}
 	for _, o := range p.restored {
 		if o.Service == current.Name {
-			s.fleet(o.Key).restore(o, now)
+			s.fleet(o.Key).restore(o.Order, o.age, now)
 		}
 	}
 	return s
