Check suspicion before each send of a request

A request was compared with the suspicions only when it arrived. Retries, hedges, resumed streams and requests of the same content at the same time crashed further servers after three had crashed.

Each send now checks the content next to the permission, and is refused as crash-inducing if nothing was sent, otherwise with an unknown outcome. A host sends suspected content once at a time and does not hedge it; a request waits until the other send ends or the suspicion is cleared.

Requests with the same content crash three servers at most on one host once the first crash is known (TestCrashingContentIsNotSentAgain).

--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -131,17 +130,6 @@
 	return unknownRefusal(cluster.ReasonDeadline, "no backend server answered in time")
 }
 
-// crashRefusal returns a refusal if the request's content has crashed too many
-// servers, and nil otherwise.
-func (f *forwarding) crashRefusal() *Refusal {
-	f.host.mu.Lock()
-	defer f.host.mu.Unlock()
-	if !f.host.crashesServers(f.fingerprint) {
-		return nil
-	}
-	return notRunRefusal(cluster.ReasonCrashInducing, "this request has crashed several backend servers")
-}
-
 // Forward sends a request that is neither a job nor a stream to a backend server, and
 // returns the server's response or the host's refusal.
 func (h *Host) Forward(ctx context.Context, caller Caller, request *backend.Request, route *deployment.Route, deadline time.Time) (*backend.Response, *Refusal) {
@@ -231,13 +219,27 @@
 func (f *forwarding) mayHedge() bool {
 	f.host.mu.Lock()
 	defer f.host.mu.Unlock()
-	return f.possibleRuns < f.route.MaxAttempts && f.host.forward.MayHedge()
+	suspected := f.host.suspects.Verdict(f.fingerprint) != suspect.Run
+	return !suspected && f.possibleRuns < f.route.MaxAttempts && f.host.forward.MayHedge()
 }
 
 // pick selects the best server that was not tried yet and records a send to it. It
-// returns nil if there is none. A request may wait for its turn at a server with a rate
-// limit; a hedge does not.
+// returns nil if there is none, or if the request must not be sent. A request may wait for
+// its turn at a server with a rate limit, or for another send of suspected content; a
+// hedge does not.
 func (f *forwarding) pick(ctx context.Context, hedge bool) *attempt {
+	if !f.claimContent(ctx, hedge) {
+		return nil
+	}
+	a := f.pickServer(ctx, hedge)
+	if a == nil {
+		f.releaseContent()
+	}
+	return a
+}
+
+// pickServer is pick after the content was claimed.
+func (f *forwarding) pickServer(ctx context.Context, hedge bool) *attempt {
 	h := f.host
 	server := f.selectServer(ctx, hedge)
 	if server == nil {
@@ -245,7 +247,7 @@
 	}
 	// The request may have waited for its turn.
 	expires, verdict := h.readmit(f.caller)
-	if f.denied = verdict; verdict != workspace.Admitted {
+	if f.denied = verdict; verdict != workspace.Admitted || f.crashRefusal() != nil {
 		return nil
 	}
 	request := *f.request
@@ -276,11 +278,21 @@
 	go func() {
 		a.response, a.err = h.backends.Call(ctx, targetOf(&a.server), a.request, time.Until(f.deadline))
 		a.ended = time.Now()
-		h.recordAttempt(a, ctx.Err() != nil)
+		f.endAttempt(a, ctx.Err() != nil)
 		f.results <- a
 	}()
 }
 
+// endAttempt records the end of an attempt. A crash is recorded before the next send of
+// the same content may begin.
+func (f *forwarding) endAttempt(a *attempt, abandoned bool) {
+	f.host.recordAttempt(a, abandoned)
+	if a.err != nil && !abandoned && !errors.Is(a.err, backend.ErrNotSent) {
+		f.recordCrash(a)
+	}
+	f.releaseContent()
+}
+
 // recordAttempt updates the balancer with the result of an attempt.
 func (h *Host) recordAttempt(a *attempt, abandoned bool) {
 	result := forward.Answered
@@ -338,7 +350,6 @@
 		f.refusals++
 		return nil
 	case a.err != nil:
-		f.recordCrash(a)
 		return nil
 	case a.response.Status >= http.StatusInternalServerError && f.route.Kind == deployment.Idempotent:
 		f.lastFailure = a.response
@@ -347,32 +358,6 @@
 	return a.response
 }
 
-// recordCrash records a suspicion of the request's content when its server broke the
-// connection, and publishes it to the other hosts, because the caller may retry at
-// any of them.
-func (f *forwarding) recordCrash(a *attempt) {
-	h := f.host
-	h.recorder.RecordDecision("broken", f.request.ID, "server", a.server.ID, "err", a.err.Error())
-	if f.fingerprint == "" {
-		return
-	}
-	crash := fmt.Sprintf("%s-%d", a.server.ID, a.server.Incarnation)
-	h.mu.Lock()
-	changed := h.suspects.RecordCrash(f.fingerprint, crash, false, time.Now())
-	h.mu.Unlock()
-	if changed {
-		h.publishSuspicion(f.fingerprint, crash)
-	}
-}
-
-// clearSuspicion clears the suspicion of the request's content after a server has
-// answered the request.
-func (f *forwarding) clearSuspicion() {
-	f.host.mu.Lock()
-	defer f.host.mu.Unlock()
-	f.host.suspects.Clear(f.fingerprint, time.Now())
-}
-
 func (f *forwarding) mayRetry(a *attempt) bool {
 	ran := a.err != nil && !errors.Is(a.err, backend.ErrNotSent) || a.err == nil && !a.response.NotRun
 	if !ran {
@@ -398,6 +383,9 @@
 	if f.possibleRuns > 0 {
 		return nil, unknownRefusal(cluster.ReasonBackendFailed, "the backend server broke off")
 	}
+	if refusal := f.crashRefusal(); refusal != nil {
+		return nil, refusal
+	}
 	if f.denied != workspace.Admitted {
 		return nil, f.host.accessRefusal(f.denied)
 	}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -132,6 +132,7 @@
 	forward           *forward.Balancer
 	spill             *spill.Gate // nil: servers in other data centres have a fixed cost
 	suspects          *suspect.Table
+	contentSends      map[string]*contentSends // by fingerprint
 	turns             *workspace.Turns
 	durations         *drain.Durations           // of the requests of each route
 	followers         map[int]*logstore.Follower // of topicWork
@@ -150,7 +151,7 @@
 		settings: s, store: metered, feeds: feeds, recorder: recorder,
 		member: s.Host.ID + "-" + uuid.NewString()[:8],
 		state:  deployment.NewState(), jobs: jobs.NewTable(), placements: make(map[string]*placement),
-		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), turns: workspace.NewTurns(), durations: drain.NewDurations(),
+		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), contentSends: make(map[string]*contentSends), turns: workspace.NewTurns(), durations: drain.NewDurations(),
 		followers: make(map[int]*logstore.Follower), runners: make(map[int]*runner), lastTenures: make(map[int]*tenure), skipped: make(skippedRecords),
 	}
 	h.backends = &countedBackends{Backends: backends, host: h}
--- a/internal/fronthost/streaming.go
+++ b/internal/fronthost/streaming.go
@@ -53,7 +53,6 @@
 	lastID    int64 // of the last event that the caller has
 	resumed   bool
 	delivered bool
-	abandoned bool // this host cancelled the last attempt; its server may be healthy
 	// silent are the servers that this host left because they were silent. They may be
 	// healthy, so the stream returns to them if no other server takes it.
 	silent []string
@@ -108,7 +107,7 @@
 		case end.Response != nil && !end.Response.NotRun && !s.delivered:
 			return StreamEnd{Response: end.Response}
 		}
-		if !s.mayResume(a, end) && !s.mayReturn() {
+		if !s.mayResume(end) && !s.mayReturn() {
 			return s.streamExhausted()
 		}
 	}
@@ -156,8 +155,8 @@
 	if end.Complete {
 		a.response = s.head
 	}
-	s.abandoned = ctx.Err() != nil
-	s.host.recordAttempt(a, s.abandoned)
+	// If this host cancelled the attempt, its server may be healthy.
+	s.endAttempt(a, ctx.Err() != nil)
 	return end
 }
 
@@ -239,15 +238,12 @@
 
 // mayResume records why a stream ended early, and reports whether it may continue at
 // another server.
-func (s *streaming) mayResume(a *attempt, end backend.RunEnd) bool {
+func (s *streaming) mayResume(end backend.RunEnd) bool {
 	if errors.Is(end.Err, backend.ErrNotSent) || end.Response != nil && end.Response.NotRun {
 		s.possibleRuns--
 		s.refusals++
 		return s.refusals <= maxRefusals
 	}
-	if end.Err != nil && !s.abandoned {
-		s.recordCrash(a)
-	}
 	if !s.delivered {
 		s.head = nil // no event was delivered, so the next server's headers are used
 	}
--- /dev/null
+++ b/internal/fronthost/suspicion.go
@@ -0,0 +1,121 @@
+package fronthost
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/suspect"
+)
+
+// contentSends counts the sends of requests with the same content that are under way on
+// this host. Their number is bounded by that of the requests under way.
+type contentSends struct {
+	count   int
+	changed chan struct{} // closed when a send ends or the suspicion is cleared
+}
+
+// claimContent waits until the request's content may be sent and counts a send of it.
+// Suspected content is sent once at a time, because each send may crash another server.
+// A hedge doesn't wait. It returns false if the request must not be sent.
+func (f *forwarding) claimContent(ctx context.Context, hedge bool) bool {
+	for {
+		changed, verdict := f.tryClaim()
+		switch {
+		case changed == nil:
+			return verdict != suspect.Refuse
+		case hedge:
+			return false
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// tryClaim counts a send of the request's content, unless the content is refused or another
+// send of it must end first. It then returns what to wait for.
+func (f *forwarding) tryClaim() (<-chan struct{}, suspect.Verdict) {
+	if f.fingerprint == "" {
+		return nil, suspect.Run
+	}
+	h := f.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	verdict, sends := h.suspects.Verdict(f.fingerprint), h.contentSends[f.fingerprint]
+	switch {
+	case verdict == suspect.Refuse:
+		return nil, verdict
+	case verdict == suspect.RunIsolated && sends != nil:
+		return sends.changed, verdict
+	case sends == nil:
+		sends = &contentSends{changed: make(chan struct{})}
+		h.contentSends[f.fingerprint] = sends
+	}
+	sends.count++
+	return nil, verdict
+}
+
+// releaseContent ends a send that claimContent counted.
+func (f *forwarding) releaseContent() {
+	h := f.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if sends := h.contentSends[f.fingerprint]; sends != nil {
+		sends.count--
+		if sends.count == 0 {
+			delete(h.contentSends, f.fingerprint)
+		}
+		sends.notify()
+	}
+}
+
+// notify wakes the requests that wait. The caller holds the host's mu.
+func (c *contentSends) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// clearSuspicion clears the suspicion of the request's content after a server has
+// answered the request.
+func (f *forwarding) clearSuspicion() {
+	h := f.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.suspects.Clear(f.fingerprint, time.Now())
+	if sends := h.contentSends[f.fingerprint]; sends != nil {
+		sends.notify()
+	}
+}
+
+// crashRefusal returns a refusal if the request's content has crashed too many
+// servers, and nil otherwise.
+func (f *forwarding) crashRefusal() *Refusal {
+	f.host.mu.Lock()
+	defer f.host.mu.Unlock()
+	if !f.host.crashesServers(f.fingerprint) {
+		return nil
+	}
+	return notRunRefusal(cluster.ReasonCrashInducing, "this request has crashed several backend servers")
+}
+
+// recordCrash records a suspicion of the request's content when its server broke the
+// connection, and publishes it to the other hosts, because the caller may retry at
+// any of them.
+func (f *forwarding) recordCrash(a *attempt) {
+	h := f.host
+	h.recorder.RecordDecision("broken", f.request.ID, "server", a.server.ID, "err", a.err.Error())
+	if f.fingerprint == "" {
+		return
+	}
+	crash := fmt.Sprintf("%s-%d", a.server.ID, a.server.Incarnation)
+	h.mu.Lock()
+	changed := h.suspects.RecordCrash(f.fingerprint, crash, false, time.Now())
+	h.mu.Unlock()
+	if changed {
+		h.publishSuspicion(f.fingerprint, crash)
+	}
+}
