Publish suspicions before the answer and until they are stored

A suspicion was published once, in the background, and dropped after 2 s. A caller that retried at another host at once, or while the store was away, crashed further servers there.

The refusal now waits for the append, for 300 ms from the crash at most, and the append is repeated until it succeeds, the suspicion is cleared, or its lifetime ends.

Other hosts know of a crash when its caller retries (TestSuspicionIsPublishedBeforeTheAnswer).

--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -48,6 +48,8 @@
 	began    bool // a stream began
 	response *backend.Response
 	err      error
+	// published is closed when the crash under the attempt is published; nil without one.
+	published <-chan struct{}
 }
 
 // forwarding is the state of one request that this host forwards to backend servers.
@@ -74,6 +76,7 @@
 	allLeaving   bool                  // the servers that were not tried are all leaving
 	verdict      spill.Verdict         // why the last selected server is local or not
 	lastFailure  *backend.Response     // last response with a status of 500 or above
+	published    []<-chan struct{}     // see attempt.published
 	failures     int                   // responses with status 500: the server ran the request and failed
 }
 
@@ -141,6 +144,9 @@
 		return nil, refusal
 	}
 	response, refusal := f.run(ctx)
+	if refusal != nil {
+		f.awaitPublished()
+	}
 	f.recordOutcome(response, refusal, time.Since(began))
 	return response, refusal
 }
@@ -340,6 +346,7 @@
 // settle the request.
 func (f *forwarding) handleResult(a *attempt) *backend.Response {
 	f.inFlight--
+	f.notePublication(a)
 	defer f.countResult(a)
 	if a.err == nil && a.response.Status == http.StatusInternalServerError {
 		f.failures++
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -527,20 +527,3 @@
 	h.recorder.RecordDecision("end", jobs.CallerID(id), "outcome", "ended")
 	return true, nil
 }
-
-// publishSuspicionTimeout bounds the append that publishes a suspicion.
-const publishSuspicionTimeout = 2 * time.Second
-
-// publishSuspicion publishes to the other hosts, in the background, that content with
-// a fingerprint is suspected to have crashed a backend server. crash identifies the
-// incarnation of that server.
-func (h *Host) publishSuspicion(fingerprint, crash string) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), publishSuspicionTimeout)
-		defer cancel()
-		records := []logstore.Record{encodeSuspicion(fingerprint, crash)}
-		if err := h.appendAll(ctx, controlPartition, records); err != nil {
-			klog.InfoS("suspicion not published to other hosts", "fingerprint", fingerprint, "err", err)
-		}
-	}()
-}
--- a/internal/fronthost/streaming.go
+++ b/internal/fronthost/streaming.go
@@ -74,6 +74,9 @@
 	if end.Refusal == nil {
 		end = s.run(ctx)
 	}
+	if end.Refusal != nil || end.Broken {
+		s.awaitPublished()
+	}
 	response := end.Response
 	if response == nil && end.Refusal == nil {
 		response = s.head
@@ -157,6 +160,7 @@
 	}
 	// If this host cancelled the attempt, its server may be healthy.
 	s.endAttempt(a, ctx.Err() != nil)
+	s.notePublication(a)
 	return end
 }
 
--- a/internal/fronthost/suspicion.go
+++ b/internal/fronthost/suspicion.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/logstore"
 )
 
 // contentSends counts the sends of requests with the same content that are under way on
@@ -116,6 +119,67 @@
 	changed := h.suspects.RecordCrash(f.fingerprint, crash, false, time.Now())
 	h.mu.Unlock()
 	if changed {
-		h.publishSuspicion(f.fingerprint, crash)
+		a.published = h.publishSuspicion(f.fingerprint, crash)
+	}
+}
+
+const (
+	// publishSuspicionTimeout bounds one append of a suspicion.
+	publishSuspicionTimeout = 2 * time.Second
+	// publishSuspicionRetry is the interval after which a failed append is repeated.
+	publishSuspicionRetry = 500 * time.Millisecond
+	// awaitPublication is how long the answer to a caller waits for the append, so that
+	// the hosts at which the caller may retry know of the crash.
+	awaitPublication = 300 * time.Millisecond
+)
+
+// publishSuspicion publishes to the other hosts, in the background, that content with
+// a fingerprint is suspected to have crashed a backend server. crash identifies the
+// incarnation of that server. The returned channel is closed when the suspicion is stored,
+// and after awaitPublication at the latest.
+func (h *Host) publishSuspicion(fingerprint, crash string) <-chan struct{} {
+	awaited, wake := context.WithTimeout(h.baseCtx, awaitPublication)
+	go func() {
+		defer wake()
+		ctx, cancel := context.WithTimeout(h.baseCtx, suspect.Defaults().Lifetime)
+		defer cancel()
+		for h.appendSuspicion(ctx, fingerprint, crash) != nil && h.isSuspected(fingerprint) {
+			select {
+			case <-time.After(publishSuspicionRetry):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return awaited.Done()
+}
+
+// appendSuspicion is idempotent: the record's key names the crash.
+func (h *Host) appendSuspicion(ctx context.Context, fingerprint, crash string) error {
+	ctx, cancel := context.WithTimeout(ctx, publishSuspicionTimeout)
+	defer cancel()
+	err := h.appendAll(ctx, controlPartition, []logstore.Record{encodeSuspicion(fingerprint, crash)})
+	if err != nil {
+		klog.InfoS("suspicion not published to other hosts", "fingerprint", fingerprint, "err", err)
+	}
+	return err
+}
+
+func (h *Host) isSuspected(fingerprint string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.suspects.Verdict(fingerprint) != suspect.Run
+}
+
+func (f *forwarding) notePublication(a *attempt) {
+	if a.published != nil {
+		f.published = append(f.published, a.published)
+	}
+}
+
+// awaitPublished waits until the crashes under the request are published.
+func (f *forwarding) awaitPublished() {
+	for _, published := range f.published {
+		<-published
 	}
 }
--- a/internal/fronthost/suspicion_test.go
+++ b/internal/fronthost/suspicion_test.go
@@ -154,3 +154,45 @@
 	}
 	return sends.count
 }
+
+// Guards against a caller that retries at another host before that host can know of the
+// crash, against a suspicion that is lost while the store is away, and against an answer
+// that waits for the store.
+func TestSuspicionIsPublishedBeforeTheAnswer(t *testing.T) {
+	c := newCrashTest(t, 20)
+	a, b := c.startHost("a"), c.startHost("b")
+	once := func(h *hostHandle) {
+		_, refusal := h.Forward(context.Background(), Caller{}, testRequest("/once/x"), h.Config().Match(testHost, "/once/x"), time.Now().Add(2*time.Second))
+		must.NotNil(t, refusal)
+	}
+	a.view.setLatency(100 * time.Millisecond)
+	once(a)
+	must.EqOp(t, 1, c.storedSuspicions())
+	c.waitUntil("the other host knows of the crash", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.suspects.All()) == 1
+	})
+	a.view.setLatency(0)
+	a.view.setCut(true)
+	began := time.Now()
+	once(a)
+	must.Less(t, time.Second, time.Since(began))
+	time.Sleep(publishSuspicionTimeout + 100*time.Millisecond) // until the first append has failed
+	must.EqOp(t, 1, c.storedSuspicions())
+	a.view.setCut(false)
+	c.waitUntil("the suspicion is stored", func() bool { return c.storedSuspicions() == 2 })
+}
+
+// storedSuspicions returns how many suspicions the control partition has.
+func (c *testCluster) storedSuspicions() int {
+	listing, err := c.store.ListNewest(context.Background(), workPartition(controlPartition), "")
+	must.NoError(c.t, err)
+	n := 0
+	for _, r := range listing.Records {
+		if isSuspicionKey(r.Key) {
+			n++
+		}
+	}
+	return n
+}
