Count streams that are resumed before their first event

A stream with a Last-Event-ID of 0 or below was taken for the continuation of a counted stream, so a caller could leave all its streams out of the usage reports.

Only a Last-Event-ID above 0 continues a counted stream. TestUsageIsReportedByOneHolder had Last-Event-ID 0 for its resumed stream; it now has 1, and a further stream with 0 that must be counted.

--- a/internal/fronthost/duties_test.go
+++ b/internal/fronthost/duties_test.go
@@ -91,7 +91,8 @@
 			caller := Caller{workspace: &workspace.Workspace{Name: name}}
 			route := h.Config().Match(testHost, prefix)
 			if prefix == "/live/" {
-				h.Stream(context.Background(), caller, request, route, time.Now().Add(time.Second), 0, i == 0, &streamCaller{})
+				// The first one continues a stream; the second one has no event yet.
+				h.Stream(context.Background(), caller, request, route, time.Now().Add(time.Second), int64(1-i), i < 2, &streamCaller{})
 				continue
 			}
 			_, refusal := h.Forward(context.Background(), caller, request, route, time.Now().Add(time.Second))
--- a/internal/fronthost/streaming.go
+++ b/internal/fronthost/streaming.go
@@ -67,7 +67,7 @@
 	defer cancel()
 	f.call = backend.CallStream
 	s := &streaming{forwarding: f, writer: writer, lastID: after, resumed: resumed}
-	if resumed {
+	if resumed && after > 0 {
 		f.usage = nil // counted at its first event, which the caller has
 	}
 	end := StreamEnd{Refusal: f.refuseUnsent()}
