Take a lapse of permission for no crash of the server

A request whose permission expired after a byte was written ended with an error that hid its cause. It was recorded as a crash, published as a suspicion of its content, and counted as a failure of the server.

A run counts as not run only with ErrNotSent, as before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -16,8 +16,9 @@
 	// ErrOutcomeUnknown reports that no valid response arrived; the request may have
 	// run.
 	ErrOutcomeUnknown = errors.New("no valid answer from the backend server")
-	// ErrExpired reports that a run or a request was not sent because its permission had
-	// expired. It comes with ErrNotSent.
+	// ErrExpired reports that the permission of a run or a request expired before the
+	// backend server had received it. It comes with ErrNotSent, or with ErrOutcomeUnknown
+	// if a part of it was sent. It says nothing about the server.
 	ErrExpired = errors.New("permission to send has expired")
 )
 
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -293,7 +293,7 @@
 // the same content may begin.
 func (f *forwarding) endAttempt(a *attempt, abandoned bool) {
 	f.host.recordAttempt(a, abandoned)
-	if a.err != nil && !abandoned && !errors.Is(a.err, backend.ErrNotSent) {
+	if a.err != nil && !abandoned && !errors.Is(a.err, backend.ErrNotSent) && !errors.Is(a.err, backend.ErrExpired) {
 		f.recordCrash(a)
 	}
 	f.releaseContent()
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -412,7 +412,7 @@
 	switch {
 	case end.Complete:
 		return schedule.Complete
-	case errors.Is(end.Err, backend.ErrExpired):
+	case errors.Is(end.Err, backend.ErrExpired) && errors.Is(end.Err, backend.ErrNotSent):
 		return schedule.NotRun
 	case errors.Is(end.Err, backend.ErrNotSent):
 		return schedule.Broken
--- a/internal/fronthost/suspicion_test.go
+++ b/internal/fronthost/suspicion_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/schedule"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
 )
 
@@ -196,3 +197,34 @@
 	}
 	return n
 }
+
+// lapsingBackends is a client whose requests are held up until their permission expires.
+type lapsingBackends struct{ Backends }
+
+var errLapsed = fmt.Errorf("%w: %w", backend.ErrOutcomeUnknown, backend.ErrExpired)
+
+func (lapsingBackends) Call(context.Context, backend.Target, *backend.Request, time.Duration) (*backend.Response, error) {
+	return nil, errLapsed
+}
+
+func (lapsingBackends) Stream(context.Context, backend.Target, *backend.Stream) backend.RunEnd {
+	return backend.RunEnd{Err: errLapsed}
+}
+
+// Guards against a lapse of permission that counts as a crash of the server, and against a
+// run with an unknown outcome that counts as not run.
+func TestLapseOfPermissionIsNoCrash(t *testing.T) {
+	c := newTestCluster(t, 1)
+	c.register("app-a", testApp)
+	h := c.newEntryHost("a")
+	h.backends = lapsingBackends{h.backends}
+	c.start(h)
+	_, refusal := h.Forward(context.Background(), Caller{}, testRequest("/once/x"), h.Config().Match(testHost, "/once/x"), time.Now().Add(time.Second))
+	must.EqOp(t, cluster.OutcomeUnknown, refusal.Outcome)
+	end := h.Stream(context.Background(), Caller{}, testRequest("/live-once/x"), h.Config().Match(testHost, "/live-once/x"), time.Now().Add(time.Second), 0, false, &streamCaller{})
+	must.EqOp(t, cluster.OutcomeUnknown, end.Refusal.Outcome)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	must.Len(t, 0, h.suspects.All())
+	must.EqOp(t, schedule.Broken, runOutcome(backend.RunEnd{Err: errLapsed}))
+}
