Record turns of requests that needed a grant only

Every outcome was recorded as a turn: requests that failed, were refused as crash-inducing, were abandoned, or went to servers without a rate limit. A workspace whose requests failed made all others yield.

A turn is recorded if there were servers with a rate limit and either one of them granted the request or none did and no other server took it. Hedges and requests that ended meanwhile are left out.

TestTurnsCountRequestsThatNeedGrants shows it.

--- a/internal/fronthost/access_test.go
+++ b/internal/fronthost/access_test.go
@@ -183,3 +183,55 @@
 	}
 	must.MapLen(t, 3, prints)
 }
+
+// Guards against a workspace that yields to one whose requests fail for another reason than
+// a rate limit, or are abandoned, and against one that does not yield to one without grants.
+func TestTurnsCountRequestsThatNeedGrants(t *testing.T) {
+	c := newTestCluster(t, 1)
+	c.register("app-a", testApp)
+	h := startAccessHost(c, "a")
+	h.declare("key")
+	caller := h.caller()
+	yields := func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.turns.Yields("other", time.Now())
+	}
+	for range 20 {
+		h.turns.Record("other", true, time.Now())
+	}
+	send := func(ctx context.Context, within time.Duration) *Refusal {
+		_, refusal := h.Forward(ctx, caller, testRequest("/pages/x"), h.Config().Match(testHost, "/pages/x"), time.Now().Add(within))
+		return refusal
+	}
+	c.calls = full
+	for range 6 {
+		must.NotNil(t, send(t.Context(), time.Second))
+	}
+	must.False(t, yields())
+
+	c.calls = good
+	c.setLimit("app-a", 1)
+	c.allocator([]*hostHandle{h.hostHandle})
+	c.waitUntil("the limit is known", func() bool {
+		refusal := send(t.Context(), time.Second)
+		_, limited := h.limits.Available(candidateOf(&h.serversByService[testApp][0]), time.Now())
+		return refusal != nil && limited
+	})
+	h.mu.Lock()
+	h.turns = workspace.NewTurns()
+	for range 20 {
+		h.turns.Record("other", true, time.Now())
+	}
+	h.mu.Unlock()
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	for range 6 {
+		must.NotNil(t, send(left, time.Second))
+	}
+	must.False(t, yields())
+	for range 6 {
+		send(t.Context(), time.Second)
+	}
+	must.True(t, yields())
+}
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -52,6 +52,15 @@
 	published <-chan struct{}
 }
 
+// turn says whether a request had its turn at servers with a rate limit.
+type turn int
+
+const (
+	noTurn      turn = iota // it needed no grant, or its caller left
+	turnRefused             // it needed a grant and got none
+	turnGranted
+)
+
 // forwarding is the state of one request that this host forwards to backend servers.
 // Type streaming extends it for streams.
 type forwarding struct {
@@ -69,6 +78,7 @@
 	possibleRuns int // sends that a server may have run
 	inFlight     int // sends without a result
 	refusals     int
+	turn         turn
 	usage        *usage.Request        // nil if the request is not counted
 	firstSend    *attempt              // send by which usage counts the request
 	background   bool                  // the request can be sent later
@@ -159,7 +169,7 @@
 		f.host.durations.Record(f.route.Name, took, time.Now())
 		f.host.mu.Unlock()
 	}
-	f.recordTurn(response != nil)
+	f.recordTurn()
 	details := []any{"route", f.route.Name, "service", f.service, "outcome", outcome, "status", status, "sends", f.possibleRuns, "refusals", f.refusals, "took_ms", took.Milliseconds(), "left_ms", time.Until(f.deadline).Milliseconds()}
 	if f.caller.workspace != nil {
 		details = append(details, "workspace", f.caller.Workspace())
@@ -172,16 +182,16 @@
 	f.host.recorder.Observe("request_seconds", took.Seconds(), "route", f.route.Name)
 }
 
-// recordTurn records whether the request of a workspace was served. A key may have been
-// removed meanwhile, and with it the workspace.
-func (f *forwarding) recordTurn(served bool) {
-	if f.caller.workspace == nil {
+// recordTurn records whether a workspace's request that needed a grant got one. A key may
+// have been removed meanwhile, and with it the workspace.
+func (f *forwarding) recordTurn() {
+	if f.caller.workspace == nil || f.turn == noTurn {
 		return
 	}
 	f.host.mu.Lock()
 	defer f.host.mu.Unlock()
 	if f.host.state.Config.Workspaces.Named(f.caller.Workspace()) != nil {
-		f.host.turns.Record(f.caller.Workspace(), served, time.Now())
+		f.host.turns.Record(f.caller.Workspace(), f.turn == turnGranted, time.Now())
 	}
 }
 
--- a/internal/fronthost/limits.go
+++ b/internal/fronthost/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -212,6 +213,7 @@
 		}
 		f.rateLimited = nil
 		id := h.limits.Select(ctx, request)
+		f.noteTurn(ctx, request, id)
 		if id == "" && (selection.Server == nil || selection.Failing) {
 			f.rateLimited = request.Limited
 			return nil
@@ -224,6 +226,18 @@
 	return nil
 }
 
+// noteTurn notes whether the request got a grant, if it needed one. It needed none if the
+// best server without a limit took it.
+func (f *forwarding) noteTurn(ctx context.Context, request limits.Request, id string) {
+	granted := slices.ContainsFunc(request.Limited, func(c ratelimit.Candidate) bool { return c.Server == id })
+	switch {
+	case granted:
+		f.turn = turnGranted
+	case len(request.Limited) > 0 && !request.Hedge && id == "" && ctx.Err() == nil && f.turn == noTurn:
+		f.turn = turnRefused
+	}
+}
+
 // yields reports whether the request should leave its turn at servers with a rate limit to
 // those of another workspace.
 func (f *forwarding) yields(selection forward.Selection) bool {
