Take back the count of a request that ends before it is written

A request is counted for usage when a send of it begins. If its caller left or its deadline ended during the dial, nobody read the result of the send, and the request stayed in the report although no byte of it was written.

When a request ends, the results of its sends are awaited in the background, and the count is taken back if none of them was sent. TestRequestThatEndsDuringADialIsNotCounted shows it.

--- a/internal/fronthost/duties_test.go
+++ b/internal/fronthost/duties_test.go
@@ -130,3 +130,45 @@
 		}
 	}
 }
+
+// undialled is a client whose dials last until the request ends while no server is reached.
+type undialled struct {
+	Backends
+	reached atomic.Bool
+}
+
+func (u *undialled) Call(ctx context.Context, t backend.Target, r *backend.Request, timeout time.Duration) (*backend.Response, error) {
+	if u.reached.Load() {
+		return u.Backends.Call(ctx, t, r, timeout)
+	}
+	<-ctx.Done()
+	time.Sleep(10 * time.Millisecond) // the host has answered
+	return nil, backend.ErrNotSent
+}
+
+// Guards against a request that is counted although its caller left, or its deadline ended,
+// before it was written.
+func TestRequestThatEndsDuringADialIsNotCounted(t *testing.T) {
+	c := newTestCluster(t, 1)
+	control := &testControl{reports: make(map[int64]map[string]int64)}
+	c.control, c.calls = control, good
+	c.register("app-a", testApp)
+	h := c.newEntryHost("a")
+	servers := &undialled{Backends: h.backends}
+	h.backends = servers
+	c.start(h)
+	send := func(ctx context.Context, name string, within time.Duration) {
+		caller := Caller{workspace: &workspace.Workspace{Name: name}}
+		_, _ = h.Forward(ctx, caller, testRequest("/pages/x"), h.Config().Match(testHost, "/pages/x"), time.Now().Add(within))
+	}
+	left, leave := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer leave()
+	send(left, "left", time.Second)
+	send(t.Context(), "late", 30*time.Millisecond)
+	servers.reached.Store(true)
+	time.Sleep(h.settings.Timing.UsageWindow) // the next request is in a later window
+	send(t.Context(), "x", time.Second)
+	c.waitUntil("a later request is reported", func() bool { return control.requests("x") == 1 })
+	must.EqOp(t, 0, control.requests("left"))
+	must.EqOp(t, 0, control.requests("late"))
+}
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -217,6 +217,7 @@
 				f.send(ctx, true)
 			}
 		case <-ctx.Done():
+			go takeBackUnsent(f.usage, f.results, f.inFlight, f.possibleRuns)
 			return nil, f.givenUp()
 		}
 	}
@@ -352,6 +353,24 @@
 	}
 }
 
+// takeBackUnsent awaits the results of the sends of a request that has ended, and takes the
+// count of the request back if none of its possible runs began.
+func takeBackUnsent(counted *usage.Request, results <-chan *attempt, inFlight, possibleRuns int) {
+	for range inFlight {
+		if (<-results).notRun() {
+			possibleRuns--
+		}
+	}
+	if possibleRuns == 0 {
+		counted.Refused()
+	}
+}
+
+// notRun reports whether the server did not run the request.
+func (a *attempt) notRun() bool {
+	return errors.Is(a.err, backend.ErrNotSent) || a.err == nil && a.response.NotRun
+}
+
 // handleResult returns the response for the caller, or nil if the attempt did not
 // settle the request.
 func (f *forwarding) handleResult(a *attempt) *backend.Response {
@@ -362,7 +381,7 @@
 		f.failures++
 	}
 	switch {
-	case errors.Is(a.err, backend.ErrNotSent), a.err == nil && a.response.NotRun:
+	case a.notRun():
 		f.possibleRuns--
 		f.refusals++
 		return nil
@@ -376,8 +395,7 @@
 }
 
 func (f *forwarding) mayRetry(a *attempt) bool {
-	ran := a.err != nil && !errors.Is(a.err, backend.ErrNotSent) || a.err == nil && !a.response.NotRun
-	if !ran {
+	if a.notRun() {
 		return f.refusals <= maxRefusals && f.inFlight == 0
 	}
 	return f.route.Kind == deployment.Idempotent && f.possibleRuns < f.route.MaxAttempts && f.inFlight == 0
