Refuse further sends of unchecked requests once workspaces are declared

A request that arrived before the configuration declared workspaces was admitted to all its later sends, and its key was forwarded to the backend servers.

The newest configuration decides before each send. Once it declares workspaces, an unchecked request is refused: as not run if nothing was sent, otherwise with an unknown outcome. Reward calls, which have no caller, are sent as checked.

TestRequestIsNotSentAgainOnceWorkspacesAreDeclared shows it. The callers of requests in duties_test.go that were built without the check are now checked, as Authorize returns them.

--- a/internal/fronthost/access.go
+++ b/internal/fronthost/access.go
@@ -19,7 +19,8 @@
 type Caller struct {
 	workspace *workspace.Workspace
 	key       workspace.KeyHash
-	// checked is set if the configuration declares workspaces.
+	// checked is set if the configuration declared workspaces when the request arrived, and
+	// for requests of this host itself.
 	checked bool
 }
 
@@ -112,13 +113,15 @@
 // readmit decides again on a caller before a send, and returns the time after which the
 // request must not reach a backend server; zero means no limit.
 func (h *Host) readmit(c Caller) (expires time.Time, verdict workspace.Verdict) {
-	if c.workspace == nil {
-		return time.Time{}, workspace.Admitted
-	}
 	asOf := h.permission.asOf()
 	directory := h.Config().Workspaces
-	if !directory.Enabled() {
+	switch {
+	case !directory.Enabled(), c.workspace == nil && c.checked:
 		return time.Time{}, workspace.Admitted
+	case !c.checked:
+		// The configuration declared no workspaces when the request arrived. Its key was not
+		// looked up, and would be forwarded.
+		return time.Time{}, workspace.Undecided
 	}
 	found, verdict := h.permission.terms.Authorize(directory, &c.key, asOf, h.permission.now())
 	if found != nil && found.Name != c.workspace.Name {
--- a/internal/fronthost/access_test.go
+++ b/internal/fronthost/access_test.go
@@ -235,3 +235,29 @@
 	}
 	must.True(t, yields())
 }
+
+// Guards against a further send, with the caller's key in its header, of a request that
+// arrived before the configuration declared workspaces.
+func TestRequestIsNotSentAgainOnceWorkspacesAreDeclared(t *testing.T) {
+	for name, first := range map[string]*backend.Response{"full": full(""), "broken": nil} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCluster(t, 1)
+			c.register("app-a", testApp)
+			c.register("app-b", testApp)
+			h := &accessHost{hostHandle: c.startHost("a"), t: t}
+			caller, refusal := h.Authorize("r1", nil, []string{testKey})
+			must.Nil(t, refusal)
+			must.Nil(t, h.Readmit("r1", caller))
+			var sends atomic.Int64
+			c.calls = func(string) *backend.Response {
+				sends.Add(1)
+				h.declare("key")
+				return first
+			}
+			_, refusal = h.Forward(t.Context(), caller, testRequest("/pages/x"), h.Config().Match(testHost, "/pages/x"), time.Now().Add(time.Second))
+			must.EqOp(t, 1, sends.Load())
+			must.EqOp(t, first == nil, refusal.Outcome == cluster.OutcomeUnknown)
+			must.EqOp(t, cluster.ReasonNoPermission, h.Readmit("r1", caller).Reason)
+		})
+	}
+}
--- a/internal/fronthost/duties_test.go
+++ b/internal/fronthost/duties_test.go
@@ -88,7 +88,7 @@
 	send := func(h *hostHandle, prefix, name string, n int) {
 		for i := range n {
 			request := &backend.Request{ID: fmt.Sprint(name, i), Method: http.MethodPost, URI: prefix + "x", HostName: testHost, Header: http.Header{}}
-			caller := Caller{workspace: &workspace.Workspace{Name: name}}
+			caller := Caller{workspace: &workspace.Workspace{Name: name}, checked: true}
 			route := h.Config().Match(testHost, prefix)
 			if prefix == "/live/" {
 				// The first one continues a stream; the second one has no event yet.
@@ -158,7 +158,7 @@
 	h.backends = servers
 	c.start(h)
 	send := func(ctx context.Context, name string, within time.Duration) {
-		caller := Caller{workspace: &workspace.Workspace{Name: name}}
+		caller := Caller{workspace: &workspace.Workspace{Name: name}, checked: true}
 		_, _ = h.Forward(ctx, caller, testRequest("/pages/x"), h.Config().Match(testHost, "/pages/x"), time.Now().Add(within))
 	}
 	left, leave := context.WithTimeout(t.Context(), 30*time.Millisecond)
--- a/internal/fronthost/scoring.go
+++ b/internal/fronthost/scoring.go
@@ -103,7 +103,7 @@
 // under it nor counted as a suspicion.
 func (h *Host) sendScore(ctx context.Context, request *backend.Request, route *deployment.Route, deadline time.Time) schedule.ScoreEnd {
 	began := time.Now()
-	f, ctx, cancel := h.newForwarding(ctx, Caller{}, request, route, deadline)
+	f, ctx, cancel := h.newForwarding(ctx, Caller{checked: true}, request, route, deadline)
 	defer cancel()
 	f.fingerprint, f.background = "", true
 	response, refusal := f.run(ctx)
