Report configurations whose version is not higher

A configuration whose version is not higher than that of the current one was ignored without a trace, so a removed key could stay in use unnoticed.

The host logs it and counts configs_ignored_total, once per record. TestIgnoredConfigurationIsReported shows it.

--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -21,12 +21,7 @@
 		}
 		switch {
 		case change.Config != nil:
-			if h.state.SetConfig(change.Config) {
-				klog.InfoS("configuration applied", "version", change.Config.Version, "offset", r.Offset, "routes", len(change.Config.Routes), "services", len(change.Config.Services), "workspaces", change.Config.Workspaces.Len())
-				h.wakeRunners()
-				h.followModels(change.Config)
-				h.turns.Retain(change.Config.Workspaces)
-			}
+			h.applyConfig(change.Config, r.Offset)
 		case change.Version != nil:
 			if h.state.SetVersion(*change.Version) {
 				klog.InfoS("weight version announced", "model", change.Version.Model, "version", change.Version.Version, "offset", r.Offset)
@@ -39,6 +34,25 @@
 	}
 }
 
+// applyConfig applies a configuration if its version is higher than that of the current
+// one. A record that is read again is no news. The caller holds mu.
+func (h *Host) applyConfig(config *deployment.Config, offset int64) {
+	current := h.state.Config
+	if !h.state.SetConfig(config) {
+		if offset != h.configOffset {
+			h.configOffset = offset
+			h.recorder.Count("configs_ignored_total")
+			klog.InfoS("configuration ignored: its version is not higher than the current one", "version", config.Version, "current", current.Version, "offset", offset)
+		}
+		return
+	}
+	h.configOffset = offset
+	klog.InfoS("configuration applied", "version", config.Version, "offset", offset, "routes", len(config.Routes), "services", len(config.Services), "workspaces", config.Workspaces.Len())
+	h.wakeRunners()
+	h.followModels(config)
+	h.turns.Retain(config.Workspaces)
+}
+
 // applyServers applies reports of backend servers.
 func (h *Host) applyServers(b logstore.Batch) {
 	now := time.Now()
--- a/internal/fronthost/apply_test.go
+++ b/internal/fronthost/apply_test.go
@@ -46,6 +46,35 @@
 	}
 }
 
+// Guards against a removal of a key in a configuration that is ignored without notice, and
+// against a count for each time that a record is read.
+func TestIgnoredConfigurationIsReported(t *testing.T) {
+	h := newTestCluster(t, 1).newEntryHost("a")
+	apply := func(version int, offset int64) {
+		value := fmt.Appendf(nil, `{"Version":%d}`, version)
+		h.applyOperators(logstore.Batch{Records: []logstore.Record{{Key: "config", Value: value, Offset: offset}}})
+	}
+	ignored := func() int64 {
+		for _, total := range h.recorder.Totals() {
+			if total.Name == "configs_ignored_total" {
+				return total.Value
+			}
+		}
+		return 0
+	}
+	apply(2, 0)
+	apply(2, 0)
+	must.EqOp(t, 0, ignored())
+	apply(1, 1)
+	apply(1, 1)
+	must.EqOp(t, 1, ignored())
+	apply(2, 2)
+	must.EqOp(t, 2, ignored())
+	must.EqOp(t, 2, h.Config().Version)
+	apply(3, 3)
+	must.EqOp(t, 2, ignored())
+}
+
 // FuzzApplyWorkRecord applies records of the topic that the hosts write, from a listing and
 // from the log, to a host that is not running.
 func FuzzApplyWorkRecord(f *testing.F) {
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -132,6 +132,7 @@
 	forward           *forward.Balancer
 	spill             *spill.Gate // nil: servers in other data centres have a fixed cost
 	suspects          *suspect.Table
+	configOffset      int64                    // of the newest configuration record that was read
 	contentSends      map[string]*contentSends // by fingerprint
 	turns             *workspace.Turns
 	durations         *drain.Durations           // of the requests of each route
