Raise the minimum of revoke_within to 1.25 s

Hosts serve keys for six tenths of revoke_within at least. Below 1.25 s that leaves less than the 500 ms by which the time of a complete read can be wrong, so a removed key could be served after its time.

The minimum is 1250 ms; docs/settings.md is generated anew. TestRevocationTimeLeavesTheMarginOfAReadsTime shows it.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -98,7 +98,7 @@
 	durationKey("timing", "stop_grace", "8s", time.Second, time.Hour, "time from SIGTERM until the platform kills the process", func(s *Settings) *time.Duration { return &s.Timing.StopGrace }),
 	durationKey("timing", "job_end_grace", "3s", time.Second, time.Hour, "how long after the end of a job was acknowledged its items may still reach backend servers; hosts that have not read the store for about this time start none", func(s *Settings) *time.Duration { return &s.Timing.JobEndGrace }),
 	durationKey("timing", "job_retention", "120s", time.Second, 24*time.Hour, "how long after its submission a job's results can be read", func(s *Settings) *time.Duration { return &s.Timing.JobRetention }),
-	durationKey("timing", "revoke_within", "5s", time.Second, time.Hour, "how long after the removal of a key was acknowledged its requests may still run, where strict_revocation is set", func(s *Settings) *time.Duration { return &s.Timing.RevokeWithin }),
+	durationKey("timing", "revoke_within", "5s", 1250*time.Millisecond, time.Hour, "how long after the removal of a key was acknowledged its requests may still run, where strict_revocation is set", func(s *Settings) *time.Duration { return &s.Timing.RevokeWithin }),
 	durationKey("timing", "usage_window", "5s", 100*time.Millisecond, time.Hour, "length of the windows in which the requests of workspaces are reported", func(s *Settings) *time.Duration { return &s.Timing.UsageWindow }),
 	durationKey("timing", "usage_due", "10s", 100*time.Millisecond, time.Hour, "time from the end of a window until its usage report is due", func(s *Settings) *time.Duration { return &s.Timing.UsageDue }),
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
 	"github.com/sesamestand/sesamestand/internal/finding"
 )
 
@@ -113,3 +114,14 @@
 		}
 	})
 }
+
+// Guards against a time for revocation that hosts cannot keep: below the minimum, they serve
+// keys until less than 500 ms before it, which is how inaccurate the time of a read is.
+func TestRevocationTimeLeavesTheMarginOfAReadsTime(t *testing.T) {
+	must.Len(t, 1, findingsOf(t, valid+"revoke_within = 1249ms\n"))
+	s, err := Parse("host.ini", []byte(valid+"revoke_within = 1250ms\n"))
+	must.NoError(t, err)
+	asOf := time.Unix(100, 0)
+	terms := workspace.Terms{Strict: true, RevokeWithin: s.Timing.RevokeWithin}
+	must.GreaterEq(t, 500*time.Millisecond, s.Timing.RevokeWithin-terms.Expiry(asOf).Sub(asOf))
+}
