Append an unconfirmed usage report again instead of making it anew

If the append of a report failed and the tenure lapsed, the window was reported anew under the same fence with the counts of that time. The first append could still arrive, so the partition held parts of two reports of several records, or a report other than the sent one.

A report that was made and is not known to be stored is kept for the fence, and the same bytes are appended again. Other parts of its window are removed in the same append.

TestUnconfirmedReportIsNotMadeAnew and TestOtherPartsOfTheWindowAreRemoved show it.

--- a/internal/usage/service.go
+++ b/internal/usage/service.go
@@ -56,6 +56,9 @@
 	starts  *usage.Starts
 	sender  sender
 	tenure  *tenure // nil unless this host is the holder
+	// unconfirmed is the newest report that may be stored. It outlives the tenure, which may
+	// become certain again under the same fence.
+	unconfirmed *unconfirmed
 }
 
 // New returns a service that has counted nothing. wall returns the time of day.
--- a/internal/usage/service_test.go
+++ b/internal/usage/service_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -31,10 +32,13 @@
 	// unstored is set while nothing is stored.
 	delivered map[string]int64
 	unstored  bool
-	records   map[string]logstore.Record
-	answers   error // of the API
-	reports   map[int64][]map[string]int64
-	fences    []int64
+	// late is set while records are stored only when the test says so, and held are these.
+	late    bool
+	held    []logstore.Record
+	records map[string]logstore.Record
+	answers error // of the API
+	reports map[int64][]map[string]int64
+	fences  []int64
 }
 
 var errCut = errors.New("cut")
@@ -106,13 +110,22 @@
 	if o.unstored {
 		return duties.ErrNotStored
 	}
+	if o.late {
+		o.held = append(o.held, records...)
+		return duties.ErrNotStored
+	}
+	o.put(records)
+	return nil
+}
+
+// put stores records. The caller holds mu.
+func (n *testNetwork) put(records []logstore.Record) {
 	for _, r := range records {
-		o.records[r.Key] = r
+		n.records[r.Key] = r
 		if r.IsTombstone() {
-			delete(o.records, r.Key)
+			delete(n.records, r.Key)
 		}
 	}
-	return nil
 }
 
 func (o testOffice) Call(ctx context.Context, c duties.Call) error { return c.Send(ctx, o.Tenure()) }
@@ -219,6 +232,65 @@
 	must.True(t, slices.IsSorted(n.fences))
 }
 
+// Guards against two reports of a window with different counts and numbers of parts, when the
+// first one is stored late, after the tenure has lapsed and become certain again.
+func TestUnconfirmedReportIsNotMadeAnew(t *testing.T) {
+	n := newTestNetwork(t, "a")
+	lose := n.hold(t, "a", 1)
+	begin := func(workspace string, at time.Time) { n.services["a"].NewRequest(workspace).Began(at) }
+	begin("before", time.Now())
+	n.awaitReported(t, "before", 1)
+
+	n.set(func() { n.late = true })
+	var window int64
+	await(t, func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, r := range n.held {
+			if !r.IsTombstone() {
+				window, _ = strconv.ParseInt(windowOf(r.Key), 10, 64)
+			}
+		}
+		return window != 0
+	})
+	lose()
+	for _, name := range []string{"first", "second", "third"} {
+		begin(name, testWindows.End(window).Add(-testWindows.Length/2))
+	}
+	n.set(func() { n.late = false })
+	sent := func() int {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.reports[window])
+	}
+	lose = n.hold(t, "a", 1)
+	await(t, func() bool { return sent() > 0 })
+	lose()
+	n.set(func() { n.put(n.held) })
+	before := sent()
+	defer n.hold(t, "a", 2)()
+	await(t, func() bool { return sent() > before })
+	must.EqOp(t, 0, n.reported(t, "first"))
+}
+
+// Guards against parts of a former report that stay beside those of the new one.
+func TestOtherPartsOfTheWindowAreRemoved(t *testing.T) {
+	former, err := reportRecords(usage.Report{Window: 7, Counts: map[string]int64{"a": 1}}, keyBytes+40)
+	must.NoError(t, err)
+	report := usage.Report{Window: 7, Counts: map[string]int64{"a": 1, "bbbbbbbbbbbbbbbbbbbbbbb": 5}}
+	records, err := reportRecords(report, keyBytes+40)
+	must.NoError(t, err)
+	must.Greater(t, len(former), len(records))
+	n := newTestNetwork(t, "a")
+	n.put(former)
+	office := testOffice{n, 1}
+	u := unconfirmed{report: report, records: records}
+	must.NoError(t, office.Append(t.Context(), u.replacing(office.Records(windowPrefix(7)))))
+	reports, incomplete := storedReports(office.Records(keyPrefix))
+	must.Eq(t, []usage.Report{report}, reports)
+	must.Len(t, 0, incomplete)
+}
+
 // Guards against a report of which a part was not stored, and which is sent as if the others
 // were all.
 func TestIncompleteReportIsRemoved(t *testing.T) {
--- a/internal/usage/tenure.go
+++ b/internal/usage/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -124,14 +125,49 @@
 	return false
 }
 
+// unconfirmed is a report that was appended and is not known to be stored. Its records may
+// still get into the partition while the fence holds, so no other report of the window may be
+// made under that fence.
+type unconfirmed struct {
+	fence   int64
+	report  usage.Report
+	records []logstore.Record
+}
+
+// prepare returns the report to append for a window: the unconfirmed one of the fence if
+// there is one, otherwise the given one.
+func (s *Service) prepare(fence int64, report usage.Report) (*unconfirmed, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u := s.unconfirmed; u != nil && u.fence == fence && u.report.Window == report.Window {
+		return u, nil
+	}
+	records, err := reportRecords(report, s.config.RecordBytes)
+	if err != nil {
+		return nil, err
+	}
+	s.unconfirmed = &unconfirmed{fence: fence, report: report, records: records}
+	return s.unconfirmed, nil
+}
+
+// replacing returns the records of a report and the removal of other parts of its window.
+func (u *unconfirmed) replacing(stored []logstore.Record) []logstore.Record {
+	others := slices.DeleteFunc(slices.Clone(stored), func(r logstore.Record) bool {
+		return slices.ContainsFunc(u.records, func(own logstore.Record) bool { return own.Key == r.Key })
+	})
+	return append(tombstones(others), u.records...)
+}
+
 // store stores a report, and removes those that are answered. It reports whether it is
 // stored.
-func (s *Service) store(ctx context.Context, office duties.Office, report usage.Report) bool {
-	records, err := reportRecords(report, s.config.RecordBytes)
+func (s *Service) store(ctx context.Context, office duties.Office, closed usage.Report) bool {
+	prepared, err := s.prepare(office.Tenure().Fence, closed)
 	if err != nil {
-		klog.ErrorS(err, "usage report could not be encoded", "window", report.Window)
+		klog.ErrorS(err, "usage report could not be encoded", "window", closed.Window)
 		return false
 	}
+	report := prepared.report
+	records := prepared.replacing(office.Records(windowPrefix(report.Window)))
 	s.mu.Lock()
 	done, unanswered := s.tenure.outgoing.Done(s.now())
 	s.mu.Unlock()
@@ -144,6 +180,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.unconfirmed = nil
 	s.tenure.outgoing.Add(report)
 	for _, window := range done {
 		s.tenure.outgoing.Remove(window)
