--- a/internal/fronthost/access_test.go
+++ b/internal/fronthost/access_test.go
@@ -197,9 +197,15 @@
 		defer h.mu.Unlock()
 		return h.turns.Yields("other", time.Now())
 	}
-	for range 20 {
-		h.turns.Record("other", true, time.Now())
+	serveOther := func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.turns = workspace.NewTurns()
+		for range 20 {
+			h.turns.Record("other", true, time.Now())
+		}
 	}
+	serveOther()
 	send := func(ctx context.Context, within time.Duration) *Refusal {
 		_, refusal := h.Forward(ctx, caller, testRequest("/pages/x"), h.Config().Match(testHost, "/pages/x"), time.Now().Add(within))
 		return refusal
@@ -218,12 +224,7 @@
 		_, limited := h.limits.Available(candidateOf(&h.serversByService[testApp][0]), time.Now())
 		return refusal != nil && limited
 	})
-	h.mu.Lock()
-	h.turns = workspace.NewTurns()
-	for range 20 {
-		h.turns.Record("other", true, time.Now())
-	}
-	h.mu.Unlock()
+	serveOther()
 	left, leave := context.WithCancel(t.Context())
 	leave()
 	for range 6 {
