--- a/internal/fronthost/access_test.go
+++ b/internal/fronthost/access_test.go
@@ -183,3 +183,82 @@
 	}
 	must.MapLen(t, 3, prints)
 }
+
+// Guards against a workspace that yields to one whose requests fail for another reason than
+// a rate limit, or are abandoned, and against one that does not yield to one without grants.
+func TestTurnsCountRequestsThatNeedGrants(t *testing.T) {
+	c := newTestCluster(t, 1)
+	c.register("app-a", testApp)
+	h := startAccessHost(c, "a")
+	h.declare("key")
+	caller := h.caller()
+	yields := func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.turns.Yields("other", time.Now())
+	}
+	serveOther := func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.turns = workspace.NewTurns()
+		for range 20 {
+			h.turns.Record("other", true, time.Now())
+		}
+	}
+	serveOther()
+	send := func(ctx context.Context, within time.Duration) *Refusal {
+		_, refusal := h.Forward(ctx, caller, testRequest("/pages/x"), h.Config().Match(testHost, "/pages/x"), time.Now().Add(within))
+		return refusal
+	}
+	c.calls = full
+	for range 6 {
+		must.NotNil(t, send(t.Context(), time.Second))
+	}
+	must.False(t, yields())
+
+	c.calls = good
+	c.setLimit("app-a", 1)
+	c.allocator([]*hostHandle{h.hostHandle})
+	c.waitUntil("the limit is known", func() bool {
+		refusal := send(t.Context(), time.Second)
+		_, limited := h.limits.Available(candidateOf(&h.serversByService[testApp][0]), time.Now())
+		return refusal != nil && limited
+	})
+	serveOther()
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	for range 6 {
+		must.NotNil(t, send(left, time.Second))
+	}
+	must.False(t, yields())
+	for range 6 {
+		send(t.Context(), time.Second)
+	}
+	must.True(t, yields())
+}
+
+// Guards against a further send, with the caller's key in its header, of a request that
+// arrived before the configuration declared workspaces.
+func TestRequestIsNotSentAgainOnceWorkspacesAreDeclared(t *testing.T) {
+	for name, first := range map[string]*backend.Response{"full": full(""), "broken": nil} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCluster(t, 1)
+			c.register("app-a", testApp)
+			c.register("app-b", testApp)
+			h := &accessHost{hostHandle: c.startHost("a"), t: t}
+			caller, refusal := h.Authorize("r1", nil, []string{testKey})
+			must.Nil(t, refusal)
+			must.Nil(t, h.Readmit("r1", caller))
+			var sends atomic.Int64
+			c.calls = func(string) *backend.Response {
+				sends.Add(1)
+				h.declare("key")
+				return first
+			}
+			_, refusal = h.Forward(t.Context(), caller, testRequest("/pages/x"), h.Config().Match(testHost, "/pages/x"), time.Now().Add(time.Second))
+			must.EqOp(t, 1, sends.Load())
+			must.EqOp(t, first == nil, refusal.Outcome == cluster.OutcomeUnknown)
+			must.EqOp(t, cluster.ReasonNoPermission, h.Readmit("r1", caller).Reason)
+		})
+	}
+}
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -49,8 +48,19 @@
 	began    bool // a stream began
 	response *backend.Response
 	err      error
+	// published is closed when the crash under the attempt is published; nil without one.
+	published <-chan struct{}
 }
 
+// turn says whether a request had its turn at servers with a rate limit.
+type turn int
+
+const (
+	noTurn      turn = iota // it needed no grant, or its caller left
+	turnRefused             // it needed a grant and got none
+	turnGranted
+)
+
 // forwarding is the state of one request that this host forwards to backend servers.
 // Type streaming extends it for streams.
 type forwarding struct {
@@ -68,6 +78,7 @@
 	possibleRuns int // sends that a server may have run
 	inFlight     int // sends without a result
 	refusals     int
+	turn         turn
 	usage        *usage.Request        // nil if the request is not counted
 	firstSend    *attempt              // send by which usage counts the request
 	background   bool                  // the request can be sent later
@@ -75,6 +86,7 @@
 	allLeaving   bool                  // the servers that were not tried are all leaving
 	verdict      spill.Verdict         // why the last selected server is local or not
 	lastFailure  *backend.Response     // last response with a status of 500 or above
+	published    []<-chan struct{}     // see attempt.published
 	failures     int                   // responses with status 500: the server ran the request and failed
 }
 
@@ -131,17 +143,6 @@
 	return unknownRefusal(cluster.ReasonDeadline, "no backend server answered in time")
 }
 
-// crashRefusal returns a refusal if the request's content has crashed too many
-// servers, and nil otherwise.
-func (f *forwarding) crashRefusal() *Refusal {
-	f.host.mu.Lock()
-	defer f.host.mu.Unlock()
-	if !f.host.crashesServers(f.fingerprint) {
-		return nil
-	}
-	return notRunRefusal(cluster.ReasonCrashInducing, "this request has crashed several backend servers")
-}
-
 // Forward sends a request that is neither a job nor a stream to a backend server, and
 // returns the server's response or the host's refusal.
 func (h *Host) Forward(ctx context.Context, caller Caller, request *backend.Request, route *deployment.Route, deadline time.Time) (*backend.Response, *Refusal) {
@@ -153,6 +154,9 @@
 		return nil, refusal
 	}
 	response, refusal := f.run(ctx)
+	if refusal != nil {
+		f.awaitPublished()
+	}
 	f.recordOutcome(response, refusal, time.Since(began))
 	return response, refusal
 }
@@ -165,7 +169,7 @@
 		f.host.durations.Record(f.route.Name, took, time.Now())
 		f.host.mu.Unlock()
 	}
-	f.recordTurn(response != nil)
+	f.recordTurn()
 	details := []any{"route", f.route.Name, "service", f.service, "outcome", outcome, "status", status, "sends", f.possibleRuns, "refusals", f.refusals, "took_ms", took.Milliseconds(), "left_ms", time.Until(f.deadline).Milliseconds()}
 	if f.caller.workspace != nil {
 		details = append(details, "workspace", f.caller.Workspace())
@@ -178,16 +182,16 @@
 	f.host.recorder.Observe("request_seconds", took.Seconds(), "route", f.route.Name)
 }
 
-// recordTurn records whether the request of a workspace was served. A key may have been
-// removed meanwhile, and with it the workspace.
-func (f *forwarding) recordTurn(served bool) {
-	if f.caller.workspace == nil {
+// recordTurn records whether a workspace's request that needed a grant got one. A key may
+// have been removed meanwhile, and with it the workspace.
+func (f *forwarding) recordTurn() {
+	if f.caller.workspace == nil || f.turn == noTurn {
 		return
 	}
 	f.host.mu.Lock()
 	defer f.host.mu.Unlock()
 	if f.host.state.Config.Workspaces.Named(f.caller.Workspace()) != nil {
-		f.host.turns.Record(f.caller.Workspace(), served, time.Now())
+		f.host.turns.Record(f.caller.Workspace(), f.turn == turnGranted, time.Now())
 	}
 }
 
@@ -213,6 +217,7 @@
 				f.send(ctx, true)
 			}
 		case <-ctx.Done():
+			go takeBackUnsent(f.usage, f.results, f.inFlight, f.possibleRuns)
 			return nil, f.givenUp()
 		}
 	}
@@ -231,13 +236,27 @@
 func (f *forwarding) mayHedge() bool {
 	f.host.mu.Lock()
 	defer f.host.mu.Unlock()
-	return f.possibleRuns < f.route.MaxAttempts && f.host.forward.MayHedge()
+	suspected := f.host.suspects.Verdict(f.fingerprint) != suspect.Run
+	return !suspected && f.possibleRuns < f.route.MaxAttempts && f.host.forward.MayHedge()
 }
 
 // pick selects the best server that was not tried yet and records a send to it. It
-// returns nil if there is none. A request may wait for its turn at a server with a rate
-// limit; a hedge does not.
+// returns nil if there is none, or if the request must not be sent. A request may wait for
+// its turn at a server with a rate limit, or for another send of suspected content; a
+// hedge does not.
 func (f *forwarding) pick(ctx context.Context, hedge bool) *attempt {
+	if !f.claimContent(ctx, hedge) {
+		return nil
+	}
+	a := f.pickServer(ctx, hedge)
+	if a == nil {
+		f.releaseContent()
+	}
+	return a
+}
+
+// pickServer is pick after the content was claimed.
+func (f *forwarding) pickServer(ctx context.Context, hedge bool) *attempt {
 	h := f.host
 	server := f.selectServer(ctx, hedge)
 	if server == nil {
@@ -245,7 +264,7 @@
 	}
 	// The request may have waited for its turn.
 	expires, verdict := h.readmit(f.caller)
-	if f.denied = verdict; verdict != workspace.Admitted {
+	if f.denied = verdict; verdict != workspace.Admitted || f.crashRefusal() != nil {
 		return nil
 	}
 	request := *f.request
@@ -276,11 +295,21 @@
 	go func() {
 		a.response, a.err = h.backends.Call(ctx, targetOf(&a.server), a.request, time.Until(f.deadline))
 		a.ended = time.Now()
-		h.recordAttempt(a, ctx.Err() != nil)
+		f.endAttempt(a, ctx.Err() != nil)
 		f.results <- a
 	}()
 }
 
+// endAttempt records the end of an attempt. A crash is recorded before the next send of
+// the same content may begin.
+func (f *forwarding) endAttempt(a *attempt, abandoned bool) {
+	f.host.recordAttempt(a, abandoned)
+	if a.err != nil && !abandoned && !errors.Is(a.err, backend.ErrNotSent) && !errors.Is(a.err, backend.ErrExpired) {
+		f.recordCrash(a)
+	}
+	f.releaseContent()
+}
+
 // recordAttempt updates the balancer with the result of an attempt.
 func (h *Host) recordAttempt(a *attempt, abandoned bool) {
 	result := forward.Answered
@@ -324,21 +353,39 @@
 	}
 }
 
+// takeBackUnsent awaits the results of the sends of a request that has ended, and takes the
+// count of the request back if none of its possible runs began.
+func takeBackUnsent(counted *usage.Request, results <-chan *attempt, inFlight, possibleRuns int) {
+	for range inFlight {
+		if (<-results).notRun() {
+			possibleRuns--
+		}
+	}
+	if possibleRuns == 0 {
+		counted.Refused()
+	}
+}
+
+// notRun reports whether the server did not run the request.
+func (a *attempt) notRun() bool {
+	return errors.Is(a.err, backend.ErrNotSent) || a.err == nil && a.response.NotRun
+}
+
 // handleResult returns the response for the caller, or nil if the attempt did not
 // settle the request.
 func (f *forwarding) handleResult(a *attempt) *backend.Response {
 	f.inFlight--
+	f.notePublication(a)
 	defer f.countResult(a)
 	if a.err == nil && a.response.Status == http.StatusInternalServerError {
 		f.failures++
 	}
 	switch {
-	case errors.Is(a.err, backend.ErrNotSent), a.err == nil && a.response.NotRun:
+	case a.notRun():
 		f.possibleRuns--
 		f.refusals++
 		return nil
 	case a.err != nil:
-		f.recordCrash(a)
 		return nil
 	case a.response.Status >= http.StatusInternalServerError && f.route.Kind == deployment.Idempotent:
 		f.lastFailure = a.response
@@ -347,35 +394,8 @@
 	return a.response
 }
 
-// recordCrash records a suspicion of the request's content when its server broke the
-// connection, and publishes it to the other hosts, because the caller may retry at
-// any of them.
-func (f *forwarding) recordCrash(a *attempt) {
-	h := f.host
-	h.recorder.RecordDecision("broken", f.request.ID, "server", a.server.ID, "err", a.err.Error())
-	if f.fingerprint == "" {
-		return
-	}
-	crash := fmt.Sprintf("%s-%d", a.server.ID, a.server.Incarnation)
-	h.mu.Lock()
-	changed := h.suspects.RecordCrash(f.fingerprint, crash, false, time.Now())
-	h.mu.Unlock()
-	if changed {
-		h.publishSuspicion(f.fingerprint, crash)
-	}
-}
-
-// clearSuspicion clears the suspicion of the request's content after a server has
-// answered the request.
-func (f *forwarding) clearSuspicion() {
-	f.host.mu.Lock()
-	defer f.host.mu.Unlock()
-	f.host.suspects.Clear(f.fingerprint, time.Now())
-}
-
 func (f *forwarding) mayRetry(a *attempt) bool {
-	ran := a.err != nil && !errors.Is(a.err, backend.ErrNotSent) || a.err == nil && !a.response.NotRun
-	if !ran {
+	if a.notRun() {
 		return f.refusals <= maxRefusals && f.inFlight == 0
 	}
 	return f.route.Kind == deployment.Idempotent && f.possibleRuns < f.route.MaxAttempts && f.inFlight == 0
@@ -398,6 +418,9 @@
 	if f.possibleRuns > 0 {
 		return nil, unknownRefusal(cluster.ReasonBackendFailed, "the backend server broke off")
 	}
+	if refusal := f.crashRefusal(); refusal != nil {
+		return nil, refusal
+	}
 	if f.denied != workspace.Admitted {
 		return nil, f.host.accessRefusal(f.denied)
 	}
