Declare workspaces in declaration files

Cause: hosts without a log store had no way to declare workspaces and their keys. Change: sections [workspace NAME] with key_hashes and priority; models, services and trainers may be public, and a trainer may belong to a workspace. Findings name the item and do not quote it. A line that is no KEY = VALUE is not quoted in its finding any more, because it may hold a key or another secret.

--- a/cmd/sesamestand/arguments.go
+++ b/cmd/sesamestand/arguments.go
@@ -7,6 +7,7 @@
 	Serve      *serveCommand      `arg:"subcommand:serve" help:"run an entry host"`
 	Publish    *publishCommand    `arg:"subcommand:publish" help:"publish declaration files through the log"`
 	Check      *checkCommand      `arg:"subcommand:check" help:"validate declaration files"`
+	KeyHash    *keyHashCommand    `arg:"subcommand:key-hash" help:"print the hash of a workspace's key, read from standard input"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"show the status of an entry host"`
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"show the decisions made for a request"`
 	Demo       *demoCommand       `arg:"subcommand:demo" help:"run a complete system on loopback and check every promise"`
--- a/cmd/sesamestand/check.go
+++ b/cmd/sesamestand/check.go
@@ -17,7 +17,11 @@
 	if err := findings.Err(); err != nil {
 		return err
 	}
-	fmt.Printf("%d files: %d models, %d trainers, %d services, %d needs\n",
+	fmt.Printf("%d files: %d models, %d trainers, %d services, %d needs",
 		len(files), len(set.Models), len(set.Trainers), len(set.Services), len(set.Needs))
+	if set.Workspaces.Enabled() {
+		fmt.Printf(", %d workspaces", set.Workspaces.Len())
+	}
+	fmt.Println()
 	return nil
 }
--- a/internal/core/workspace/workspace.go
+++ b/internal/core/workspace/workspace.go
@@ -8,6 +8,8 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
+	"errors"
 	"fmt"
 	"strings"
 	"unicode"
@@ -27,6 +29,30 @@
 // HashKey returns the hash of a key.
 func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
 
+// ParseKeyHash decodes a hash in hex digits. The error doesn't quote the text, which may be
+// a key.
+func ParseKeyHash(text string) (KeyHash, error) {
+	var h KeyHash
+	if len(text) != hex.EncodedLen(len(h)) {
+		return KeyHash{}, fmt.Errorf("has %d characters, want %d hex digits", len(text), hex.EncodedLen(len(h)))
+	}
+	if _, err := hex.Decode(h[:], []byte(text)); err != nil {
+		return KeyHash{}, fmt.Errorf("is not %d hex digits", hex.EncodedLen(len(h)))
+	}
+	return h, nil
+}
+
+// String returns the hash in hex digits.
+func (h KeyHash) String() string { return hex.EncodeToString(h[:]) }
+
+// CheckKey returns why a key cannot be used, or nil. The error doesn't quote the key.
+func CheckKey(key string) error {
+	if reason := invalidKey(key); reason != "" {
+		return errors.New(reason)
+	}
+	return nil
+}
+
 // Workspace is a customer of an operator.
 type Workspace struct {
 	Name        string
@@ -45,8 +71,11 @@
 
 // Declared is a workspace as an operator declares it.
 type Declared struct {
-	Name        string
-	Keys        []string
+	Name string
+	Keys []string
+	// Hashes are those of keys that are declared by their hashes. The zero hash stands for
+	// one that could not be decoded.
+	Hashes      []KeyHash
 	Priority    int
 	HasPriority bool
 	// Invalid is why the declaration could not be decoded, or empty.
@@ -60,7 +89,7 @@
 type Problem struct {
 	Workspace int    // index of the declaration
 	Name      string // declared name
-	Key       int    // index of the key, or WholeWorkspace
+	Key       int    // index of the key, with the hashes after the keys, or WholeWorkspace
 	Reason    string
 }
 
@@ -168,6 +197,12 @@
 		}
 		b.addKey(HashKey(key), w, keyUse{workspace: owner, declared: i, key: k, name: d.Name})
 	}
+	for k, h := range d.Hashes {
+		if h == (KeyHash{}) {
+			continue
+		}
+		b.addKey(h, w, keyUse{workspace: owner, declared: i, key: len(d.Keys) + k, name: d.Name})
+	}
 }
 
 // addKey adds a key of a workspace, which is nil if its declaration is not used. Such keys
--- a/internal/declare/fields.go
+++ b/internal/declare/fields.go
@@ -42,8 +42,12 @@
 
 func (r *sectionReader) reportUnknownKeys() {
 	for _, key := range sortedKeys(r.section.Values) {
-		if !r.knownKeys[key] {
-			r.report(key, "is not a key of a %s", kindOf(r.section))
+		switch kind := kindOf(r.section); {
+		case r.knownKeys[key]:
+		case kind == kindWorkspace: // the text may be a caller's key
+			r.findings.Add(r.section.File, r.section.Values[key].Line, "line", "is not a key of a %s", kind)
+		default:
+			r.report(key, "is not a key of a %s", kind)
 		}
 	}
 }
--- a/internal/declare/model.go
+++ b/internal/declare/model.go
@@ -1,8 +1,12 @@
 // Package declare parses and checks the operators' declaration files, which
-// declare models, trainers, plain services and serving needs.
+// declare models, trainers, plain services, serving needs and workspaces.
 package declare
 
-import "time"
+import (
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
+)
 
 // Class is the priority class of work at the owner of a replica. Lower values take
 // precedence.
@@ -21,6 +25,8 @@
 	Trainers map[string]*Trainer
 	Services map[string]*Service
 	Needs    map[string]*Need
+	// Workspaces finds the workspace of a key. Requests need keys if it is enabled.
+	Workspaces *workspace.Directory
 }
 
 // Model declares a model and the behaviour of its engines. Section [model NAME].
@@ -40,6 +46,8 @@
 	// newest version.
 	PinnedVersion int64
 	Adapters      []string
+	// Public lets requests without a key use the model.
+	Public bool
 }
 
 // Trainer declares a trainer. Section [trainer NAME].
@@ -65,6 +73,10 @@
 	ScoreRequired bool
 	// MaxTokens is the length in tokens at which a sample is stopped.
 	MaxTokens int
+	// Workspace is the workspace whose keys the trainer's calls need; empty means any.
+	Workspace string
+	// Public lets calls of the trainer go without a key.
+	Public bool
 }
 
 // Service declares a plain service. Section [service NAME].
@@ -75,6 +87,8 @@
 	// their method. GET and HEAD may always be retried.
 	RepeatablePaths []string
 	Timeout         time.Duration
+	// Public lets requests without a key use the service.
+	Public bool
 }
 
 // Need declares a serving need: the capacity and latency that callers require of a
--- a/internal/declare/sections.go
+++ b/internal/declare/sections.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
 	"github.com/sesamestand/sesamestand/internal/finding"
 	"github.com/sesamestand/sesamestand/internal/inifile"
 )
@@ -36,6 +37,8 @@
 	set      *Set
 	sections map[string]*inifile.Section // first section with each header
 	findings *finding.List
+	// workspaces has the declared workspaces in the order of their sections.
+	workspaces []workspace.Declared
 }
 
 func (c *collector) addSection(s *inifile.Section) {
@@ -44,9 +47,11 @@
 		"trainer": c.decodeTrainer,
 		"service": c.decodeService,
 		"need":    c.decodeNeed,
+
+		kindWorkspace: c.decodeWorkspace,
 	}[kindOf(s)]
 	if !ok {
-		c.findings.Add(s.File, s.Line, s.Header, "section must be model, trainer, service or need")
+		c.findings.Add(s.File, s.Line, s.Header, "section must be model, trainer, service, need or workspace")
 		return
 	}
 	if !namePattern.MatchString(nameOf(s)) {
@@ -74,6 +79,7 @@
 		MinServing:     r.number("min_serving", defaultMinServing, 0, 0.99),
 		PinnedVersion:  r.integer("pinned_version", 0, 0, math.MaxInt64),
 		Adapters:       r.list("adapters"),
+		Public:         r.boolean("public", false),
 	}
 	for _, adapter := range m.Adapters {
 		if !namePattern.MatchString(adapter) {
@@ -95,6 +101,8 @@
 		Scorer:         r.name("scorer", false),
 		ScoreRequired:  r.boolean("score_required", false),
 		MaxTokens:      int(r.integer("max_tokens", 0, 1, maxTokensLimit)),
+		Workspace:      r.name("workspace", false),
+		Public:         r.boolean("public", false),
 	}
 }
 
@@ -104,6 +112,7 @@
 		Class:           r.class("class", ClassInteractive),
 		RepeatablePaths: r.list("repeatable_paths"),
 		Timeout:         r.duration("timeout", defaultServiceTimeout, time.Millisecond, 10*time.Minute),
+		Public:          r.boolean("public", false),
 	}
 	for _, path := range s.RepeatablePaths {
 		if !strings.HasPrefix(path, "/") || strings.Contains(path, "..") || strings.Contains(path, "//") {
@@ -131,6 +140,7 @@
 // checkReferences checks the constraints that depend on several sections, such as
 // references between them. It is called after all sections were added.
 func (c *collector) checkReferences() {
+	c.checkWorkspaces()
 	for _, name := range sortedKeys(c.set.Models) {
 		if m := c.set.Models[name]; len(m.Replicas) > 0 && m.totalReplicas() == 0 {
 			c.reportAt("model "+name, "replicas", "must name at least one replica")
@@ -173,6 +183,7 @@
 	if t.ScoreRequired && t.Scorer == "" {
 		c.reportAt(header, "score_required", "needs a scorer")
 	}
+	c.checkTrainerWorkspace(header, t)
 }
 
 func (m *Model) totalReplicas() int {
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -117,7 +117,8 @@
 	key, text = strings.TrimSpace(key), strings.TrimSpace(text)
 	switch {
 	case !found || key == "" || strings.ContainsAny(key, "\"`"):
-		s.report(lineNumber, line, "line must be a comment, a section or KEY = VALUE")
+		// The line is not quoted, because it may hold a secret.
+		s.report(lineNumber, "line", "must be a comment, a section or KEY = VALUE")
 	case s.current == nil:
 		s.report(lineNumber, key, "key stands before the first section")
 	case strings.HasPrefix(text, "`") || strings.HasPrefix(text, `"""`):
