Require keys on hosts without a log store

Cause: hosts without a log store admitted callers by the settings' tokens only, and kept recorded responses and idempotency keys of all callers together. Change: internal/access admits requests by the workspaces of the configuration and the time of its newest complete read of the config stream, on arrival and before each send to a backend server. The owner of a replica looks the key's hash up itself after the request has waited in its queue: a remaining time in the message would begin to run late if the router is suspended before the message is written. The connection expires with the permission. Backend servers get the workspace's name in the header Workspace; request IDs at coordinators and engines and idempotency keys are qualified by the workspace, and a trainer of another workspace is an unknown one. Where revocation is strict, the long polls of the config stream are shorter, and its end is read again while they are late.

--- a/internal/callers/attempt.go
+++ b/internal/callers/attempt.go
@@ -22,7 +22,7 @@
 // request coordinator.
 type claimedAttempt struct {
 	c     *Controller
-	id    string
+	id    string // request ID, qualified by the caller's workspace
 	grant flight.Grant
 	// superseded is closed when a newer attempt supersedes this one. It is nil if
 	// the coordinator is unreachable or replayed a recorded response.
--- a/internal/callers/call.go
+++ b/internal/callers/call.go
@@ -79,6 +79,10 @@
 		Prompt: r.gen.Prompt, Delivered: r.tokens, MaxTokens: int32(r.gen.MaxTokens),
 		Temperature: r.gen.Temperature, Seed: r.gen.Seed, Class: int32(r.gen.Class), Trainer: r.gen.Trainer,
 		Priority: r.gen.Priority, Solo: isolated, Fingerprint: r.fingerprint, MinVersion: r.gen.MinVersion,
+		Workspace: r.gen.Caller.Workspace,
+	}
+	if r.gen.Caller.HasKey() {
+		req.KeyHash = r.gen.Caller.Key[:]
 	}
 	if r.c.config.Policy == PolicyBaseline {
 		req.Delivered = nil // restarts from index 0; the tracker drops chunks already delivered
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/flight"
 	"github.com/sesamestand/sesamestand/internal/core/route"
@@ -105,6 +106,7 @@
 	peers     peer.Clients
 	recorder  *telemetry.Recorder
 	refuser   cluster.Refuser
+	gate      *access.Gate
 
 	mu       sync.Mutex // guards budget, rotation, pending and spill
 	budget   *flight.Budget
@@ -131,6 +133,10 @@
 // called before the first request.
 func (c *Controller) RefuseBy(r cluster.Refuser) { c.refuser = r }
 
+// AdmitBy sets what admits the requests of callers. It must be called before the first
+// request; without it, all are admitted.
+func (c *Controller) AdmitBy(gate *access.Gate) { c.gate = gate }
+
 // New returns the Controller of this host.
 func New(config Config, members cluster.Members, ownership cluster.Ownership, configs cluster.Configs,
 	versions cluster.Versions, inventory cluster.Inventory, ownerController *owner.Controller, peers peer.Clients,
--- a/internal/callers/completions.go
+++ b/internal/callers/completions.go
@@ -53,6 +53,11 @@
 		httpapi.WriteRefusal(w, id, refusal)
 		return
 	}
+	gen.Caller, refusal = c.gate.Admit(r, func(set *declare.Set) bool { return set.PublicModel(gen.Model) })
+	if refusal != nil {
+		httpapi.WriteRefusal(w, id, refusal)
+		return
+	}
 	ctx, stop := context.WithTimeout(r.Context(), c.timeout(r))
 	defer stop()
 	response := newResponse(w, id, gen.Model, stream)
@@ -60,7 +65,7 @@
 		c.respond(ctx, gen, nil, response)
 		return
 	}
-	claimed, err := c.claimAttempt(ctx, id, claimFingerprint(gen))
+	claimed, err := c.claimAttempt(ctx, gen.Caller.QualifyID(id), claimFingerprint(gen))
 	if err != nil {
 		response.refuse(asRefusal(err))
 		return
@@ -105,7 +110,7 @@
 	}
 	refusal := asRefusal(err)
 	if claimed != nil {
-		if refusal.Outcome == cluster.OutcomeNotRun && c.reachedElsewhere(ctx, gen.RequestID) {
+		if refusal.Outcome == cluster.OutcomeNotRun && c.reachedElsewhere(ctx, claimed.id) {
 			copied := *refusal
 			copied.Outcome = cluster.OutcomeUnknown
 			refusal = &copied
--- a/internal/callers/coordinator.go
+++ b/internal/callers/coordinator.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 )
 
@@ -98,9 +99,10 @@
 	return false
 }
 
-// idTime returns the timestamp of a UUIDv7. It returns false for other IDs.
+// idTime returns the timestamp of a UUIDv7, which may be qualified by a workspace. It
+// returns false for other IDs.
 func idTime(id string) (time.Time, bool) {
-	parsed, err := uuid.Parse(id)
+	parsed, err := uuid.Parse(jobs.CallerID(id))
 	if err != nil || parsed.Version() != 7 {
 		return time.Time{}, false
 	}
--- a/internal/callers/generate.go
+++ b/internal/callers/generate.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/flight"
 	"github.com/sesamestand/sesamestand/internal/core/route"
@@ -60,7 +61,8 @@
 	// Samples of trainers do not crash engines: one under which engines crashed is
 	// still owed, and the samples of its group have the same content.
 	if gen.Class < declare.ClassTraining {
-		r.fingerprint = suspect.Fingerprint(gen.Model, gen.Adapter, gen.Prompt, gen.MaxTokens, gen.Temperature)
+		content := suspect.Fingerprint(gen.Model, gen.Adapter, gen.Prompt, gen.MaxTokens, gen.Temperature)
+		r.fingerprint = suspect.InWorkspace(gen.Caller.Workspace, content)
 	}
 	c.mu.Lock()
 	actions := r.tracker.Begin(time.Now())
@@ -103,6 +105,11 @@
 	if !sleep(ctx, action.Delay) {
 		return r.stop(flight.Failure{Reason: string(cluster.ReasonNoReplica), Message: "the caller left while no replica could serve"})
 	}
+	if _, refusal := r.c.gate.Readmit(r.gen.Caller); refusal != nil {
+		return r.reportFailure(action.Attempt, flight.Failure{
+			NonRetryable: true, Reason: string(refusal.Reason), Message: refusal.Message,
+		})
+	}
 	verdict := r.c.owner.Verdict(r.fingerprint)
 	if verdict == suspect.Refuse {
 		return r.reportFailure(action.Attempt, flight.Failure{
@@ -217,6 +224,9 @@
 		r.c.owner.RecordRefusal(chosen.Replica)
 	case cluster.ReasonCrashInducing:
 		failure.NonRetryable = true
+	case cluster.ReasonNoPermission:
+		// The owner may not have read yet that the key was added.
+		failure.NonRetryable, failure.NoReplica = true, true
 	}
 	if r.c.config.Policy == PolicyBaseline {
 		failure.NonRetryable = attempt >= baselineAttempts
@@ -254,6 +264,9 @@
 		Outcome: outcome(finish.Outcome), Reason: cluster.Reason(finish.Failure.Reason),
 		Message: finish.Failure.Message, BackendServer: finish.Failure.Replica, StreamBroken: finish.Failure.Crashed,
 	}
+	if refusal.Reason == cluster.ReasonNoPermission {
+		refusal.RetryAfter = access.RetryAfter
+	}
 	if ctx.Err() != nil {
 		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return ctx.Err()
--- a/internal/callers/harness_test.go
+++ b/internal/callers/harness_test.go
@@ -34,6 +34,8 @@
 	started      map[string]int // number of attempts by request ID
 	disconnected map[string]int // number of attempts whose client disconnected, by request ID
 	version      int64
+	headers      []http.Header // of all attempts
+	requestIDs   []string      // of all attempts
 	// behave is called before each chunk and selects what the engine does instead
 	// of, or besides, sending it.
 	behave func(req engine.GenerateRequest, index int) behaviour
@@ -88,6 +90,7 @@
 	}
 	e.mu.Lock()
 	e.started[req.RequestID]++
+	e.headers, e.requestIDs = append(e.headers, r.Header.Clone()), append(e.requestIDs, req.RequestID)
 	e.mu.Unlock()
 	send := func(chunk engine.Chunk) {
 		data, _ := json.Marshal(chunk)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -95,6 +95,7 @@
 	Seed        int64
 	Class       declare.Class
 	Trainer     string // empty for callers
+	Caller      Caller // for trainers, without a key
 	// MinVersion excludes replicas that serve an older weight version.
 	MinVersion int64
 	// Avoid lists the IDs of replicas not to use. A hedge avoids the replicas of
--- a/internal/configs/controller.go
+++ b/internal/configs/controller.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/boottime"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/config"
 	"github.com/sesamestand/sesamestand/internal/declare"
@@ -37,6 +38,10 @@
 	RetryDelay time.Duration
 	// PeerTimeout bounds one round of snapshot requests to peers.
 	PeerTimeout time.Duration
+	// ConfirmInterval is the age of the newest complete read from which on the end of the
+	// stream is read again without a wait, also while another read is under way. Zero
+	// means never.
+	ConfirmInterval time.Duration
 }
 
 // Defaults and limits of the controller's timing.
@@ -65,6 +70,7 @@
 	mu       sync.Mutex
 	follower *config.Follower
 	current  config.State
+	asOf     time.Time // see CompleteAsOf
 	ready    bool
 	changed  chan struct{} // closed and replaced whenever current or ready changes
 
@@ -147,6 +153,11 @@
 
 // Run follows the stream until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
+	var reads sync.WaitGroup
+	defer reads.Wait()
+	if c.config.ConfirmInterval > 0 {
+		reads.Go(func() { c.confirm(ctx) })
+	}
 	// Starting from a peer's configuration avoids reading the whole stream.
 	c.installFromPeers(ctx, false)
 	delay := c.config.RetryDelay
@@ -186,6 +197,7 @@
 	c.mu.Unlock()
 	readCtx, cancel := context.WithTimeout(ctx, wait+readGrace)
 	defer cancel()
+	sent := boottime.Now()
 	page, err := c.log.Read(readCtx, platform.StreamConfig, next, wait)
 	if err != nil {
 		return false, eris.Wrapf(err, "read stream %s from offset %d", platform.StreamConfig, next)
@@ -194,6 +206,7 @@
 	events := c.follower.Apply(page)
 	atEnd = c.follower.Next() >= page.End
 	c.activate(c.follower.CaughtUp() && atEnd)
+	c.recordComplete(page, sent)
 	c.mu.Unlock()
 	c.recordEvents(events)
 	return atEnd, nil
--- a/internal/core/intent/record.go
+++ b/internal/core/intent/record.go
@@ -12,6 +12,7 @@
 package intent
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"time"
 
@@ -49,6 +50,19 @@
 // String returns the canonical text form.
 func (k Key) String() string { return uuid.UUID(k).String() }
 
+// InWorkspace returns the key of a call that a workspace's caller sends with the key. Equal
+// keys of two workspaces are different ones. The result is a UUIDv7 of the same time, with a
+// digest in place of the random bits.
+func (k Key) InWorkspace(name string) Key {
+	const timeBytes = 6
+	digest := sha256.Sum256(append(k[:], name...))
+	derived := k
+	copy(derived[timeBytes:], digest[:])
+	derived[6] = derived[6]&0x0f | k[6]&0xf0 // version
+	derived[8] = derived[8]&0x3f | k[8]&0xc0 // variant
+	return derived
+}
+
 // Time returns the time that the caller encoded in the key, in whole
 // milliseconds.
 func (k Key) Time() time.Time {
--- a/internal/core/workspace/workspace.go
+++ b/internal/core/workspace/workspace.go
@@ -23,6 +23,10 @@
 	MaxPriority  = 1 << 20
 )
 
+// Header has the name of the workspace in requests to backend servers, on hosts without a
+// log store.
+const Header = "Workspace"
+
 // KeyHash is the hash of a key. Keys are kept and compared only as hashes.
 type KeyHash [sha256.Size]byte
 
--- a/internal/declare/workspaces.go
+++ b/internal/declare/workspaces.go
@@ -64,3 +64,16 @@
 		c.reportAt(header, "public", "a trainer of a workspace cannot be public")
 	}
 }
+
+// PublicModel reports whether a model may be used without a key.
+func (s *Set) PublicModel(name string) bool { return s.Models[name] != nil && s.Models[name].Public }
+
+// PublicService reports whether a service may be used without a key.
+func (s *Set) PublicService(name string) bool {
+	return s.Services[name] != nil && s.Services[name].Public
+}
+
+// PublicTrainer reports whether a trainer's calls need no key.
+func (s *Set) PublicTrainer(name string) bool {
+	return s.Trainers[name] != nil && s.Trainers[name].Public
+}
--- a/internal/engine/caches.go
+++ b/internal/engine/caches.go
@@ -22,7 +22,7 @@
 	if c.config.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.config.Token)
 	}
-	response, err := c.transport(addr).RoundTrip(request)
+	response, err := c.transport(target{addr: addr}).RoundTrip(request)
 	if err != nil {
 		return nil, eris.Wrapf(err, "read cache events of engine %s", addr)
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
 	"github.com/sesamestand/sesamestand/internal/netdial"
 )
 
@@ -41,7 +42,7 @@
 	config     Config
 	observe    ResponseObserver
 	mu         sync.Mutex
-	transports map[string]*http.Transport
+	transports map[target]*http.Transport
 }
 
 // ResponseObserver is called with the response of an engine to each completion, before
@@ -60,7 +61,7 @@
 	if config.ConnectTimeout <= 0 {
 		config.ConnectTimeout = defaultConnectTimeout
 	}
-	return &Client{config: config, transports: make(map[string]*http.Transport)}
+	return &Client{config: config, transports: make(map[target]*http.Transport)}
 }
 
 // Stream runs a completion and calls sink for each new chunk in index order.
@@ -122,10 +123,13 @@
 
 func (r *streamRun) do(ctx context.Context, body []byte) error {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { r.connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			netdial.ExpireAt(info.Conn, r.request.Expires)
+			r.connected.Store(true)
+		},
 	})
 	sent := time.Now()
-	response, err := r.client.post(ctx, r.addr, "/v1/completions", body)
+	response, err := r.client.post(ctx, target{r.addr, !r.request.Expires.IsZero()}, "/v1/completions", r.request.Workspace, body)
 	if err != nil {
 		return err
 	}
@@ -182,8 +186,15 @@
 	return failure
 }
 
-func (c *Client) post(ctx context.Context, addr, path string, body []byte) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
+// target is an engine with the kind of its connections. Those of requests that expire are
+// watched, see netdial.ExpireAt.
+type target struct {
+	addr    string
+	expires bool
+}
+
+func (c *Client) post(ctx context.Context, t target, path, workspaceName string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrap(err, "create engine request")
 	}
@@ -191,8 +202,11 @@
 	if c.config.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.config.Token)
 	}
-	response, err := c.transport(addr).RoundTrip(request)
-	return response, eris.Wrapf(err, "call engine %s", addr)
+	if workspaceName != "" {
+		request.Header.Set(workspace.Header, workspaceName)
+	}
+	response, err := c.transport(t).RoundTrip(request)
+	return response, eris.Wrapf(err, "call engine %s", t.addr)
 }
 
 // cancel asks an engine to stop a request, over a new connection. It is
@@ -205,7 +219,7 @@
 	if err != nil {
 		return
 	}
-	if response, err := c.post(ctx, addr, "/cancel", body); err == nil {
+	if response, err := c.post(ctx, target{addr: addr}, "/cancel", "", body); err == nil {
 		response.Body.Close()
 	}
 }
@@ -213,10 +227,10 @@
 // transport returns the transport of one engine. Each engine has its own
 // connection pool, so that the pool of an engine that stopped responding can be
 // discarded without affecting the others.
-func (c *Client) transport(addr string) *http.Transport {
+func (c *Client) transport(t target) *http.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	transport, ok := c.transports[addr]
+	transport, ok := c.transports[t]
 	if ok {
 		return transport
 	}
@@ -227,25 +241,31 @@
 		clear(c.transports)
 	}
 	dialer := &net.Dialer{Timeout: c.config.ConnectTimeout, KeepAlive: 5 * time.Second}
+	dial := netdial.DiscardUnsent(dialer.DialContext)
+	if t.expires {
+		dial = netdial.WatchExpiry(dialer.DialContext)
+	}
 	transport = &http.Transport{
-		DialContext:         netdial.DiscardUnsent(dialer.DialContext),
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 32,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	}
-	c.transports[addr] = transport
+	c.transports[t] = transport
 	return transport
 }
 
 // discardTransport makes later calls to an engine use new connections: if one
 // connection stopped responding, idle ones to the same engine may be broken too.
 func (c *Client) discardTransport(addr string) {
-	c.mu.Lock()
-	transport := c.transports[addr]
-	delete(c.transports, addr)
-	c.mu.Unlock()
-	if transport != nil {
-		transport.CloseIdleConnections()
+	for _, t := range []target{{addr, false}, {addr, true}} {
+		c.mu.Lock()
+		transport := c.transports[t]
+		delete(c.transports, t)
+		c.mu.Unlock()
+		if transport != nil {
+			transport.CloseIdleConnections()
+		}
 	}
 }
 
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -3,6 +3,8 @@
 // orders that change what an engine serves.
 package engine
 
+import "time"
+
 // GenerateRequest is the body of POST /v1/completions on an engine.
 type GenerateRequest struct {
 	RequestID string `json:"request_id"`
@@ -16,6 +18,13 @@
 	Temperature float64  `json:"temperature,omitempty"`
 	Seed        int64    `json:"seed,omitempty"`
 	Stream      bool     `json:"stream"`
+
+	// Workspace is the name of the workspace that the request belongs to, which is sent in
+	// a header. It is empty if there is none.
+	Workspace string `json:"-"`
+	// Expires is the time on the clock of boottime.Now after which the request must not
+	// reach the engine; zero means no limit.
+	Expires time.Time `json:"-"`
 }
 
 // Chunk is one server-sent event of a completion. The last chunk has a
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/callers"
 	"github.com/sesamestand/sesamestand/internal/configs"
 	"github.com/sesamestand/sesamestand/internal/core/drain"
@@ -56,6 +57,7 @@
 	trainers  *trainers.Controller
 	versions  *versions.Watcher
 	limits    *limits.Controller
+	gate      *access.Gate
 
 	draining atomic.Bool
 	active   httpapi.ActiveConns
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -12,22 +12,29 @@
 	"github.com/urfave/negroni/v3"
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
+	"github.com/sesamestand/sesamestand/internal/services"
+	"github.com/sesamestand/sesamestand/internal/trainers"
 )
 
+const completionsPath = "/v1/completions"
+
 // routes returns the HTTP handler. The API under /v1/ is subject to
 // authentication and limits; health checks and operator endpoints are not.
 func (h *Host) routes() http.Handler {
 	api := http.NewServeMux()
-	api.HandleFunc("POST /v1/completions", h.callers.Completions)
+	api.HandleFunc("POST "+completionsPath, h.callers.Completions)
 	api.Handle("/v1/services/", h.services)
 	api.Handle("/v1/trainers/", h.trainers)
 
 	limited := negroni.New(
 		negroni.HandlerFunc(h.answerBeforeStop),
-		negroni.HandlerFunc(h.authenticate),
+		// The configuration decides whether callers need keys.
 		negroni.HandlerFunc(h.awaitConfiguration),
+		negroni.HandlerFunc(h.authenticate),
 		negroni.HandlerFunc(h.limitBody),
 	)
 	limited.UseHandler(api)
@@ -90,7 +97,7 @@
 			continue
 		}
 		outcome := cluster.OutcomeNotRun
-		if r.Header.Get(httpapi.HeaderRequestID) != "" || r.Header.Get(httpapi.HeaderIdempotencyKey) != "" {
+		if access.MayHaveRunBefore(r) {
 			outcome = cluster.OutcomeUnknown
 		}
 		httpapi.WriteRefusal(w, r.Header.Get(httpapi.HeaderRequestID), &cluster.Refusal{
@@ -117,9 +124,14 @@
 }
 
 // authenticate checks the bearer token. Each trainer has its own token; callers
-// share a list of tokens.
+// share a list of tokens. If the configuration declares workspaces, keys take their place.
 func (h *Host) authenticate(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
-	if h.authorized(r) {
+	caller, refusal := h.gate.Admit(r, func(set *declare.Set) bool { return mayBePublic(set, r.URL.Path) })
+	if refusal != nil {
+		httpapi.WriteRefusal(w, r.Header.Get(httpapi.HeaderRequestID), refusal)
+		return
+	}
+	if caller.Checked || h.authorized(r) {
 		next(w, r)
 		return
 	}
@@ -130,6 +142,28 @@
 	})
 }
 
+// mayBePublic reports whether a path may be used without a key. For completions, whose body
+// names the model, it is enough that there is a public model; the handler decides.
+func mayBePublic(set *declare.Set, path string) bool {
+	if rest, ok := strings.CutPrefix(path, trainers.PathPrefix); ok {
+		name, _, _ := strings.Cut(rest, "/")
+		return set.PublicTrainer(name)
+	}
+	if rest, ok := strings.CutPrefix(path, services.PathPrefix); ok {
+		name, _, _ := strings.Cut(rest, "/")
+		return set.PublicService(name)
+	}
+	if path != completionsPath {
+		return false
+	}
+	for name := range set.Models {
+		if set.PublicModel(name) {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *Host) authorized(r *http.Request) bool {
 	token := bearerToken(r)
 	if rest, ok := strings.CutPrefix(r.URL.Path, "/v1/trainers/"); ok {
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -6,12 +6,14 @@
 	"context"
 	"time"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/callers"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/configs"
 	"github.com/sesamestand/sesamestand/internal/core/admit"
 	"github.com/sesamestand/sesamestand/internal/core/flight"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/inventory"
 	"github.com/sesamestand/sesamestand/internal/limits"
@@ -31,6 +33,14 @@
 // configPollWait is how long one read of the configuration log waits for a record.
 const configPollWait = 2 * time.Second
 
+// Where revocation is strict, requests with keys may run for some time after the newest
+// complete read of the configuration. These are the numbers of long polls within
+// revoke_within, and of reads without a wait while the long polls are late.
+const (
+	revocationPolls    = 10
+	revocationConfirms = 5
+)
+
 func newRecorder(s settings.Settings) (*telemetry.Recorder, error) {
 	return telemetry.NewRecorder(s.Host.ID, s.Limits.DecisionLogPerSec)
 }
@@ -64,7 +74,16 @@
 }
 
 func newConfigsConfig(s settings.Settings) configs.Config {
-	return configs.Config{Retention: s.Timing.LogRetention, PollWait: configPollWait}
+	c := configs.Config{Retention: s.Timing.LogRetention, PollWait: configPollWait}
+	if s.Limits.StrictRevocation {
+		c.PollWait = min(configPollWait, s.Timing.RevokeWithin/revocationPolls)
+		c.ConfirmInterval = s.Timing.RevokeWithin / revocationConfirms
+	}
+	return c
+}
+
+func newTerms(s settings.Settings) workspace.Terms {
+	return workspace.Terms{Strict: s.Limits.StrictRevocation, RevokeWithin: s.Timing.RevokeWithin}
 }
 
 func newTrainersConfig(s settings.Settings) trainers.Config {
@@ -117,18 +136,22 @@
 	memberRole *members.Controller, orderRole *orders.Controller, hostList *inventory.Controller,
 	configRole *configs.Controller, ownerRole *owner.Controller, callerRole *callers.Controller,
 	serviceRole *services.Controller, trainerRole *trainers.Controller, watcher *versions.Watcher,
-	limitRole *limits.Controller,
+	limitRole *limits.Controller, gate *access.Gate,
 ) *Host {
 	ownerRole.ShareVersions(memberRole)
 	trainerRole.SetRefresher(watcher)
 	h := &Host{
 		settings: s, recorder: recorder, tls: source, pool: pool, members: memberRole, orders: orderRole,
 		inventory: hostList, configs: configRole, owner: ownerRole, callers: callerRole,
-		services: serviceRole, trainers: trainerRole, versions: watcher, limits: limitRole, aborted: make(chan struct{}),
+		services: serviceRole, trainers: trainerRole, versions: watcher, limits: limitRole, gate: gate, aborted: make(chan struct{}),
 	}
 	h.serving, h.stopServing = context.WithCancel(context.Background())
 	callerRole.RefuseBy(h.refuseStopping)
 	serviceRole.RefuseBy(h.refuseStopping)
 	trainerRole.RefuseBy(h.refuseStopping)
+	ownerRole.AdmitBy(gate)
+	callerRole.AdmitBy(gate)
+	serviceRole.AdmitBy(gate)
+	trainerRole.AdmitBy(gate)
 	return h
 }
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/google/wire"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/callers"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/configs"
@@ -27,6 +28,7 @@
 	newMembers, newEngineClient, versions.NewWatcher,
 	inventory.New, limits.NewForMembers,
 	newConfigsConfig, configs.New,
+	newTerms, access.New,
 	newOrdersConfig, orders.New,
 	newOwnerConfig, owner.New,
 	newCallersConfig, callers.New,
@@ -37,6 +39,7 @@
 	wire.Bind(new(cluster.Versions), new(*members.Controller)),
 	wire.Bind(new(cluster.Inventory), new(*inventory.Controller)),
 	wire.Bind(new(cluster.Configs), new(*configs.Controller)),
+	wire.Bind(new(access.Source), new(*configs.Controller)),
 	wire.Bind(new(cluster.Ownership), new(*orders.Controller)),
 	wire.Bind(new(cluster.ReplicaStates), new(*orders.Controller)),
 	wire.Bind(new(cluster.Generator), new(*callers.Controller)),
--- a/internal/entry/wire_gen.go
+++ b/internal/entry/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"github.com/google/wire"
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/callers"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/configs"
@@ -56,7 +57,9 @@
 	trainersController := trainers.New(trainersConfig, callersController, controller, configsController, controller, inventoryController, pool, limitsController, recorder)
 	weightStore := newWeightStore(s)
 	watcher := versions.NewWatcher(weightStore, controller, configsController, controller, recorder)
-	host := newHost(s, recorder, source, pool, controller, ordersController, inventoryController, configsController, ownerController, callersController, servicesController, trainersController, watcher, limitsController)
+	terms := newTerms(s)
+	gate := access.New(terms, configsController, recorder)
+	host := newHost(s, recorder, source, pool, controller, ordersController, inventoryController, configsController, ownerController, callersController, servicesController, trainersController, watcher, limitsController, gate)
 	return host, nil
 }
 
@@ -66,5 +69,5 @@
 var providerSet = wire.NewSet(
 	newRecorder, newTLS, newPool,
 	newLog, newHostList, newWeightStore,
-	newMembers, newEngineClient, versions.NewWatcher, inventory.New, limits.NewForMembers, newConfigsConfig, configs.New, newOrdersConfig, orders.New, newOwnerConfig, owner.New, newCallersConfig, callers.New, newServicesConfig, services.New, newTrainersConfig, trainers.New, newHost, wire.Bind(new(cluster.Members), new(*members.Controller)), wire.Bind(new(cluster.Versions), new(*members.Controller)), wire.Bind(new(cluster.Inventory), new(*inventory.Controller)), wire.Bind(new(cluster.Configs), new(*configs.Controller)), wire.Bind(new(cluster.Ownership), new(*orders.Controller)), wire.Bind(new(cluster.ReplicaStates), new(*orders.Controller)), wire.Bind(new(cluster.Generator), new(*callers.Controller)), wire.Bind(new(peer.Clients), new(*peer.Pool)), wire.Bind(new(limits.Peers), new(*peer.Pool)),
+	newMembers, newEngineClient, versions.NewWatcher, inventory.New, limits.NewForMembers, newConfigsConfig, configs.New, newTerms, access.New, newOrdersConfig, orders.New, newOwnerConfig, owner.New, newCallersConfig, callers.New, newServicesConfig, services.New, newTrainersConfig, trainers.New, newHost, wire.Bind(new(cluster.Members), new(*members.Controller)), wire.Bind(new(cluster.Versions), new(*members.Controller)), wire.Bind(new(cluster.Inventory), new(*inventory.Controller)), wire.Bind(new(cluster.Configs), new(*configs.Controller)), wire.Bind(new(access.Source), new(*configs.Controller)), wire.Bind(new(cluster.Ownership), new(*orders.Controller)), wire.Bind(new(cluster.ReplicaStates), new(*orders.Controller)), wire.Bind(new(cluster.Generator), new(*callers.Controller)), wire.Bind(new(peer.Clients), new(*peer.Pool)), wire.Bind(new(limits.Peers), new(*peer.Pool)),
 )
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -15,6 +15,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/admit"
 	"github.com/sesamestand/sesamestand/internal/core/leaving"
@@ -86,6 +87,7 @@
 	engines   *engine.Client
 	peers     peer.Clients
 	recorder  *telemetry.Recorder
+	gate      *access.Gate
 
 	mu                 sync.Mutex
 	admit              *admit.Controller
@@ -138,6 +140,10 @@
 	return c
 }
 
+// AdmitBy sets what admits requests with keys before they are sent to an engine. It must be
+// called before the first request; without it, all are admitted.
+func (c *Controller) AdmitBy(gate *access.Gate) { c.gate = gate }
+
 // ShareVersions adds weight versions to the exchange. It must be called before
 // RunLoops.
 func (c *Controller) ShareVersions(versions cluster.Versions) { c.versions = versions }
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -67,7 +67,12 @@
 		}
 		return err
 	}
-	return c.runOnEngine(ctx, id, replica, req, isolated, sink)
+	expires, refusal := c.readmit(req)
+	if refusal != nil {
+		c.releaseUnsent(id)
+		return c.refuse(req, refusal)
+	}
+	return c.runOnEngine(ctx, id, replica, req, isolated, expires, sink)
 }
 
 // checkReplica returns the replica if this host owns it and it can serve the
@@ -178,11 +183,13 @@
 // runOnEngine runs an admitted request on its engine and releases its slot at
 // the end.
 func (c *Controller) runOnEngine(ctx context.Context, id uint64, replica cluster.Replica, req *peerpb.RunRequest,
-	isolated bool, sink func(engine.Chunk) error) error {
+	isolated bool, expires time.Time, sink func(engine.Chunk) error) error {
+	engineID := callerOf(req).QualifyID(req.RequestId)
 	lastChunkAt := time.Now()
 	err := c.engines.Stream(ctx, replica.Addr, engine.GenerateRequest{
-		RequestID: req.RequestId, Model: req.Model, Adapter: req.Adapter, Prompt: req.Prompt,
+		RequestID: engineID, Model: req.Model, Adapter: req.Adapter, Prompt: req.Prompt,
 		Delivered: req.Delivered, MaxTokens: int(req.MaxTokens), Temperature: req.Temperature, Seed: req.Seed,
+		Workspace: req.Workspace, Expires: expires,
 	}, func(chunk engine.Chunk) error {
 		gap := time.Since(lastChunkAt)
 		c.mu.Lock()
@@ -191,6 +198,7 @@
 		// Excludes the time in sink, so that a slow caller does not count as a
 		// slow engine.
 		defer func() { lastChunkAt = time.Now() }()
+		chunk.RequestID = req.RequestId // the engine's is engineID, which engine.Client checks
 		return sink(chunk)
 	})
 	now := time.Now()
--- a/internal/services/abort_test.go
+++ b/internal/services/abort_test.go
@@ -20,6 +20,6 @@
 	must.ErrorIs(t, rawserver.Abandon(func(ctx context.Context, addr string) {
 		c := newClient("", httpapi.NewBodyBudget(0), func(platform.BackendServer, string, *http.Response, time.Time) {})
 		call := &request{id: "r", method: http.MethodPost, uri: "/p", header: http.Header{}, body: make([]byte, 32<<20)}
-		_, _, _ = c.sendOnce(ctx, platform.BackendServer{ID: "s1", Addr: addr}, call, "key")
+		_, _, _ = c.sendOnce(ctx, platform.BackendServer{ID: "s1", Addr: addr}, call, "key", time.Time{})
 	}), syscall.ECONNRESET)
 }
--- a/internal/services/call.go
+++ b/internal/services/call.go
@@ -115,12 +115,15 @@
 	if !c.withLedger(func(l *intent.Ledger) bool { return l.ClaimSend(id, time.Now()) }) {
 		return c.ledgerView(func(l *intent.Ledger) intent.AttemptView { return l.AttemptView(id) })
 	}
+	if refusal := c.usedWithoutWorkspace(r); refusal != nil {
+		return c.ledgerView(func(l *intent.Ledger) intent.AttemptView { return l.FinishUnsent(id, refusal, time.Now()) })
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), r.service.Timeout)
 	defer cancel()
 	var tried []string
 	var notSent *cluster.Refusal
 	for {
-		server, refusal := c.backends.acquire(ctx, r, tried, time.Now())
+		server, expires, refusal := c.acquire(ctx, r, tried)
 		if refusal != nil || !time.Now().Before(r.deadline) {
 			if refusal == nil {
 				c.backends.release(server.ID, false, time.Now())
@@ -133,7 +136,7 @@
 		}
 		tried = append(tried, server.ID)
 		c.recorder.RecordDecision("service-route", r.id, "service", r.service.Name, "backend_server", server.ID, "key", pending.key.String())
-		a, reached, err := c.client.sendOnce(ctx, server, r, pending.key.String())
+		a, reached, err := c.client.sendOnce(ctx, server, r, pending.key.String(), expires)
 		c.backends.release(server.ID, err != nil, time.Now())
 		switch {
 		case err == nil:
--- a/internal/services/client.go
+++ b/internal/services/client.go
@@ -47,9 +47,9 @@
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // newTransport returns a transport that uses each connection once, and that sets
-// connected when one was established.
-func newTransport(connected *atomic.Bool) *http.Transport {
-	dial := netdial.DiscardUnsent((&net.Dialer{Timeout: dialTimeout}).DialContext)
+// connected when one was established. Connections expire as those of netdial.Expiring.
+func newTransport(connected *atomic.Bool, expires time.Time) *http.Transport {
+	dial := netdial.Expiring((&net.Dialer{Timeout: dialTimeout}).DialContext, expires)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dial(ctx, network, addr)
@@ -65,10 +65,11 @@
 
 // sendOnce sends a call on a new connection. The result reached reports whether
 // the connection was established; if so, the backend server may have received
-// the call even if an error is returned.
-func (c *client) sendOnce(ctx context.Context, server platform.BackendServer, r *request, key string) (a *bufferedResponse, reached bool, err error) {
+// the call even if an error is returned. It must not receive the call after expires, a time
+// on the clock of boottime.Now, unless that is zero.
+func (c *client) sendOnce(ctx context.Context, server platform.BackendServer, r *request, key string, expires time.Time) (a *bufferedResponse, reached bool, err error) {
 	var connected atomic.Bool
-	transport := newTransport(&connected)
+	transport := newTransport(&connected, expires)
 	defer transport.CloseIdleConnections()
 	a, err = c.send(ctx, &http.Client{Transport: transport, CheckRedirect: noRedirect}, server, r, key)
 	return a, connected.Load(), err
@@ -89,6 +90,7 @@
 	if c.token != "" {
 		outgoing.Header.Set("Authorization", "Bearer "+c.token)
 	}
+	setWorkspace(outgoing.Header, r.caller)
 	outgoing.Header.Set(httpapi.HeaderRequestID, r.id)
 	if key != "" {
 		outgoing.Header.Set(httpapi.HeaderIdempotencyKey, key)
--- a/internal/services/controller.go
+++ b/internal/services/controller.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/flight"
 	"github.com/sesamestand/sesamestand/internal/core/intent"
@@ -96,6 +97,7 @@
 	budget     *retryBudget
 	liveness   *hostLiveness
 	refuser    cluster.Refuser
+	gate       *access.Gate
 	writerWake chan struct{} // wakes the writer
 	querySlots chan struct{} // semaphore of the calls for which all hosts are queried
 
@@ -113,6 +115,10 @@
 // called before the first request.
 func (c *Controller) RefuseBy(r cluster.Refuser) { c.refuser = r }
 
+// AdmitBy sets what admits the requests of callers. It must be called before the first
+// request; without it, all are admitted.
+func (c *Controller) AdmitBy(gate *access.Gate) { c.gate = gate }
+
 // New returns a controller. Until Run has read the intent stream, it refuses
 // calls that need the log.
 func New(c Config, log platform.Log, configs cluster.Configs, members cluster.Members,
@@ -185,7 +191,15 @@
 		requestID = uuid.NewString()
 	}
 	w.Header().Set(httpapi.HeaderRequestID, requestID)
+	caller, refusal := c.gate.Admit(r, isPublic(r.URL.Path))
+	if refusal != nil {
+		c.refuse(w, requestID, refusal)
+		return
+	}
 	key, keyErr := intent.ParseKey(r.Header.Get(httpapi.HeaderIdempotencyKey))
+	if caller.Workspace != "" {
+		key = key.InWorkspace(caller.Workspace)
+	}
 	request, refusal := c.parse(w, r, requestID)
 	if refusal != nil && keyErr == nil {
 		c.refuseOrReplay(w, r, requestID, key, refusal)
@@ -195,6 +209,7 @@
 		c.refuse(w, requestID, refusal)
 		return
 	}
+	request.caller = caller
 	refusal = c.refuser.Refuse(requestID, request.deadline)
 	if refusal != nil && (request.repeatable() || keyErr != nil) {
 		c.refuse(w, requestID, refusal)
--- a/internal/services/harness_test.go
+++ b/internal/services/harness_test.go
@@ -166,7 +166,7 @@
 }
 
 func (h *host) do(method, path string, headers ...string) *httptest.ResponseRecorder {
-	return h.send(method, pathPrefix+"orders"+path, "12 trays", headers...)
+	return h.send(method, PathPrefix+"orders"+path, "12 trays", headers...)
 }
 
 func (h *host) send(method, path, body string, headers ...string) *httptest.ResponseRecorder {
--- a/internal/services/http_test.go
+++ b/internal/services/http_test.go
@@ -106,7 +106,7 @@
 		{"orders//trays", "", "", 400, "not-run bad-request"},
 		{"orders/trays", "", "soon", 400, "not-run bad-request"},
 	} {
-		got := a.send(http.MethodPost, pathPrefix+c.path, c.body, "Idempotency-Key", newKey(t), "Request-Timeout-Ms", c.timeout)
+		got := a.send(http.MethodPost, PathPrefix+c.path, c.body, "Idempotency-Key", newKey(t), "Request-Timeout-Ms", c.timeout)
 		must.Eq(t, c.status, got.Code, must.Sprint(c.path))
 		must.Eq(t, c.outcome, outcome(got))
 	}
@@ -215,7 +215,7 @@
 	}
 	a := env.start("a")
 	for _, path := range []string{"orders%2Fsearch/trays", "orders%2fsearch/trays", "orders/search%2Ftrays", "orders/trays%2F..%2Fsearch"} {
-		got := a.send(http.MethodPost, pathPrefix+path, "12 trays")
+		got := a.send(http.MethodPost, PathPrefix+path, "12 trays")
 		must.Eq(t, "not-run bad-request", outcome(got), must.Sprint(path))
 		must.Eq(t, 400, got.Code)
 	}
--- a/internal/services/leaving_test.go
+++ b/internal/services/leaving_test.go
@@ -23,7 +23,7 @@
 }
 
 func (h *host) order(t *testing.T, path string) (status int, refusal, retryAfter string) {
-	got := h.send(http.MethodPost, pathPrefix+path, "12 trays", httpapi.HeaderRequestTimeout, "2000", httpapi.HeaderIdempotencyKey, newKey(t))
+	got := h.send(http.MethodPost, PathPrefix+path, "12 trays", httpapi.HeaderRequestTimeout, "2000", httpapi.HeaderIdempotencyKey, newKey(t))
 	return got.Code, outcome(got), got.Header().Get("Retry-After")
 }
 
--- a/internal/services/limits_test.go
+++ b/internal/services/limits_test.go
@@ -72,7 +72,7 @@
 			for n := range 180 {
 				<-ticker.C
 				calls.Go(func() {
-					got := hosts[n%len(hosts)].send(http.MethodPost, pathPrefix+path, "12 trays", httpapi.HeaderRequestTimeout, "2000", httpapi.HeaderIdempotencyKey, newKey(t))
+					got := hosts[n%len(hosts)].send(http.MethodPost, PathPrefix+path, "12 trays", httpapi.HeaderRequestTimeout, "2000", httpapi.HeaderIdempotencyKey, newKey(t))
 					if got.Code == http.StatusOK {
 						return
 					}
--- a/internal/services/request.go
+++ b/internal/services/request.go
@@ -17,8 +17,8 @@
 	"github.com/sesamestand/sesamestand/internal/httpapi"
 )
 
-// pathPrefix precedes the name of the service in request paths.
-const pathPrefix = "/v1/services/"
+// PathPrefix precedes the name of the service in request paths.
+const PathPrefix = "/v1/services/"
 
 // encodedSlash is the percent-encoding of a slash, in lower case.
 const encodedSlash = "%2f"
@@ -36,6 +36,7 @@
 	header   http.Header
 	body     []byte
 	deadline time.Time
+	caller   cluster.Caller
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -48,13 +49,13 @@
 	if len(requestID) > maxRequestIDBytes {
 		return nil, notRun(cluster.ReasonBadRequest, "the request ID is over "+strconv.Itoa(maxRequestIDBytes)+" bytes")
 	}
-	escaped := strings.TrimPrefix(r.URL.EscapedPath(), pathPrefix)
+	escaped := strings.TrimPrefix(r.URL.EscapedPath(), PathPrefix)
 	if strings.Contains(strings.ToLower(escaped), encodedSlash) {
 		// Servers differ in whether an encoded slash separates segments, so the call
 		// could be repeatable in one reading and not in the other.
 		return nil, notRun(cluster.ReasonBadRequest, "the path must not hold an encoded slash")
 	}
-	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, PathPrefix), "/")
 	rest = "/" + rest
 	if clean := path.Clean(rest); clean != rest && clean+"/" != rest {
 		// A path like /score/../orders would match the repeatable path /score.
--- a/internal/services/retry.go
+++ b/internal/services/retry.go
@@ -53,10 +53,10 @@
 		if attempt > 0 && !c.budget.allowRetry(time.Now()) {
 			break
 		}
-		server, refusal := c.backends.acquire(ctx, r, tried, time.Now())
+		server, expires, refusal := c.acquire(ctx, r, tried)
 		if refusal != nil && timedOut {
 			// The connection may have stopped responding; a retry opens a new one.
-			server, refusal = c.backends.acquire(ctx, r, nil, time.Now())
+			server, expires, refusal = c.acquire(ctx, r, nil)
 		}
 		if refusal != nil {
 			unserved = refusal
@@ -65,7 +65,7 @@
 		c.recorder.RecordDecision("service-route", r.id, "service", r.service.Name, "backend_server", server.ID, "attempt", attempt+1)
 		tried = append(tried, server.ID)
 		attemptCtx, cancel := context.WithTimeout(ctx, r.service.Timeout)
-		a, _, err := c.client.sendOnce(attemptCtx, server, r, "")
+		a, _, err := c.client.sendOnce(attemptCtx, server, r, "", expires)
 		cancel()
 		c.backends.release(server.ID, err != nil && ctx.Err() == nil, time.Now())
 		switch {
--- a/internal/services/stray_test.go
+++ b/internal/services/stray_test.go
@@ -25,7 +25,7 @@
 	for range 16 {
 		workers.Go(func() {
 			for range 500 {
-				w := h.send(http.MethodGet, pathPrefix+"orders/search", "")
+				w := h.send(http.MethodGet, PathPrefix+"orders/search", "")
 				switch {
 				case w.Code == http.StatusOK && w.Body.String() == "right":
 					right.Add(1)
--- a/internal/trainers/actions.go
+++ b/internal/trainers/actions.go
@@ -44,12 +44,12 @@
 func (c *Controller) startSample(a sample.StartSample) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.config.SampleTimeout)
 	c.cancelSample[a.SampleID] = cancel
-	model := c.specs[a.Trainer].model
+	spec := c.specs[a.Trainer]
 	c.recorder.RecordDecision("sample-start", a.SampleID, "trainer", a.Trainer, "group", a.Group,
 		"min_version", a.MinVersion, "hedge", a.Hedge, "avoid", a.Avoid)
 	c.work.Go(func() {
 		defer cancel()
-		err := c.generate(ctx, model, a)
+		err := c.generate(ctx, spec, a)
 		if err != nil && ctx.Err() == nil {
 			klog.V(1).InfoS("sample failed", "sample", a.SampleID, "trainer", a.Trainer, "err", err)
 		}
@@ -71,15 +71,16 @@
 	return reason == cluster.ReasonBadRequest || reason == cluster.ReasonTooLarge
 }
 
-func (c *Controller) generate(ctx context.Context, model string, a sample.StartSample) error {
+func (c *Controller) generate(ctx context.Context, spec trainerSpec, a sample.StartSample) error {
 	generation := cluster.Generation{
 		RequestID:  a.SampleID,
-		Model:      model,
+		Model:      spec.model,
 		Prompt:     a.Prompt,
 		MaxTokens:  a.MaxTokens,
 		Seed:       int64(xxhash.Sum64String(a.SampleID) >> 1),
 		Class:      declare.ClassTraining,
 		Trainer:    a.Trainer,
+		Caller:     cluster.Caller{Workspace: spec.workspace, Checked: spec.workspace != ""},
 		MinVersion: a.MinVersion,
 		Avoid:      a.Avoid,
 		Priority:   a.Priority,
--- a/internal/trainers/controller.go
+++ b/internal/trainers/controller.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/sample"
 	"github.com/sesamestand/sesamestand/internal/limits"
@@ -99,6 +100,7 @@
 	recorder  *telemetry.Recorder
 	scorers   *http.Client
 	refuser   cluster.Refuser
+	gate      *access.Gate
 	refresher Refresher // if nil, versions come from other coordinators only
 
 	started  time.Time
@@ -131,6 +133,10 @@
 // called before the first request.
 func (c *Controller) RefuseBy(r cluster.Refuser) { c.refuser = r }
 
+// AdmitBy sets what admits the requests of callers. It must be called before the first
+// request; without it, all are admitted.
+func (c *Controller) AdmitBy(gate *access.Gate) { c.gate = gate }
+
 // New returns a controller. Run must be called for periodic work.
 func New(
 	config Config,
--- a/internal/trainers/faults_test.go
+++ b/internal/trainers/faults_test.go
@@ -327,7 +327,7 @@
 		{"retouch/weights", `{}`, http.StatusNotFound},
 	} {
 		w := httptest.NewRecorder()
-		host.ServeHTTP(w, httptest.NewRequest(http.MethodPost, pathPrefix+c.path, strings.NewReader(c.body)))
+		host.ServeHTTP(w, httptest.NewRequest(http.MethodPost, PathPrefix+c.path, strings.NewReader(c.body)))
 		must.Eq(t, c.status, w.Code, must.Sprint(c.path, c.body))
 		if c.status >= 400 && c.status != http.StatusConflict {
 			must.Eq(t, string(cluster.OutcomeNotRun), w.Header().Get(httpapi.HeaderOutcome))
--- a/internal/trainers/harness_test.go
+++ b/internal/trainers/harness_test.go
@@ -206,7 +206,7 @@
 	encoded, err := json.Marshal(body)
 	must.NoError(n.t, err)
 	w := httptest.NewRecorder()
-	r := httptest.NewRequest(http.MethodPost, pathPrefix+name+"/"+operation, bytes.NewReader(encoded))
+	r := httptest.NewRequest(http.MethodPost, PathPrefix+name+"/"+operation, bytes.NewReader(encoded))
 	host.ServeHTTP(w, r)
 	if out != nil {
 		must.NoError(n.t, json.Unmarshal(w.Body.Bytes(), out))
--- a/internal/trainers/http.go
+++ b/internal/trainers/http.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 )
@@ -28,7 +29,8 @@
 )
 
 const (
-	pathPrefix = "/v1/trainers/"
+	// PathPrefix precedes the name of the trainer in request paths.
+	PathPrefix = "/v1/trainers/"
 	// forwardTimeout plus the wait of a pull bounds a call to the coordinator.
 	forwardTimeout = 10 * time.Second
 	// maxForwardBytes bounds a reply of the coordinator. A few groups of long
@@ -40,7 +42,7 @@
 // coordinator.
 func (c *Controller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	requestID := r.Header.Get(httpapi.HeaderRequestID)
-	rest, ok := strings.CutPrefix(r.URL.Path, pathPrefix)
+	rest, ok := strings.CutPrefix(r.URL.Path, PathPrefix)
 	name, operation, hasOperation := strings.Cut(rest, "/")
 	if !ok || !hasOperation || name == "" || !isTrainerOperation(operation) {
 		httpapi.WriteRefusal(w, requestID, notRun(cluster.ReasonUnknownName, "no such trainer call: "+r.URL.Path))
@@ -50,6 +52,12 @@
 		httpapi.WriteRefusal(w, requestID, notRun(cluster.ReasonBadRequest, "trainer calls use POST"))
 		return
 	}
+	caller, refusal := c.gate.Admit(r, func(set *declare.Set) bool { return set.PublicTrainer(name) })
+	if refusal != nil {
+		httpapi.WriteRefusal(w, requestID, refusal)
+		return
+	}
+	name = c.visibleName(caller, name)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.config.MaxBodyBytes))
 	if err != nil {
 		reason := cluster.ReasonBadRequest
@@ -76,6 +84,20 @@
 	}
 }
 
+// visibleName returns the name under which a call is served. If the trainer belongs to
+// another workspace than the caller, it is one that no declaration can have, so that the
+// response is that for an unknown trainer.
+func (c *Controller) visibleName(caller cluster.Caller, name string) string {
+	set, _ := c.configs.Current()
+	if caller.Workspace == "" || set == nil || set.Trainers[name] == nil {
+		return name
+	}
+	if owner := set.Trainers[name].Workspace; owner == "" || owner == caller.Workspace {
+		return name
+	}
+	return caller.QualifyID(name)
+}
+
 func isTrainerOperation(operation string) bool {
 	return operation == operationGroups || operation == operationPull || operation == operationWeights
 }
--- a/internal/trainers/specs.go
+++ b/internal/trainers/specs.go
@@ -11,6 +11,7 @@
 	model        string
 	scorer       string
 	maxStaleness int64
+	workspace    string
 }
 
 // sync applies the active configuration and the newest weight versions to the
@@ -31,7 +32,7 @@
 	var all []sample.Params
 	if set != nil {
 		for name, t := range set.Trainers {
-			c.specs[name] = trainerSpec{model: t.Model, scorer: t.Scorer, maxStaleness: t.StalenessBound}
+			c.specs[name] = trainerSpec{model: t.Model, scorer: t.Scorer, maxStaleness: t.StalenessBound, workspace: t.Workspace}
 			all = append(all, c.sampleParams(name, t, set.Models[t.Model]))
 		}
 	}
