Order callers' requests by workspace and end expired requests

Cause: the owner's queue knew classes only, and a request whose permission had expired between the check and the write would have counted as a crash of the engine. Change: a workspace's declared priority takes the place of the class in the owner's queue, and a workspace that is served more than twice as often as another one that is behind gets the next lower priority (workspace.Turns, as on a log store; equal turns were ruled out there). Completions that expire are a failure of their own. Refusals for lack of a valid key are decision lines. Result: tests of internal/owner, internal/engine and internal/netdial pass.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -61,7 +61,7 @@
 	}
 	found, verdict := g.terms.Authorize(set.Workspaces, key, asOf, g.now())
 	if verdict != workspace.Admitted {
-		refusal := g.refuse(verdict)
+		refusal := g.refuse(verdict, r.Header.Get(httpapi.HeaderRequestID))
 		if verdict == workspace.Undecided && MayHaveRunBefore(r) {
 			refusal.Outcome = cluster.OutcomeUnknown
 		}
@@ -76,9 +76,9 @@
 	return r.Header.Get(httpapi.HeaderRequestID) != "" || r.Header.Get(httpapi.HeaderIdempotencyKey) != ""
 }
 
-// Readmit decides again on an admitted caller before a send to a backend server. It returns
-// the time after which the request must not reach the server (zero: no limit), or a refusal.
-func (g *Gate) Readmit(c cluster.Caller) (time.Time, *cluster.Refusal) {
+// Readmit decides again on the admitted caller of a request before a send to a backend
+// server. It returns the time after which the request must not reach the server (zero: no limit), or a refusal.
+func (g *Gate) Readmit(c cluster.Caller, requestID string) (time.Time, *cluster.Refusal) {
 	if g == nil || !c.HasKey() {
 		return time.Time{}, nil
 	}
@@ -92,17 +92,30 @@
 		verdict = workspace.UnknownKey // another workspace has the key now
 	}
 	if verdict != workspace.Admitted {
-		return time.Time{}, g.refuse(verdict)
+		return time.Time{}, g.refuse(verdict, requestID)
 	}
 	return g.terms.Expiry(asOf), nil
 }
 
-func (g *Gate) refuse(verdict workspace.Verdict) *cluster.Refusal {
+// Workspaces returns the directory of the newest configuration, which may be nil.
+func (g *Gate) Workspaces() *workspace.Directory {
+	if g == nil {
+		return nil
+	}
+	set, _ := g.source.Current()
+	if set == nil {
+		return nil
+	}
+	return set.Workspaces
+}
+
+func (g *Gate) refuse(verdict workspace.Verdict, requestID string) *cluster.Refusal {
 	refusal := &cluster.Refusal{Outcome: cluster.OutcomeNotRun, Reason: cluster.ReasonUnauthorized, Message: "the request needs a valid key"}
 	if verdict == workspace.Undecided {
 		refusal.Reason, refusal.RetryAfter = cluster.ReasonNoPermission, RetryAfter
 		refusal.Message = "the host does not know whether the key is valid"
 	}
 	g.recorder.Count("access_refused_total", "reason", string(refusal.Reason))
+	g.recorder.RecordDecision("access", requestID, "refused", refusal.Reason, "read_age_ms", g.now().Sub(g.source.CompleteAsOf()).Milliseconds())
 	return refusal
 }
--- a/internal/callers/generate.go
+++ b/internal/callers/generate.go
@@ -105,7 +105,7 @@
 	if !sleep(ctx, action.Delay) {
 		return r.stop(flight.Failure{Reason: string(cluster.ReasonNoReplica), Message: "the caller left while no replica could serve"})
 	}
-	if _, refusal := r.c.gate.Readmit(r.gen.Caller); refusal != nil {
+	if _, refusal := r.c.gate.Readmit(r.gen.Caller, r.gen.RequestID); refusal != nil {
 		return r.reportFailure(action.Attempt, flight.Failure{
 			NonRetryable: true, Reason: string(refusal.Reason), Message: refusal.Message,
 		})
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -176,6 +177,8 @@
 	switch {
 	case !r.connected.Load():
 		failure.Failure = FailureNotSent
+	case errors.Is(err, netdial.ErrExpired):
+		failure.Failure = FailureExpired
 	case r.timedOut.Load():
 		failure.Failure = FailureSilent
 	case r.status != 0:
--- a/internal/engine/failure.go
+++ b/internal/engine/failure.go
@@ -17,11 +17,14 @@
 	FailureBroken
 	// FailureSilent means that no new chunk arrived within the progress timeout.
 	FailureSilent
+	// FailureExpired means that the request was not written and acknowledged before it
+	// expired. A part of it may have reached the engine.
+	FailureExpired
 )
 
 // String returns the name that logs and metrics use.
 func (f Failure) String() string {
-	return [...]string{"not-sent", "refused", "broken", "silent"}[f]
+	return [...]string{"not-sent", "refused", "broken", "silent", "expired"}[f]
 }
 
 // StreamError is returned for a completion that ended without a finish reason.
--- a/internal/netdial/expiry_test.go
+++ b/internal/netdial/expiry_test.go
@@ -1,7 +1,9 @@
 package netdial
 
 import (
+	"context"
 	"io"
+	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -95,3 +97,21 @@
 	w.check()
 	must.ErrorIs(t, <-written, ErrExpired)
 }
+
+// Guards against a connection that is dialled for a request, ends after its expiry, and
+// still takes the request.
+func TestConnectionExpiresWithItsRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	write := func(expires time.Time) error {
+		conn, err := Expiring(new(net.Dialer).DialContext, expires)(context.Background(), "tcp", listener.Addr().String())
+		must.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte("request"))
+		return err
+	}
+	must.ErrorIs(t, write(boottime.Now()), ErrExpired)
+	must.NoError(t, write(boottime.Now().Add(time.Hour)))
+	must.NoError(t, write(time.Time{}))
+}
--- a/internal/owner/access_test.go
+++ b/internal/owner/access_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/workspace"
+	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 	"github.com/sesamestand/sesamestand/internal/testaccess"
@@ -55,3 +56,43 @@
 		})
 	}
 }
+
+// Guards against a workspace's priority that does not go before the class, and against a
+// workspace that is served while another one waits that got less than half as often.
+func TestPrecedenceOfWorkspaces(t *testing.T) {
+	_, c := newFixture(t)
+	declared := func(name string) string {
+		return "[workspace " + name + "]\nkey_hashes = " + workspace.HashKey(name).String() + "\n"
+	}
+	source := testaccess.New(t, testaccess.Workspaces()+declared("urgent")+"priority = 0\n"+declared("late")+"priority = 3\n")
+	c.AdmitBy(source.Gate())
+	now := time.Now()
+	place := func(workspace string, class declare.Class) string {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		got, priority := c.precedence(&peerpb.RunRequest{Workspace: workspace, Class: int32(class)}, now)
+		return fmt.Sprint(int(got), " ", priority)
+	}
+	for _, want := range []struct {
+		workspace string
+		class     declare.Class
+		place     string
+	}{
+		{"", declare.ClassInteractive, "0 0"}, {"", declare.ClassBatch, "1 0"}, {"", declare.ClassTraining, "2 0"},
+		{"acme", declare.ClassInteractive, "0 0"}, {"acme", declare.ClassBatch, "1 0"}, {"acme", declare.ClassTraining, "2 0"},
+		{"urgent", declare.ClassBatch, "0 0"}, {"late", declare.ClassInteractive, "1 2"}, {"late", declare.ClassTraining, "2 0"},
+	} {
+		must.EqOp(t, want.place, place(want.workspace, want.class), must.Sprint(want))
+	}
+	for range 8 {
+		c.recordTurn(&peerpb.RunRequest{Workspace: "acme"}, true)
+		c.recordTurn(&peerpb.RunRequest{Workspace: "other"}, false)
+		c.recordTurn(&peerpb.RunRequest{Workspace: "trained", Class: int32(declare.ClassTraining)}, false)
+	}
+	must.EqOp(t, "1 0", place("acme", declare.ClassInteractive))
+	must.EqOp(t, "1 1", place("acme", declare.ClassBatch))
+	must.EqOp(t, "0 0", place("other", declare.ClassInteractive))
+	source.Read(declared("acme"))
+	c.tick(now)
+	must.EqOp(t, "0 0", place("acme", declare.ClassInteractive), must.Sprint("a workspace that is gone is waited for"))
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -22,6 +22,7 @@
 	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/core/route"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/peer"
 	"github.com/sesamestand/sesamestand/internal/telemetry"
@@ -103,6 +104,7 @@
 	remoteCrashes map[string]crash
 	cacheCursors  map[string]cacheCursor
 	waiting       map[uint64]chan admit.Action // where to send the admission decision, by request ID
+	turns         *workspace.Turns             // of callers' requests at owned replicas
 	nextID        uint64                       // last request ID assigned
 	routing       routingTable
 	exchange      exchangeState
@@ -135,6 +137,7 @@
 		exchange:           newExchangeState(),
 		limits:             ratelimit.NewLimits(),
 		notices:            leaving.NewNotices(),
+		turns:              workspace.NewTurns(),
 	}
 	engines.ObserveResponses(c.observeResponse)
 	return c
@@ -187,6 +190,7 @@
 	c.suspects.Tick(now)
 	c.routing.expire(now)
 	c.expireRemoteCrashes(now)
+	c.turns.Retain(c.gate.Workspaces())
 }
 
 // refresh reads the owned replicas and updates the admission controller. For a
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -12,7 +12,6 @@
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/admit"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
-	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 )
@@ -111,8 +110,7 @@
 func (c *Controller) awaitAdmission(ctx context.Context, req *peerpb.RunRequest, isolated bool) (uint64, error) {
 	now := time.Now()
 	request := admit.Request{
-		Replica: req.Replica, Class: declare.Class(req.Class), Trainer: req.Trainer,
-		Share: c.trainerShare(req.Trainer), Priority: req.Priority, Isolated: isolated,
+		Replica: req.Replica, Trainer: req.Trainer, Share: c.trainerShare(req.Trainer), Isolated: isolated,
 		MaxTokens: max(0, int(req.MaxTokens)-len(req.Delivered)),
 	}
 	if req.DeadlineMs > 0 {
@@ -123,14 +121,17 @@
 	c.nextID++
 	request.ID = c.nextID
 	c.waiting[request.ID] = result
+	request.Class, request.Priority = c.precedence(req, now)
 	c.dispatch(c.admit.Enqueue(request, now))
 	c.mu.Unlock()
 
 	select {
 	case action := <-result:
+		c.recordTurn(req, action.Kind == admit.Start)
 		return request.ID, c.admissionResult(req, action)
 	case <-ctx.Done():
 		c.cancelRequest(request.ID)
+		c.recordTurn(req, false)
 		return 0, notRun(cluster.ReasonDeadline, req.Replica, "the request ended while it waited")
 	}
 }
--- a/internal/services/access.go
+++ b/internal/services/access.go
@@ -39,7 +39,7 @@
 	if refusal != nil {
 		return server, time.Time{}, refusal
 	}
-	expires, refusal := c.gate.Readmit(r.caller)
+	expires, refusal := c.gate.Readmit(r.caller, r.id)
 	if refusal != nil {
 		c.backends.release(server.ID, false, time.Now())
 	}
