--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -59,7 +59,7 @@
 	floatKey("platform", "control_calls_per_second", "calls/s", "50", 0.1, 10000, "calls that the control API accepts from all hosts together", func(s *Settings) *float64 { return &s.Platform.Control.CallsPerSecond }),
 	textKey("platform", "control_duties", "names of the duties for which the control API is called, separated by commas; if empty, all", false, func(s *Settings) *string { return &s.Platform.Control.Duties }),
 
-	{section: "auth", name: "caller_tokens", unit: "token list", doc: "tokens that callers may use; if empty, callers are not authenticated", set: setCallerTokens,
+	{section: "auth", name: "caller_tokens", unit: "token list", doc: "tokens that callers may use; if empty, callers are not authenticated; not used if the configuration declares workspaces", set: setCallerTokens,
 		get: func(s *Settings) string { return strings.Join(s.Auth.CallerTokens, ", ") }},
 	textKey("auth", "operator_token", "token for status, explain and metrics; if empty, these are not authenticated", false, func(s *Settings) *string { return &s.Auth.OperatorToken }),
 	textKey("auth", "cluster_token", "token shared by all entry hosts", true, func(s *Settings) *string { return &s.Auth.ClusterToken }).onPlatform(PlatformServices),
@@ -79,7 +79,7 @@
 
 	floatKey("limits", "cpu_share", "share", "1", 0.01, 1024, "share of its cores that the process may use; hosts with less than half a core in total leave partition ownership to larger hosts", func(s *Settings) *float64 { return &s.Limits.CPUShare }),
 	floatKey("limits", "memory", "MB", "0", 0, 1<<20, "memory limit of the process; above 80 % of it, garbage is collected more often; 0 means no limit", func(s *Settings) *float64 { return &s.Limits.MemoryMB }),
-	boolKey("limits", "strict_revocation", "no request that is sent later than revoke_within after its key was removed may run; a host that has not read the store for about nine tenths of that time refuses requests with keys", func(s *Settings) *bool { return &s.Limits.StrictRevocation }),
+	boolKey("limits", "strict_revocation", "no request that is sent later than revoke_within after its key was removed may run; a host that has not read the store, or the log, for about nine tenths of that time refuses requests with keys", func(s *Settings) *bool { return &s.Limits.StrictRevocation }),
 	floatKey("limits", "cores", "cores", "1", 0.01, 1024, "number of CPU cores of the host", func(s *Settings) *float64 { return &s.Limits.Cores }),
 
 	durationKey("timing", "progress_timeout", "5s", 10*time.Millisecond, time.Hour, "longest gap between two chunks of a stream", func(s *Settings) *time.Duration { return &s.Timing.ProgressTimeout }),
