Let a test of revocation fail instead of hang

Cause: without the check before a further attempt, the stand-in engine waited for ever. Change: it breaks the first stream only. Result: the test passes; without the check it ends.

--- a/internal/callers/access_test.go
+++ b/internal/callers/access_test.go
@@ -93,11 +93,16 @@
 func TestRevokedKeyIsNotSentAgain(t *testing.T) {
 	broken := make(chan func(), 1)
 	e := newTestEngine(t, 1, func(_ engine.GenerateRequest, index int) behaviour {
-		if index == 1 {
-			(<-broken)()
+		if index != 1 {
+			return normal
+		}
+		select {
+		case f := <-broken:
+			f()
 			return cut
+		default:
+			return normal
 		}
-		return normal
 	})
 	f, sources := newFixtureWithKeys(t, 2, testaccess.Workspaces()+album, e)
 	broken <- func() {
