--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -15,12 +15,14 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/admit"
 	"github.com/sesamestand/sesamestand/internal/core/leaving"
 	"github.com/sesamestand/sesamestand/internal/core/ratelimit"
 	"github.com/sesamestand/sesamestand/internal/core/route"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
+	"github.com/sesamestand/sesamestand/internal/core/workspace"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/peer"
 	"github.com/sesamestand/sesamestand/internal/telemetry"
@@ -86,6 +88,7 @@
 	engines   *engine.Client
 	peers     peer.Clients
 	recorder  *telemetry.Recorder
+	gate      *access.Gate
 
 	mu                 sync.Mutex
 	admit              *admit.Controller
@@ -101,6 +104,7 @@
 	remoteCrashes map[string]crash
 	cacheCursors  map[string]cacheCursor
 	waiting       map[uint64]chan admit.Action // where to send the admission decision, by request ID
+	turns         *workspace.Turns             // of callers' requests at owned replicas
 	nextID        uint64                       // last request ID assigned
 	routing       routingTable
 	exchange      exchangeState
@@ -133,11 +137,16 @@
 		exchange:           newExchangeState(),
 		limits:             ratelimit.NewLimits(),
 		notices:            leaving.NewNotices(),
+		turns:              workspace.NewTurns(),
 	}
 	engines.ObserveResponses(c.observeResponse)
 	return c
 }
 
+// AdmitBy sets what admits requests with keys before they are sent to an engine. It must be
+// called before the first request; without it, all are admitted.
+func (c *Controller) AdmitBy(gate *access.Gate) { c.gate = gate }
+
 // ShareVersions adds weight versions to the exchange. It must be called before
 // RunLoops.
 func (c *Controller) ShareVersions(versions cluster.Versions) { c.versions = versions }
@@ -181,6 +190,7 @@
 	c.suspects.Tick(now)
 	c.routing.expire(now)
 	c.expireRemoteCrashes(now)
+	c.turns.Retain(c.gate.Workspaces())
 }
 
 // refresh reads the owned replicas and updates the admission controller. For a
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -12,7 +12,6 @@
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/admit"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
-	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/engine"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
 )
@@ -67,7 +66,12 @@
 		}
 		return err
 	}
-	return c.runOnEngine(ctx, id, replica, req, isolated, sink)
+	expires, refusal := c.readmit(req)
+	if refusal != nil {
+		c.releaseUnsent(id)
+		return c.refuse(req, refusal)
+	}
+	return c.runOnEngine(ctx, id, replica, req, isolated, expires, sink)
 }
 
 // checkReplica returns the replica if this host owns it and it can serve the
@@ -106,8 +110,7 @@
 func (c *Controller) awaitAdmission(ctx context.Context, req *peerpb.RunRequest, isolated bool) (uint64, error) {
 	now := time.Now()
 	request := admit.Request{
-		Replica: req.Replica, Class: declare.Class(req.Class), Trainer: req.Trainer,
-		Share: c.trainerShare(req.Trainer), Priority: req.Priority, Isolated: isolated,
+		Replica: req.Replica, Trainer: req.Trainer, Share: c.trainerShare(req.Trainer), Isolated: isolated,
 		MaxTokens: max(0, int(req.MaxTokens)-len(req.Delivered)),
 	}
 	if req.DeadlineMs > 0 {
@@ -118,14 +121,17 @@
 	c.nextID++
 	request.ID = c.nextID
 	c.waiting[request.ID] = result
+	request.Class, request.Priority = c.precedence(req, now)
 	c.dispatch(c.admit.Enqueue(request, now))
 	c.mu.Unlock()
 
 	select {
 	case action := <-result:
+		c.recordTurn(req, action.Kind == admit.Start)
 		return request.ID, c.admissionResult(req, action)
 	case <-ctx.Done():
 		c.cancelRequest(request.ID)
+		c.recordTurn(req, false)
 		return 0, notRun(cluster.ReasonDeadline, req.Replica, "the request ended while it waited")
 	}
 }
@@ -178,11 +184,13 @@
 // runOnEngine runs an admitted request on its engine and releases its slot at
 // the end.
 func (c *Controller) runOnEngine(ctx context.Context, id uint64, replica cluster.Replica, req *peerpb.RunRequest,
-	isolated bool, sink func(engine.Chunk) error) error {
+	isolated bool, expires time.Time, sink func(engine.Chunk) error) error {
+	engineID := callerOf(req).QualifyID(req.RequestId)
 	lastChunkAt := time.Now()
 	err := c.engines.Stream(ctx, replica.Addr, engine.GenerateRequest{
-		RequestID: req.RequestId, Model: req.Model, Adapter: req.Adapter, Prompt: req.Prompt,
+		RequestID: engineID, Model: req.Model, Adapter: req.Adapter, Prompt: req.Prompt,
 		Delivered: req.Delivered, MaxTokens: int(req.MaxTokens), Temperature: req.Temperature, Seed: req.Seed,
+		Workspace: req.Workspace, Expires: expires,
 	}, func(chunk engine.Chunk) error {
 		gap := time.Since(lastChunkAt)
 		c.mu.Lock()
@@ -191,6 +199,7 @@
 		// Excludes the time in sink, so that a slow caller does not count as a
 		// slow engine.
 		defer func() { lastChunkAt = time.Now() }()
+		chunk.RequestID = req.RequestId // the engine's is engineID, which engine.Client checks
 		return sink(chunk)
 	})
 	now := time.Now()
--- a/internal/services/status_test.go
+++ b/internal/services/status_test.go
@@ -21,7 +21,7 @@
 			t.Error("the response is observed")
 		})
 		call := &request{id: "r", method: http.MethodPost, uri: "/p", header: http.Header{}}
-		response, reached, err := c.sendOnce(context.Background(), platform.BackendServer{ID: "s1", Addr: addr}, call, "key")
+		response, reached, err := c.sendOnce(context.Background(), platform.BackendServer{ID: "s1", Addr: addr}, call, "key", time.Time{})
 		must.Nil(t, response)
 		must.True(t, reached)
 		return err
