Test the router's check before a further attempt on its own

Cause: without that check the test still passed, because the owner refused the attempt. Change: in the test, the router loses its permission before the owner does. Result: the test passes, and fails without either check.

--- a/internal/callers/access_test.go
+++ b/internal/callers/access_test.go
@@ -105,12 +105,10 @@
 		}
 	})
 	f, sources := newFixtureWithKeys(t, 2, testaccess.Workspaces()+album, e)
-	broken <- func() {
-		for _, s := range sources {
-			s.Age(time.Hour)
-		}
-	}
+	broken <- func() { sources[1].Age(time.Hour) } // the router's
 	must.EqOp(t, "unknown no-permission", refused(f.hosts[1].ask("r", "acme-1", "p")))
+	must.SliceLen(t, 1, e.headers)
+	sources[0].Age(time.Hour)
 	sources[1].Read(testaccess.Workspaces() + album)
 	w := f.hosts[1].ask("s", "acme-1", "p")
 	must.EqOp(t, "not-run no-permission", refused(w))
--- a/internal/services/access_test.go
+++ b/internal/services/access_test.go
@@ -99,7 +99,7 @@
 // for the log, or because an earlier attempt failed.
 func TestRevokedKeyIsNotSentAgain(t *testing.T) {
 	env, h, server, source := startWithKeys(t, testaccess.Workspaces()+"[service orders]\n")
-	failed := make(chan struct{}, 1)
+	failed := make(chan struct{}, 8)
 	env.servers[0].Addr = env.server("s2", "here", func(http.ResponseWriter, *http.Request) {
 		source.Age(time.Hour)
 		failed <- struct{}{}
