--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -278,7 +278,7 @@
 	return err
 }
 
-// SetLinger sets what becomes of unsent bytes when the connection is closed.
+// SetLinger sets whether unsent bytes are sent or discarded when the connection is closed.
 func (c *Conn) SetLinger(seconds int) error {
 	if tcp, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		return tcp.SetLinger(seconds)
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -18,7 +18,7 @@
 const retryAfter = time.Second
 
 // Server returns an HTTP server whose connections come from a listener of the guard.
-// observe, if not nil, is told the states of connections.
+// observe, if not nil, is called with the states of connections.
 func (g *Guard) Server(handler http.Handler, observe func(net.Conn, http.ConnState)) *http.Server {
 	return &http.Server{
 		Handler: g.handler(handler), IdleTimeout: idleTimeout,
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -145,7 +145,7 @@
 }
 
 // Guards against a new holder that orders what its predecessor stored a moment ago, whether
-// it was sent or not, and against a holder that forgets its own orders when its tenure is
+// it was sent or not, and against a holder that loses its own orders when its tenure is
 // interrupted.
 func TestNextHolderContinues(t *testing.T) {
 	for _, sameHost := range []bool{true, false} {
