--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -28,6 +28,9 @@
 // appendTime is the time that the store takes for an append.
 const appendTime = 4 * time.Millisecond
 
+// listingBytes bounds a page of the newest records.
+const listingBytes = 1 << 20
+
 // store is a stand-in of the platform's log store. Each host reaches it at an address of
 // its own, so that the connections of one host can be told from those of the others.
 type store struct {
@@ -205,8 +208,12 @@
 	if err != nil {
 		return failure(err)
 	}
-	items := make([]map[string]any, 0, len(listing.Records))
+	items, size := make([]map[string]any, 0, len(listing.Records)), 0
 	for _, record := range listing.Records {
+		if size += len(record.Key) + len(record.Value); len(items) > 0 && size > listingBytes {
+			listing.More = true
+			break
+		}
 		items = append(items, map[string]any{"key": record.Key, "value": base64.StdEncoding.EncodeToString(record.Value), "offset": record.Offset})
 	}
 	return http.StatusOK, encode(map[string]any{"items": items, "more": listing.More, "end": listing.End})
