--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -633,3 +633,54 @@
 	}
 	return resident * int64(os.Getpagesize()), nil
 }
+
+// fullStore has a trainer ask for steps whose outputs, all together, take less than the
+// store's 400 MB. Without the disruption, the store has no limit.
+func fullStore(ctx context.Context, w *world) ([]string, error) {
+	w.store.limit = storeLimit
+	if !w.trouble {
+		w.store.limit = 100 * storeLimit
+	}
+	for i := range 9 {
+		e, err := newEngine(w, fmt.Sprintf("i-draft%d", i+1), zones[i%len(zones)], engineService, []string{oldModel})
+		if err != nil {
+			return nil, err
+		}
+		e.events, e.padding = 100, 2000
+	}
+	engines := map[string]any{"name": engineService, "health_path": "/health", "max_conns": 150, "protocol": "h1", "tls": false, "engine": map[string]any{
+		"slots": engineSlots, "kv_capacity": 45343, "kv_token_bytes": 163840, "link_mbps": 2200000.0, "moves": true, "backups": true, "stride": 4, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
+		"models": []map[string]string{{"name": oldModel}},
+	}}
+	config := map[string]any{"version": 7, "routes": []any{rolloutRoute("r-old", "/pufi791/")}, "services": []any{engines}, "limits": limits}
+	if err := begin(ctx, w, 10, config); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, 2*time.Second); err != nil {
+		return nil, err
+	}
+	var breaks []string
+	for step := range 7 {
+		body, ids := submission("/pufi791/", oldModel, 200)
+		job := newID()
+		a := w.ask(w.anyHost(), http.MethodPost, "/pufi791/7c41e0", map[string]string{"X-Sesamestand-Request-Id": job, "Content-Type": "application/json"}, body, 4*time.Second)
+		began, got := time.Now(), 0
+		for a.status == http.StatusAccepted && time.Since(began) < 12*time.Second && got < len(ids) && ctx.Err() == nil {
+			var p page
+			read := w.ask(w.anyHost(), http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", job, got), map[string]string{"X-Sesamestand-Wait-Ms": "1000"}, nil, 2500*time.Millisecond)
+			if read.status == http.StatusOK && json.Unmarshal(read.body, &p) == nil {
+				got += len(p.Results)
+			}
+		}
+		outputs, partials := w.store.storedBytes("blobs", "t/")>>20, w.store.storedBytes("blobs", "c/")>>20
+		w.record.notef("step %d was answered %d and has %d of %d results; the store holds %d MB of outputs and %d MB of partial outputs", step, a.status, got, len(ids), outputs, partials)
+		if a.status == http.StatusAccepted && got < len(ids) {
+			breaks = append(breaks, fmt.Sprintf("an accepted step has %d of %d results after 12 s; the store is full with %d MB of outputs and %d MB of partial outputs", got, len(ids), outputs, partials))
+		}
+		w.ask(w.anyHost(), http.MethodDelete, "/v1/lots/"+job, nil, nil, 4*time.Second)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	return breaks, nil
+}
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -21,6 +21,8 @@
 	addr string
 
 	mu       sync.Mutex
+	events   int // of an item
+	padding  int // bytes of an event beside its text
 	versions map[string]int64
 	busy     bool
 	orders   int
@@ -39,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{w: w, id: id, addr: listener.Addr().String(), versions: make(map[string]int64)}
+	e := &engine{w: w, id: id, addr: listener.Addr().String(), events: eventsOfItem, versions: make(map[string]int64)}
 	for _, m := range models {
 		e.versions[m] = 1
 	}
@@ -155,14 +157,14 @@
 	w.Header().Set("X-Sesamestand-Stamp", e.id+"."+id)
 	w.Header().Set("X-Sesamestand-Weight-Versions", strconv.FormatInt(version, 10))
 	controller := http.NewResponseController(w)
-	for n := first; n <= eventsOfItem; n++ {
+	for n := first; n <= e.events; n++ {
 		select {
 		case <-r.Context().Done():
 			e.w.record.notef("replica %s drops item %s: its connection closed", e.id, id)
 			return
 		case <-time.After(eventTime):
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventText(id, n)); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s%s\n\n", n, eventText(id, n), strings.Repeat(".", e.padding)); err != nil {
 			return
 		}
 		_ = controller.Flush()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	"refused-content": refusedContent,
 	"silent-crash":    silentCrash,
 	"long-ids":        longIDs,
+	"full-store":      fullStore,
 	"failed-503":      failed503,
 }
 
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -38,6 +38,56 @@
 
 	mu    sync.Mutex
 	conns map[string]map[*storeConn]bool // by host
+
+	// limit is the number of bytes beyond which appends are answered 507; 0 if there is none.
+	limit  int64
+	sizes  map[storedKey]int64 // of the newest record of each key, which is retained
+	stored int64
+}
+
+// storedKey is the key of a record that is retained.
+type storedKey struct {
+	logstore.Partition
+	key string
+}
+
+// storeLimit is the number of bytes that the platform's store takes in total.
+const storeLimit = 400 << 20
+
+// hold counts records as stored. It reports false if the store is full then. Only the newest
+// record of each key counts.
+func (s *store) hold(p logstore.Partition, records []logstore.Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit == 0 {
+		return true
+	}
+	added := int64(0)
+	for _, r := range records {
+		added += int64(len(r.Key) + len(r.Value))
+	}
+	if len(records) > 0 && s.stored+added > s.limit {
+		return false
+	}
+	for _, r := range records {
+		k := storedKey{p, r.Key}
+		s.stored += int64(len(r.Key)+len(r.Value)) - s.sizes[k]
+		s.sizes[k] = int64(len(r.Key) + len(r.Value))
+	}
+	return true
+}
+
+// storedBytes returns the bytes of the records of a topic whose keys begin with a prefix.
+func (s *store) storedBytes(topic, prefix string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := int64(0)
+	for k, size := range s.sizes {
+		if k.Topic == topic && strings.HasPrefix(k.key, prefix) {
+			total += size
+		}
+	}
+	return total
 }
 
 // storeConn is one connection of a host to the store.
@@ -51,7 +101,7 @@
 type storeConnKey struct{}
 
 func newStore() *store {
-	return &store{log: memlog.New(partitions), conns: make(map[string]map[*storeConn]bool)}
+	return &store{log: memlog.New(partitions), conns: make(map[string]map[*storeConn]bool), sizes: make(map[storedKey]int64)}
 }
 
 // listen serves the store for one host and returns its address.
@@ -177,6 +227,9 @@
 		writer = &logstore.Writer{Name: name, Epoch: epoch, Sequence: sequence}
 	}
 	time.Sleep(appendTime)
+	if !s.hold(p, records) {
+		return http.StatusInsufficientStorage, nil
+	}
 	end, err := s.log.Append(ctx, p, records, writer)
 	if err != nil {
 		return failure(err)
