--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -24,10 +24,10 @@
 }
 
 // desk starts the servers of the plain service.
-func desk(w *world) ([]*plainServer, error) {
+func desk(w *world, n int) ([]*plainServer, error) {
 	var servers []*plainServer
-	for i, zone := range zones {
-		s, err := newPlainServer(w, fmt.Sprintf("i-desk%d", i+1), zone, "order-desk", 6, 24, 25*time.Millisecond)
+	for i := range n {
+		s, err := newPlainServer(w, fmt.Sprintf("i-desk%d", i+1), zones[i%len(zones)], "order-desk", 6, 24, 25*time.Millisecond)
 		if err != nil {
 			return nil, err
 		}
@@ -63,7 +63,7 @@
 // One
 // server in three, at a time, sends second copies of a few answers, late.
 func refusalCopy(ctx context.Context, w *world) ([]string, error) {
-	servers, err := desk(w)
+	servers, err := desk(w, len(zones))
 	if err != nil {
 		return nil, err
 	}
@@ -319,7 +319,7 @@
 // refusedContent has clients open one page. Servers lose a few answers, one server after the
 // other; at the end all hosts are killed and start again.
 func refusedContent(ctx context.Context, w *world) ([]string, error) {
-	servers, err := desk(w)
+	servers, err := desk(w, len(zones))
 	if err != nil {
 		return nil, err
 	}
@@ -441,7 +441,7 @@
 // reset of its connections, before it is back.
 func silentCrash(ctx context.Context, w *world) ([]string, error) {
 	const path = "/lohu930/trays/odd"
-	servers, err := desk(w)
+	servers, err := desk(w, len(zones))
 	if err != nil {
 		return nil, err
 	}
@@ -504,14 +504,17 @@
 	return nil, nil
 }
 
-// Doses of srv_grey: one server (a share of 0.15 of three), which fails a share of 0.4 of its
+// Doses of srv_grey: one server of seven (a share of 0.15), which fails a share of 0.4 of its
 // requests.
-const failShare = 0.4
+const (
+	greyServers = 7
+	failShare   = 0.4
+)
 
 // failed503 sends requests that must not run twice. One server fails part of its requests: it
 // runs them and answers with status 503, signed and without X-Sesamestand-Not-Run.
 func failed503(ctx context.Context, w *world) ([]string, error) {
-	servers, err := desk(w)
+	servers, err := desk(w, greyServers)
 	if err != nil {
 		return nil, err
 	}
@@ -536,7 +539,7 @@
 	var mu sync.Mutex
 	got := make(map[string]answered)
 	var clients sync.WaitGroup
-	for range 60 {
+	for range 100 {
 		clients.Go(func() {
 			a := w.plain(w.anyHost(), http.MethodPost, "/lohu930/2f", []byte("order"), 800*time.Millisecond)
 			mu.Lock()
@@ -574,7 +577,7 @@
 
 // longIDs sends requests of legal size at one host whose request IDs are long.
 func longIDs(ctx context.Context, w *world) ([]string, error) {
-	if _, err := desk(w); err != nil {
+	if _, err := desk(w, len(zones)); err != nil {
 		return nil, err
 	}
 	config := map[string]any{"version": 7, "routes": []any{plainRoute("idempotent")}, "services": []any{deskService}, "limits": limits}
@@ -634,13 +637,19 @@
 	return resident * int64(os.Getpagesize()), nil
 }
 
-// fullStore has a trainer ask for steps whose outputs, all together, take less than the
-// store's 400 MB. Without the disruption, the store has no limit.
+// Bounds ack_ms and cancel_ms of the deployment, and the time after which a trainer gives a
+// step up.
+const (
+	ackLimit    = 4 * time.Second
+	cancelLimit = 3 * time.Second
+	stepLimit   = 12 * time.Second
+)
+
+// fullStore has a trainer ask for one step after the other. Their outputs, all together, take
+// less than the store's 400 MB. The trainer ends the first step that has no results in time;
+// later, the process that runs its items is killed.
 func fullStore(ctx context.Context, w *world) ([]string, error) {
 	w.store.limit = storeLimit
-	if !w.trouble {
-		w.store.limit = 100 * storeLimit
-	}
 	for i := range 9 {
 		e, err := newEngine(w, fmt.Sprintf("i-draft%d", i+1), zones[i%len(zones)], engineService, []string{oldModel})
 		if err != nil {
@@ -659,28 +668,70 @@
 	if err := sleep(ctx, 2*time.Second); err != nil {
 		return nil, err
 	}
-	var breaks []string
 	for step := range 7 {
 		body, ids := submission("/pufi791/", oldModel, 200)
 		job := newID()
 		a := w.ask(w.anyHost(), http.MethodPost, "/pufi791/7c41e0", map[string]string{"X-Sesamestand-Request-Id": job, "Content-Type": "application/json"}, body, 4*time.Second)
-		began, got := time.Now(), 0
-		for a.status == http.StatusAccepted && time.Since(began) < 12*time.Second && got < len(ids) && ctx.Err() == nil {
+		if a.status != http.StatusAccepted {
+			return nil, fmt.Errorf("step %d was answered %d", step, a.status)
+		}
+		got := 0
+		for submitted := time.Now(); time.Since(submitted) < stepLimit && got < len(ids) && ctx.Err() == nil; {
 			var p page
 			read := w.ask(w.anyHost(), http.MethodGet, fmt.Sprintf("/v1/lots/%s?after=%d", job, got), map[string]string{"X-Sesamestand-Wait-Ms": "1000"}, nil, 2500*time.Millisecond)
 			if read.status == http.StatusOK && json.Unmarshal(read.body, &p) == nil {
 				got += len(p.Results)
 			}
 		}
-		outputs, partials := w.store.storedBytes("blobs", "t/")>>20, w.store.storedBytes("blobs", "c/")>>20
-		w.record.notef("step %d was answered %d and has %d of %d results; the store holds %d MB of outputs and %d MB of partial outputs", step, a.status, got, len(ids), outputs, partials)
-		if a.status == http.StatusAccepted && got < len(ids) {
-			breaks = append(breaks, fmt.Sprintf("an accepted step has %d of %d results after 12 s; the store is full with %d MB of outputs and %d MB of partial outputs", got, len(ids), outputs, partials))
+		w.record.notef("step %d has %d of %d results; the store holds %d MB of outputs, %d MB of partial outputs and %d MB of payloads", step, got, len(ids),
+			w.store.storedBytes("blobs", "t/")>>20, w.store.storedBytes("blobs", "c/")>>20, w.store.storedBytes("blobs", "b/")>>20)
+		ended, acknowledged := time.Now(), false
+		for !acknowledged && time.Since(ended) < ackLimit && ctx.Err() == nil {
+			acknowledged = w.ask(w.anyHost(), http.MethodDelete, "/v1/lots/"+job, nil, nil, 2*time.Second).status == http.StatusOK
+			if !acknowledged {
+				time.Sleep(200 * time.Millisecond)
+			}
 		}
-		w.ask(w.anyHost(), http.MethodDelete, "/v1/lots/"+job, nil, nil, 4*time.Second)
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
+		if acknowledged {
+			continue
 		}
+		w.record.notef("the end of step %d got no acknowledgement in %s", step, ackLimit)
+		return w.afterUnacknowledgedEnd(ctx, job, ids, ended.Add(ackLimit+cancelLimit))
 	}
-	return breaks, nil
+	return nil, nil
+}
+
+// afterUnacknowledgedEnd kills the process that runs the items of a job after the time from
+// which none of them may be run, and returns those that are.
+func (w *world) afterUnacknowledgedEnd(ctx context.Context, job string, ids []string, limit time.Time) ([]string, error) {
+	if err := sleep(ctx, time.Until(limit.Add(500*time.Millisecond))); err != nil {
+		return nil, err
+	}
+	runner := w.ownerOf(w.workPartition(job))
+	if runner == nil {
+		return nil, fmt.Errorf("the partition of the step has no owner")
+	}
+	if w.trouble {
+		w.record.notef("disturbance: the process of %s, which runs the items, is killed", runner.name)
+		w.kill(runner)
+		if err := sleep(ctx, time.Second); err != nil {
+			return nil, err
+		}
+		if err := w.start(runner); err != nil {
+			return nil, err
+		}
+	}
+	if err := sleep(ctx, 8*time.Second); err != nil {
+		return nil, err
+	}
+	late := 0
+	for _, id := range ids {
+		if at, ok := began.Load(id); ok && at.(time.Time).After(limit) {
+			late++
+		}
+	}
+	if late > 0 {
+		return []string{fmt.Sprintf("UNASKED: %d items of a batch job reached replicas and ran later than %s after its end counted as acknowledged", late, cancelLimit)}, nil
+	}
+	return nil, nil
 }
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -152,6 +152,7 @@
 	if after, err := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id"))); err == nil {
 		first = after + 1
 	}
+	began.Store(id, time.Now())
 	e.w.record.notef("replica %s runs item %s from event %d", e.id, id, first)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Sesamestand-Stamp", e.id+"."+id)
@@ -172,4 +173,7 @@
 	e.w.record.notef("replica %s finished item %s", e.id, id)
 }
 
+// began holds when the last run of an item began, by the item's ID.
+var began sync.Map
+
 func eventText(id string, n int) string { return fmt.Sprintf("%s-%d", id, n) }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 	"stale-runner":    staleRunner,
 	"refused-content": refusedContent,
 	"silent-crash":    silentCrash,
+	"broken-off":      brokenOff,
 	"long-ids":        longIDs,
 	"full-store":      fullStore,
 	"failed-503":      failed503,
@@ -31,6 +32,9 @@
 const timeLimit = 115 * time.Second
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "item-process" {
+		os.Exit(itemProcess(os.Args[2], os.Args[3]))
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standin-2 CASE FOLDER")
 		os.Exit(2)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -62,11 +62,7 @@
 	if s.limit == 0 {
 		return true
 	}
-	added := int64(0)
-	for _, r := range records {
-		added += int64(len(r.Key) + len(r.Value))
-	}
-	if len(records) > 0 && s.stored+added > s.limit {
+	if len(records) > 0 && s.stored >= s.limit {
 		return false
 	}
 	for _, r := range records {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -117,6 +117,12 @@
 `, h.name, h.zone, h.front, h.ready, metrics, h.peer, logAddr, partitions)
 }
 
+// loopback returns a loopback IP of this process.
+func loopback(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, n)
+}
+
 // addHosts prepares n hosts.
 func (w *world) addHosts(n int) error {
 	for i := range n {
@@ -124,7 +130,7 @@
 		addrs := make([]string, 4)
 		for k := range addrs {
 			// Hosts have IPs of their own, so that no connection takes a port before its host does.
-			addr, err := freeAddr(fmt.Sprintf("127.0.1.%d", i+1))
+			addr, err := freeAddr(loopback(i + 1))
 			if err != nil {
 				return err
 			}
