Let the review's stand-in find distinct free ports

Steps of 200 items filled the store close to the end of a step. Change: all ports of a host are found at once, the end of its log is shown if it is not ready, and the steps of case 8 have 210 items.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -669,7 +669,7 @@
 		return nil, err
 	}
 	for step := range 7 {
-		body, ids := submission("/pufi791/", oldModel, 200)
+		body, ids := submission("/pufi791/", oldModel, 210)
 		job := newID()
 		a := w.ask(w.anyHost(), http.MethodPost, "/pufi791/7c41e0", map[string]string{"X-Sesamestand-Request-Id": job, "Content-Type": "application/json"}, body, 4*time.Second)
 		if a.status != http.StatusAccepted {
--- a/review/standin-2/short.go
+++ b/review/standin-2/short.go
@@ -92,10 +92,11 @@
 // brokenOff has a replica crash while it answers an item without a length.
 func brokenOff(ctx context.Context, w *world) ([]string, error) {
 	const id = "i-draft0"
-	addr, err := freeAddr(loopback(100))
+	addrs, err := freeAddrs(loopback(100), 1)
 	if err != nil {
 		return nil, err
 	}
+	addr := addrs[0]
 	for i := range 8 {
 		if _, err := newEngine(w, fmt.Sprintf("i-draft%d", i+1), zones[i%len(zones)], engineService, []string{oldModel}); err != nil {
 			return nil, err
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -75,14 +75,18 @@
 	return &world{record: record, store: newStore(), dir: dir, trouble: trouble}, nil
 }
 
-// freeAddr returns an address on a loopback IP that nobody listens on.
-func freeAddr(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddrs returns n addresses on a loopback IP that nobody listens on.
+func freeAddrs(ip string, n int) ([]string, error) {
+	addrs := make([]string, n)
+	for i := range addrs {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }() // once all are found, so that they differ
+		addrs[i] = listener.Addr().String()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return addrs, nil
 }
 
 // settings renders deploy/host.ini.tmpl with the values of a small deployment.
@@ -127,14 +131,10 @@
 func (w *world) addHosts(n int) error {
 	for i := range n {
 		h := &host{name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i/len(zones)+1), zone: zones[i%len(zones)]}
-		addrs := make([]string, 4)
-		for k := range addrs {
-			// Hosts have IPs of their own, so that no connection takes a port before its host does.
-			addr, err := freeAddr(loopback(i + 1))
-			if err != nil {
-				return err
-			}
-			addrs[k] = addr
+		// Hosts have IPs of their own, so that no connection takes a port before its host does.
+		addrs, err := freeAddrs(loopback(i+1), 4)
+		if err != nil {
+			return err
 		}
 		h.front, h.ready, h.peer = addrs[0], addrs[1], addrs[2]
 		logAddr, err := w.store.listen(h.name)
@@ -223,7 +223,8 @@
 		for !h.isReady() {
 			select {
 			case <-ctx.Done():
-				return fmt.Errorf("%s is not ready: %w", h.name, ctx.Err())
+				data, _ := os.ReadFile(h.log)
+				return fmt.Errorf("%s is not ready: %w, its log ends with %q", h.name, ctx.Err(), data[max(len(data)-500, 0):])
 			case <-time.After(50 * time.Millisecond):
 			}
 		}
