Bound the pages of a listing of the in-memory store

Cause: a page of a listing of the in-memory store had up to 500 records of any size, the platform's has 1 MB. The client of the store reads 8 MB of a response, so a listing of blobs with large payloads broke off: crowds that submitted large jobs logged "payloads not read, retrying ... unexpected end of JSON input" for good. The fault lay in the store of the tests. Change: a page ends before the record with which it would exceed 1 MB, and has at least one.

--- a/internal/logstore/memlog/memlog.go
+++ b/internal/logstore/memlog/memlog.go
@@ -39,6 +39,9 @@
 	Delay              // no response; an append takes effect when ReleaseDelayed is called
 )
 
+// maxPageBytes bounds the records of a page of a listing, beyond its first one.
+const maxPageBytes = 1 << 20
+
 // Store implements logstore.Store in memory.
 type Store struct {
 	mu             sync.Mutex
@@ -304,8 +307,9 @@
 	}
 	sort.Strings(keys)
 	listing := logstore.Listing{End: part.end}
+	size := 0
 	for i, k := range keys {
-		if i == s.pageSize {
+		if size += len(k) + len(newest[k].Value); i == s.pageSize || i > 0 && size > maxPageBytes {
 			listing.More = true
 			break
 		}
