Count responses on one account until clients have read them

What callers saw: a host ended for lack of memory while clients left responses unread, and all its callers lost their connections.

Cause: heads and bodies had a limit of 0.45 of the memory, responses that were being read from backend servers one of their own of 0.4, of which the first 256 KiB of each were free. A response that was read counted only while it was written, by its bytes and not by its blocks, and the events of a stream never. The limits of the parts added up to more than the process has.

Change: core/account has one account of what clients make a process hold, with one limit, [limits] client_memory (0.45 of the memory as before). Connections draw on it, and the process's own calls. Blocks follow the announced length. If memory runs out and no incomplete request can be closed, a connection is closed whose client has taken nothing of its response for 1 s. A response for which there is no memory ends its attempt with an unknown outcome, which is neither a failure of the server nor a crash under the request. client_memory_bytes shows who holds how much.

Why it works: nothing that a client can make grow is outside the account, so the sum is bounded, whichever part grows.

The tests of core/intake, intake, httpapi and services pass; those that named the former limits name the account, with the same checks.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -20,8 +20,15 @@
 	// backend server had received it. It comes with ErrNotSent, or with ErrOutcomeUnknown
 	// if a part of it was sent. It says nothing about the server.
 	ErrExpired = errors.New("permission to send has expired")
+	// ErrNoMemory reports that this process had no memory for the response. It comes with
+	// ErrOutcomeUnknown, and says nothing about the server.
+	ErrNoMemory = errors.New("no memory for the answer")
 )
 
+// IsLocal reports whether a call failed for a reason on this host, so that its error says
+// nothing about the server or the request's content.
+func IsLocal(err error) bool { return errors.Is(err, ErrExpired) || errors.Is(err, ErrNoMemory) }
+
 // Target identifies a backend server and the address at which it is registered.
 type Target struct {
 	ID   string
--- a/internal/callers/completions.go
+++ b/internal/callers/completions.go
@@ -171,7 +171,7 @@
 	var body completionRequest
 	data, err := intake.ReadBody(w, r, c.config.MaxBodyBytes)
 	if err == nil {
-		err = intake.Reserve(r, decodedCopies*int64(len(data)))
+		err = intake.Hold(r.Context(), decodedCopies*int64(len(data)))
 	}
 	if err != nil {
 		return cluster.Generation{}, false, intake.BodyRefusal(err)
--- /dev/null
+++ b/internal/core/account/account_test.go
@@ -0,0 +1,52 @@
+package account
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	_ "github.com/sesamestand/sesamestand/internal/testseed" // fixes the seed
+)
+
+// Guards against holders that each keep their limit and together exceed that of the
+// process.
+func TestHoldersShareOneLimit(t *testing.T) {
+	limits := NewLimits(100, 0.5, 64)
+	must.EqOp(t, 50<<20, limits.Total)
+	rapid.Check(t, func(t *rapid.T) {
+		a, held := New(limits), make(map[Holder]int64)
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			h := rapid.SampledFrom(Holders()).Draw(t, "holder")
+			bytes := rapid.Int64Range(0, 20<<20).Draw(t, "bytes")
+			if rapid.Bool().Draw(t, "return") {
+				a.Add(h, -held[h])
+				held[h] = 0
+			} else if a.Take(h, bytes) {
+				held[h] += bytes
+			} else if limit := limits.of(h); a.Missing(bytes) == 0 && held[h]+bytes <= limit {
+				t.Fatalf("%d bytes refused to %s, which holds %d of %d", bytes, h, held[h], limit)
+			}
+			total := int64(0)
+			for _, other := range Holders() {
+				total += held[other]
+				if a.Held(other) != held[other] || held[other] > limits.of(other) {
+					t.Fatalf("%s holds %d, %d counted", other, held[other], a.Held(other))
+				}
+			}
+			if total > limits.Total || a.Others(h) != total-held[h] {
+				t.Fatalf("%d bytes are held", total)
+			}
+		}
+	})
+}
+
+// Guards against limits that are above the memory of a small process, and against none in
+// a process without a memory limit.
+func TestLimitsFollowTheMemory(t *testing.T) {
+	small, unlimited := NewLimits(112, 0.45, 64), NewLimits(0, 0.45, 64)
+	must.Less(t, small.Total, small.Jobs)
+	must.Less(t, small.Total, small.Large)
+	must.EqOp(t, 64<<20, unlimited.Jobs)
+	must.Positive(t, unlimited.Decisions)
+}
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -4,7 +4,12 @@
 // or many bodies at once, and leave their connections open.
 package intake
 
-import "time"
+import (
+	"cmp"
+	"time"
+
+	"github.com/sesamestand/sesamestand/internal/core/account"
+)
 
 // Address is a kind of address of a host, with connections of its own.
 type Address int
@@ -59,6 +64,9 @@
 	// minStall is the shortest time without progress after which a connection is closed for
 	// the sake of another one.
 	minStall = 250 * time.Millisecond
+	// unreadStall is the time without a byte taken after which a response that a client
+	// does not read is given up for the sake of another connection.
+	unreadStall = time.Second
 )
 
 // HeadBytes returns the memory of a head.
@@ -67,8 +75,6 @@
 // Limits bound what all connections together may take. They may change at any time.
 type Limits struct {
 	Connections [addresses]int
-	Memory      int64 // of all connections
-	LargeMemory int64 // of what connections hold beyond SmallBytes
 	// Times without progress after which a connection is closed.
 	HeadTimeout, BodyTimeout, ResponseTimeout time.Duration
 }
@@ -112,20 +118,23 @@
 	conns  map[ID]*connection
 	nextID ID
 	open   [addresses]int
-	held   int64
-	large  int64
+	large  int64 // held beyond SmallBytes
+	// account counts what the connections hold, beside other holders.
+	account *account.Account
 }
 
-// NewTable returns an empty table.
-func NewTable(limits Limits) *Table {
-	return &Table{limits: limits, conns: make(map[ID]*connection)}
+// NewTable returns an empty table whose connections draw on an account.
+func NewTable(limits Limits, a *account.Account) *Table {
+	return &Table{limits: limits, conns: make(map[ID]*connection), account: a}
 }
 
 // SetLimits replaces the limits.
 func (t *Table) SetLimits(limits Limits) { t.limits = limits }
 
 // Held returns the memory that all connections hold, and their number.
-func (t *Table) Held() (bytes int64, connections int) { return t.held, len(t.conns) }
+func (t *Table) Held() (bytes int64, connections int) {
+	return t.account.Held(account.Connections), len(t.conns)
+}
 
 // HeldBy returns the memory that a connection holds.
 func (t *Table) HeldBy(id ID) int64 {
@@ -227,17 +236,17 @@
 		t.setHeld(c, bytes)
 		return Granted, nil
 	}
-	needsLarge := large > 0 && t.large+large > t.limits.LargeMemory
-	if !needsLarge && t.held+more <= t.limits.Memory {
-		t.setHeld(c, bytes)
+	missing := int64(0)
+	if large > 0 {
+		missing = max(t.large+large+t.account.Others(account.Connections)-t.account.Limits().Large, 0)
+	}
+	needsLarge := missing > 0
+	if !needsLarge && t.account.Take(account.Connections, more) {
+		t.record(c, bytes)
 		return Granted, nil
 	}
 	c.waiting = true
-	missing := t.held + more - t.limits.Memory
-	if needsLarge {
-		missing = max(missing, t.large+large-t.limits.LargeMemory)
-	}
-	return Wait, t.makeRoom(id, missing, needsLarge, now)
+	return Wait, t.makeRoom(id, max(missing, t.account.Missing(more)), needsLarge, now)
 }
 
 // makeRoom chooses connections to close until they return the missing bytes.
@@ -266,21 +275,29 @@
 }
 
 // slowest returns the connection that holds memory and has made no progress for the longest
-// time, or 0. The request of a running one may have been passed on, and one that waits for
-// memory gets it or is refused soon.
+// time, or 0. The request of a running one may have been passed on, so it is closed only if
+// its client does not read the response, and after the others. One that waits for memory
+// gets it or is refused soon.
 func (t *Table) slowest(asking ID, value func(*connection) int64, now time.Time) ID {
-	var slowest ID
+	var slowest, unread ID
 	for id, c := range t.conns {
-		if id == asking || c.closing || c.waiting || c.phase == Running || value(c) == 0 || now.Sub(c.stepAt) < minStall {
+		if id == asking || c.closing || c.waiting || value(c) == 0 {
 			continue
 		}
-		if slowest == 0 || c.stepAt.Before(t.conns[slowest].stepAt) || c.stepAt.Equal(t.conns[slowest].stepAt) && id < slowest {
-			slowest = id
+		if c.phase != Running {
+			if now.Sub(c.stepAt) >= minStall && (slowest == 0 || before(c.stepAt, t.conns[slowest].stepAt, id, slowest)) {
+				slowest = id
+			}
+		} else if c.writing && now.Sub(c.lastByte) >= unreadStall && (unread == 0 || before(c.lastByte, t.conns[unread].lastByte, id, unread)) {
+			unread = id
 		}
 	}
-	return slowest
+	return cmp.Or(slowest, unread)
 }
 
+// before orders connections by a time, and by their IDs if it is the same.
+func before(a, b time.Time, idA, idB ID) bool { return a.Before(b) || a.Equal(b) && idA < idB }
+
 // leastUseful returns the connection of an address that is closed for a new one.
 func (t *Table) leastUseful(address Address, now time.Time) (ID, bool) {
 	var best ID
@@ -300,10 +317,8 @@
 	switch {
 	case x.use(now) != y.use(now):
 		return x.use(now) < y.use(now)
-	case !x.stepAt.Equal(y.stepAt):
-		return x.stepAt.Before(y.stepAt)
 	}
-	return a < b
+	return before(x.stepAt, y.stepAt, a, b)
 }
 
 // use orders connections for leastUseful: requests without progress, then idle connections,
@@ -334,9 +349,15 @@
 	return closing
 }
 
+// setHeld sets what a connection holds, whether there is room or not.
 func (t *Table) setHeld(c *connection, bytes int64) {
-	before := c.large()
-	t.held += bytes - c.held
+	t.account.Add(account.Connections, bytes-c.held)
+	t.record(c, bytes)
+}
+
+// record records what a connection holds and the account counts already.
+func (t *Table) record(c *connection, bytes int64) {
+	largeBefore := c.large()
 	c.held = bytes
-	t.large += c.large() - before
+	t.large += c.large() - largeBefore
 }
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -7,16 +7,24 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	_ "github.com/sesamestand/sesamestand/internal/testseed" // fixes the seed
 )
 
 func testLimits() Limits {
 	return Limits{
-		Connections: [addresses]int{4, 2, 2}, Memory: 2 << 20, LargeMemory: 1 << 20,
+		Connections: [addresses]int{4, 2, 2},
 		HeadTimeout: 10 * time.Second, BodyTimeout: 30 * time.Second, ResponseTimeout: 30 * time.Second,
 	}
 }
 
+// testMemory bounds what the connections of a test hold.
+const testMemory = 2 << 20
+
+func newTestTable() *Table {
+	return NewTable(testLimits(), account.New(account.Limits{Total: testMemory, Large: testMemory / 2}))
+}
+
 func open(t *testing.T, table *Table, phase Phase, now time.Time) ID {
 	t.Helper()
 	id, closing, ok := table.Open(Callers, now)
@@ -30,7 +38,7 @@
 // progress, when memory runs out.
 func TestSlowestIncompleteRequestIsClosedForMemory(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := NewTable(testLimits())
+	table := newTestTable()
 	running, slow, fast := open(t, table, Running, now), open(t, table, Body, now), open(t, table, Body, now)
 	for _, id := range []ID{running, slow, fast} {
 		verdict, _ := table.Hold(id, SmallBytes+300<<10, now)
@@ -54,7 +62,7 @@
 // body that is not served although it is the only one.
 func TestSmallRequestsHaveAReserve(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := NewTable(testLimits())
+	table := newTestTable()
 	large, other := open(t, table, Running, now), open(t, table, Running, now)
 	verdict, _ := table.Hold(large, SmallBytes+1<<20, now)
 	must.EqOp(t, Granted, verdict)
@@ -71,7 +79,7 @@
 // against a connection with a request that is closed for a new one.
 func TestConnectionWithoutUseIsClosedForANewOne(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := NewTable(testLimits())
+	table := newTestTable()
 	idle, head, running, body := open(t, table, Idle, now), open(t, table, Head, now), open(t, table, Running, now), open(t, table, Body, now)
 	now = now.Add(2 * idleStall)
 	table.Progress(body, stepBytes, now)
@@ -95,7 +103,7 @@
 // Guards against connections without progress that stay open for ever.
 func TestConnectionsWithoutProgressExpire(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := NewTable(testLimits())
+	table := newTestTable()
 	head, body, idle, writing := open(t, table, Head, now), open(t, table, Body, now), open(t, table, Idle, now), open(t, table, Running, now)
 	table.Writing(writing, true, now)
 	now = now.Add(10 * time.Second)
@@ -112,7 +120,7 @@
 // are closed although they may have been passed on.
 func TestMemoryStaysWithinTheLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table, now, ids := NewTable(testLimits()), time.Unix(1000, 0), []ID{}
+		table, now, ids := newTestTable(), time.Unix(1000, 0), []ID{}
 		running := make(map[ID]bool)
 		check := func(closing []Closing) {
 			for _, c := range closing {
@@ -139,7 +147,7 @@
 				_, closing := table.Hold(id, int64(rapid.IntRange(0, 900<<10).Draw(t, "bytes")), now)
 				check(closing)
 			}
-			if held, _ := table.Held(); held > testLimits().Memory {
+			if held, _ := table.Held(); held > testMemory {
 				t.Fatalf("%d bytes are held", held)
 			}
 		}
@@ -151,3 +159,52 @@
 		}
 	})
 }
+
+// Guards against responses that nobody reads and that keep their memory, and against the
+// close of one that is read, or of one while an incomplete request can be closed.
+func TestUnreadResponsesAreGivenUpLast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newTestTable()
+	unread, read, body := open(t, table, Running, now), open(t, table, Running, now), open(t, table, Body, now)
+	for _, id := range []ID{unread, read, body} {
+		verdict, _ := table.Hold(id, SmallBytes+300<<10, now)
+		must.EqOp(t, Granted, verdict)
+		table.Writing(id, id != body, now)
+	}
+	now = now.Add(unreadStall)
+	table.Writing(read, true, now)
+	asking := open(t, table, Body, now)
+	for _, want := range []ID{body, unread} {
+		verdict, closing := table.Hold(asking, SmallBytes+300<<10, now)
+		must.EqOp(t, Wait, verdict)
+		must.Eq(t, []Closing{{want, NoMemory}}, closing)
+		table.Remove(want)
+		table.Add(read, 300<<10)
+	}
+	verdict, closing := table.Hold(asking, SmallBytes+300<<10, now)
+	must.EqOp(t, Wait, verdict)
+	must.SliceEmpty(t, closing)
+}
+
+// Guards against connections that use memory which others hold, and against a small
+// request that gets none because of what others hold for large ones.
+func TestConnectionsLeaveTheMemoryOfOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	held := account.New(account.Limits{Total: testMemory, Large: testMemory / 2, Jobs: testMemory})
+	table := NewTable(testLimits(), held)
+	first, second := open(t, table, Running, now), open(t, table, Running, now)
+	must.True(t, held.Take(account.Jobs, testMemory/2))
+	verdict, _ := table.Hold(first, 2*SmallBytes, now)
+	must.EqOp(t, Granted, verdict, must.Sprint("the only large request is refused"))
+	verdict, _ = table.Hold(second, 2*SmallBytes, now)
+	must.EqOp(t, Wait, verdict)
+	verdict, _ = table.Hold(second, SmallBytes, now)
+	must.EqOp(t, Granted, verdict)
+	must.True(t, held.Take(account.Jobs, testMemory/2-3*SmallBytes))
+	third := open(t, table, Head, now)
+	verdict, _ = table.Hold(third, 1, now)
+	must.EqOp(t, Wait, verdict)
+	table.Remove(second)
+	verdict, _ = table.Hold(third, 1, now)
+	must.EqOp(t, Granted, verdict)
+}
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -10,6 +10,7 @@
 	"github.com/sesamestand/sesamestand/internal/callers"
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/configs"
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/core/admit"
 	"github.com/sesamestand/sesamestand/internal/core/flight"
 	"github.com/sesamestand/sesamestand/internal/core/suspect"
@@ -42,6 +43,8 @@
 	revocationConfirms = 5
 )
 
+func newAccount(s settings.Settings) *account.Account { return s.Limits.NewAccount() }
+
 func newRecorder(s settings.Settings) (*telemetry.Recorder, error) {
 	return telemetry.NewRecorder(s.Host.ID, s.Limits.DecisionLogPerSec)
 }
@@ -124,9 +127,9 @@
 	}
 }
 
-func newServicesConfig(s settings.Settings) services.Config {
+func newServicesConfig(s settings.Settings, a *account.Account) services.Config {
 	return services.Config{
-		MaxBodyBytes: int64(s.Limits.BodyBytes), MemoryMB: s.Limits.MemoryMB, RequestTimeout: s.Timing.RequestTimeout,
+		MaxBodyBytes: int64(s.Limits.BodyBytes), Account: a, RequestTimeout: s.Timing.RequestTimeout,
 		BackendToken: s.Auth.BackendToken, Retention: s.Timing.LogRetention, ClockSkew: s.Timing.ClockSkew,
 		RetryShare: s.Limits.RetryShare, RetryReserve: s.Limits.RetryReserve,
 	}
@@ -137,7 +140,7 @@
 	memberRole *members.Controller, orderRole *orders.Controller, hostList *inventory.Controller,
 	configRole *configs.Controller, ownerRole *owner.Controller, callerRole *callers.Controller,
 	serviceRole *services.Controller, trainerRole *trainers.Controller, watcher *versions.Watcher,
-	limitRole *limits.Controller, gate *access.Gate,
+	limitRole *limits.Controller, gate *access.Gate, held *account.Account,
 ) *Host {
 	ownerRole.ShareVersions(memberRole)
 	trainerRole.SetRefresher(watcher)
@@ -145,7 +148,7 @@
 		settings: s, recorder: recorder, tls: source, pool: pool, members: memberRole, orders: orderRole,
 		inventory: hostList, configs: configRole, owner: ownerRole, callers: callerRole,
 		services: serviceRole, trainers: trainerRole, versions: watcher, limits: limitRole, gate: gate, aborted: make(chan struct{}),
-		guard: intake.New(intake.Options{MemoryMB: s.Limits.MemoryMB, MaxConnections: s.Limits.MaxConnections, Recorder: recorder}),
+		guard: intake.New(intake.Options{MemoryMB: s.Limits.MemoryMB, MaxConnections: s.Limits.MaxConnections, Account: held, Recorder: recorder}),
 	}
 	h.serving, h.stopServing = context.WithCancel(context.Background())
 	callerRole.RefuseBy(h.refuseStopping)
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -23,7 +23,7 @@
 
 // providerSet lists the constructors of an entry host and its roles.
 var providerSet = wire.NewSet(
-	newRecorder, newTLS, newPool,
+	newAccount, newRecorder, newTLS, newPool,
 	newLog, newHostList, newWeightStore,
 	newMembers, newEngineClient, versions.NewWatcher,
 	inventory.New, limits.NewForMembers,
--- a/internal/entry/wire_gen.go
+++ b/internal/entry/wire_gen.go
@@ -50,7 +50,8 @@
 	ownerController := owner.New(ownerConfig, controller, ordersController, ordersController, configsController, client, pool, recorder)
 	callersConfig := newCallersConfig(s)
 	callersController := callers.New(callersConfig, controller, ordersController, configsController, controller, inventoryController, ownerController, pool, recorder)
-	servicesConfig := newServicesConfig(s)
+	account := newAccount(s)
+	servicesConfig := newServicesConfig(s, account)
 	limitsController := limits.NewForMembers(controller, pool, recorder)
 	servicesController := services.New(servicesConfig, log, configsController, controller, inventoryController, pool, limitsController, recorder)
 	trainersConfig := newTrainersConfig(s)
@@ -59,7 +60,7 @@
 	watcher := versions.NewWatcher(weightStore, controller, configsController, controller, recorder)
 	terms := newTerms(s)
 	gate := access.New(terms, configsController, recorder)
-	host := newHost(s, recorder, source, pool, controller, ordersController, inventoryController, configsController, ownerController, callersController, servicesController, trainersController, watcher, limitsController, gate)
+	host := newHost(s, recorder, source, pool, controller, ordersController, inventoryController, configsController, ownerController, callersController, servicesController, trainersController, watcher, limitsController, gate, account)
 	return host, nil
 }
 
@@ -67,7 +68,7 @@
 
 // providerSet lists the constructors of an entry host and its roles.
 var providerSet = wire.NewSet(
-	newRecorder, newTLS, newPool,
+	newAccount, newRecorder, newTLS, newPool,
 	newLog, newHostList, newWeightStore,
 	newMembers, newEngineClient, versions.NewWatcher, inventory.New, limits.NewForMembers, newConfigsConfig, configs.New, newTerms, access.New, newOrdersConfig, orders.New, newOwnerConfig, owner.New, newCallersConfig, callers.New, newServicesConfig, services.New, newTrainersConfig, trainers.New, newHost, wire.Bind(new(cluster.Members), new(*members.Controller)), wire.Bind(new(cluster.Versions), new(*members.Controller)), wire.Bind(new(cluster.Inventory), new(*inventory.Controller)), wire.Bind(new(cluster.Configs), new(*configs.Controller)), wire.Bind(new(access.Source), new(*configs.Controller)), wire.Bind(new(cluster.Ownership), new(*orders.Controller)), wire.Bind(new(cluster.ReplicaStates), new(*orders.Controller)), wire.Bind(new(cluster.Generator), new(*callers.Controller)), wire.Bind(new(peer.Clients), new(*peer.Pool)), wire.Bind(new(limits.Peers), new(*peer.Pool)),
 )
--- a/internal/fronthost/cluster_test.go
+++ b/internal/fronthost/cluster_test.go
@@ -195,7 +195,7 @@
 	h := New(s, view, &hostBackends{testCluster: c, host: id}, Feeds{
 		Operators: Feed{Partition: operatorPartition, Decode: decodeOperator},
 		Servers:   Feed{Partition: serverPartition, Decode: decodeServer},
-	}, c, c.control, recorder)
+	}, c, c.control, recorder, s.Limits.NewAccount())
 	c.mu.Lock()
 	c.hosts[id] = h
 	c.mu.Unlock()
--- a/internal/fronthost/commits_test.go
+++ b/internal/fronthost/commits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/schedule"
 	"github.com/sesamestand/sesamestand/internal/logstore"
@@ -50,7 +51,7 @@
 	store := &slowAppends{Store: memlog.New(slowPartition + 1), bytesPerSecond: bytesPerSecond}
 	recorder, err := telemetry.NewRecorder("a", 1)
 	must.NoError(t, err)
-	h := &Host{store: &meteredStore{Store: store, recorder: recorder}, recorder: recorder, jobs: jobs.NewTable(), runners: make(map[int]*runner)}
+	h := &Host{store: &meteredStore{Store: store, recorder: recorder}, recorder: recorder, account: account.Unlimited(), jobs: jobs.NewTable(), runners: make(map[int]*runner)}
 	h.settings.Platform.Store.AppendBytes = 2 << 20
 	h.blobs = newBlobStore(store, 1<<20, 2<<20)
 	job, _ := newJob("job-1", items, 1)
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -304,7 +304,7 @@
 // the same content may begin.
 func (f *forwarding) endAttempt(a *attempt, abandoned bool) {
 	f.host.recordAttempt(a, abandoned)
-	if a.err != nil && !abandoned && !errors.Is(a.err, backend.ErrNotSent) && !errors.Is(a.err, backend.ErrExpired) {
+	if a.err != nil && !abandoned && !errors.Is(a.err, backend.ErrNotSent) && !backend.IsLocal(a.err) {
 		f.recordCrash(a)
 	}
 	f.releaseContent()
@@ -314,7 +314,7 @@
 func (h *Host) recordAttempt(a *attempt, abandoned bool) {
 	result := forward.Answered
 	switch {
-	case a.err != nil && (abandoned || errors.Is(a.err, backend.ErrExpired)):
+	case a.err != nil && (abandoned || backend.IsLocal(a.err)):
 		result = forward.Abandoned
 	case a.err != nil:
 		result = forward.Failure
@@ -328,7 +328,7 @@
 	now := time.Now()
 	h.mu.Lock()
 	h.forward.RecordResult(&a.server, result, now.Sub(a.sent), now)
-	if result != forward.Abandoned && !errors.Is(a.err, backend.ErrExpired) {
+	if result != forward.Abandoned && !backend.IsLocal(a.err) {
 		h.recordReach(a.server.ID, a.response != nil || a.began, now)
 	}
 	h.mu.Unlock()
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -24,6 +24,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 	"github.com/sesamestand/sesamestand/internal/core/drain"
 	"github.com/sesamestand/sesamestand/internal/core/forward"
@@ -95,7 +96,8 @@
 	backends Backends
 	feeds    Feeds
 	recorder *telemetry.Recorder
-	member   string // name in partitionGroup, unique to this process
+	account  *account.Account // of what clients make the process hold
+	member   string           // name in partitionGroup, unique to this process
 	group    *logstore.Group
 	limits   *limits.Controller
 	// limitAllocator grants the requests to servers with a rate limit; nil if unknown.
@@ -146,10 +148,10 @@
 
 // New returns a host that is not running yet. control is nil if the platform has no control
 // API.
-func New(s settings.Settings, store logstore.Store, backends Backends, feeds Feeds, peers Peers, control duties.ControlAPI, recorder *telemetry.Recorder) *Host {
+func New(s settings.Settings, store logstore.Store, backends Backends, feeds Feeds, peers Peers, control duties.ControlAPI, recorder *telemetry.Recorder, held *account.Account) *Host {
 	metered := &meteredStore{Store: store, recorder: recorder}
 	h := &Host{
-		settings: s, store: metered, feeds: feeds, recorder: recorder,
+		settings: s, store: metered, feeds: feeds, recorder: recorder, account: held,
 		member: s.Host.ID + "-" + uuid.NewString()[:8],
 		state:  deployment.NewState(), jobs: jobs.NewTable(), placements: make(map[string]*placement),
 		lags: make(map[string]int64), forward: forward.New(forward.Defaults()), suspects: suspect.New(suspect.Defaults()), contentSends: make(map[string]*contentSends), turns: workspace.NewTurns(), durations: drain.NewDurations(),
@@ -159,7 +161,7 @@
 	if s.Limits.Spillover {
 		h.spill = spill.NewGate(spill.Defaults())
 	}
-	h.guard = intake.New(intake.Options{MemoryMB: s.Limits.MemoryMB, MaxConnections: s.Limits.MaxConnections, Recorder: recorder, Heads: h.headLimits})
+	h.guard = intake.New(intake.Options{MemoryMB: s.Limits.MemoryMB, MaxConnections: s.Limits.MaxConnections, Account: held, Recorder: recorder, Heads: h.headLimits})
 	h.keepUp, h.behind = keepup.Defaults(), make(chan struct{}, 1)
 	h.surveyed = make(chan struct{})
 	h.serving, h.stopServing = context.WithCancel(context.Background())
--- a/internal/fronthost/spill.go
+++ b/internal/fronthost/spill.go
@@ -201,7 +201,7 @@
 func (h *Host) recordRunReach(replica string, events int, end backend.RunEnd, stopped bool, took time.Duration, now time.Time) {
 	responded := events > 0 || end.Response != nil
 	switch {
-	case errors.Is(end.Err, backend.ErrExpired):
+	case backend.IsLocal(end.Err):
 	case !responded && stopped && took < schedule.Defaults().FirstEventTimeout:
 	default:
 		h.recordReach(replica, responded, now)
--- a/internal/httpapi/budget.go
+++ b/internal/httpapi/budget.go
@@ -1,81 +1,98 @@
 package httpapi
 
 import (
+	"context"
 	"errors"
 	"io"
-	"sync"
+
+	"github.com/sesamestand/sesamestand/internal/core/account"
 )
 
 // Errors of bodies that are not read to their end.
 var (
 	ErrBodyTooLong = errors.New("body of the answer exceeds the maximum size")
-	ErrBodyBudget  = errors.New("bodies of answers that are being read exceed the memory for them")
+	ErrBodyBudget  = errors.New("the process has no memory for the body of the answer")
 )
 
 const (
-	// freeBodyBytes is the part of each body that no budget is needed for.
+	// freeBodyBytes is the part of each body of the process's own requests that is counted
+	// whether there is room or not.
 	freeBodyBytes = 256 << 10
 	// minBlockBytes is the size of the first block of a body.
 	minBlockBytes = 4 << 10
-	// bodyMemoryShare is the share of a process's memory limit for bodies. It allows one
-	// of 32 MiB, which moves into its last block half-way, at 120 MB.
-	bodyMemoryShare = 0.4
-	// unlimitedBodyBytes is the budget of a process without a memory limit.
-	unlimitedBodyBytes = 512 << 20
 )
 
-// BodyBudget bounds the memory of all bodies of responses that are being read at a time.
-// A limit for each of them is not enough: several servers may send bytes without end at
-// once. It is safe for concurrent use.
-type BodyBudget struct {
-	mu   sync.Mutex
-	left int64
+// Holder counts the memory that a client's request makes the process hold until its
+// response was sent.
+type Holder interface {
+	// Hold counts more bytes, or returns some if they are negative. It may wait for room.
+	Hold(more int64) error
 }
 
-// NewBodyBudget returns the budget of a process with a memory limit in MB, or 0 for none.
-func NewBodyBudget(memoryMB float64) *BodyBudget {
-	if memoryMB <= 0 {
-		return &BodyBudget{left: unlimitedBodyBytes}
-	}
-	return &BodyBudget{left: int64(memoryMB * bodyMemoryShare * (1 << 20))}
+type holderKey struct{}
+
+// WithHolder returns the context of a client's request.
+func WithHolder(ctx context.Context, h Holder) context.Context {
+	return context.WithValue(ctx, holderKey{}, h)
 }
 
-// BodyShare is the part of the budget that one body holds.
+// HolderOf returns the holder of the client's request that is handled, or nil.
+func HolderOf(ctx context.Context) Holder {
+	h, _ := ctx.Value(holderKey{}).(Holder)
+	return h
+}
+
+// BodyBudget counts the memory of the bodies of responses, those to clients' requests
+// with the client and the others on the account of the process. It is safe for concurrent
+// use.
+type BodyBudget struct{ account *account.Account }
+
+// NewBodyBudget returns a budget that counts on an account.
+func NewBodyBudget(a *account.Account) *BodyBudget { return &BodyBudget{a} }
+
+// BodyShare is the memory of one body.
 type BodyShare struct {
-	budget *BodyBudget
-	held   int64
+	account *account.Account
+	client  Holder // of the request that the body answers; nil if it is the process's own
+	held    int64
 }
 
 // Share returns the share of a body, which holds nothing yet. It must be released.
-func (b *BodyBudget) Share() *BodyShare { return &BodyShare{budget: b} }
+func (b *BodyBudget) Share(ctx context.Context) *BodyShare {
+	return &BodyShare{account: b.account, client: HolderOf(ctx)}
+}
 
-// Hold sets the share to the given size of the body. The first freeBodyBytes need no
-// budget.
+// Hold sets the share to the given size of the body.
 func (s *BodyShare) Hold(size int64) error {
-	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
-	more := max(size-freeBodyBytes, 0) - s.held
-	if more > s.budget.left {
+	more := size - s.held
+	switch {
+	case s.client != nil:
+		if err := s.client.Hold(more); err != nil {
+			return err
+		}
+	case more <= 0 || size <= freeBodyBytes:
+		s.account.Add(account.Responses, more)
+	case !s.account.Take(account.Responses, more):
 		return ErrBodyBudget
 	}
-	s.budget.left -= more
-	s.held += more
+	s.held = size
 	return nil
 }
 
-// Release returns the share to the budget.
+// Release returns what the share holds.
 func (s *BodyShare) Release() {
-	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
-	s.budget.left += s.held
-	s.held = 0
+	_ = s.Hold(0) // less is always granted
 }
 
-// ReadAll reads a body of at most limit bytes to its end.
-func (b *BodyBudget) ReadAll(body io.Reader, limit int) ([]byte, error) {
-	share := b.Share()
-	defer share.Release()
-	return ReadBody(body, -1, int64(limit), share.Hold)
+// ReadAll reads a body of at most limit bytes to its end. length is the announced one, or
+// negative. The body of a response to a client counts until that response was sent.
+func (b *BodyBudget) ReadAll(ctx context.Context, body io.Reader, length int64, limit int) ([]byte, error) {
+	share := b.Share(ctx)
+	data, err := ReadBody(body, length, int64(limit), share.Hold)
+	if err != nil || share.client == nil {
+		share.Release()
+	}
+	return data, err
 }
 
 // ReadBody reads a body of at most limit bytes to its end. length is the announced one, or
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -46,7 +46,8 @@
 	peer   bool // carries gRPC
 	opaque bool // the bytes are encrypted
 
-	held int64 // guarded by guard.mu
+	held   int64 // guarded by guard.mu
+	beside int64 // part of held that the request takes beside its head and body; guarded by guard.mu
 
 	mu     sync.Mutex
 	stage  stage
@@ -92,7 +93,7 @@
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 		return errLongHead
 	}
-	return c.grow(size - before)
+	return c.grow(nil, size-before)
 }
 
 func (g *Guard) maxHead() int {
@@ -127,14 +128,15 @@
 	c.guard.table.Progress(c.id, bytes, time.Now())
 }
 
-// grow adds to what the connection holds, and waits for room for it.
-func (c *Conn) grow(bytes int64) error {
+// grow adds to what the connection holds, and waits for room for it. r is the request that
+// is handled, or nil while its head arrives.
+func (c *Conn) grow(r *request, bytes int64) error {
 	deadline := time.NewTimer(roomTimeout)
 	defer deadline.Stop()
 	for {
-		granted, changed := c.tryGrow(bytes)
-		if granted {
-			return nil
+		granted, changed, err := c.tryGrow(r, bytes)
+		if granted || err != nil {
+			return err
 		}
 		select {
 		case <-changed:
@@ -149,18 +151,25 @@
 
 // tryGrow adds to what the connection holds if there is room. Otherwise it closes
 // connections and returns a channel that is closed when it can be tried again.
-func (c *Conn) tryGrow(bytes int64) (granted bool, changed <-chan struct{}) {
+func (c *Conn) tryGrow(r *request, bytes int64) (granted bool, changed <-chan struct{}, err error) {
 	g := c.guard
 	g.mu.Lock()
+	if r != nil && r.ended {
+		g.mu.Unlock()
+		return false, nil, net.ErrClosed
+	}
 	verdict, closing := g.table.Hold(c.id, c.held+bytes, time.Now())
 	granted = verdict == core.Granted
 	if granted {
 		c.held += bytes
 	}
+	if granted && bytes < 0 {
+		g.notify()
+	}
 	changed = g.changed
 	g.mu.Unlock()
 	g.close(closing)
-	return granted, changed
+	return granted, changed, nil
 }
 
 // add adds to what the connection holds, whether there is room or not.
@@ -171,6 +180,12 @@
 	c.guard.table.Add(c.id, bytes)
 }
 
+func (c *Conn) besideHeld() int64 {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return c.beside
+}
+
 // begin notes that a handler begins.
 func (c *Conn) begin(expectsBody bool) {
 	c.mu.Lock()
@@ -203,19 +218,22 @@
 	g := c.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.held = 0
+	c.held, c.beside = 0, 0
 	g.table.Add(c.id, -g.table.HeldBy(c.id))
 	g.table.Enter(c.id, core.Idle, time.Now())
 	g.notify()
 }
 
-// Write implements net.Conn. Bytes that the kernel has not taken yet count as memory.
+// Write implements net.Conn. Bytes that the kernel has not taken yet count as memory, unless
+// the request has counted its response.
 func (c *Conn) Write(p []byte) (int, error) {
 	if len(p) <= writeBlockBytes {
 		return c.writeBlock(p)
 	}
-	c.add(int64(len(p)))
-	defer c.add(-int64(len(p)))
+	if uncounted := max(int64(len(p))-c.besideHeld(), 0); uncounted > 0 {
+		c.add(uncounted)
+		defer c.add(-uncounted)
+	}
 	written := 0
 	for written < len(p) {
 		n, err := c.writeBlock(p[written:min(len(p), written+writeBlockBytes)])
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -12,18 +12,13 @@
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	core "github.com/sesamestand/sesamestand/internal/core/intake"
 	"github.com/sesamestand/sesamestand/internal/telemetry"
 )
 
 // Limits of connections and memory.
 const (
-	// memoryShare is the share of the process's memory for heads, bodies and responses that
-	// are being written, largeShare the part of it for what exceeds core.SmallBytes in one
-	// connection. A body of 32 MiB fits into 144 MB while it moves into its last block.
-	memoryShare, largeShare = 0.45, 0.35
-	// unlimitedBytes is the memory for them in a process without a memory limit.
-	unlimitedBytes = 512 << 20
 	// connectionShare is the share of the process's memory for buffers and stacks of
 	// connections, of some connectionBytes each.
 	connectionShare = 0.25
@@ -55,6 +50,8 @@
 	// sweepInterval is the interval at which connections without progress are closed, and
 	// at which waiting requests ask again.
 	sweepInterval = 250 * time.Millisecond
+	// gaugeSweeps is the number of sweeps between two updates of the gauges.
+	gaugeSweeps = 8
 )
 
 const (
@@ -76,7 +73,9 @@
 type Options struct {
 	MemoryMB       float64 // memory limit of the process, or 0
 	MaxConnections int     // of clients; 0 means a share of the descriptors
-	Recorder       *telemetry.Recorder
+	// Account counts what the connections hold, beside other holders of the process.
+	Account  *account.Account
+	Recorder *telemetry.Recorder
 	// Heads returns the limits of heads, which may change. nil means the defaults.
 	Heads func() HeadLimits
 }
@@ -97,7 +96,7 @@
 // New returns a guard.
 func New(options Options) *Guard {
 	g := &Guard{
-		options: options, logged: rate.NewLimiter(1, 5), table: core.NewTable(core.Limits{}),
+		options: options, logged: rate.NewLimiter(1, 5), table: core.NewTable(core.Limits{}, options.Account),
 		conns: make(map[core.ID]*Conn), byRemote: make(map[string]*Conn), changed: make(chan struct{}),
 	}
 	g.updateLimits()
@@ -108,13 +107,16 @@
 func (g *Guard) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	for {
+	for sweep := 0; ; sweep++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
 		g.updateLimits()
+		if sweep%gaugeSweeps == 0 {
+			g.observeHeld()
+		}
 		g.mu.Lock()
 		closing := g.table.Expired(time.Now())
 		g.notify()
@@ -123,6 +125,16 @@
 	}
 }
 
+// observeHeld sets the gauges of the memory that clients make the process hold.
+func (g *Guard) observeHeld() {
+	if g.options.Recorder == nil {
+		return
+	}
+	for _, h := range account.Holders() {
+		g.options.Recorder.Set("client_memory_bytes", g.options.Account.Held(h), "holder", h.String())
+	}
+}
+
 // updateLimits applies the limits of the settings and of the newest configuration.
 func (g *Guard) updateLimits() {
 	heads := HeadLimits{}
@@ -133,12 +145,10 @@
 		heads.Bytes = DefaultHeadBytes
 	}
 	limits := core.Limits{
-		Memory: unlimitedBytes, LargeMemory: unlimitedBytes,
 		HeadTimeout: max(DefaultHeadTimeout, heads.Timeout), BodyTimeout: bodyTimeout, ResponseTimeout: responseTimeout,
 	}
 	connections := g.maxConnections()
 	if memory := g.options.MemoryMB * (1 << 20); memory > 0 {
-		limits.Memory, limits.LargeMemory = int64(memory*memoryShare), int64(memory*largeShare)
 		connections = min(connections, int(memory*connectionShare/connectionBytes))
 	}
 	operators, peers := min(operatorConnections, int(float64(connections)*operatorShare)), int(float64(connections)*peerShare)
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -61,13 +61,24 @@
 	return maxHeadBytes
 }
 
-// request is the memory of a request that is being handled.
+// request is the memory of a request that is being handled. It implements httpapi.Holder.
 type request struct {
-	conn *Conn
-	held int64 // by the body
+	conn  *Conn
+	body  int64 // held by the body
+	ended bool  // guarded by the guard's mu
 }
 
-type requestKey struct{}
+// Hold implements httpapi.Holder.
+func (r *request) Hold(more int64) error {
+	if err := r.conn.grow(r, more); err != nil {
+		return err
+	}
+	g := r.conn.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.conn.beside += more
+	return nil
+}
 
 // handler counts the memory of requests until next has ended.
 func (g *Guard) handler(next http.Handler) http.Handler {
@@ -80,11 +91,13 @@
 		body := &body{ReadCloser: r.Body, conn: conn, ended: r.Body == http.NoBody || r.ContentLength == 0}
 		conn.begin(!body.ended && r.ProtoMajor < 2)
 		defer func() { conn.end(body.ended || r.ProtoMajor >= 2) }()
-		if conn.opaque && conn.grow(core.HeadBytes(0, headerLines(r.Header))) != nil {
+		request := &request{conn: conn}
+		defer request.end()
+		if conn.opaque && request.Hold(core.HeadBytes(0, headerLines(r.Header))) != nil {
 			httpapi.WriteRefusalWithStatus(w, "", BodyRefusal(ErrNoMemory), http.StatusServiceUnavailable)
 			return
 		}
-		r = r.WithContext(context.WithValue(r.Context(), requestKey{}, &request{conn: conn}))
+		r = r.WithContext(httpapi.WithHolder(r.Context(), request))
 		r.Body = body
 		next.ServeHTTP(w, r)
 	})
@@ -119,8 +132,8 @@
 // the response was sent. The error is an *http.MaxBytesError if the body is longer.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	hold := func(int64) error { return nil }
-	if request, ok := r.Context().Value(requestKey{}).(*request); ok {
-		hold = request.hold
+	if request, ok := httpapi.HolderOf(r.Context()).(*request); ok {
+		hold = request.holdBody
 	}
 	data, err := httpapi.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, hold)
 	if errors.Is(err, httpapi.ErrBodyTooLong) {
@@ -129,22 +142,31 @@
 	return data, err
 }
 
-// Reserve counts memory of a request beside its body, before the body is decoded.
-func Reserve(r *http.Request, bytes int64) error {
-	if request, ok := r.Context().Value(requestKey{}).(*request); ok {
-		return request.conn.grow(bytes)
+// Hold counts memory that a client's request takes beside its body, before it is taken. ctx
+// is the context of the request.
+func Hold(ctx context.Context, bytes int64) error {
+	if h := httpapi.HolderOf(ctx); h != nil {
+		return h.Hold(bytes)
 	}
 	return nil
 }
 
-func (r *request) hold(size int64) error {
-	if err := r.conn.grow(size - r.held); err != nil {
+func (r *request) holdBody(size int64) error {
+	if err := r.conn.grow(r, size-r.body); err != nil {
 		return err
 	}
-	r.held = size
+	r.body = size
 	return nil
 }
 
+// end notes that the request is not handled any more. A call for it that still runs counts
+// no further memory, which nobody would return.
+func (r *request) end() {
+	r.conn.guard.mu.Lock()
+	defer r.conn.guard.mu.Unlock()
+	r.ended = true
+}
+
 // BodyRefusal returns the refusal of a request whose body was not read or decoded. The
 // request was not run.
 func BodyRefusal(err error) *cluster.Refusal {
--- a/internal/intake/handler_test.go
+++ b/internal/intake/handler_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	core "github.com/sesamestand/sesamestand/internal/core/intake"
 )
 
@@ -39,6 +40,11 @@
 	return listener.Addr().String()
 }
 
+// smallOptions returns the options of a process with a memory limit in MB.
+func smallOptions(memoryMB float64) Options {
+	return Options{MemoryMB: memoryMB, Account: account.New(account.NewLimits(memoryMB, 0.45, 0))}
+}
+
 // requireEmpty waits until no memory and no connection is counted.
 func requireEmpty(t *testing.T, guard *Guard) {
 	t.Helper()
@@ -77,7 +83,7 @@
 // smallest hosts, and against memory that is not returned.
 func TestLargestBodyIsServedOnTheSmallestHost(t *testing.T) {
 	const size = 32 << 20
-	guard := New(Options{MemoryMB: 144})
+	guard := New(smallOptions(144))
 	addr, client := serve(t, guard, size), &http.Client{Transport: &http.Transport{}}
 	for range 3 {
 		must.EqOp(t, fmt.Sprint("200 ", size), post(t, client, addr, strings.NewReader(strings.Repeat("x", size))))
@@ -92,7 +98,7 @@
 // Guards against heads beyond the limit of the configuration, which may change, and
 // against the refusal of heads within it.
 func TestHeadBeyondTheLimitIsRefused(t *testing.T) {
-	guard := New(Options{Heads: func() HeadLimits { return HeadLimits{Bytes: 8 << 10} }})
+	guard := New(Options{Account: account.Unlimited(), Heads: func() HeadLimits { return HeadLimits{Bytes: 8 << 10} }})
 	addr := serve(t, guard, 1<<10)
 	for size, want := range map[int]string{8 << 10: "200", 8<<10 + headSlackBytes + 1: "431", 300 << 10: "431"} {
 		conn, err := net.Dial("tcp", addr)
@@ -111,7 +117,9 @@
 // served.
 func TestStalledBodiesMakeRoom(t *testing.T) {
 	const size = 1 << 20
-	guard := New(Options{MemoryMB: 8, MaxConnections: 100})
+	options := smallOptions(8)
+	options.MaxConnections = 100
+	guard := New(options)
 	addr := serve(t, guard, size)
 	for range 10 {
 		conn, err := net.Dial("tcp", addr)
--- a/internal/intake/tls_test.go
+++ b/internal/intake/tls_test.go
@@ -19,7 +19,7 @@
 func TestEncryptedConnectionsAreServed(t *testing.T) {
 	const size = 300 << 10
 	for _, http2 := range []bool{false, true} {
-		guard := New(Options{MemoryMB: 64})
+		guard := New(smallOptions(64))
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
 		server := httptest.NewUnstartedServer(nil)
--- a/internal/services/controller.go
+++ b/internal/services/controller.go
@@ -21,6 +21,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/access"
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/core/flight"
 	"github.com/sesamestand/sesamestand/internal/core/intent"
 	"github.com/sesamestand/sesamestand/internal/declare"
@@ -35,8 +36,8 @@
 type Config struct {
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
-	// MemoryMB is the memory limit of the process, or 0.
-	MemoryMB float64
+	// Account counts the responses of backend servers.
+	Account *account.Account
 	// RequestTimeout is the timeout of requests that do not set one.
 	RequestTimeout time.Duration
 	// BackendToken is sent to backend servers; if empty, none is sent.
@@ -129,7 +130,7 @@
 	return &Controller{
 		config: c, log: log, configs: configs, members: members, peers: peers, recorder: recorder,
 		backends:   backends,
-		client:     newClient(c.BackendToken, httpapi.NewBodyBudget(c.MemoryMB), backends.observe),
+		client:     newClient(c.BackendToken, httpapi.NewBodyBudget(c.Account), backends.observe),
 		budget:     &retryBudget{budget: flight.NewBudget(c.RetryShare, c.RetryReserve)},
 		liveness:   newHostLiveness(members, c.Retention),
 		writerWake: make(chan struct{}, 1),
--- a/internal/services/harness_test.go
+++ b/internal/services/harness_test.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/declare"
 	"github.com/sesamestand/sesamestand/internal/limits"
 	"github.com/sesamestand/sesamestand/internal/peer/peerpb"
@@ -129,7 +130,7 @@
 func (env *testEnv) startUnready(id string) *host {
 	recorder, err := telemetry.NewRecorder(id, 100)
 	must.NoError(env.t, err)
-	config := Config{PollWait: 20 * time.Millisecond, IntentTimeout: 500 * time.Millisecond, MaxBodyBytes: 1000, ClockSkew: 5 * time.Millisecond}
+	config := Config{Account: account.Unlimited(), PollWait: 20 * time.Millisecond, IntentTimeout: 500 * time.Millisecond, MaxBodyBytes: 1000, ClockSkew: 5 * time.Millisecond}
 	view := hostView{env, id}
 	h := &host{Controller: New(config, env.log, env, view, env, env, limits.NewForMembers(view, env, recorder), recorder)}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/services/status_test.go
+++ b/internal/services/status_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/httpapi"
 	"github.com/sesamestand/sesamestand/internal/platform"
 	"github.com/sesamestand/sesamestand/internal/standin/rawserver"
@@ -17,7 +18,7 @@
 // something about its server.
 func TestResponseWithAnInvalidStatusIsNoResponse(t *testing.T) {
 	rawserver.CheckInvalidStatuses(t, "", "receipt", func(addr string) error {
-		c := newClient("", httpapi.NewBodyBudget(0), func(platform.BackendServer, string, *http.Response, time.Time) {
+		c := newClient("", httpapi.NewBodyBudget(account.Unlimited()), func(platform.BackendServer, string, *http.Response, time.Time) {
 			t.Error("the response is observed")
 		})
 		call := &request{id: "r", method: http.MethodPost, uri: "/p", header: http.Header{}}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/finding"
 	"github.com/sesamestand/sesamestand/internal/inifile"
 )
@@ -129,10 +130,16 @@
 	Spillover          bool    // work leaves its data centre by core/spill
 	CPUShare           float64 // share of Cores that the process may use
 	MemoryMB           float64 // 0 means no limit
+	ClientMemory       float64 // share of MemoryMB for what clients make the process hold
 	Cores              float64
 	StrictRevocation   bool // requests with a removed key must not run after RevokeWithin
 }
 
+// NewAccount returns the account of what clients make the process hold.
+func (l *Limits) NewAccount() *account.Account {
+	return account.New(account.NewLimits(l.MemoryMB, l.ClientMemory, 0))
+}
+
 // Timing holds timeouts, intervals and retention times. Section [timing].
 type Timing struct {
 	ProgressTimeout time.Duration // longest gap between two chunks of a stream
--- a/internal/standin/untrusted/crowd.go
+++ b/internal/standin/untrusted/crowd.go
@@ -65,9 +65,7 @@
 			if err != nil {
 				return
 			}
-			c.mu.Lock()
-			c.conns = append(c.conns, conn)
-			c.mu.Unlock()
+			c.keep(conn)
 			_ = conn.SetDeadline(time.Now().Add(sendTimeout))
 			send(i, conn)
 		})
@@ -75,6 +73,13 @@
 	clients.Wait()
 }
 
+// keep keeps a connection open until Close.
+func (c *Crowd) keep(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns = append(c.conns, conn)
+}
+
 // ShortLines sends requests whose heads have the given size and are made of short lines.
 // They announce bodies that never arrive.
 func (c *Crowd) ShortLines(count int, target Target, headBytes int) {
