Leave the memory of the program out of the runtime's soft limit

What callers saw: a host of 128 MB reached 132 MB under large bodies with unread responses, although what clients held was within its limit.

Cause: the soft limit of the Go runtime was 0.8 of the memory. The runtime does not count the resident pages of the program and of the C library, 19 MB of the 21 MB of an idle process (RssFile in /proc/PID/status), so it let garbage grow up to 102 MB beside them.

Change: the soft limit is 0.8 of the memory without 20 MB for the program, and half of the memory at least.

--- a/cmd/sesamestand/serve.go
+++ b/cmd/sesamestand/serve.go
@@ -29,7 +29,7 @@
 		return err
 	}
 	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * softMemoryShare * (1 << 20)))
+		debug.SetMemoryLimit(softMemoryLimit(s.Limits.MemoryMB))
 	}
 	if s.Platform.OnLogStore() {
 		return serveOnLogStore(ctx, s)
@@ -41,10 +41,21 @@
 	return host.Run(ctx)
 }
 
-// softMemoryShare is the share of the memory limit that is set as the soft limit
-// of the Go runtime, near which it collects garbage more often. The rest is
-// reserved for socket buffers and stacks.
-const softMemoryShare = 0.8
+const (
+	// softMemoryShare is the share of the memory limit, without the program's, that is set
+	// as the soft limit of the Go runtime, near which it collects garbage more often. The
+	// rest is reserved for socket buffers, and for garbage that the runtime is late with.
+	softMemoryShare = 0.8
+	// programMB is the resident memory of the program and the C library. The runtime does
+	// not count it.
+	programMB = 20
+)
+
+// softMemoryLimit returns the soft limit of the Go runtime, in bytes, for a memory limit of
+// the process in MB. A process with very little memory keeps half of it.
+func softMemoryLimit(memoryMB float64) int64 {
+	return int64(max((memoryMB-programMB)*softMemoryShare, memoryMB/2) * (1 << 20))
+}
 
 // logFlushTimeout bounds how long the process waits at its end for its last log lines. It
 // is below the time between the end of a drain and the platform's kill.
