Bound the memory of recent decisions

What callers saw: a host ended for lack of memory after some thousand requests with request IDs of 15 KB, long after the last of them was answered.

Cause: the last 20,000 decisions kept the request IDs as the clients had sent them, and error messages that quote them: up to 300 MB, of which no limit knew.

Change: decisions and their log lines keep at most 256 bytes of a request ID, a longer one as its beginning and its digest, by which explain finds it; texts among the details are cut after 1 KiB.

Why it works: the size of a decision no longer depends on the client, and decisions of any size stay within a share.

--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -45,8 +45,12 @@
 
 func newAccount(s settings.Settings) *account.Account { return s.Limits.NewAccount() }
 
-func newRecorder(s settings.Settings) (*telemetry.Recorder, error) {
-	return telemetry.NewRecorder(s.Host.ID, s.Limits.DecisionLogPerSec)
+func newRecorder(s settings.Settings, a *account.Account) (*telemetry.Recorder, error) {
+	recorder, err := telemetry.NewRecorder(s.Host.ID, s.Limits.DecisionLogPerSec)
+	if err == nil {
+		recorder.CountOn(a)
+	}
+	return recorder, err
 }
 
 func newTLS(s settings.Settings) (*tlsfiles.Source, error) { return tlsfiles.New(s.TLS) }
--- a/internal/entry/wire_gen.go
+++ b/internal/entry/wire_gen.go
@@ -28,7 +28,8 @@
 
 // New returns an entry host with the given settings.
 func New(s settings.Settings) (*Host, error) {
-	recorder, err := newRecorder(s)
+	account := newAccount(s)
+	recorder, err := newRecorder(s, account)
 	if err != nil {
 		return nil, err
 	}
@@ -50,7 +51,6 @@
 	ownerController := owner.New(ownerConfig, controller, ordersController, ordersController, configsController, client, pool, recorder)
 	callersConfig := newCallersConfig(s)
 	callersController := callers.New(callersConfig, controller, ordersController, configsController, controller, inventoryController, ownerController, pool, recorder)
-	account := newAccount(s)
 	servicesConfig := newServicesConfig(s, account)
 	limitsController := limits.NewForMembers(controller, pool, recorder)
 	servicesController := services.New(servicesConfig, log, configsController, controller, inventoryController, pool, limitsController, recorder)
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -18,10 +20,21 @@
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
+
+	"github.com/sesamestand/sesamestand/internal/core/account"
+	"github.com/sesamestand/sesamestand/internal/core/requestid"
 )
 
-// explainCapacity is the number of recent decisions retained for explain requests.
-const explainCapacity = 20000
+// Recent decisions are retained for explain requests.
+const (
+	explainCapacity = 20000
+	// decisionBytes is the memory of a decision beside its text, detailBytes that of a key
+	// or a value.
+	decisionBytes = 128
+	detailBytes   = 32
+	// maxTextBytes bounds a text in a decision: error messages may quote what clients sent.
+	maxTextBytes = 1 << 10
+)
 
 // Recorder records the decisions and metrics of one process. It is safe for
 // concurrent use.
@@ -36,8 +49,9 @@
 	gauges     map[string]metric.Int64Gauge
 	histograms map[string]metric.Float64Histogram
 	totals     map[string]int64
-	decisions  []Decision // ring buffer of up to explainCapacity entries
-	oldest     int        // index of the oldest entry, overwritten next once the buffer is full
+	decisions  []Decision // oldest first, up to explainCapacity
+	account    *account.Account
+	evictions  *rate.Limiter // of log lines
 }
 
 // Decision is one recorded routing or placement decision.
@@ -65,36 +79,86 @@
 		gauges:     make(map[string]metric.Int64Gauge),
 		histograms: make(map[string]metric.Float64Histogram),
 		totals:     make(map[string]int64),
+		account:    account.Unlimited(),
+		evictions:  rate.NewLimiter(rate.Every(time.Minute), 1),
 	}, nil
 }
 
+// CountOn counts the retained decisions on an account, by which they are limited. It must
+// be called before the first decision.
+func (r *Recorder) CountOn(a *account.Account) { r.account = a }
+
 // RecordDecision records one routing or placement decision with alternating keys
 // and values. The kind is a fixed string, for example "route" or "place". Above the
-// configured rate the log line is dropped, but Explain still returns the decision.
+// configured rate the log line is dropped, but Explain still returns the decision. Long
+// texts are shortened.
 func (r *Recorder) RecordDecision(kind, requestID string, keysAndValues ...any) {
+	decision := Decision{Kind: kind, RequestID: requestid.Short(requestID), Details: keysAndValues}
+	decision.shorten()
 	if r.limiter.Allow() {
-		klog.InfoS("decision", append([]any{"host", r.host, "kind", kind, "request_id", requestID}, keysAndValues...)...)
+		klog.InfoS("decision", append([]any{"host", r.host, "kind", kind, "request_id", decision.RequestID}, decision.Details...)...)
 	} else {
 		r.Count("decision_lines_dropped_total")
 	}
+	if evicted := r.retain(decision); evicted > 0 {
+		r.Add("decisions_evicted_total", int64(evicted))
+		if r.evictions.Allow() {
+			klog.InfoS("recent decisions evicted for memory", "evicted", evicted, "held_bytes", r.account.Held(account.Decisions))
+		}
+	}
+}
+
+// retain retains a decision, and returns how many were evicted because of their memory.
+func (r *Recorder) retain(decision Decision) (evicted int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	decision := Decision{Kind: kind, RequestID: requestID, Details: keysAndValues}
-	if len(r.decisions) < explainCapacity {
-		r.decisions = append(r.decisions, decision)
-		return
+	if len(r.decisions) == explainCapacity {
+		r.evictOldest()
+	}
+	r.decisions = append(r.decisions, decision)
+	r.account.Add(account.Decisions, decision.size())
+	for len(r.decisions) > 1 && r.account.Held(account.Decisions) > r.account.Limits().Decisions {
+		r.evictOldest()
+		evicted++
+	}
+	return evicted
+}
+
+// evictOldest evicts the oldest decision. The caller holds mu.
+func (r *Recorder) evictOldest() {
+	r.account.Add(account.Decisions, -r.decisions[0].size())
+	r.decisions[0] = Decision{}
+	r.decisions = r.decisions[1:]
+}
+
+// shorten shortens long texts among the details.
+func (d *Decision) shorten() {
+	for i, detail := range d.Details {
+		if text, ok := detail.(string); ok && len(text) > maxTextBytes {
+			d.Details = slices.Clone(d.Details)
+			d.Details[i] = strings.ToValidUTF8(text[:maxTextBytes], "") + "..."
+		}
+	}
+}
+
+// size returns the memory of the decision.
+func (d *Decision) size() int64 {
+	size := decisionBytes + len(d.RequestID) + len(d.Details)*detailBytes
+	for _, detail := range d.Details {
+		if text, ok := detail.(string); ok {
+			size += len(text)
+		}
 	}
-	r.decisions[r.oldest] = decision
-	r.oldest = (r.oldest + 1) % explainCapacity
+	return int64(size)
 }
 
 // Explain returns the retained decisions about a request, oldest first.
 func (r *Recorder) Explain(requestID string) []Decision {
+	requestID = requestid.Short(requestID)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var found []Decision
-	for i := range r.decisions {
-		d := r.decisions[(r.oldest+i)%len(r.decisions)]
+	for _, d := range r.decisions {
 		if d.RequestID == requestID {
 			found = append(found, d)
 		}
