Refuse jobs for which hosts have no memory

What callers saw: hosts ended for lack of memory after clients had submitted jobs of legal size, and again after each start, since a host that starts reads all accepted jobs. All of their callers lost their connections.

Cause: a submission counted only until it was answered. What an accepted job takes afterwards was nobody's account: its items and results on each host, its payloads and the state of its items on the host that runs them, for twice the retention. Payloads were kept until a job ended even if all its items had results, and a host that took a partition over read those of all its jobs at the same time.

Evidence, on with 128 MB, peak of the resident memory: 144 MB with 16 clients that submit 4 jobs of 20,000 items each, 257 MB with 16 clients that submit 6 jobs of an item of 1 MB each (TestAcceptedJobsFillNoMemory, failed). A host beside the one that accepted them 428 and 178 MB, one that was started after both were killed 697 and 239 MB (TestAcceptedJobsFitIntoOtherHosts, failed).

Change: a job has a footprint, an upper bound of its memory on a host that runs all of it. A submission takes it from the account before anything is stored, and is refused as not run with a Retry-After if it does not fit; the table of jobs counts what was read. [limits] job_memory is 64 MB, and two thirds of client_memory at most. By calculation, 187 items a second, kept for 240 s, take 33 MB. jobs_refused_for_memory_total and a log line show refusals. Payloads and scheduling state are released when all items have results. Runners read 4 MB of payloads at a time. A result is held once, not again for reuse; a finished item took 685 bytes before (a trial with 20,000 items). The memory of decoding is returned when the items count with the job, so a job of 20,000 items is accepted alone.

Why it works: what is accepted fits into the host that accepts it and into those with the same settings, also if one of them runs all of it.

--- a/internal/core/jobs/jobs.go
+++ b/internal/core/jobs/jobs.go
@@ -148,6 +148,8 @@
 	totalChunks int
 	outOfOrder  map[int]Result // results by position, while a lower position is missing
 	changed     chan struct{}  // closed when a result is committed or the job ends
+	footprint   Footprint
+	held        int64 // see Table.Held
 }
 
 // Changed returns a channel that is closed when the next result is committed or
@@ -181,6 +183,7 @@
 	finished map[itemKey]finishedItem
 	// partials holds the locations of partial outputs by item ID.
 	partials map[string]BlobRef
+	held     int64
 }
 
 // itemKey identifies an item among the jobs of a partition. Outputs are stored by
@@ -192,7 +195,7 @@
 
 // finishedItem is an item with a successful result.
 type finishedItem struct {
-	result Result
+	result *Result
 	jobs   int // number of jobs with a successful result of the item
 }
 
@@ -233,7 +236,10 @@
 // Finished returns the successful result of an item from any job of a partition.
 func (t *Table) Finished(partition int, item string) (Result, bool) {
 	f, ok := t.finished[itemKey{partition, item}]
-	return f.result, ok
+	if !ok {
+		return Result{}, false
+	}
+	return *f.result, true
 }
 
 // Partial returns the location of the partial output of an item.
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -164,11 +164,15 @@
 	}
 	if e == nil || e.Partition != partition && kind == kindChunk {
 		ended := e != nil && e.Ended
+		if e != nil {
+			t.held -= e.held
+		}
 		e = t.entries.Put(id, Entry{
 			Partition: partition, Ended: ended, Committed: make(map[string]int), chunks: make(map[int][]byte),
 			outOfOrder: make(map[int]Result), changed: make(chan struct{}),
 		})
 	}
+	defer t.updateHeld(e)
 	switch kind {
 	case kindChunk:
 		return e.addChunk(rest, r.Value, now)
@@ -210,6 +214,7 @@
 			for _, r := range e.Results {
 				t.removeFinished(itemKey{e.Partition, r.Item}, r)
 			}
+			t.held -= e.held
 			t.entries.Delete(id)
 		}
 	}
@@ -226,6 +231,8 @@
 		delete(t.finished, key)
 		return
 	}
+	kept := *item.result // the results of the removed job must not stay with it
+	item.result = &kept
 	t.finished[key] = item
 }
 
@@ -255,7 +262,7 @@
 	if err := json.Unmarshal(data, job); err != nil {
 		return eris.Wrap(err, "decode job")
 	}
-	e.Job, e.ReadAt, e.chunks = job, now, nil
+	e.Job, e.ReadAt, e.chunks, e.footprint = job, now, nil, job.Footprint()
 	return nil
 }
 
@@ -281,11 +288,14 @@
 		}
 		delete(e.outOfOrder, len(e.Results))
 		e.Committed[next.Item] = len(e.Results)
+		if e.Results == nil && e.Job != nil {
+			e.Results = make([]Result, 0, len(e.Job.Items))
+		}
 		e.Results = append(e.Results, next)
 		delete(t.partials, next.Item)
 		if !next.Failed {
 			key := itemKey{e.Partition, next.Item}
-			t.finished[key] = finishedItem{result: next, jobs: t.finished[key].jobs + 1}
+			t.finished[key] = finishedItem{result: &e.Results[len(e.Results)-1], jobs: t.finished[key].jobs + 1}
 		}
 		e.notify()
 	}
--- a/internal/fronthost/apply.go
+++ b/internal/fronthost/apply.go
@@ -5,6 +5,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/duties"
@@ -136,7 +137,10 @@
 func (h *Host) applyWorkRecord(partition int, r logstore.Record, fromListing bool, now time.Time) error {
 	switch {
 	case jobs.IsJobKey(r.Key):
-		return h.jobs.Apply(partition, r, now)
+		held := h.jobs.Held()
+		err := h.jobs.Apply(partition, r, now)
+		h.account.Add(account.Jobs, h.jobs.Held()-held)
+		return err
 	case isPlacementKey(r.Key):
 		err := h.applyPlacement(r, fromListing, now)
 		h.wakeRunners()
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -20,6 +20,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/backend"
@@ -104,6 +105,7 @@
 	limitAllocator atomic.Pointer[limits.Allocator]
 	duties         hostDuties
 	blobs          *blobStore
+	loads          *semaphore.Weighted // bytes of payloads and partial outputs that runners read at a time
 	keepUp         keepup.Config
 	behind         chan struct{} // receives when a runner does not keep up
 
@@ -163,6 +165,7 @@
 	}
 	h.guard = intake.New(intake.Options{MemoryMB: s.Limits.MemoryMB, MaxConnections: s.Limits.MaxConnections, Account: held, Recorder: recorder, Heads: h.headLimits})
 	h.keepUp, h.behind = keepup.Defaults(), make(chan struct{}, 1)
+	h.loads = semaphore.NewWeighted(maxLoadBytes)
 	h.surveyed = make(chan struct{})
 	h.serving, h.stopServing = context.WithCancel(context.Background())
 	if h.isSmall() {
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/sesamestand/sesamestand/internal/cluster"
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 )
@@ -78,6 +79,12 @@
 	if err != nil {
 		return notRunRefusal(cluster.ReasonBadRequest, err.Error())
 	}
+	job.Payloads.Bytes = len(data)
+	needed := job.Footprint().Bytes()
+	if !h.account.Take(account.Jobs, needed) {
+		return h.refuseJobMemory(job, needed)
+	}
+	defer h.account.Add(account.Jobs, -needed) // the table counts an accepted job
 	h.mu.Lock()
 	partition := h.partitionOf(job.Model)
 	follower := h.followers[partition]
@@ -124,6 +131,20 @@
 	return nil
 }
 
+// jobMemoryRetryAfter is the delay after which a caller should retry when this host has no
+// memory for a job. Other hosts may have some; here it returns when jobs end.
+const jobMemoryRetryAfter = time.Second
+
+// refuseJobMemory refuses a job for which this host has no memory.
+func (h *Host) refuseJobMemory(job *jobs.Job, needed int64) *Refusal {
+	held, limit := h.account.Held(account.Jobs), h.account.Limits().Jobs
+	h.recorder.Count("jobs_refused_for_memory_total")
+	klog.InfoS("job refused for memory", "job", jobs.CallerID(job.ID), "items", len(job.Items), "needed_bytes", needed, "held_bytes", held, "limit_bytes", limit)
+	refusal := notRunRefusal(cluster.ReasonOverload, fmt.Sprintf("a job of %d bytes does not fit beside accepted jobs of %d bytes, the limit is %d", needed, held, limit))
+	refusal.RetryAfter = jobMemoryRetryAfter
+	return refusal
+}
+
 // isInFormerPartition reports whether a job lies in a partition that the current
 // configuration selects for none of its models. A submission that is repeated after a
 // change of the configuration must not be accepted a second time.
--- a/internal/fronthost/load.go
+++ b/internal/fronthost/load.go
@@ -22,6 +22,11 @@
 // doubles with each attempt, so that large payloads arrive on slow links, too.
 const maxLoadTimeout = 8 * time.Second
 
+// maxLoadBytes bounds the payloads and partial outputs that the runners of a host read at a
+// time, or one that is larger: a host that takes over a partition needs those of all its
+// jobs, and reading takes several times their size.
+const maxLoadBytes = 4 << 20
+
 // loadPayloads reports whether a job's payloads are loaded. The first call starts to
 // read them, and the stored partial outputs of the job's items, in the background.
 // The caller holds host.mu.
@@ -49,11 +54,23 @@
 // retries until the payloads are read, the runner or the job ends, or the host stops.
 func (h *Host) loadJob(e *jobs.Entry, state *runState, refs map[string]jobs.BlobRef) {
 	ctx := h.baseCtx
-	partials := h.readPartials(ctx, e.Partition, refs)
+	size := int64(e.Job.Payloads.Bytes)
+	for _, ref := range refs {
+		size += int64(ref.Bytes)
+	}
+	size = min(size, maxLoadBytes)
+	var partials map[string]jobs.Partial
 	for timeout := confirmTimeout; ctx.Err() == nil && h.needsPayloads(e, state); timeout = min(2*timeout, maxLoadTimeout) {
+		if h.loads.Acquire(ctx, size) != nil {
+			return
+		}
+		if partials == nil {
+			partials = h.readPartials(ctx, e.Partition, refs)
+		}
 		attemptCtx, cancel := context.WithTimeout(ctx, timeout)
 		payloads, err := h.readPayloads(attemptCtx, e)
 		cancel()
+		h.loads.Release(size)
 		if err != nil {
 			klog.InfoS("payloads not read, retrying", "job", jobs.CallerID(e.Job.ID), "err", err)
 			select {
@@ -155,11 +172,11 @@
 	}
 }
 
-// releaseEnded releases the payloads and the scheduler's state of jobs that ended or
-// were removed. The caller holds host.mu.
+// releaseEnded releases the payloads and the scheduler's state of jobs that ended, have all
+// results or were removed. The caller holds host.mu.
 func (r *runner) releaseEnded() {
 	for id := range r.payloads {
-		if e := r.host.jobs.Get(id); e == nil || e.Ended {
+		if e := r.host.jobs.Get(id); e == nil || e.IsDone() {
 			delete(r.payloads, id)
 			r.scheduler.RemoveJob(id)
 		}
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -203,7 +203,7 @@
 	}
 	r.alsoRead = r.alsoRead[:0]
 	h.jobs.Each(func(e *jobs.Entry) bool {
-		if e.Partition != r.partition || e.Ended {
+		if e.Partition != r.partition || e.IsDone() {
 			return true
 		}
 		r.alsoRead = append(r.alsoRead, e.AlsoIn...)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -80,7 +80,8 @@
 
 	floatKey("limits", "cpu_share", "share", "1", 0.01, 1024, "share of its cores that the process may use; hosts with less than half a core in total leave partition ownership to larger hosts", func(s *Settings) *float64 { return &s.Limits.CPUShare }),
 	floatKey("limits", "memory", "MB", "0", 0, 1<<20, "memory limit of the process; above 80 % of what the program itself leaves of it, garbage is collected more often; 0 means no limit", func(s *Settings) *float64 { return &s.Limits.MemoryMB }),
-	floatKey("limits", "client_memory", "share", "0.45", 0.1, 0.9, "share of memory for all that clients make the process hold: connections, requests, responses and recent decisions; 512 MB without a memory limit", func(s *Settings) *float64 { return &s.Limits.ClientMemory }),
+	floatKey("limits", "client_memory", "share", "0.45", 0.1, 0.9, "share of memory for all that clients make the process hold: connections, requests, responses, accepted jobs and recent decisions; 512 MB without a memory limit", func(s *Settings) *float64 { return &s.Limits.ClientMemory }),
+	floatKey("limits", "job_memory", "MB", "64", 1, 1<<20, "memory for accepted jobs, two thirds of client_memory at most; further jobs are refused. Every host holds all jobs, so hosts with little memory need a value that fits into the smallest one", func(s *Settings) *float64 { return &s.Limits.JobMemoryMB }),
 	boolKey("limits", "strict_revocation", "no request that is sent later than revoke_within after its key was removed may run; a host that has not read the store, or the log, for about nine tenths of that time refuses requests with keys", func(s *Settings) *bool { return &s.Limits.StrictRevocation }),
 	floatKey("limits", "cores", "cores", "1", 0.01, 1024, "number of CPU cores of the host", func(s *Settings) *float64 { return &s.Limits.Cores }),
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,13 +131,14 @@
 	CPUShare           float64 // share of Cores that the process may use
 	MemoryMB           float64 // 0 means no limit
 	ClientMemory       float64 // share of MemoryMB for what clients make the process hold
+	JobMemoryMB        float64 // of accepted jobs
 	Cores              float64
 	StrictRevocation   bool // requests with a removed key must not run after RevokeWithin
 }
 
 // NewAccount returns the account of what clients make the process hold.
 func (l *Limits) NewAccount() *account.Account {
-	return account.New(account.NewLimits(l.MemoryMB, l.ClientMemory, 0))
+	return account.New(account.NewLimits(l.MemoryMB, l.ClientMemory, l.JobMemoryMB))
 }
 
 // Timing holds timeouts, intervals and retention times. Section [timing].
