Count what calls on jobs read with their callers

What callers saw: a host ended for lack of memory while clients read results and item bodies and left the responses unread.

Cause: a page of results exists as records, blobs, texts and an encoded response, and counted only while the last of these was written. A read of one item body decoded the payloads of all items of its job.

Change: a call counts four times the size of the blobs that it needs with its caller before it reads them, and is refused with a Retry-After if there is no room (cause "memory" in its log line). A read of an item decodes that one.

Why it works: the sizes of blobs are known before they are read, so what a call will take is known before it takes it.

--- a/internal/core/jobs/memory.go
+++ b/internal/core/jobs/memory.go
@@ -1,5 +1,13 @@
 package jobs
 
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
 const (
 	// jobBytes is the memory of a job beside its items.
 	jobBytes = 2 << 10
@@ -51,3 +59,25 @@
 
 // IsDone reports whether no item of an accepted job needs to run any more.
 func (e *Entry) IsDone() bool { return e.Ended || len(e.Results) == len(e.Job.Items) }
+
+// DecodePayload returns one of the encoded payloads of a job, without the memory of the
+// others.
+func DecodePayload(data []byte, index int) (Payload, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if _, err := decoder.Token(); err != nil {
+		return Payload{}, eris.Wrap(err, "decode payloads")
+	}
+	var skipped json.RawMessage
+	for i := 0; decoder.More(); i++ {
+		if i < index {
+			if err := decoder.Decode(&skipped); err != nil {
+				return Payload{}, eris.Wrap(err, "decode payloads")
+			}
+			continue
+		}
+		var payload Payload
+		err := decoder.Decode(&payload)
+		return payload, eris.Wrap(err, "decode payload")
+	}
+	return Payload{}, fmt.Errorf("payload %d is missing", index)
+}
--- a/internal/core/jobs/memory_test.go
+++ b/internal/core/jobs/memory_test.go
@@ -1,6 +1,9 @@
 package jobs
 
 import (
+	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +74,23 @@
 	_, ok = table.Finished(1, "shared")
 	must.False(t, ok)
 }
+
+// Guards against the payload of another item.
+func TestOnePayloadIsDecoded(t *testing.T) {
+	payloads := make([]Payload, 5)
+	for i := range payloads {
+		payloads[i] = Payload{Path: fmt.Sprintf("/%d", i), Body: []byte(strings.Repeat("x", i))}
+	}
+	data, err := json.Marshal(payloads)
+	must.NoError(t, err)
+	for i, want := range payloads {
+		got, err := DecodePayload(data, i)
+		must.NoError(t, err)
+		must.Eq(t, want.Path, got.Path)
+		must.EqOp(t, string(want.Body), string(got.Body))
+	}
+	_, err = DecodePayload(data, len(payloads))
+	must.Error(t, err)
+	_, err = DecodePayload(data[:len(data)/2], len(payloads)-1)
+	must.Error(t, err)
+}
--- a/internal/fronthost/jobcalls.go
+++ b/internal/fronthost/jobcalls.go
@@ -35,6 +35,7 @@
 	causeBlobLate    refusalCause = "blob-late"    // outputs or payloads did not arrive in time
 	causeBlobMissing refusalCause = "blob-missing" // outputs or payloads are not in the store
 	causeCallerLeft  refusalCause = "caller-left"
+	causeMemory      refusalCause = "memory" // the host has no memory for outputs or payloads
 )
 
 // refuseCall returns a refusal of a call on a job.
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -17,6 +17,7 @@
 	"github.com/sesamestand/sesamestand/internal/cluster"
 	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
+	"github.com/sesamestand/sesamestand/internal/intake"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 )
 
@@ -442,6 +443,9 @@
 	if !h.blobs.isCached(refs[0]) && h.storeIsAway() {
 		return nil, storeUnavailableRefusal().withCause(causeOutage)
 	}
+	if refusal := holdForCall(ctx, pageCopies, refs); refusal != nil {
+		return nil, refusal
+	}
 	patience, cancel := context.WithTimeout(ctx, pagePatience)
 	defer cancel()
 	outputs, err := h.blobs.getSome(ctx, patience, e.Partition, refs)
@@ -462,6 +466,25 @@
 	return page, nil
 }
 
+// Copies of blobs that a call on a job makes: the records, the blob, its text or its
+// decoded form, and the response.
+const (
+	pageCopies    = 4
+	payloadCopies = 4
+)
+
+// holdForCall counts the blobs that a call reads with its caller.
+func holdForCall(ctx context.Context, copies int64, refs []jobs.BlobRef) *Refusal {
+	size := int64(0)
+	for _, ref := range refs {
+		size += int64(ref.Bytes)
+	}
+	if err := intake.Hold(ctx, copies*size); err != nil {
+		return (&Refusal{Refusal: *intake.BodyRefusal(err)}).withCause(causeMemory)
+	}
+	return nil
+}
+
 // ItemBody returns the body of an item. found is false if there is no such item.
 func (h *Host) ItemBody(ctx context.Context, job, item string) (body []byte, found bool, refusal *Refusal) {
 	started := time.Now()
@@ -487,12 +510,24 @@
 	if !h.blobs.isCached(e.Job.Payloads) && h.storeIsAway() {
 		return nil, false, storeUnavailableRefusal().withCause(causeOutage)
 	}
-	payloads, err := h.readPayloads(ctx, e)
+	if refusal := holdForCall(ctx, payloadCopies, []jobs.BlobRef{e.Job.Payloads}); refusal != nil {
+		return nil, false, refusal
+	}
+	payload, err := h.readPayload(ctx, e, i)
 	if err != nil {
 		h.recorder.RecordDecision("body-unavailable", jobs.CallerID(item), "job", jobs.CallerID(job), "cause", blobCause(err), "err", err.Error())
 		return nil, false, refuseCall(blobCause(err), cluster.ReasonLogUnavailable, "the store does not return the item")
 	}
-	return payloads[i].Body, true, nil
+	return payload.Body, true, nil
+}
+
+// readPayload reads the payload of one of a job's items.
+func (h *Host) readPayload(ctx context.Context, e *jobs.Entry, index int) (jobs.Payload, error) {
+	data, err := h.blobs.get(ctx, e.Partition, []jobs.BlobRef{e.Job.Payloads})
+	if err != nil {
+		return jobs.Payload{}, err
+	}
+	return jobs.DecodePayload(data[0], index)
 }
 
 // readPayloads reads the payloads of a job's items.
