Count cached blobs and partial outputs on the account

Cause: two holders of what clients cause were still outside the account of the process: the cache of outputs and payloads with the parts of blobs that arrive, 12 MB or one larger blob each, and the partial outputs of items that are not running, without a bound. Change: the cache and the parts count as they change (holder "blobs"), partial outputs of a partition every 5 s with the jobs, so that no further job is accepted while they take the memory. Outputs of accepted jobs are not limited themselves.

--- a/internal/core/account/account.go
+++ b/internal/core/account/account.go
@@ -16,17 +16,18 @@
 	Connections Holder = iota // heads and bodies of requests, and responses until they were sent
 	Responses                 // responses of backend servers to requests of the process itself
 	Jobs                      // accepted jobs
+	Blobs                     // outputs and payloads of jobs that are cached or arrive in parts
 	Decisions                 // recent decisions
 	holders
 )
 
-var holderNames = [holders]string{"connections", "responses", "jobs", "decisions"}
+var holderNames = [holders]string{"connections", "responses", "jobs", "blobs", "decisions"}
 
 // String returns the name of the holder in logs and metrics.
 func (h Holder) String() string { return holderNames[h] }
 
 // Holders returns all holders.
-func Holders() []Holder { return []Holder{Connections, Responses, Jobs, Decisions} }
+func Holders() []Holder { return []Holder{Connections, Responses, Jobs, Blobs, Decisions} }
 
 // Shares of the memory of all holders.
 const (
--- a/internal/core/jobs/memory.go
+++ b/internal/core/jobs/memory.go
@@ -37,6 +37,18 @@
 // Bytes returns the memory of an open job.
 func (f Footprint) Bytes() int64 { return f.Lasting + f.Open }
 
+// eventBytes is the memory of an event of an output beside its text.
+const eventBytes = 32
+
+// Bytes returns the memory of a partial output.
+func (p *Partial) Bytes() int64 {
+	size := len(p.Events) * eventBytes
+	for _, event := range p.Events {
+		size += len(event)
+	}
+	return int64(size)
+}
+
 // Held returns the memory of all jobs.
 func (t *Table) Held() int64 { return t.held }
 
--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -232,6 +232,19 @@
 	Cancelled []ItemPartial
 }
 
+// HeldOutputs returns the memory of the outputs of items that are not running. That of a
+// running one counts with its response.
+func (s *Scheduler) HeldOutputs() int64 {
+	held := int64(0)
+	s.tasks.Each(func(_ string, t *task) bool {
+		if t.run == nil {
+			held += t.partial.Bytes()
+		}
+		return true
+	})
+	return held
+}
+
 func taskKey(job, item string) string { return job + "/" + item }
 
 // AddJob adds the uncommitted items of a job unless the job was added before or
--- a/internal/fronthost/blobs.go
+++ b/internal/fronthost/blobs.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/logstore"
 )
@@ -74,6 +75,8 @@
 	cache map[string][]byte
 	order []string // oldest first
 	size  int
+	// account counts the cache and the parts.
+	account *account.Account
 	// fetches holds the blobs that are being read.
 	fetches map[fetchKey]*fetchedBlob
 	parts   *blobParts
@@ -84,7 +87,7 @@
 }
 
 func newBlobStore(store logstore.Store, maxRecord, maxAppend int) *blobStore {
-	return &blobStore{store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), parts: newBlobParts(), retained: make(map[int]int64), checked: make(map[int]time.Time)}
+	return &blobStore{account: account.Unlimited(), store: store, maxRecord: maxRecord, maxAppend: maxAppend, cache: make(map[string][]byte), fetches: make(map[fetchKey]*fetchedBlob), parts: newBlobParts(), retained: make(map[int]int64), checked: make(map[int]time.Time)}
 }
 
 func blobPartition(n int) logstore.Partition { return logstore.Partition{Topic: topicBlobs, Number: n} }
@@ -322,10 +325,18 @@
 	}
 }
 
+// countHeld counts on the account what a change adds to the cache and the parts. The
+// caller holds mu, and calls the result after the change.
+func (b *blobStore) countHeld() func() {
+	before := b.size + b.parts.size
+	return func() { b.account.Add(account.Blobs, int64(b.size+b.parts.size-before)) }
+}
+
 // keep keeps the records of blobs that have not arrived whole.
 func (f *fetch) keep(blobs []*fetchedBlob, values map[string][]byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer f.countHeld()()
 	for _, blob := range blobs {
 		if blob.ref.Records > 1 {
 			f.parts.add(fetchKey{f.partition, blob.ref}, values)
@@ -348,6 +359,7 @@
 func (f *fetch) dropKept(blob *fetchedBlob) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer f.countHeld()()
 	f.parts.remove(fetchKey{f.partition, blob.ref})
 }
 
@@ -765,6 +777,7 @@
 func (b *blobStore) addToCache(key string, data []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer b.countHeld()()
 	if old, ok := b.cache[key]; ok {
 		b.size += len(data) - len(old)
 		b.cache[key] = data
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -176,6 +176,7 @@
 	backends.ObserveLimits(h.observeLimit)
 	backends.ObserveLeaving(h.observeLeaving)
 	h.blobs = newBlobStore(metered, s.Platform.Store.RecordBytes, s.Platform.Store.AppendBytes)
+	h.blobs.account = held
 	h.operatorFollower = logstore.NewFollower(metered, feeds.Operators.Partition, h.applyOperators)
 	h.permission = newPermission(s, h.operatorFollower.CompleteAsOf)
 	if h.permission.terms.Strict {
--- a/internal/fronthost/runner.go
+++ b/internal/fronthost/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/sesamestand/sesamestand/internal/backend"
 	"github.com/sesamestand/sesamestand/internal/boottime"
+	"github.com/sesamestand/sesamestand/internal/core/account"
 	"github.com/sesamestand/sesamestand/internal/core/deployment"
 	"github.com/sesamestand/sesamestand/internal/core/jobs"
 	"github.com/sesamestand/sesamestand/internal/core/keepup"
@@ -60,6 +61,7 @@
 	// until their results are removed, items of other jobs may reuse these.
 	removed     map[string]*jobs.Entry
 	lastCleanUp time.Time
+	heldOutputs int64 // partial outputs that the account counts
 }
 
 // retainedPartial is a partial output and when its retention began.
@@ -155,6 +157,7 @@
 		select {
 		case <-ctx.Done():
 			r.stopRuns()
+			r.countOutputs(0)
 			return
 		case <-ticker.C:
 		case <-r.wakeups:
@@ -187,10 +190,30 @@
 	r.host.mu.Unlock()
 	if due {
 		r.evictStale(now)
+		r.countOutputs(r.outputBytes())
 		r.removeExpiredJobs(now)
 	}
 }
 
+// outputBytes returns the memory of the partial outputs of items that are not running.
+func (r *runner) outputBytes() int64 {
+	r.host.mu.Lock()
+	defer r.host.mu.Unlock()
+	held := r.scheduler.HeldOutputs()
+	for _, retained := range r.partials {
+		held += retained.partial.Bytes()
+	}
+	return held
+}
+
+// countOutputs sets the memory of partial outputs on the account.
+func (r *runner) countOutputs(bytes int64) {
+	r.host.mu.Lock()
+	defer r.host.mu.Unlock()
+	r.host.account.Add(account.Jobs, bytes-r.heldOutputs)
+	r.heldOutputs = bytes
+}
+
 // tick runs the scheduler once and carries out its decisions.
 func (r *runner) tick() {
 	h := r.host
