--- a/internal/integration/untrusted_test.go
+++ b/internal/integration/untrusted_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,8 +35,15 @@
 	crowdLong   = 48
 	crowdBodies = 64
 	crowdPeers  = 48
+	// Clients that do not read responses, the requests of each, and the size of a response.
+	crowdUnread   = 96
+	crowdRequests = 12
+	unreadBytes   = 1_000_000
 )
 
+// settleTime is how long a check waits for what a host does for clients that do not read.
+const settleTime = 5 * time.Second
+
 // startSmallSystem starts an example system whose hosts have little memory and few
 // descriptors, and waits until an ordinary request is answered.
 func startSmallSystem(t *testing.T) *system {
@@ -145,6 +153,14 @@
 	}
 	attack("bodies to a service", func(h settings.Host, c *untrusted.Crowd) { c.Bodies(crowdBodies, service(h), smallBodyBytes) })
 	attack("bodies of completions", func(h settings.Host, c *untrusted.Crowd) { c.Bodies(crowdBodies, completions(h), smallBodyBytes) })
+	attack("responses that are not read", func(h settings.Host, c *untrusted.Crowd) {
+		call := front("GET /v1/services/orders/trays")(h).WithBody("", strings.Repeat("x", unreadBytes))
+		c.Exchange(1, 1, h.HTTPAddr, func(int, int) string { return call }) // the journal returns its body
+		c.Unread(crowdUnread, crowdRequests, h.HTTPAddr, func(int, int) string {
+			return front("GET /v1/services/orders/journal")(h).WithBody("", "")
+		})
+		time.Sleep(settleTime)
+	})
 	attack("streams with many fields to peers", func(h settings.Host, c *untrusted.Crowd) { c.PeerHeads(crowdPeers, h.PeerAddr, smallHeadBytes) })
 	attack("streams with long heads to peers", func(h settings.Host, c *untrusted.Crowd) { c.PeerLongHeads(crowdPeers, h.PeerAddr) })
 }
