Keep hosts answering when several accept jobs at once

What callers saw: with jobs submitted to four hosts at the same time, none of the hosts answered an ordinary request within a minute.

Cause: hosts know of each other's submissions only when they have read their records. Each of four hosts found room for several jobs, 122 MB together for a limit of 40 MB. Since one account has the memory of all, jobs beyond their limit left nothing for connections, and heads were refused until the jobs were removed.

Change: a host stores a sixteenth of the memory for jobs at a time, or one larger job; further submissions wait for at most their timeout. A holder beyond its own limit counts for the others up to that limit only, so connections always have the rest.

--- a/internal/core/account/account.go
+++ b/internal/core/account/account.go
@@ -6,7 +6,10 @@
 // The package has no I/O and no clock. An Account is safe for concurrent use.
 package account
 
-import "sync"
+import (
+	"math"
+	"sync"
+)
 
 // Holder is a part of the process that holds memory for clients.
 type Holder int
@@ -71,7 +74,7 @@
 
 	mu    sync.Mutex
 	held  [holders]int64
-	total int64
+	total int64 // of all holders, each up to its limit
 }
 
 // New returns an account on which nothing is held.
@@ -84,7 +87,8 @@
 func (a *Account) Limits() Limits { return a.limits }
 
 // Take counts bytes that a holder is about to hold, and reports whether there is room for
-// them. Without room nothing is counted.
+// them. Without room nothing is counted. A holder beyond its own limit takes nothing from
+// the others: jobs that other hosts accepted must not keep requests from being answered.
 func (a *Account) Take(h Holder, bytes int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -104,8 +108,9 @@
 }
 
 func (a *Account) add(h Holder, bytes int64) {
+	before := min(a.held[h], a.limits.of(h))
 	a.held[h] += bytes
-	a.total += bytes
+	a.total += min(a.held[h], a.limits.of(h)) - before
 }
 
 // Held returns what a holder holds.
@@ -115,11 +120,11 @@
 	return a.held[h]
 }
 
-// Others returns what all holders but one hold.
+// Others returns what all holders but one hold, each up to its limit.
 func (a *Account) Others(h Holder) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.total - a.held[h]
+	return a.total - min(a.held[h], a.limits.of(h))
 }
 
 // Missing returns how many bytes must be returned before more fit, or 0.
@@ -129,6 +134,7 @@
 	return max(a.total+more-a.limits.Total, 0)
 }
 
+// of returns the limit of a holder beside that of all.
 func (l *Limits) of(h Holder) int64 {
 	switch h {
 	case Jobs:
@@ -136,5 +142,5 @@
 	case Decisions:
 		return l.Decisions
 	}
-	return l.Total
+	return math.MaxInt64
 }
--- a/internal/core/account/account_test.go
+++ b/internal/core/account/account_test.go
@@ -50,3 +50,17 @@
 	must.EqOp(t, 64<<20, unlimited.Jobs)
 	must.Positive(t, unlimited.Decisions)
 }
+
+// Guards against requests that are refused because other hosts accepted more jobs than fit.
+func TestHolderBeyondItsLimitLeavesTheOthersTheirMemory(t *testing.T) {
+	a := New(NewLimits(100, 0.5, 64))
+	limits := a.Limits()
+	a.Add(Jobs, 10*limits.Total)
+	must.False(t, a.Take(Jobs, 1))
+	must.EqOp(t, limits.Jobs, a.Others(Connections))
+	must.True(t, a.Take(Connections, limits.Total-limits.Jobs))
+	must.False(t, a.Take(Connections, 1))
+	a.Add(Jobs, -10*limits.Total)
+	must.True(t, a.Take(Connections, limits.Jobs))
+	must.EqOp(t, 0, a.Others(Connections))
+}
--- a/internal/fronthost/host.go
+++ b/internal/fronthost/host.go
@@ -106,6 +106,7 @@
 	duties         hostDuties
 	blobs          *blobStore
 	loads          *semaphore.Weighted // bytes of payloads and partial outputs that runners read at a time
+	submissions    *semaphore.Weighted // bytes of jobs that are being stored
 	keepUp         keepup.Config
 	behind         chan struct{} // receives when a runner does not keep up
 
@@ -166,6 +167,7 @@
 	h.guard = intake.New(intake.Options{MemoryMB: s.Limits.MemoryMB, MaxConnections: s.Limits.MaxConnections, Account: held, Recorder: recorder, Heads: h.headLimits})
 	h.keepUp, h.behind = keepup.Defaults(), make(chan struct{}, 1)
 	h.loads = semaphore.NewWeighted(maxLoadBytes)
+	h.submissions = semaphore.NewWeighted(submissionBytes(held))
 	h.surveyed = make(chan struct{})
 	h.serving, h.stopServing = context.WithCancel(context.Background())
 	if h.isSmall() {
--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -82,6 +82,11 @@
 	}
 	job.Payloads.Bytes = len(data)
 	needed := job.Footprint().Bytes()
+	storing := min(needed, submissionBytes(h.account))
+	if err := h.submissions.Acquire(ctx, storing); err != nil {
+		return h.refuseJobMemory(job, needed)
+	}
+	defer h.submissions.Release(storing)
 	if !h.account.Take(account.Jobs, needed) {
 		return h.refuseJobMemory(job, needed)
 	}
@@ -132,6 +137,16 @@
 	return nil
 }
 
+// submissionShare is the share of the memory for jobs that a host stores at a time. Several
+// hosts that do not know of each other's submissions yet can exceed the limit by it.
+const submissionShare = 1.0 / 16
+
+// submissionBytes returns the bytes of jobs that a host stores at a time, unless a single
+// one is larger.
+func submissionBytes(a *account.Account) int64 {
+	return max(int64(float64(a.Limits().Jobs)*submissionShare), 1)
+}
+
 // jobMemoryRetryAfter is the delay after which a caller should retry when this host has no
 // memory for a job. Other hosts may have some; here it returns when jobs end.
 const jobMemoryRetryAfter = time.Second
