Read responses to HEAD without their announced length

Cause: since responses are read with their announced length, a response to HEAD that announces more than 32 MB was refused as too long, although no body follows. Found by reading the change. Change: the length of a response to HEAD is not used. A submission that waits for others to be stored until its time is over is refused with a message of its own.

--- a/internal/fronthost/jobs.go
+++ b/internal/fronthost/jobs.go
@@ -84,7 +84,9 @@
 	needed := job.Footprint().Bytes()
 	storing := min(needed, submissionBytes(h.account))
 	if err := h.submissions.Acquire(ctx, storing); err != nil {
-		return h.refuseJobMemory(job, needed)
+		refusal := notRunRefusal(cluster.ReasonOverload, "jobs that are being stored take the memory for them")
+		refusal.RetryAfter = storeRetryAfter
+		return refusal
 	}
 	defer h.submissions.Release(storing)
 	if !h.account.Take(account.Jobs, needed) {
@@ -141,8 +143,8 @@
 // hosts that do not know of each other's submissions yet can exceed the limit by it.
 const submissionShare = 1.0 / 16
 
-// submissionBytes returns the bytes of jobs that a host stores at a time, unless a single
-// one is larger.
+// submissionBytes returns the bytes of jobs that a host stores at a time. A job that is
+// larger is stored alone.
 func submissionBytes(a *account.Account) int64 {
 	return max(int64(float64(a.Limits().Jobs)*submissionShare), 1)
 }
--- a/internal/httpapi/budget.go
+++ b/internal/httpapi/budget.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 
 	"github.com/sesamestand/sesamestand/internal/core/account"
 )
@@ -84,9 +85,18 @@
 	_ = s.Hold(0) // less is always granted
 }
 
-// ReadAll reads a body of at most limit bytes to its end. length is the announced one, or
-// negative. The body of a response to a client counts until that response was sent.
-func (b *BodyBudget) ReadAll(ctx context.Context, body io.Reader, length int64, limit int) ([]byte, error) {
+// ReadResponse reads the body of a response, of at most limit bytes, to its end. If the
+// response answers a client's request, the body counts until it was sent to the client.
+func (b *BodyBudget) ReadResponse(ctx context.Context, response *http.Response, limit int) ([]byte, error) {
+	length := response.ContentLength
+	if response.Request != nil && response.Request.Method == http.MethodHead {
+		length = -1 // announces a body that does not follow
+	}
+	return b.readAll(ctx, response.Body, length, limit)
+}
+
+// readAll is ReadResponse for a body with an announced length, or a negative one.
+func (b *BodyBudget) readAll(ctx context.Context, body io.Reader, length int64, limit int) ([]byte, error) {
 	share := b.Share(ctx)
 	data, err := ReadBody(body, length, int64(limit), share.Hold)
 	if err != nil || share.client == nil {
--- a/internal/services/client.go
+++ b/internal/services/client.go
@@ -106,7 +106,7 @@
 		return nil, eris.Wrapf(httpapi.ErrUpgraded, "call backend server %s", server.ID)
 	}
 	c.observe(server, r.id, response, sent)
-	data, err := c.bodies.ReadAll(ctx, response.Body, response.ContentLength, maxResponseBytes)
+	data, err := c.bodies.ReadResponse(ctx, response, maxResponseBytes)
 	if errors.Is(err, httpapi.ErrBodyTooLong) {
 		return nil, errResponseTooLarge
 	}
