Name the parts that take memory consumers

Cause: "holder" is the host that does the duties (docs/glossary.md), and the account of memory used the same word.

--- a/internal/core/account/account.go
+++ b/internal/core/account/account.go
@@ -11,28 +11,28 @@
 	"sync"
 )
 
-// Holder is a part of the process that holds memory for clients.
-type Holder int
+// Consumer is a part of the process that holds memory for clients.
+type Consumer int
 
-// Holders.
+// Consumers.
 const (
-	Connections Holder = iota // heads and bodies of requests, and responses until they were sent
-	Responses                 // responses of backend servers to requests of the process itself
-	Jobs                      // accepted jobs
-	Blobs                     // outputs and payloads of jobs that are cached or arrive in parts
-	Decisions                 // recent decisions
-	holders
+	Connections Consumer = iota // heads and bodies of requests, and responses until they were sent
+	Responses                   // responses of backend servers to requests of the process itself
+	Jobs                        // accepted jobs
+	Blobs                       // outputs and payloads of jobs that are cached or arrive in parts
+	Decisions                   // recent decisions
+	consumers
 )
 
-var holderNames = [holders]string{"connections", "responses", "jobs", "blobs", "decisions"}
+var consumerNames = [consumers]string{"connections", "responses", "jobs", "blobs", "decisions"}
 
-// String returns the name of the holder in logs and metrics.
-func (h Holder) String() string { return holderNames[h] }
+// String returns the name of the consumer in logs and metrics.
+func (c Consumer) String() string { return consumerNames[c] }
 
-// Holders returns all holders.
-func Holders() []Holder { return []Holder{Connections, Responses, Jobs, Blobs, Decisions} }
+// Consumers returns all consumers.
+func Consumers() []Consumer { return []Consumer{Connections, Responses, Jobs, Blobs, Decisions} }
 
-// Shares of the memory of all holders.
+// Shares of the memory of all consumers.
 const (
 	// largeShare is the share for all but the first bytes of a connection. The rest is
 	// left to small requests.
@@ -41,20 +41,20 @@
 	// read them.
 	maxJobShare   = 0.67
 	decisionShare = 0.11
-	// unlimitedBytes is the memory of all holders in a process without a memory limit.
+	// unlimitedBytes is the memory of all consumers in a process without a memory limit.
 	unlimitedBytes = 512 << 20
 )
 
-// Limits bound what the holders may hold, in bytes.
+// Limits bound what the consumers may hold, in bytes.
 type Limits struct {
-	Total     int64 // of all holders
-	Large     int64 // of all holders, for what large requests hold
+	Total     int64 // of all consumers
+	Large     int64 // of all consumers, for what large requests hold
 	Jobs      int64
 	Decisions int64
 }
 
 // NewLimits returns the limits of a process. memoryMB is its memory limit, clientShare the
-// share of it for all holders, and jobMB the memory for accepted jobs. Each may be 0 for no
+// share of it for all consumers, and jobMB the memory for accepted jobs. Each may be 0 for no
 // limit of its own.
 func NewLimits(memoryMB, clientShare, jobMB float64) Limits {
 	total := float64(unlimitedBytes)
@@ -68,13 +68,13 @@
 	return Limits{Total: int64(total), Large: int64(total * largeShare), Jobs: int64(jobs), Decisions: int64(total * decisionShare)}
 }
 
-// Account counts what the holders of a process hold.
+// Account counts what the consumers of a process hold.
 type Account struct {
 	limits Limits
 
 	mu    sync.Mutex
-	held  [holders]int64
-	total int64 // of all holders, each up to its limit
+	held  [consumers]int64
+	total int64 // of all consumers, each up to its limit
 }
 
 // New returns an account on which nothing is held.
@@ -86,45 +86,45 @@
 // Limits returns the limits of the account.
 func (a *Account) Limits() Limits { return a.limits }
 
-// Take counts bytes that a holder is about to hold, and reports whether there is room for
-// them. Without room nothing is counted. A holder beyond its own limit takes nothing from
+// Take counts bytes that a consumer is about to hold, and reports whether there is room for
+// them. Without room nothing is counted. A consumer beyond its own limit takes nothing from
 // the others: jobs that other hosts accepted must not keep requests from being answered.
-func (a *Account) Take(h Holder, bytes int64) bool {
+func (a *Account) Take(c Consumer, bytes int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.total+bytes > a.limits.Total || a.held[h]+bytes > a.limits.of(h) {
+	if a.total+bytes > a.limits.Total || a.held[c]+bytes > a.limits.of(c) {
 		return false
 	}
-	a.add(h, bytes)
+	a.add(c, bytes)
 	return true
 }
 
-// Add counts bytes that a holder holds, or returns them if they are negative, whether there
+// Add counts bytes that a consumer holds, or returns them if they are negative, whether there
 // is room or not.
-func (a *Account) Add(h Holder, bytes int64) {
+func (a *Account) Add(c Consumer, bytes int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.add(h, bytes)
+	a.add(c, bytes)
 }
 
-func (a *Account) add(h Holder, bytes int64) {
-	before := min(a.held[h], a.limits.of(h))
-	a.held[h] += bytes
-	a.total += min(a.held[h], a.limits.of(h)) - before
+func (a *Account) add(c Consumer, bytes int64) {
+	before := min(a.held[c], a.limits.of(c))
+	a.held[c] += bytes
+	a.total += min(a.held[c], a.limits.of(c)) - before
 }
 
-// Held returns what a holder holds.
-func (a *Account) Held(h Holder) int64 {
+// Held returns what a consumer holds.
+func (a *Account) Held(c Consumer) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.held[h]
+	return a.held[c]
 }
 
-// Others returns what all holders but one hold, each up to its limit.
-func (a *Account) Others(h Holder) int64 {
+// Others returns what all consumers but one hold, each up to its limit.
+func (a *Account) Others(c Consumer) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.total - min(a.held[h], a.limits.of(h))
+	return a.total - min(a.held[c], a.limits.of(c))
 }
 
 // Missing returns how many bytes must be returned before more fit, or 0.
@@ -134,9 +134,9 @@
 	return max(a.total+more-a.limits.Total, 0)
 }
 
-// of returns the limit of a holder beside that of all.
-func (l *Limits) of(h Holder) int64 {
-	switch h {
+// of returns the limit of a consumer beside that of all.
+func (l *Limits) of(c Consumer) int64 {
+	switch c {
 	case Jobs:
 		return l.Jobs
 	case Decisions:
--- a/internal/core/account/account_test.go
+++ b/internal/core/account/account_test.go
@@ -9,32 +9,32 @@
 	_ "github.com/sesamestand/sesamestand/internal/testseed" // fixes the seed
 )
 
-// Guards against holders that each keep their limit and together exceed that of the
+// Guards against consumers that each keep their limit and together exceed that of the
 // process.
-func TestHoldersShareOneLimit(t *testing.T) {
+func TestConsumersShareOneLimit(t *testing.T) {
 	limits := NewLimits(100, 0.5, 64)
 	must.EqOp(t, 50<<20, limits.Total)
 	rapid.Check(t, func(t *rapid.T) {
-		a, held := New(limits), make(map[Holder]int64)
+		a, held := New(limits), make(map[Consumer]int64)
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
-			h := rapid.SampledFrom(Holders()).Draw(t, "holder")
+			c := rapid.SampledFrom(Consumers()).Draw(t, "consumer")
 			bytes := rapid.Int64Range(0, 20<<20).Draw(t, "bytes")
 			if rapid.Bool().Draw(t, "return") {
-				a.Add(h, -held[h])
-				held[h] = 0
-			} else if a.Take(h, bytes) {
-				held[h] += bytes
-			} else if limit := limits.of(h); a.Missing(bytes) == 0 && held[h]+bytes <= limit {
-				t.Fatalf("%d bytes refused to %s, which holds %d of %d", bytes, h, held[h], limit)
+				a.Add(c, -held[c])
+				held[c] = 0
+			} else if a.Take(c, bytes) {
+				held[c] += bytes
+			} else if limit := limits.of(c); a.Missing(bytes) == 0 && held[c]+bytes <= limit {
+				t.Fatalf("%d bytes refused to %s, which holds %d of %d", bytes, c, held[c], limit)
 			}
 			total := int64(0)
-			for _, other := range Holders() {
+			for _, other := range Consumers() {
 				total += held[other]
 				if a.Held(other) != held[other] || held[other] > limits.of(other) {
 					t.Fatalf("%s holds %d, %d counted", other, held[other], a.Held(other))
 				}
 			}
-			if total > limits.Total || a.Others(h) != total-held[h] {
+			if total > limits.Total || a.Others(c) != total-held[c] {
 				t.Fatalf("%d bytes are held", total)
 			}
 		}
@@ -52,7 +52,7 @@
 }
 
 // Guards against requests that are refused because other hosts accepted more jobs than fit.
-func TestHolderBeyondItsLimitLeavesTheOthersTheirMemory(t *testing.T) {
+func TestConsumerBeyondItsLimitLeavesTheOthersTheirMemory(t *testing.T) {
 	a := New(NewLimits(100, 0.5, 64))
 	limits := a.Limits()
 	a.Add(Jobs, 10*limits.Total)
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -119,7 +119,7 @@
 	nextID ID
 	open   [addresses]int
 	large  int64 // held beyond SmallBytes
-	// account counts what the connections hold, beside other holders.
+	// account counts what the connections hold, beside other consumers.
 	account *account.Account
 }
 
--- a/internal/httpapi/budget.go
+++ b/internal/httpapi/budget.go
@@ -23,24 +23,24 @@
 	minBlockBytes = 4 << 10
 )
 
-// Holder counts the memory that a client's request makes the process hold until its
+// ClientMemory counts the memory that a client's request makes the process hold until its
 // response was sent.
-type Holder interface {
+type ClientMemory interface {
 	// Hold counts more bytes, or returns some if they are negative. It may wait for room.
 	Hold(more int64) error
 }
 
-type holderKey struct{}
+type clientMemoryKey struct{}
 
-// WithHolder returns the context of a client's request.
-func WithHolder(ctx context.Context, h Holder) context.Context {
-	return context.WithValue(ctx, holderKey{}, h)
+// WithClientMemory returns the context of a client's request.
+func WithClientMemory(ctx context.Context, m ClientMemory) context.Context {
+	return context.WithValue(ctx, clientMemoryKey{}, m)
 }
 
-// HolderOf returns the holder of the client's request that is handled, or nil.
-func HolderOf(ctx context.Context) Holder {
-	h, _ := ctx.Value(holderKey{}).(Holder)
-	return h
+// ClientMemoryOf returns the memory of the client's request that is handled, or nil.
+func ClientMemoryOf(ctx context.Context) ClientMemory {
+	m, _ := ctx.Value(clientMemoryKey{}).(ClientMemory)
+	return m
 }
 
 // BodyBudget counts the memory of the bodies of responses, those to clients' requests
@@ -54,13 +54,13 @@
 // BodyShare is the memory of one body.
 type BodyShare struct {
 	account *account.Account
-	client  Holder // of the request that the body answers; nil if it is the process's own
+	client  ClientMemory // of the request that the body answers; nil if it is the process's own
 	held    int64
 }
 
 // Share returns the share of a body, which holds nothing yet. It must be released.
 func (b *BodyBudget) Share(ctx context.Context) *BodyShare {
-	return &BodyShare{account: b.account, client: HolderOf(ctx)}
+	return &BodyShare{account: b.account, client: ClientMemoryOf(ctx)}
 }
 
 // Hold sets the share to the given size of the body.
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -73,7 +73,7 @@
 type Options struct {
 	MemoryMB       float64 // memory limit of the process, or 0
 	MaxConnections int     // of clients; 0 means a share of the descriptors
-	// Account counts what the connections hold, beside other holders of the process.
+	// Account counts what the connections hold, beside other consumers of the process.
 	Account  *account.Account
 	Recorder *telemetry.Recorder
 	// Heads returns the limits of heads, which may change. nil means the defaults.
@@ -130,8 +130,8 @@
 	if g.options.Recorder == nil {
 		return
 	}
-	for _, h := range account.Holders() {
-		g.options.Recorder.Set("client_memory_bytes", g.options.Account.Held(h), "holder", h.String())
+	for _, c := range account.Consumers() {
+		g.options.Recorder.Set("client_memory_bytes", g.options.Account.Held(c), "consumer", c.String())
 	}
 }
 
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -61,14 +61,14 @@
 	return maxHeadBytes
 }
 
-// request is the memory of a request that is being handled. It implements httpapi.Holder.
+// request is the memory of a request that is being handled. It implements httpapi.ClientMemory.
 type request struct {
 	conn  *Conn
 	body  int64 // held by the body
 	ended bool  // guarded by the guard's mu
 }
 
-// Hold implements httpapi.Holder.
+// Hold implements httpapi.ClientMemory.
 func (r *request) Hold(more int64) error {
 	if err := r.conn.grow(r, more); err != nil {
 		return err
@@ -97,7 +97,7 @@
 			httpapi.WriteRefusalWithStatus(w, "", BodyRefusal(ErrNoMemory), http.StatusServiceUnavailable)
 			return
 		}
-		r = r.WithContext(httpapi.WithHolder(r.Context(), request))
+		r = r.WithContext(httpapi.WithClientMemory(r.Context(), request))
 		r.Body = body
 		next.ServeHTTP(w, r)
 	})
@@ -132,7 +132,7 @@
 // the response was sent. The error is an *http.MaxBytesError if the body is longer.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	hold := func(int64) error { return nil }
-	if request, ok := httpapi.HolderOf(r.Context()).(*request); ok {
+	if request, ok := httpapi.ClientMemoryOf(r.Context()).(*request); ok {
 		hold = request.holdBody
 	}
 	data, err := httpapi.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, hold)
@@ -145,8 +145,8 @@
 // Hold counts memory that a client's request takes beside its body, before it is taken. ctx
 // is the context of the request.
 func Hold(ctx context.Context, bytes int64) error {
-	if h := httpapi.HolderOf(ctx); h != nil {
-		return h.Hold(bytes)
+	if m := httpapi.ClientMemoryOf(ctx); m != nil {
+		return m.Hold(bytes)
 	}
 	return nil
 }
