Let later responses yield the memory that earlier ones wait for

What callers saw: while clients left large responses unread, an ordinary request with a response of 1 MB was answered with 502 for 30 s.

Cause: a response gets its memory block by block. 96 responses each held some blocks and waited for the next one; none of them was written, so no connection could be closed for the others, and after 2 s all failed and the next requests of their clients began in the same way. A request without memory for its response was sent to another server for one that had no memory either.

Evidence: TestUnreadResponsesFillNoMemory/to_small_bodies took 37 s, 30 s of them until the ordinary request was answered; a trace of the table showed 96 connections, all of them waiting and holding large parts.

Change: a response that asks for more memory while one of an earlier request waits with a part of its own gives its part up and fails at once. A body with an announced length of up to 4 MB gets its memory in one step. A request is not sent again if the host has no memory for the response.

Why it works: the earliest response always gets what the later ones give up, is written, and its connection can be closed if nobody reads it.

--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -95,6 +95,7 @@
 const (
 	Granted Verdict = iota
 	Wait            // ask again when a connection has returned memory
+	Refuse          // the connection must return what it holds for the response
 )
 
 type connection struct {
@@ -245,10 +246,28 @@
 		t.record(c, bytes)
 		return Granted, nil
 	}
+	if t.mustYield(c) {
+		return Refuse, nil
+	}
 	c.waiting = true
 	return Wait, t.makeRoom(id, max(missing, t.account.Missing(more)), needsLarge, now)
 }
 
+// mustYield reports whether a connection that holds a part of a large response must give it
+// up, because one whose request began earlier waits with a part of its own. Responses that
+// each keep a part would all wait for the rest in vain.
+func (t *Table) mustYield(c *connection) bool {
+	if c.phase != Running || c.large() == 0 {
+		return false
+	}
+	for _, other := range t.conns {
+		if other != c && other.waiting && other.phase == Running && other.large() > 0 && other.since.Before(c.since) {
+			return true
+		}
+	}
+	return false
+}
+
 // makeRoom chooses connections to close until they return the missing bytes.
 func (t *Table) makeRoom(asking ID, missing int64, large bool, now time.Time) []Closing {
 	value := func(c *connection) int64 {
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -208,3 +208,28 @@
 	verdict, _ = table.Hold(third, 1, now)
 	must.EqOp(t, Granted, verdict)
 }
+
+// Guards against responses that each hold a part of their memory and wait for the rest
+// until all of them fail.
+func TestLaterResponsesYieldTheirPartOfTheMemory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newTestTable()
+	early := open(t, table, Running, now)
+	late := open(t, table, Running, now.Add(time.Second))
+	now = now.Add(2 * time.Second)
+	for _, id := range []ID{early, late} {
+		verdict, _ := table.Hold(id, SmallBytes+500<<10, now)
+		must.EqOp(t, Granted, verdict)
+	}
+	verdict, _ := table.Hold(early, SmallBytes+800<<10, now)
+	must.EqOp(t, Wait, verdict)
+	verdict, closing := table.Hold(late, SmallBytes+800<<10, now)
+	must.EqOp(t, Refuse, verdict)
+	must.SliceEmpty(t, closing)
+	verdict, _ = table.Hold(late, SmallBytes, now)
+	must.EqOp(t, Granted, verdict)
+	verdict, _ = table.Hold(early, SmallBytes+800<<10, now)
+	must.EqOp(t, Granted, verdict)
+	verdict, _ = table.Hold(late, 2*SmallBytes, now)
+	must.EqOp(t, Granted, verdict, must.Sprint("a response yields although none waits"))
+}
--- a/internal/fronthost/forwarding.go
+++ b/internal/fronthost/forwarding.go
@@ -87,6 +87,7 @@
 	verdict      spill.Verdict         // why the last selected server is local or not
 	lastFailure  *backend.Response     // last response with a status of 500 or above
 	published    []<-chan struct{}     // see attempt.published
+	noMemory     bool                  // this host had no memory for the last response
 	failures     int                   // responses with status 500: the server ran the request and failed
 }
 
@@ -386,6 +387,7 @@
 		f.refusals++
 		return nil
 	case a.err != nil:
+		f.noMemory = errors.Is(a.err, backend.ErrNoMemory)
 		return nil
 	case a.response.Status >= http.StatusInternalServerError && f.route.Kind == deployment.Idempotent:
 		f.lastFailure = a.response
@@ -398,6 +400,9 @@
 	if a.notRun() {
 		return f.refusals <= maxRefusals && f.inFlight == 0
 	}
+	if errors.Is(a.err, backend.ErrNoMemory) {
+		return false // there would be none for the next response either
+	}
 	return f.route.Kind == deployment.Idempotent && f.possibleRuns < f.route.MaxAttempts && f.inFlight == 0
 }
 
@@ -415,6 +420,9 @@
 	if f.lastFailure != nil {
 		return f.lastFailure, nil
 	}
+	if f.noMemory {
+		return nil, unknownRefusal(cluster.ReasonOverload, backend.ErrNoMemory.Error())
+	}
 	if f.possibleRuns > 0 {
 		return nil, unknownRefusal(cluster.ReasonBackendFailed, "the backend server broke off")
 	}
--- a/internal/httpapi/budget.go
+++ b/internal/httpapi/budget.go
@@ -19,6 +19,10 @@
 	// freeBodyBytes is the part of each body of the process's own requests that is counted
 	// whether there is room or not.
 	freeBodyBytes = 256 << 10
+	// wholeBodyBytes is the announced length up to which the body of a response to a client
+	// gets its memory in one step. Responses that each have got a part of it and wait for
+	// the rest keep it from one another.
+	wholeBodyBytes = 4 << 20
 	// minBlockBytes is the size of the first block of a body.
 	minBlockBytes = 4 << 10
 )
@@ -98,7 +102,11 @@
 // readAll is ReadResponse for a body with an announced length, or a negative one.
 func (b *BodyBudget) readAll(ctx context.Context, body io.Reader, length int64, limit int) ([]byte, error) {
 	share := b.Share(ctx)
-	data, err := ReadBody(body, length, int64(limit), share.Hold)
+	least := int64(minBlockBytes)
+	if share.client != nil && length <= wholeBodyBytes {
+		least = max(least, length)
+	}
+	data, err := readBlocks(body, length, int64(limit), least, share.Hold)
 	if err != nil || share.client == nil {
 		share.Release()
 	}
@@ -109,6 +117,11 @@
 // negative. hold is called with all memory of the body before more is taken: 1.5 times the
 // limit at most.
 func ReadBody(body io.Reader, length, limit int64, hold func(size int64) error) ([]byte, error) {
+	return readBlocks(body, length, limit, minBlockBytes, hold)
+}
+
+// readBlocks is ReadBody with a least size of the blocks into which the body moves.
+func readBlocks(body io.Reader, length, limit, least int64, hold func(size int64) error) ([]byte, error) {
 	if length > limit {
 		return nil, ErrBodyTooLong
 	}
@@ -126,7 +139,7 @@
 				return buffer, nil
 			}
 			var err error
-			if buffer, err = enlarge(buffer, nextBlock(int64(cap(buffer)), target), hold); err != nil {
+			if buffer, err = enlarge(buffer, nextBlock(int64(cap(buffer)), target, least), hold); err != nil {
 				return nil, err
 			}
 		}
@@ -152,10 +165,10 @@
 }
 
 // nextBlock returns the size of the block that follows one of the given size: of halves of
-// the target the smallest one that is larger, and at least minBlockBytes.
-func nextBlock(size, target int64) int64 {
+// the target the smallest one that is larger and not below the least size.
+func nextBlock(size, target, least int64) int64 {
 	next := target
-	for next/2 > size && next/2 >= minBlockBytes {
+	for next/2 > size && next/2 >= least {
 		next /= 2
 	}
 	return next
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -159,6 +159,11 @@
 		return false, nil, net.ErrClosed
 	}
 	verdict, closing := g.table.Hold(c.id, c.held+bytes, time.Now())
+	if verdict == core.Refuse {
+		g.mu.Unlock()
+		g.record("refused", core.NoMemory, c.RemoteAddr())
+		return false, nil, ErrNoMemory
+	}
 	granted = verdict == core.Granted
 	if granted {
 		c.held += bytes
